--- /dev/null
+++ b/coord/src/lib.rs
@@ -0,0 +1,27 @@
+//! Coordination parts of a serving layer, for embedding.
+//!
+//! Every part is sans-IO: it opens no socket, starts no thread, reads no clock
+//! and draws no global random number. Time comes in as [`time::Moment`] and
+//! randomness as an argument, so each part can be driven by a randomised test.
+//! What must always hold is checked by [`invariant!`] inside the parts.
+//!
+//! What may not live here: transports, serialisation formats, logging, threads.
+
+pub mod answer;
+pub mod budget;
+pub mod claim;
+pub mod estimate;
+pub mod fence;
+pub mod intent;
+pub mod invariant;
+pub mod membership;
+pub mod memory;
+pub mod name;
+pub mod pick;
+pub mod prefix;
+pub mod queue;
+pub mod quota;
+pub mod replay;
+pub mod scheduler;
+pub mod ticket;
+pub mod time;
--- /dev/null
+++ b/coord/src/quota.rs
@@ -0,0 +1,65 @@
+//! Limits per workspace, shared out over all entries.
+
+use std::time::Duration;
+
+use crate::time::Moment;
+
+/// A bucket that fills at a rate and holds at most a second's worth, or one.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate: f64,
+    level: f64,
+    filled: Moment,
+}
+
+impl Bucket {
+    /// A full bucket that fills at `rate` a second.
+    pub fn new(rate: f64, now: Moment) -> Self {
+        Self { rate, level: rate.max(1.0), filled: now }
+    }
+
+    /// Changes the rate from now on.
+    pub fn set_rate(&mut self, rate: f64, now: Moment) {
+        self.fill(now);
+        self.rate = rate;
+        self.level = self.level.min(rate.max(1.0));
+    }
+
+    /// Takes `amount`, or says when to come back.
+    ///
+    /// An amount larger than the bucket holds is taken from a full bucket and leaves it in debt.
+    pub fn take(&mut self, amount: f64, now: Moment) -> Result<(), Duration> {
+        self.fill(now);
+        let needed = amount.min(self.rate.max(1.0));
+        if self.level + 1e-9 >= needed {
+            self.level -= amount;
+            return Ok(());
+        }
+        let wait = (needed - self.level) / self.rate.max(1e-3);
+        Err(Duration::from_secs_f64(wait.min(3_600.0)))
+    }
+
+    /// The rate at which it fills, a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    fn fill(&mut self, now: Moment) {
+        let gained = now.since(self.filled).as_secs_f64() * self.rate;
+        self.level = (self.level + gained).min(self.rate.max(1.0));
+        self.filled = now;
+    }
+}
+
+/// Shares a workspace's rate out by demand: each entry gets what it asks, or its fair part.
+///
+/// `demands` are the rates that the entries saw; the result has the same order.
+pub fn shares(rate: f64, demands: &[f64]) -> Vec<f64> {
+    let total: f64 = demands.iter().sum();
+    if demands.is_empty() {
+        return Vec::new();
+    }
+    let spare = (rate - total).max(0.0) / demands.len() as f64;
+    let scale = if total > rate { rate / total } else { 1.0 };
+    demands.iter().map(|demand| demand * scale + spare).collect()
+}
--- /dev/null
+++ b/coord/src/scheduler.rs
@@ -0,0 +1,515 @@
+//! The scheduler of one endpoint: the only place where work for it is accepted.
+//!
+//! It admits, queues, starts, expires and voids jobs, keeps the ledger of the
+//! engine's memory, and remembers the keys that were bound to this incarnation.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::claim::Key;
+use crate::estimate::Estimate;
+use crate::memory::Ledger;
+use crate::name::{Attempt, Ran};
+use crate::queue::{Job, Order, Queue};
+use crate::time::Moment;
+
+/// Sizes and limits of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Jobs that may run at once.
+    pub slots: usize,
+    /// KV memory of the engine, in tokens.
+    pub memory_tokens: u64,
+    /// Most jobs waiting.
+    pub queue: usize,
+    /// Prompts up to this many tokens are short.
+    pub short_tokens: u64,
+    /// Share of slots and memory that only short prompts may use.
+    pub short_share: f64,
+    /// How long outcomes of keys and void attempts are remembered.
+    pub window: Duration,
+}
+
+/// Why a job was not accepted. A refused job did not run and will not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The endpoint is leaving.
+    Leaving,
+    /// The endpoint does not answer.
+    Unhealthy,
+    /// The attempt was voided before it came.
+    Voided,
+    /// The attempt was already offered.
+    Repeated,
+    /// It cannot finish within its time.
+    TooLate,
+    /// Too many jobs wait.
+    QueueFull,
+    /// It needs more memory than the engine has.
+    TooLarge,
+}
+
+/// A refusal with when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub reason: Refusal,
+    /// When a like job could be accepted.
+    pub retry_after: Duration,
+}
+
+/// What the caller of the scheduler has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Start the job on the engine at this priority.
+    Start(Attempt, Level),
+    /// Give the job up: its time ran out. It did not start.
+    Expire(Attempt),
+    /// Stop the job on the engine: its time ran out while it ran.
+    Cancel(Attempt),
+}
+
+/// Engine priority of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Level {
+    /// Prefill goes before that of long prompts.
+    Short,
+    /// Prefill may be paused for short prompts.
+    Long,
+}
+
+/// What became of a void.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Voided {
+    /// It had not started and never will.
+    NotRun,
+    /// It had started and was stopped or is over.
+    Started,
+}
+
+impl Voided {
+    /// What a caller may be told of a voided attempt.
+    pub fn ran(self) -> Ran {
+        match self {
+            Voided::NotRun => Ran::No,
+            Voided::Started => Ran::Unknown,
+        }
+    }
+}
+
+/// What is known of a key bound to this incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Once {
+    /// The key is new here: this attempt may run it.
+    First,
+    /// This attempt holds the key and is not over.
+    Running(Attempt),
+    /// This attempt ran the key to its end.
+    Done(Attempt),
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    job: Job,
+    level: Level,
+    started: Moment,
+    first_token: Option<Moment>,
+}
+
+/// What an endpoint expects of a prompt, for an entry that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Quote {
+    /// Expected time to the first token.
+    pub ttft: Duration,
+    /// Expected time to the whole answer.
+    pub whole: Duration,
+    /// Whether the endpoint would accept it now.
+    pub open: bool,
+    /// If not, when to come back.
+    pub retry_after: Duration,
+    /// Jobs waiting and running.
+    pub outstanding: u32,
+    /// Prefill tokens waiting and running, and output tokens still to come.
+    pub active_tokens: u64,
+}
+
+/// Time an answer may need beyond its estimate before it is refused as too late.
+const MARGIN: f64 = 1.25;
+
+/// When to come back to an endpoint that does not answer.
+const UNHEALTHY_RETRY: Duration = Duration::from_secs(1);
+
+/// The scheduler; see the module's text.
+pub struct Scheduler {
+    limits: Limits,
+    estimate: Estimate,
+    queue: Queue,
+    running: HashMap<Attempt, Running>,
+    memory: Ledger<Attempt>,
+    /// Attempts that never started and never will.
+    void: Remembered<Attempt>,
+    /// Attempts that started and are over.
+    over: Remembered<Attempt>,
+    keys: HashMap<Key, (Attempt, bool)>,
+    key_ages: VecDeque<(Moment, Key)>,
+    leaving: bool,
+    unhealthy: bool,
+}
+
+/// A set that forgets after a window.
+struct Remembered<T> {
+    at: HashMap<T, Moment>,
+    ages: VecDeque<(Moment, T)>,
+}
+
+impl<T: Copy + Eq + std::hash::Hash> Remembered<T> {
+    fn new() -> Self {
+        Self { at: HashMap::new(), ages: VecDeque::new() }
+    }
+
+    fn insert(&mut self, item: T, now: Moment) {
+        if self.at.insert(item, now).is_none() {
+            self.ages.push_back((now, item));
+        }
+    }
+
+    fn contains(&self, item: T) -> bool {
+        self.at.contains_key(&item)
+    }
+
+    fn forget(&mut self, before: Moment) {
+        while self.ages.front().is_some_and(|(at, _)| *at < before) {
+            if let Some((_, item)) = self.ages.pop_front() {
+                self.at.remove(&item);
+            }
+        }
+    }
+}
+
+impl Scheduler {
+    /// A scheduler for an idle endpoint.
+    pub fn new(limits: Limits, estimate: Estimate, order: Box<dyn Order>) -> Self {
+        let memory = Ledger::new(limits.memory_tokens);
+        Self {
+            limits,
+            estimate,
+            queue: Queue::new(order),
+            running: HashMap::new(),
+            memory,
+            void: Remembered::new(),
+            over: Remembered::new(),
+            keys: HashMap::new(),
+            key_ages: VecDeque::new(),
+            leaving: false,
+            unhealthy: false,
+        }
+    }
+
+    /// Expected cost of a prompt on the idle engine.
+    pub fn cost(&self, prefill_tokens: u64) -> Duration {
+        self.estimate.prefill(prefill_tokens) + self.estimate.overhead()
+    }
+
+    /// The estimates, to learn into.
+    pub fn estimate_mut(&mut self) -> &mut Estimate {
+        &mut self.estimate
+    }
+
+    /// What is known of `key`; if nothing, `attempt` is bound to it from now on.
+    pub fn once(&mut self, key: &Key, attempt: Attempt, now: Moment) -> Once {
+        if let Some((holder, done)) = self.keys.get(key) {
+            return if *done { Once::Done(*holder) } else { Once::Running(*holder) };
+        }
+        self.keys.insert(key.clone(), (attempt, false));
+        self.key_ages.push_back((now, key.clone()));
+        Once::First
+    }
+
+    /// Notes that the key's attempt is over.
+    pub fn once_done(&mut self, key: &Key, attempt: Attempt) {
+        if let Some(held) = self.keys.get_mut(key) {
+            crate::invariant!(held.0 == attempt, "only the attempt that a key is bound to ends it");
+            held.1 = true;
+        }
+    }
+
+    /// Whether the key was bound here within the window.
+    pub fn knows(&self, key: &Key) -> bool {
+        self.keys.contains_key(key)
+    }
+
+    /// Unbinds a key whose attempt is proven not to have run.
+    pub fn once_not_run(&mut self, key: &Key, attempt: Attempt) {
+        if self.keys.get(key).is_some_and(|held| held.0 == attempt && !held.1) {
+            self.keys.remove(key);
+            self.key_ages.retain(|(_, held)| held != key);
+        }
+    }
+
+    /// Accepts a job, or refuses it with a reason.
+    pub fn offer(&mut self, job: Job, now: Moment) -> Result<(), Refused> {
+        self.check_offer(&job, now)?;
+        self.queue.push(job);
+        Ok(())
+    }
+
+    fn check_offer(&self, job: &Job, now: Moment) -> Result<(), Refused> {
+        let refuse = |reason, retry_after| Err(Refused { reason, retry_after });
+        if self.leaving {
+            return refuse(Refusal::Leaving, Duration::ZERO);
+        }
+        if self.unhealthy {
+            return refuse(Refusal::Unhealthy, UNHEALTHY_RETRY);
+        }
+        if self.void.contains(job.attempt) {
+            return refuse(Refusal::Voided, Duration::ZERO);
+        }
+        if self.over.contains(job.attempt)
+            || self.running.contains_key(&job.attempt)
+            || self.queue.iter().any(|other| other.attempt == job.attempt)
+        {
+            return refuse(Refusal::Repeated, Duration::ZERO);
+        }
+        if job.memory_tokens > self.limits.memory_tokens {
+            return refuse(Refusal::TooLarge, Duration::ZERO);
+        }
+        if self.queue.len() >= self.limits.queue {
+            return refuse(Refusal::QueueFull, self.drained_in(job, now));
+        }
+        let needed = self.expect(job, now).1.mul_f64(MARGIN);
+        let left = job.deadline.since(now);
+        if needed > left {
+            return refuse(Refusal::TooLate, needed - left);
+        }
+        Ok(())
+    }
+
+    /// Expected time to the first token and to the whole answer of `job`.
+    fn expect(&self, job: &Job, now: Moment) -> (Duration, Duration) {
+        let ahead = self.queue.cost_ahead(job, now) + self.prefill_ahead(job, now) + self.slot_wait(job, now);
+        let ttft = ahead + job.cost;
+        (ttft, ttft + self.estimate.decode(job.output_tokens))
+    }
+
+    /// Prefill already on the engine that goes before `job`'s.
+    fn prefill_ahead(&self, job: &Job, now: Moment) -> Duration {
+        let level = self.level(job);
+        self.running
+            .values()
+            .filter(|run| run.first_token.is_none())
+            .filter(|run| level == Level::Long || run.level == Level::Short || !self.queue.keeps_headroom())
+            .map(|run| run.job.cost.saturating_sub(now.since(run.started)))
+            .sum()
+    }
+
+    /// Expected wait for a slot or memory, if `job` would not fit now.
+    fn slot_wait(&self, job: &Job, now: Moment) -> Duration {
+        if self.room().fits(job) {
+            return Duration::ZERO;
+        }
+        let ends = self.running.values().map(|run| self.expected_left(run, now));
+        ends.min().unwrap_or(Duration::ZERO)
+    }
+
+    fn expected_left(&self, run: &Running, now: Moment) -> Duration {
+        let whole = run.job.cost + self.estimate.decode(run.job.output_tokens);
+        whole.saturating_sub(now.since(run.started))
+    }
+
+    fn drained_in(&self, job: &Job, now: Moment) -> Duration {
+        self.expect(job, now).0.max(Duration::from_millis(10))
+    }
+
+    fn level(&self, job: &Job) -> Level {
+        level(job, self.limits.short_tokens)
+    }
+
+    /// What may start now.
+    fn room(&self) -> Room {
+        let share = if self.queue.keeps_headroom() { self.limits.short_share } else { 0.0 };
+        let free_slots = self.limits.slots.saturating_sub(self.running.len());
+        Room {
+            free_slots,
+            kept_slots: (self.limits.slots as f64 * share) as usize,
+            capacity: self.limits.memory_tokens,
+            free_memory: self.memory.free(),
+            kept_memory: (self.limits.memory_tokens as f64 * share) as u64,
+            short_tokens: self.limits.short_tokens,
+        }
+    }
+
+    /// What the endpoint expects of a job like `job`.
+    pub fn quote(&self, job: &Job, now: Moment) -> Quote {
+        let (ttft, whole) = self.expect(job, now);
+        let waiting: u64 = self.queue.iter().map(|job| job.prefill_tokens + job.output_tokens).sum();
+        let running: u64 = self.running.values().map(active_tokens).sum();
+        let refused = self.check_offer(job, now).err();
+        Quote {
+            ttft,
+            whole,
+            open: refused.is_none(),
+            retry_after: refused.map_or(Duration::ZERO, |refused| refused.retry_after),
+            outstanding: (self.queue.len() + self.running.len()) as u32,
+            active_tokens: waiting + running,
+        }
+    }
+
+    /// Expires what ran out of time and starts what fits; to be called after every change and at timers.
+    pub fn advance(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.forget(now);
+        self.expire(now, &mut actions);
+        while let Some(job) = self.take_next(now) {
+            let level = self.level(&job);
+            let attempt = job.attempt;
+            let held = self.memory.hold(attempt, job.memory_tokens, job.deadline);
+            crate::invariant!(held, "a job starts only with its memory held");
+            crate::invariant!(!self.void.contains(attempt), "a voided attempt never starts");
+            self.running.insert(attempt, Running { job, level, started: now, first_token: None });
+            actions.push(Action::Start(attempt, level));
+        }
+        crate::invariant!(self.running.len() <= self.limits.slots, "no more jobs run than there are slots");
+        actions
+    }
+
+    fn take_next(&mut self, now: Moment) -> Option<Job> {
+        let room = self.room();
+        self.queue.pop(now, |job| room.fits(job))
+    }
+
+    fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let late: Vec<Attempt> = self.queue.iter().filter(|job| job.deadline <= now).map(|job| job.attempt).collect();
+        for attempt in late {
+            self.queue.remove(attempt);
+            self.void.insert(attempt, now);
+            actions.push(Action::Expire(attempt));
+        }
+        let over = self.running.values().filter(|run| run.job.deadline <= now);
+        actions.extend(over.map(|run| Action::Cancel(run.job.attempt)));
+    }
+
+    fn forget(&mut self, now: Moment) {
+        let before = now - self.limits.window;
+        self.void.forget(before);
+        self.over.forget(before);
+        while self.key_ages.front().is_some_and(|(at, _)| *at < before) {
+            if let Some((_, key)) = self.key_ages.pop_front() {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    /// Notes the first token of an attempt and learns from it.
+    pub fn first_token(&mut self, attempt: Attempt, now: Moment) {
+        let alone = self.running.values().filter(|run| run.first_token.is_none()).count() == 1;
+        let Some(run) = self.running.get_mut(&attempt) else { return };
+        if run.first_token.replace(now).is_none() && alone {
+            self.estimate.learn_prefill(run.job.prefill_tokens, now.since(run.started));
+        }
+    }
+
+    /// Ends an attempt that started, with the number of output tokens it gave, and frees its memory.
+    pub fn finish(&mut self, attempt: Attempt, output_tokens: u64, now: Moment) {
+        let Some(run) = self.running.remove(&attempt) else { return };
+        self.memory.free_owner(attempt);
+        self.over.insert(attempt, now);
+        if let Some(first) = run.first_token {
+            self.estimate.learn_decode(output_tokens.saturating_sub(1), now.since(first));
+        }
+        crate::invariant!(!self.running.is_empty() || self.memory.held() == 0, "an idle endpoint holds no memory");
+    }
+
+    /// Makes sure that an attempt that has not started never will.
+    ///
+    /// With a key that another attempt holds nothing is proven: that one may run.
+    pub fn void(&mut self, attempt: Attempt, once: Option<&Key>, now: Moment) -> Voided {
+        let holder = once.and_then(|key| self.keys.get(key));
+        if holder.is_some_and(|(holder, _)| *holder != attempt) {
+            return Voided::Started;
+        }
+        if self.running.contains_key(&attempt) || self.over.contains(attempt) {
+            return Voided::Started;
+        }
+        self.queue.remove(attempt);
+        self.void.insert(attempt, now);
+        Voided::NotRun
+    }
+
+    /// Refuses all new work from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes new work again, after a drain was taken back.
+    pub fn stay(&mut self) {
+        self.leaving = false;
+    }
+
+    /// Refuses new work while the endpoint does not answer.
+    pub fn set_unhealthy(&mut self, unhealthy: bool) {
+        self.unhealthy = unhealthy;
+    }
+
+    /// Whether the endpoint is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty()
+    }
+
+    /// Jobs waiting.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Jobs running.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Tokens of memory held.
+    pub fn memory_held(&self) -> u64 {
+        self.memory.held()
+    }
+
+    /// Whether `attempt` runs.
+    pub fn is_running(&self, attempt: Attempt) -> bool {
+        self.running.contains_key(&attempt)
+    }
+}
+
+fn level(job: &Job, short_tokens: u64) -> Level {
+    if job.prefill_tokens <= short_tokens { Level::Short } else { Level::Long }
+}
+
+/// Free slots and memory, and the part of them that only short jobs may take.
+#[derive(Clone, Copy)]
+struct Room {
+    free_slots: usize,
+    kept_slots: usize,
+    capacity: u64,
+    free_memory: u64,
+    kept_memory: u64,
+    short_tokens: u64,
+}
+
+impl Room {
+    fn fits(&self, job: &Job) -> bool {
+        if level(job, self.short_tokens) == Level::Short {
+            return self.free_slots > 0 && job.memory_tokens <= self.free_memory;
+        }
+        // A prompt that could never fit beside the headroom may take it all on an empty engine.
+        let kept = self.kept_memory.min(self.capacity.saturating_sub(job.memory_tokens));
+        self.free_slots > self.kept_slots && job.memory_tokens + kept <= self.free_memory
+    }
+}
+
+fn active_tokens(run: &Running) -> u64 {
+    let prefill = if run.first_token.is_none() { run.job.prefill_tokens } else { 0 };
+    prefill + run.job.output_tokens
+}
--- /dev/null
+++ b/sorrelpass/src/config.rs
@@ -0,0 +1,497 @@
+//! Settings: INI files, read with every fault found at once.
+//!
+//! A [`Reader`] hands out typed values section by section and remembers what was
+//! asked for; [`Reader::finish`] reports what was wrong and what nobody asked for.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use std::time::Duration;
+
+use coord::name::Name;
+use coord::scheduler::Limits;
+use eyre::{Result, eyre};
+use ini::Ini;
+
+use crate::plugin::{self, LogPlugin, OrderPlugin, PickerPlugin, VmListPlugin, Weights};
+use crate::secret::Secret;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The file.
+    pub file: PathBuf,
+    /// The line of the key, or of the section if the key is missing.
+    pub line: Option<usize>,
+    /// `section.key`.
+    pub key: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let line = self.line.map_or(String::new(), |line| format!(" line={line}"));
+        write!(f, "file={}{line} key={} reason={:?}", self.file.display(), self.key, self.reason)
+    }
+}
+
+/// All faults of a settings file.
+#[derive(Clone, Debug)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// Reads one settings file.
+pub struct Reader {
+    file: PathBuf,
+    text: String,
+    ini: Ini,
+    asked: BTreeSet<(String, String)>,
+    faults: Vec<Fault>,
+}
+
+impl Reader {
+    /// Reads `file`; a file that is no INI is a single fault.
+    pub fn open(file: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(file)
+            .map_err(|error| eyre!("step=read-settings file={}: {error}", file.display()))?;
+        Self::parse(file, text)
+    }
+
+    /// Reads `text` as the content of `file`.
+    pub fn parse(file: &Path, text: String) -> Result<Self> {
+        let ini = Ini::load_from_str(&text).map_err(|error| {
+            let fault = Fault {
+                file: file.to_owned(),
+                line: Some(error.line + 1),
+                key: "-".into(),
+                reason: error.msg.to_string(),
+            };
+            eyre!(Faults(vec![fault]))
+        })?;
+        Ok(Self { file: file.to_owned(), text, ini, asked: BTreeSet::new(), faults: Vec::new() })
+    }
+
+    /// Whether the file has a section.
+    pub fn has(&self, section: &str) -> bool {
+        self.ini.section(Some(section)).is_some()
+    }
+
+    fn raw(&mut self, section: &str, key: &str) -> Option<String> {
+        self.asked.insert((section.to_owned(), key.to_owned()));
+        self.ini.get_from(Some(section), key).map(|value| value.trim().to_owned())
+    }
+
+    /// Notes a fault at a key.
+    pub fn fault(&mut self, section: &str, key: &str, reason: impl Into<String>) {
+        let line = self.line(section, key);
+        let fault = Fault { file: self.file.clone(), line, key: format!("{section}.{key}"), reason: reason.into() };
+        self.faults.push(fault);
+    }
+
+    fn line(&self, section: &str, key: &str) -> Option<usize> {
+        let header = format!("[{section}]");
+        let start = self.text.lines().position(|line| line.trim() == header)?;
+        let inside =
+            self.text.lines().enumerate().skip(start + 1).take_while(|(_, line)| !line.trim().starts_with('['));
+        let found =
+            inside.into_iter().find(|(_, line)| line.split(['=', ':']).next().is_some_and(|name| name.trim() == key));
+        Some(found.map_or(start, |(index, _)| index) + 1)
+    }
+
+    /// A value that must be there.
+    pub fn required<T: FromStr>(&mut self, section: &str, key: &str, what: &str) -> Option<T> {
+        let Some(raw) = self.raw(section, key).filter(|raw| !raw.is_empty()) else {
+            self.fault(section, key, format!("missing: {what} is needed"));
+            return None;
+        };
+        self.parsed(section, key, &raw, what)
+    }
+
+    /// A value with a default.
+    pub fn or<T: FromStr>(&mut self, section: &str, key: &str, what: &str, default: T) -> T {
+        let Some(raw) = self.raw(section, key) else { return default };
+        self.parsed(section, key, &raw, what).unwrap_or(default)
+    }
+
+    fn parsed<T: FromStr>(&mut self, section: &str, key: &str, raw: &str, what: &str) -> Option<T> {
+        let value = raw.parse().ok();
+        if value.is_none() {
+            self.fault(section, key, format!("{raw:?} is not {what}"));
+        }
+        value
+    }
+
+    /// A number within bounds, with a default.
+    pub fn number<T>(&mut self, section: &str, key: &str, bounds: std::ops::RangeInclusive<T>, default: T) -> T
+    where
+        T: FromStr + PartialOrd + fmt::Display + Copy,
+    {
+        let value = self.or(section, key, "a number", default);
+        if !bounds.contains(&value) {
+            self.fault(section, key, format!("{value} lies outside {} to {}", bounds.start(), bounds.end()));
+            return default;
+        }
+        value
+    }
+
+    /// A time in milliseconds, within bounds, with a default.
+    pub fn millis(
+        &mut self,
+        section: &str,
+        key: &str,
+        bounds: std::ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> Duration {
+        Duration::from_millis(self.number(section, key, bounds, default))
+    }
+
+    /// A name that must be there: letters, digits, `-`, `_`, `.`.
+    pub fn name(&mut self, section: &str, key: &str) -> Option<Name> {
+        let raw: String = self.required(section, key, "a name")?;
+        if !raw.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c)) {
+            self.fault(section, key, format!("{raw:?} is not a name: letters, digits, '-', '_' and '.' only"));
+            return None;
+        }
+        Some(Name::from(raw))
+    }
+
+    /// One of several words, with a default.
+    pub fn choice(
+        &mut self,
+        section: &str,
+        key: &str,
+        choices: &[&'static str],
+        default: &'static str,
+    ) -> &'static str {
+        let Some(raw) = self.raw(section, key) else { return default };
+        if let Some(found) = choices.iter().find(|choice| **choice == raw) {
+            return found;
+        }
+        self.fault(section, key, format!("{raw:?} is none of: {}", choices.join(", ")));
+        default
+    }
+
+    /// A list of addresses, separated by commas.
+    pub fn addresses(&mut self, section: &str, key: &str) -> Vec<Name> {
+        let Some(raw) = self.raw(section, key) else { return Vec::new() };
+        let mut found = Vec::new();
+        for part in raw.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+            match part.parse::<SocketAddr>() {
+                Ok(_) => found.push(Name::from(part)),
+                Err(_) => self.fault(section, key, format!("{part:?} is not an address ip:port")),
+            }
+        }
+        found
+    }
+
+    /// A secret named by `key_file` or `key_env`.
+    pub fn secret(&mut self, section: &str, key: &str) -> Option<Secret> {
+        let file_key = format!("{key}_file");
+        let env_key = format!("{key}_env");
+        let file: Option<String> = self.raw(section, &file_key);
+        let env: Option<String> = self.raw(section, &env_key);
+        match (file, env) {
+            (Some(_), Some(_)) => {
+                self.fault(section, &file_key, format!("give either {file_key} or {env_key}, not both"))
+            }
+            (Some(path), None) => match std::fs::read(&path) {
+                Ok(bytes) if bytes.trim_ascii().len() >= 16 => return Some(Secret::new(bytes.trim_ascii())),
+                Ok(_) => self.fault(section, &file_key, "the secret is shorter than 16 bytes"),
+                Err(error) => self.fault(section, &file_key, format!("cannot read {path:?}: {error}")),
+            },
+            (None, Some(name)) => match std::env::var(&name) {
+                Ok(value) if value.trim().len() >= 16 => return Some(Secret::new(value.trim().as_bytes())),
+                Ok(_) => self.fault(section, &env_key, "the secret is shorter than 16 bytes"),
+                Err(_) => self.fault(section, &env_key, format!("the environment has no variable {name:?}")),
+            },
+            (None, None) => {}
+        }
+        None
+    }
+
+    /// Reports every fault, unknown sections and keys among them.
+    pub fn finish(mut self) -> Result<(), Faults> {
+        let mut unknown = Vec::new();
+        for (section, properties) in self.ini.iter() {
+            let section = section.unwrap_or("");
+            for (key, _) in properties.iter() {
+                if !self.asked.contains(&(section.to_owned(), key.to_owned())) {
+                    unknown.push((section.to_owned(), key.to_owned()));
+                }
+            }
+        }
+        for (section, key) in unknown {
+            self.fault(&section, &key, "unknown key");
+        }
+        if self.faults.is_empty() { Ok(()) } else { Err(Faults(self.faults)) }
+    }
+}
+
+/// Settings that every role has.
+#[derive(Clone, Debug)]
+pub struct Process {
+    /// The process's name.
+    pub name: Name,
+    /// Its failure domain.
+    pub failure_domain: Name,
+    /// Log level, as `tracing` filters have it.
+    pub log_level: String,
+}
+
+/// Where the platform's services are.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Name of the log plug-in.
+    pub log: &'static str,
+    /// The log's address.
+    pub log_address: Name,
+    /// Name of the VM list plug-in.
+    pub vms: &'static str,
+    /// The VM list's address.
+    pub vms_address: Name,
+    /// How often the VM list is read.
+    pub vms_poll: Duration,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What every role has.
+    pub process: Process,
+    /// Where the platform is.
+    pub platform: Platform,
+    /// Where callers and operators connect.
+    pub listen: SocketAddr,
+    /// Where other processes of the system connect.
+    pub peer_listen: SocketAddr,
+    /// Peer addresses of other entries, for a start without the VM list.
+    pub peers: Vec<Name>,
+    /// Threads that serve callers.
+    pub threads: usize,
+    /// Name of the picker.
+    pub picker: &'static str,
+    /// Endpoints asked for each request.
+    pub candidates: usize,
+    /// Largest body, in bytes.
+    pub max_body_bytes: usize,
+    /// Bytes of bodies held at once.
+    pub body_budget_bytes: usize,
+    /// An endpoint that has not quoted by then is not waited for.
+    pub quote_timeout: Duration,
+    /// Time kept before a deadline to settle what ran.
+    pub void_reserve: Duration,
+    /// A caller that does not read for so long is cut off.
+    pub slow_caller: Duration,
+    /// Extra time to reach another failure domain.
+    pub distance: Duration,
+    /// Retries per first try.
+    pub retry_share: f64,
+    /// How long an idempotency key is remembered.
+    pub once_window: Duration,
+    /// Key that authenticates tickets.
+    pub ticket_secret: Option<Secret>,
+    /// Key that authenticates operators; none lets anyone in.
+    pub operator_secret: Option<Secret>,
+}
+
+/// What kind of endpoint a sidecar stands beside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// Settings of a sidecar.
+#[derive(Clone, Debug)]
+pub struct Sidecar {
+    /// What every role has.
+    pub process: Process,
+    /// Where entries connect.
+    pub listen: SocketAddr,
+    /// The endpoint's name.
+    pub endpoint: Name,
+    /// The endpoint's address.
+    pub endpoint_address: Name,
+    /// The service it belongs to.
+    pub service: Name,
+    /// What kind it is.
+    pub kind: Kind,
+    /// Peer addresses of entries to learn configuration from.
+    pub entries: Vec<Name>,
+    /// Name of the queue order.
+    pub order: &'static str,
+    /// Weights of the deployment's measures.
+    pub weights: Weights,
+    /// Sizes and limits.
+    pub limits: Limits,
+    /// Prefill tokens a second to start the estimates from.
+    pub prefill_rate: f64,
+    /// Gap between tokens to start the estimates from.
+    pub gap: Duration,
+    /// Blocks of the prefix cache's picture.
+    pub cache_blocks: usize,
+    /// A caller's entry that does not read for so long is cut off.
+    pub slow_entry: Duration,
+    /// How often the endpoint's health is checked.
+    pub probe: Duration,
+}
+
+/// Settings of either role.
+#[derive(Clone, Debug)]
+pub enum Settings {
+    /// Of an entry.
+    Entry(Box<Entry>),
+    /// Of a sidecar.
+    Sidecar(Box<Sidecar>),
+}
+
+/// Longest time settings may give, in milliseconds.
+const DAY_MS: u64 = 24 * 3_600 * 1_000;
+
+impl Settings {
+    /// Reads and checks a settings file of either role.
+    pub fn load(file: &Path) -> Result<Self> {
+        let mut reader = Reader::open(file)?;
+        let settings = match (reader.has("entry"), reader.has("sidecar")) {
+            (true, false) => entry(&mut reader).map(|entry| Settings::Entry(Box::new(entry))),
+            (false, true) => sidecar(&mut reader).map(|sidecar| Settings::Sidecar(Box::new(sidecar))),
+            _ => {
+                reader.fault("entry", "-", "the file must have exactly one of the sections [entry] and [sidecar]");
+                None
+            }
+        };
+        reader.finish()?;
+        settings.ok_or_else(|| eyre!("step=read-settings file={}: incomplete", file.display()))
+    }
+}
+
+fn process(reader: &mut Reader) -> Option<Process> {
+    let name = reader.name("process", "name");
+    let failure_domain = reader.name("process", "failure_domain");
+    let levels = ["error", "warn", "info", "debug", "trace"];
+    let log_level = reader.choice("process", "log_level", &levels, "info").to_owned();
+    Some(Process { name: name?, failure_domain: failure_domain?, log_level })
+}
+
+fn address(reader: &mut Reader, section: &str, key: &str) -> Option<SocketAddr> {
+    reader.required(section, key, "an address ip:port")
+}
+
+fn platform(reader: &mut Reader) -> Option<Platform> {
+    let log = reader.choice("platform", "log", &plugin::names::<LogPlugin>(|plugin| plugin.name), "http");
+    let vms = reader.choice("platform", "vms", &plugin::names::<VmListPlugin>(|plugin| plugin.name), "http");
+    let log_address = address(reader, "platform", "log_address");
+    let vms_address = address(reader, "platform", "vms_address");
+    let vms_poll = reader.millis("platform", "vms_poll_ms", 50..=DAY_MS, 1_000);
+    let name = |address: SocketAddr| Name::from(address.to_string());
+    Some(Platform { log, log_address: name(log_address?), vms, vms_address: name(vms_address?), vms_poll })
+}
+
+fn entry(reader: &mut Reader) -> Option<Entry> {
+    let process = process(reader);
+    let platform = platform(reader);
+    let listen = address(reader, "entry", "listen");
+    let peer_listen = address(reader, "entry", "peer_listen");
+    let peers = reader.addresses("entry", "peers");
+    let threads = reader.number("entry", "threads", 1..=64, 2);
+    let pickers = plugin::names::<PickerPlugin>(|plugin| plugin.name);
+    let picker = reader.choice("entry", "picker", &pickers, "quoted");
+    let candidates = reader.number("entry", "candidates", 1..=16, 3);
+    let max_body_bytes = reader.number("entry", "max_body_bytes", 1_024..=1 << 30, 16 << 20);
+    let body_budget_bytes = reader.number("entry", "body_budget_bytes", 1_024..=1 << 36, 256 << 20);
+    let quote_timeout = reader.millis("entry", "quote_timeout_ms", 1..=60_000, 100);
+    let void_reserve = reader.millis("entry", "void_reserve_ms", 1..=60_000, 200);
+    let slow_caller = reader.millis("entry", "slow_caller_ms", 10..=DAY_MS, 10_000);
+    let distance = reader.millis("entry", "distance_ms", 0..=10_000, 2);
+    let retry_share = reader.number("entry", "retry_share", 0.0..=1.0, 0.1);
+    let once_window = reader.millis("entry", "once_window_ms", 1_000..=DAY_MS, 3_600_000);
+    let ticket_secret = reader.secret("entry", "ticket_secret");
+    let operator_secret = reader.secret("entry", "operator_secret");
+    if body_budget_bytes < max_body_bytes {
+        reader.fault("entry", "body_budget_bytes", "must not be below max_body_bytes");
+    }
+    Some(Entry {
+        process: process?,
+        platform: platform?,
+        listen: listen?,
+        peer_listen: peer_listen?,
+        peers,
+        threads,
+        picker,
+        candidates,
+        max_body_bytes,
+        body_budget_bytes,
+        quote_timeout,
+        void_reserve,
+        slow_caller,
+        distance,
+        retry_share,
+        once_window,
+        ticket_secret,
+        operator_secret,
+    })
+}
+
+fn limits(reader: &mut Reader) -> Limits {
+    Limits {
+        slots: reader.number("sidecar", "slots", 1..=65_536, 64),
+        memory_tokens: reader.number("sidecar", "memory_tokens", 1..=1 << 40, 400_000),
+        queue: reader.number("sidecar", "queue", 1..=65_536, 256),
+        short_tokens: reader.number("sidecar", "short_tokens", 1..=1 << 40, 4_000),
+        short_share: reader.number("sidecar", "short_share", 0.0..=0.9, 0.2),
+        window: reader.millis("sidecar", "once_window_ms", 1_000..=DAY_MS, 3_600_000),
+    }
+}
+
+fn sidecar(reader: &mut Reader) -> Option<Sidecar> {
+    let process = process(reader);
+    let listen = address(reader, "sidecar", "listen");
+    let endpoint = reader.name("sidecar", "endpoint");
+    let endpoint_address = address(reader, "sidecar", "endpoint_address");
+    let service = reader.name("sidecar", "service");
+    let kind = match reader.choice("sidecar", "kind", &["engine", "plain"], "engine") {
+        "plain" => Kind::Plain,
+        _ => Kind::Engine,
+    };
+    let entries = reader.addresses("sidecar", "entries");
+    let orders = plugin::names::<OrderPlugin>(|plugin| plugin.name);
+    let order = reader.choice("sidecar", "order", &orders, "slack");
+    let slowdown = reader.number("sidecar", "slowdown_weight", 0.0..=1_000.0, 1.0);
+    let ttft = reader.number("sidecar", "ttft_weight", 0.0..=1_000.0, 1.0);
+    let limits = limits(reader);
+    let prefill_rate = reader.number("sidecar", "prefill_tokens_per_s", 1.0..=1e12, 60_000.0);
+    let gap = reader.millis("sidecar", "gap_ms", 1..=60_000, 20);
+    let cache_blocks = reader.number("sidecar", "cache_blocks", 1..=1 << 24, 65_536);
+    let slow_entry = reader.millis("sidecar", "slow_entry_ms", 10..=DAY_MS, 10_000);
+    let probe = reader.millis("sidecar", "probe_ms", 20..=DAY_MS, 1_000);
+    Some(Sidecar {
+        process: process?,
+        listen: listen?,
+        endpoint: endpoint?,
+        endpoint_address: Name::from(endpoint_address?.to_string()),
+        service: service?,
+        kind,
+        entries,
+        order,
+        weights: Weights { slowdown, ttft },
+        limits,
+        prefill_rate,
+        gap,
+        cache_blocks,
+        slow_entry,
+        probe,
+    })
+}
--- /dev/null
+++ b/sorrelpass/src/entry/limits.rs
@@ -0,0 +1,118 @@
+//! Workspaces' limits over all entries: each limit has an owner among the entries, to
+//! which the others report what was asked of them and which shares the limit out.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use coord::intent::{Config, Workspace};
+use coord::name::Name;
+use coord::quota;
+use coord::time::Moment;
+
+use super::kernel::{Command, Demand, Share};
+use super::{Shared, peer};
+use crate::{util, warn_event};
+
+/// How often demand is reported.
+const PERIOD: Duration = Duration::from_millis(500);
+/// A report older than this no longer counts.
+const STALE: Duration = Duration::from_secs(3);
+
+/// What an owner knows of its workspaces' demand.
+#[derive(Default)]
+pub struct Exchange {
+    reports: HashMap<Name, HashMap<Name, (Moment, Demand)>>,
+}
+
+impl Exchange {
+    /// Takes `entry`'s report and returns its shares.
+    fn report(&mut self, config: &Config, entry: &Name, demands: Vec<Demand>, now: Moment) -> Vec<Share> {
+        demands
+            .into_iter()
+            .filter_map(|demand| {
+                let workspace = config.workspaces.get(&demand.workspace)?;
+                let reports = self.reports.entry(demand.workspace.clone()).or_default();
+                reports.insert(entry.clone(), (now, demand));
+                reports.retain(|_, (at, _)| now.since(*at) <= STALE);
+                Some(share(workspace, reports, entry))
+            })
+            .collect()
+    }
+}
+
+fn share(workspace: &Workspace, reports: &HashMap<Name, (Moment, Demand)>, entry: &Name) -> Share {
+    let names: Vec<&Name> = reports.keys().collect();
+    let own = names.iter().position(|name| *name == entry).unwrap_or(0);
+    let of = |rate: f64, demand: fn(&Demand) -> f64| {
+        let demands: Vec<f64> = names.iter().map(|name| demand(&reports[*name].1)).collect();
+        quota::shares(rate, &demands)[own]
+    };
+    Share {
+        workspace: workspace.name.clone(),
+        requests_per_s: workspace.requests_per_s.map(|rate| of(rate, |demand| demand.requests_per_s)),
+        tokens_per_s: workspace.tokens_per_s.map(|rate| of(rate, |demand| demand.tokens_per_s)),
+    }
+}
+
+static EXCHANGE: Mutex<Option<Exchange>> = Mutex::new(None);
+
+/// Takes a report at the owner.
+pub fn report(config: &Config, entry: &Name, demands: Vec<Demand>) -> Vec<Share> {
+    let mut exchange = EXCHANGE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    exchange.get_or_insert_default().report(config, entry, demands, util::now())
+}
+
+/// Reports demand again and again.
+pub async fn run(shared: &Shared) {
+    let own = Name::from(shared.settings.peer_listen.to_string());
+    loop {
+        tokio::time::sleep(util::jitter(PERIOD)).await;
+        let Ok(demands) = shared.ask(Command::Demands).await else { return };
+        if demands.is_empty() {
+            continue;
+        }
+        let mut all = shared.peers();
+        all.push(own.clone());
+        for (owner, demands) in by_owner(&all, demands) {
+            let shares = ask_owner(shared, &own, &owner, demands, all.len()).await;
+            let _ = shared.kernel.send(Command::Shares(shares)).await;
+        }
+    }
+}
+
+/// Groups demands by the entry that owns their workspace's limit.
+fn by_owner(entries: &[Name], demands: Vec<Demand>) -> HashMap<Name, Vec<Demand>> {
+    let mut grouped: HashMap<Name, Vec<Demand>> = HashMap::new();
+    for demand in demands {
+        let hash = xxhash_rust::xxh3::xxh3_64(demand.workspace.as_bytes());
+        if let Some(owner) = coord::pick::chosen(hash, entries.iter(), 1).pop() {
+            grouped.entry(owner).or_default().push(demand);
+        }
+    }
+    grouped
+}
+
+/// The owner's word on the shares; without it each entry takes an equal part.
+async fn ask_owner(shared: &Shared, own: &Name, owner: &Name, demands: Vec<Demand>, entries: usize) -> Vec<Share> {
+    let config = shared.config.borrow().clone();
+    if owner == own {
+        return report(&config, own, demands);
+    }
+    match peer::report(owner, own, &demands).await {
+        Ok(shares) => shares,
+        Err(error) => {
+            warn_event!("limit-owner-unreachable", peer = %owner, reason = %error);
+            let equal = |rate: Option<f64>| rate.map(|rate| rate / entries as f64);
+            let part = |demand: Demand| {
+                let workspace = config.workspaces.get(&demand.workspace)?;
+                Some(Share {
+                    workspace: demand.workspace,
+                    requests_per_s: equal(workspace.requests_per_s),
+                    tokens_per_s: equal(workspace.tokens_per_s),
+                })
+            };
+            demands.into_iter().filter_map(part).collect()
+        }
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/entry/log.rs
@@ -0,0 +1,318 @@
+//! The `log` thread: replays the configuration, and appends plans and confirms.
+//!
+//! Snapshots live on a stream of their own, which only a fresh process reads, so
+//! that following the configuration costs no more than the changes themselves.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coord::intent::Config;
+use coord::name::Name;
+use coord::replay::{Record, Replay, Snapshot, Verdict};
+use eyre::{Result, WrapErr};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{oneshot, watch};
+
+use super::kernel;
+use super::{Shared, peer};
+use crate::platform::{Batch, Log};
+use crate::{event, ring, util, warn_event};
+
+/// Stream of plans and confirms.
+const CONFIG: &str = "config";
+/// Stream of snapshots.
+const SNAPSHOTS: &str = "config-snapshots";
+/// How long a read may wait for news, in milliseconds.
+const READ_WAIT_MS: u64 = 2_000;
+/// Pause after a failed call to the log.
+const RETRY: Duration = Duration::from_millis(200);
+/// How long a plan or confirm is tried before the operator is told that nothing is known.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// How often a snapshot is due.
+const SNAPSHOT_EVERY: Duration = Duration::from_secs(600);
+/// Records after which a snapshot is due.
+const SNAPSHOT_RECORDS: u64 = 512;
+/// Bytes of snapshot in one record.
+const PART_BYTES: usize = 256 * 1_024;
+
+/// Commands to the log thread.
+pub enum Command {
+    /// Append a plan; answered once it is read back.
+    Plan(Record, oneshot::Sender<Result<()>>),
+    /// Confirm a plan; answered once its verdict is read back.
+    Confirm(Name, oneshot::Sender<Result<Verdict>>),
+    /// The state, if it is newer than this offset.
+    Snapshot(u64, oneshot::Sender<Option<Snapshot>>),
+}
+
+/// A part of a snapshot; a snapshot too large for one record has several.
+#[derive(Serialize, Deserialize)]
+struct Part {
+    id: Name,
+    part: usize,
+    parts: usize,
+    text: String,
+}
+
+struct Follower {
+    shared: Arc<Shared>,
+    log: Box<dyn Log>,
+    replay: RefCell<Replay>,
+    /// Offset of the next record to replay, for those who wait.
+    position: watch::Sender<u64>,
+    published: watch::Sender<Arc<Config>>,
+    snapshot_at: RefCell<(coord::time::Moment, u64)>,
+}
+
+/// Runs the thread.
+pub async fn run(
+    shared: Arc<Shared>,
+    log: Box<dyn Log>,
+    published: watch::Sender<Arc<Config>>,
+    mut commands: ring::Receiver<Command>,
+) {
+    let follower = Rc::new(Follower {
+        shared,
+        log,
+        replay: RefCell::new(Replay::new()),
+        position: watch::channel(0).0,
+        published,
+        snapshot_at: RefCell::new((util::now(), 0)),
+    });
+    let tail = tokio::task::spawn_local(follower.clone().follow());
+    while let Some(command) = commands.recv().await {
+        let follower = follower.clone();
+        tokio::task::spawn_local(async move { follower.handle(command).await });
+    }
+    tail.abort();
+}
+
+impl Follower {
+    async fn handle(&self, command: Command) {
+        match command {
+            Command::Plan(record, reply) => drop(reply.send(self.plan(&record).await)),
+            Command::Confirm(plan, reply) => drop(reply.send(self.confirm(&plan).await)),
+            Command::Snapshot(next, reply) => {
+                let replay = self.replay.borrow();
+                let newer = replay.next() > next;
+                let _ = reply.send(newer.then(|| replay.snapshot()));
+            }
+        }
+    }
+
+    /// Follows the log; while it is out, the peers.
+    async fn follow(self: Rc<Self>) {
+        let mut reachable = true;
+        self.ask_peers().await;
+        loop {
+            let next = self.replay.borrow().next();
+            match self.log.read(CONFIG, next, READ_WAIT_MS).await {
+                Ok(batch) => {
+                    if !reachable {
+                        event!("log-back", stream = CONFIG);
+                    }
+                    reachable = true;
+                    self.take(&batch).await;
+                    self.publish_snapshot().await;
+                }
+                Err(error) => {
+                    if reachable {
+                        warn_event!("log-out", stream = CONFIG, reason = %error);
+                    }
+                    reachable = false;
+                    self.ask_peers().await;
+                    tokio::time::sleep(util::jitter(RETRY)).await;
+                }
+            }
+        }
+    }
+
+    async fn take(&self, batch: &Batch) {
+        let next = self.replay.borrow().next();
+        if batch.oldest > next {
+            // What comes next is gone from the log: only a snapshot bridges the gap.
+            event!("log-gap", stream = CONFIG, next, oldest = batch.oldest);
+            self.bridge(batch.oldest).await;
+            return;
+        }
+        let mut changed = false;
+        for entry in &batch.entries {
+            match serde_json::from_slice::<Record>(&entry.payload) {
+                Ok(record) => changed |= self.replay.borrow_mut().apply(entry.offset, &record),
+                Err(error) => {
+                    warn_event!("record-unreadable", stream = CONFIG, offset = entry.offset, reason = %error);
+                    self.replay.borrow_mut().skip(entry.offset);
+                }
+            }
+        }
+        self.publish(changed).await;
+    }
+
+    async fn publish(&self, changed: bool) {
+        let (config, next) = {
+            let replay = self.replay.borrow();
+            (replay.config().clone(), replay.next())
+        };
+        if changed {
+            let _ = self.shared.kernel.send(kernel::Command::Config(config.clone())).await;
+            self.published.send_replace(config);
+        }
+        self.position.send_replace(next);
+    }
+
+    async fn restore(&self, snapshot: &Snapshot, from: &str) {
+        let before = self.replay.borrow().config().revision;
+        if !self.replay.borrow_mut().restore(snapshot) {
+            return;
+        }
+        event!("restored", peer = from, next = snapshot.next, revision = snapshot.config.revision);
+        self.publish(snapshot.config.revision != before).await;
+    }
+
+    /// Takes the newest state that any peer has.
+    async fn ask_peers(&self) {
+        for entry in self.shared.peers() {
+            let next = self.replay.borrow().next();
+            if let Ok(Some(snapshot)) = peer::snapshot(&entry, next).await {
+                self.restore(&snapshot, &entry).await;
+            }
+        }
+    }
+
+    /// Bridges a gap before `oldest` by a peer's state, or a published snapshot.
+    async fn bridge(&self, oldest: u64) {
+        self.ask_peers().await;
+        if self.replay.borrow().next() >= oldest {
+            return;
+        }
+        match self.read_snapshot().await {
+            Ok(Some(snapshot)) if snapshot.next >= oldest => self.restore(&snapshot, SNAPSHOTS).await,
+            Ok(_) => {
+                warn_event!("no-snapshot", stream = SNAPSHOTS, oldest);
+                tokio::time::sleep(util::jitter(RETRY)).await;
+            }
+            Err(error) => warn_event!("no-snapshot", stream = SNAPSHOTS, oldest, reason = %error),
+        }
+    }
+
+    /// The newest whole snapshot on the log.
+    async fn read_snapshot(&self) -> Result<Option<Snapshot>> {
+        let mut newest: Option<Snapshot> = None;
+        let mut parts: Vec<Part> = Vec::new();
+        let mut next = 0;
+        loop {
+            let batch = self.log.read(SNAPSHOTS, next, 0).await?;
+            for entry in &batch.entries {
+                let Ok(part) = serde_json::from_slice::<Part>(&entry.payload) else { continue };
+                parts.retain(|other| other.id != part.id || other.part != part.part);
+                parts.push(part);
+                if let Some(whole) = assemble(&mut parts)
+                    && newest.as_ref().is_none_or(|newest| newest.next < whole.next)
+                {
+                    newest = Some(whole);
+                }
+            }
+            match batch.entries.last() {
+                Some(last) if last.offset + 1 < batch.end => next = last.offset + 1,
+                _ => return Ok(newest),
+            }
+        }
+    }
+
+    /// Publishes a snapshot when one is due. Two at once are harmless: readers take the newest.
+    async fn publish_snapshot(&self) {
+        let (at, records) = *self.snapshot_at.borrow();
+        let next = self.replay.borrow().next();
+        let due = next.saturating_sub(records) >= SNAPSHOT_RECORDS || util::now().since(at) >= SNAPSHOT_EVERY;
+        if !due || next == 0 || !self.is_writer(next) {
+            return;
+        }
+        *self.snapshot_at.borrow_mut() = (util::now(), next);
+        let snapshot = self.replay.borrow().snapshot();
+        if let Err(error) = self.write_snapshot(&snapshot).await {
+            warn_event!("snapshot-failed", stream = SNAPSHOTS, reason = %error);
+        }
+    }
+
+    /// Whether this entry is the one to write now: all agree by rendezvous, without a word.
+    fn is_writer(&self, next: u64) -> bool {
+        let own = Name::from(self.shared.settings.peer_listen.to_string());
+        let mut all = self.shared.peers();
+        all.push(own.clone());
+        let turn = next / SNAPSHOT_RECORDS;
+        coord::pick::chosen(turn, all.iter(), 1).contains(&own)
+    }
+
+    async fn write_snapshot(&self, snapshot: &Snapshot) -> Result<()> {
+        let text = serde_json::to_string(snapshot).wrap_err("step=encode-snapshot")?;
+        let pieces = split(&text, PART_BYTES);
+        let id = Name::from(format!("{}-{}", snapshot.next, util::incarnation()));
+        for (part, piece) in pieces.iter().enumerate() {
+            let part = Part { id: id.clone(), part, parts: pieces.len(), text: (*piece).to_owned() };
+            let payload = serde_json::to_vec(&part).wrap_err("step=encode-snapshot")?;
+            self.log.append(SNAPSHOTS, Bytes::from(payload)).await?;
+        }
+        event!("snapshot", next = snapshot.next, bytes = text.len(), parts = pieces.len());
+        Ok(())
+    }
+
+    /// Appends a record again and again until `seen` says that it was read back.
+    async fn append_until(&self, record: &Record, seen: impl Fn(&Replay) -> bool) -> Result<()> {
+        let payload = Bytes::from(serde_json::to_vec(record).wrap_err("step=encode-record")?);
+        let mut position = self.position.subscribe();
+        let attempt = async {
+            while !seen(&self.replay.borrow()) {
+                // An error does not say that the record is not there: replay drops what comes twice.
+                if self.log.append(CONFIG, payload.clone()).await.is_err() {
+                    tokio::time::sleep(util::jitter(RETRY)).await;
+                }
+                let read_back = position.wait_for(|_| seen(&self.replay.borrow()));
+                let _ = tokio::time::timeout(Duration::from_millis(500), read_back).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, attempt).await.wrap_err("step=append: the log did not answer in time")
+    }
+
+    async fn plan(&self, record: &Record) -> Result<()> {
+        let Record::Plan { id, .. } = record else { return Ok(()) };
+        self.append_until(record, |replay| replay.has_plan(id) || replay.verdict(id).is_some()).await
+    }
+
+    async fn confirm(&self, plan: &Name) -> Result<Verdict> {
+        let record = Record::Confirm { plan: plan.clone() };
+        self.append_until(&record, |replay| replay.verdict(plan).is_some()).await?;
+        let verdict = self.replay.borrow().verdict(plan).cloned();
+        verdict.ok_or_else(|| eyre::eyre!("step=confirm: the verdict was forgotten"))
+    }
+}
+
+fn split(text: &str, most: usize) -> Vec<&str> {
+    let mut pieces = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let mut end = rest.len().min(most);
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (piece, after) = rest.split_at(end);
+        pieces.push(piece);
+        rest = after;
+    }
+    pieces
+}
+
+/// Takes a whole snapshot out of `parts`, if there is one.
+fn assemble(parts: &mut Vec<Part>) -> Option<Snapshot> {
+    let (id, count) = parts.last().map(|part| (part.id.clone(), part.parts))?;
+    if parts.iter().filter(|part| part.id == id).count() < count {
+        return None;
+    }
+    let (mut whole, rest): (Vec<Part>, Vec<Part>) = parts.drain(..).partition(|part| part.id == id);
+    *parts = rest;
+    whole.sort_by_key(|part| part.part);
+    let text: String = whole.into_iter().map(|part| part.text).collect();
+    serde_json::from_str(&text).ok()
+}
--- /dev/null
+++ b/sorrelpass/src/entry/peer.rs
@@ -0,0 +1,163 @@
+//! The wire between entries, and from sidecars to entries: JSON-RPC by jsonrpsee.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::claim::{Binding, Key};
+use coord::name::Name;
+use coord::replay::Snapshot;
+use eyre::{Result, eyre};
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::Server;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{oneshot, watch};
+
+use super::kernel::{Demand, Share};
+use super::{Shared, claims, limits, log, members};
+use crate::warn_event;
+
+/// Largest message: a snapshot of tens of thousands of workspaces.
+const MAX_MESSAGE: u32 = 64 * 1_024 * 1_024;
+/// A peer that has not answered by then is given up.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// What the configuration says of one endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Brief {
+    /// The revision that it is taken from.
+    pub revision: u64,
+    /// Whether operators drain the endpoint.
+    pub drained: bool,
+    /// Peer addresses of all entries.
+    pub entries: Vec<Name>,
+}
+
+/// What entries answer.
+#[rpc(server, client, namespace = "peer")]
+pub trait Peer {
+    /// The configuration's word on an endpoint; waits for a change from what the asker knows.
+    #[method(name = "brief")]
+    async fn brief(&self, endpoint: Name, revision: u64, drained: bool, wait_ms: u64) -> RpcResult<Brief>;
+
+    /// The replayed configuration, if newer than `next`.
+    #[method(name = "snapshot")]
+    async fn snapshot(&self, next: u64) -> RpcResult<Option<Snapshot>>;
+
+    /// Who holds a key, as far as this entry has read.
+    #[method(name = "binding")]
+    async fn binding(&self, key: Key) -> RpcResult<Option<Binding>>;
+
+    /// An entry's demand, against the shares of its limits.
+    #[method(name = "report")]
+    async fn report(&self, entry: Name, demands: Vec<Demand>) -> RpcResult<Vec<Share>>;
+}
+
+struct Answers(Arc<Shared>);
+
+#[async_trait]
+impl PeerServer for Answers {
+    async fn brief(&self, endpoint: Name, revision: u64, drained: bool, wait_ms: u64) -> RpcResult<Brief> {
+        let mut config = self.0.config.clone();
+        let news = config.wait_for(|config| config.drained.contains(&endpoint) != drained || revision == 0);
+        let _ = tokio::time::timeout(Duration::from_millis(wait_ms), news).await;
+        let config = config.borrow().clone();
+        let mut entries = members::entries(&self.0.vms.borrow());
+        entries.sort_unstable();
+        Ok(Brief { revision: config.revision, drained: config.drained.contains(&endpoint), entries })
+    }
+
+    async fn snapshot(&self, next: u64) -> RpcResult<Option<Snapshot>> {
+        let (reply, answer) = oneshot::channel();
+        if self.0.log.send(log::Command::Snapshot(next, reply)).await.is_err() {
+            return Ok(None);
+        }
+        Ok(answer.await.unwrap_or_default())
+    }
+
+    async fn binding(&self, key: Key) -> RpcResult<Option<Binding>> {
+        let found = claims::lookup(&self.0, key).await;
+        found.map_err(|failure| jsonrpsee::types::ErrorObjectOwned::owned(1, failure.message, None::<()>))
+    }
+
+    async fn report(&self, entry: Name, demands: Vec<Demand>) -> RpcResult<Vec<Share>> {
+        let config = self.0.config.borrow().clone();
+        Ok(limits::report(&config, &entry, demands))
+    }
+}
+
+/// Serves the other processes until `closed` says so.
+pub async fn serve(shared: Arc<Shared>, mut closed: watch::Receiver<bool>) {
+    let address = shared.settings.peer_listen;
+    let config = jsonrpsee::server::ServerConfig::builder()
+        .max_response_body_size(MAX_MESSAGE)
+        .max_request_body_size(MAX_MESSAGE)
+        .max_connections(20_000)
+        .build();
+    let server = match Server::builder().set_config(config).build(address).await {
+        Ok(server) => server,
+        Err(error) => {
+            warn_event!("peer-listen-failed", peer = %address, reason = %error);
+            return;
+        }
+    };
+    let handle = server.start(Answers(shared).into_rpc());
+    let _ = closed.wait_for(|closed| *closed).await;
+    let _ = handle.stop();
+}
+
+thread_local! {
+    static CLIENTS: RefCell<HashMap<Name, HttpClient>> = RefCell::default();
+}
+
+fn client(peer: &Name) -> Result<HttpClient> {
+    if let Some(client) = CLIENTS.with_borrow(|clients| clients.get(peer).cloned()) {
+        return Ok(client);
+    }
+    let client = HttpClientBuilder::new()
+        .max_response_size(MAX_MESSAGE)
+        .request_timeout(Duration::from_secs(60))
+        .build(format!("http://{peer}"))
+        .map_err(|error| eyre!("step=peer-client peer={peer}: {error}"))?;
+    CLIENTS.with_borrow_mut(|clients| clients.insert(peer.clone(), client.clone()));
+    Ok(client)
+}
+
+async fn timed<T, E: std::fmt::Display>(
+    peer: &Name,
+    limit: Duration,
+    call: impl Future<Output = Result<T, E>>,
+) -> Result<T> {
+    match tokio::time::timeout(limit, call).await {
+        Ok(result) => result.map_err(|error| eyre!("step=ask-peer peer={peer}: {error}")),
+        Err(_) => Err(eyre!("step=ask-peer peer={peer}: no answer within {} ms", limit.as_millis())),
+    }
+}
+
+/// Asks an entry for the configuration's word on `endpoint`.
+pub async fn brief(peer: &Name, endpoint: &Name, known: (u64, bool), wait: Duration) -> Result<Brief> {
+    let client = client(peer)?;
+    let wait_ms = crate::util::millis_up(wait);
+    timed(peer, wait + TIMEOUT, PeerClient::brief(&client, endpoint.clone(), known.0, known.1, wait_ms)).await
+}
+
+/// Asks an entry for its state, if newer than `next`.
+pub async fn snapshot(peer: &Name, next: u64) -> Result<Option<Snapshot>> {
+    let client = client(peer)?;
+    timed(peer, 5 * TIMEOUT, PeerClient::snapshot(&client, next)).await
+}
+
+/// Asks an entry who holds a key.
+pub async fn binding(peer: &Name, key: &Key) -> Result<Option<Binding>> {
+    let client = client(peer)?;
+    timed(peer, TIMEOUT / 2, PeerClient::binding(&client, key.clone())).await
+}
+
+/// Reports demand to the owner of the limits.
+pub async fn report(peer: &Name, entry: &Name, demands: &[Demand]) -> Result<Vec<Share>> {
+    let client = client(peer)?;
+    timed(peer, TIMEOUT, PeerClient::report(&client, entry.clone(), demands.to_vec())).await
+}
--- /dev/null
+++ b/sorrelpass/src/entry/route.rs
@@ -0,0 +1,488 @@
+//! The way of one request: quotes, attempts, retries, resumption, and its end in time.
+
+use std::time::Duration;
+
+use axum::http::StatusCode;
+use bytes::Bytes;
+use coord::claim::{Binding, Key};
+use coord::name::{Incarnation, Name, Ran};
+use coord::prefix::Chain;
+use coord::scheduler::Refusal;
+use coord::time::{Moment, micros};
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+
+use super::App;
+use super::claims;
+use super::failure::Failure;
+use super::kernel::{Admitted, Command, Search, Target};
+use super::upstream::{self, Broken, Part, Upstream};
+use crate::wire::{Ask, Call, Open, Refused, Usage};
+use crate::{event, metric, util};
+
+/// Rounds of new candidates before a request is given up.
+const MOST_ROUNDS: u32 = 4;
+/// Attempts at one request.
+const MOST_ATTEMPTS: u32 = 6;
+/// Pause before an attempt at the same bound sidecar is repeated.
+const BOUND_PAUSE: Duration = Duration::from_millis(50);
+/// When to come back after a failure that tells nothing.
+const PLAIN_RETRY: Duration = Duration::from_millis(500);
+
+/// How often a request may run.
+#[derive(Clone, Debug)]
+pub enum Once {
+    /// As often as needed.
+    Repeatable,
+    /// Once; the request itself is the key, bound to the first sidecar that takes it.
+    Own,
+    /// Once, under a caller's key that is claimed on the log.
+    Claimed(Key),
+    /// Once, under a ticket that names the sidecar's run.
+    Ticket(Key, Binding),
+}
+
+/// A request on its way.
+pub struct Request {
+    /// Its id.
+    pub id: Name,
+    /// What admission decided.
+    pub admitted: Admitted,
+    /// What to call on the endpoint.
+    pub call: Call,
+    /// The body, in pieces.
+    pub body: Vec<Bytes>,
+    /// The prompt's prefix.
+    pub chain: Chain,
+    /// Most output tokens.
+    pub output_tokens: u64,
+    /// How often it may run.
+    pub once: Once,
+    /// When its answer must be whole.
+    pub deadline: Moment,
+    /// Where its parts go.
+    pub parts: mpsc::Sender<Result<Part, Failure>>,
+    /// The body's part of the budget, freed with the request.
+    pub _budget: OwnedSemaphorePermit,
+}
+
+/// What ended an attempt, as far as the request goes on.
+enum Next {
+    /// The whole answer was passed on, or nobody wants it any more.
+    Over,
+    /// Try elsewhere.
+    Again,
+    /// Give up.
+    Fail(Failure),
+}
+
+struct Route<'a> {
+    app: &'a App,
+    request: Request,
+    tried: Vec<Name>,
+    attempts: u32,
+    /// Output tokens that the caller has.
+    passed_tokens: u64,
+    /// Whether the caller has anything of the answer.
+    begun: bool,
+    retry_after: Option<Duration>,
+    reason: Option<Refused>,
+    started: Moment,
+}
+
+/// Takes a request to its end; the last thing sent is the answer's end or a failure.
+pub async fn run(app: App, request: Request) {
+    let id = request.id.clone();
+    let parts = request.parts.clone();
+    let mut route = Route {
+        app: &app,
+        request,
+        tried: Vec::new(),
+        attempts: 0,
+        passed_tokens: 0,
+        begun: false,
+        retry_after: None,
+        reason: None,
+        started: util::now(),
+    };
+    let outcome = tokio::select! {
+        outcome = route.run() => outcome,
+        () = parts.closed() => {
+            event!("caller-gone", request = %id);
+            metric::request("caller_gone");
+            return;
+        }
+    };
+    match outcome {
+        Ok(()) => {
+            event!("done", request = %id, tokens = route.passed_tokens);
+            metric::request("ok");
+        }
+        Err(failure) => {
+            event!("give-up", request = %id, code = failure.code, ran = failure.ran.as_str(), reason = %failure.message);
+            metric::request(failure.code);
+            let _ = parts.send(Err(failure)).await;
+        }
+    }
+}
+
+impl Route<'_> {
+    async fn run(&mut self) -> Result<(), Failure> {
+        match self.request.once.clone() {
+            Once::Repeatable => self.anywhere(None).await,
+            Once::Own => {
+                let key = Key { workspace: self.request.admitted.workspace.name.clone(), key: self.request.id.clone() };
+                self.anywhere(Some(key)).await
+            }
+            Once::Claimed(key) => {
+                let binding = self.claim(&key).await?;
+                self.bound(key, binding).await
+            }
+            Once::Ticket(key, binding) => self.bound(key, binding).await,
+        }
+    }
+
+    /// Time left for attempts, with the reserve kept back.
+    fn left(&self) -> Duration {
+        upstream::left(self.request.deadline).saturating_sub(self.reserve())
+    }
+
+    fn reserve(&self) -> Duration {
+        let whole = self.request.deadline.since(self.started);
+        self.app.shared.settings.void_reserve.min(whole / 10)
+    }
+
+    fn ask(&self) -> Ask {
+        let admitted = &self.request.admitted;
+        Ask {
+            workspace: admitted.workspace.name.clone(),
+            weight: admitted.workspace.weight,
+            prompt_tokens: admitted.prompt_tokens + self.passed_tokens,
+            output_tokens: self.request.output_tokens.saturating_sub(self.passed_tokens),
+            priority: admitted.priority,
+            left_micros: micros(self.left()),
+            bytes_per_token: admitted.bytes_per_token,
+            chain: self.request.chain.clone(),
+        }
+    }
+
+    /// New candidates with their quotes, best first; the incarnation is known of those that were asked.
+    async fn search(&mut self, must_ask: bool) -> Result<Vec<(Target, Option<Incarnation>)>, Failure> {
+        let admitted = &self.request.admitted;
+        let search = Search {
+            service: admitted.service.clone(),
+            domains: admitted.domains.clone(),
+            hash: self.request.chain.head(),
+            exclude: self.tried.clone(),
+        };
+        let found = self.app.shared.ask(|reply| Command::Find(search, reply)).await.map_err(stopping)?;
+        if !found.asks && !must_ask {
+            return Ok(found.targets.into_iter().map(|target| (target, None)).collect());
+        }
+        let names: Vec<Name> = found.targets.iter().map(|target| target.endpoint.clone()).collect();
+        let asked = upstream::quotes(self.app, found.targets, &self.ask()).await;
+        self.tried.extend(names.into_iter().filter(|name| !asked.iter().any(|asked| asked.target.endpoint == *name)));
+        let mut open = Vec::new();
+        for asked in asked {
+            if asked.offer.quote.open {
+                open.push((asked.target, Some(asked.incarnation)));
+                continue;
+            }
+            self.tried.push(asked.target.endpoint);
+            self.note_retry_after(asked.offer.quote.retry_after);
+        }
+        Ok(open)
+    }
+
+    fn note_retry_after(&mut self, wait: Duration) {
+        if wait > Duration::ZERO {
+            self.retry_after = Some(self.retry_after.map_or(wait, |earlier| earlier.min(wait)));
+        }
+    }
+
+    /// Tries endpoints until one gives the whole answer.
+    async fn anywhere(&mut self, once: Option<Key>) -> Result<(), Failure> {
+        for _ in 0..MOST_ROUNDS {
+            let targets = self.search(once.is_some()).await?;
+            for (target, incarnation) in targets {
+                if self.left().is_zero() {
+                    return Err(self.timed_out(Ran::No));
+                }
+                self.tried.push(target.endpoint.clone());
+                // A call that may run once keeps to the sidecar that may have taken it.
+                let next = match (&once, incarnation) {
+                    (Some(key), Some(incarnation)) => {
+                        let binding = Binding { endpoint: target.endpoint.clone(), incarnation };
+                        self.bound_once(key, &target, &binding).await
+                    }
+                    _ => self.attempt(&target, incarnation, None, false).await,
+                };
+                match next {
+                    Next::Over => return Ok(()),
+                    Next::Again => {}
+                    Next::Fail(failure) => return Err(failure),
+                }
+                if self.attempts >= MOST_ATTEMPTS {
+                    return Err(self.exhausted());
+                }
+            }
+            if self.retry_after.is_some() && self.attempts == 0 {
+                break;
+            }
+        }
+        Err(self.exhausted())
+    }
+
+    fn exhausted(&self) -> Failure {
+        if self.begun {
+            return Failure::busy(
+                "answer_broken_off",
+                "the answer broke off and could not go on elsewhere",
+                PLAIN_RETRY,
+            )
+            .ran(Ran::Partial);
+        }
+        let wait = self.retry_after.unwrap_or(PLAIN_RETRY);
+        if self.reason == Some(Refused::Scheduler(Refusal::TooLarge)) {
+            return Failure::busy("no_memory", "no endpoint has the memory that this prompt needs", wait);
+        }
+        Failure::busy("overloaded", "no endpoint can finish this in its time now", wait)
+    }
+
+    fn timed_out(&self, ran: Ran) -> Failure {
+        let ran = if self.begun { Ran::Partial } else { ran };
+        let wait = self.retry_after.unwrap_or(PLAIN_RETRY);
+        Failure::new(StatusCode::GATEWAY_TIMEOUT, "deadline", "the time allowed has run out").ran(ran).after(wait)
+    }
+
+    /// Proposes the best sidecar for a caller's key and learns from the log who holds it.
+    async fn claim(&mut self, key: &Key) -> Result<Binding, Failure> {
+        let held = claims::lookup(&self.app.shared, key.clone()).await?;
+        if let Some(binding) = held {
+            return Ok(binding);
+        }
+        let targets = self.search(true).await?;
+        let Some((target, Some(incarnation))) = targets.into_iter().next() else { return Err(self.exhausted()) };
+        let proposed = Binding { endpoint: target.endpoint, incarnation };
+        let bound = claims::claim(&self.app.shared, key.clone(), proposed, self.left()).await?;
+        event!("bound", request = %self.request.id, peer = %bound.endpoint, at = %bound.incarnation);
+        Ok(bound)
+    }
+
+    /// Runs a call at the one sidecar run that may run it.
+    async fn bound(&mut self, key: Key, binding: Binding) -> Result<(), Failure> {
+        let endpoint = binding.endpoint.clone();
+        let located = self.app.shared.ask(|reply| Command::Locate(endpoint, reply)).await.map_err(stopping)?;
+        let Some(target) = located else { return Err(outcome_unknown(&binding)) };
+        match self.bound_once(&key, &target, &binding).await {
+            Next::Over => Ok(()),
+            Next::Again => Err(self.exhausted()),
+            Next::Fail(failure) => Err(failure),
+        }
+    }
+
+    /// Tries one sidecar run again and again until its outcome is known; it runs the key at most once.
+    async fn bound_once(&mut self, key: &Key, target: &Target, binding: &Binding) -> Next {
+        for turn in 0..MOST_ATTEMPTS {
+            let asked_before = turn > 0;
+            let next = self.attempt(target, Some(binding.incarnation), Some(key), asked_before).await;
+            let Next::Fail(failure) = next else {
+                // Not run now, but an earlier turn may have been taken before its answer was lost.
+                return if asked_before && matches!(next, Next::Again) {
+                    Next::Fail(outcome_unknown(binding))
+                } else {
+                    next
+                };
+            };
+            let lost = failure.ran == Ran::Unknown && failure.code == LOST && !self.begun;
+            if !lost || self.left() <= BOUND_PAUSE {
+                return Next::Fail(failure);
+            }
+            tokio::time::sleep(BOUND_PAUSE).await;
+        }
+        Next::Fail(outcome_unknown(binding))
+    }
+
+    /// One attempt at one sidecar. With `asked_before`, an earlier attempt under the same key may yet run.
+    async fn attempt(
+        &mut self,
+        target: &Target,
+        incarnation: Option<Incarnation>,
+        once: Option<&Key>,
+        asked_before: bool,
+    ) -> Next {
+        self.attempts += 1;
+        let mut call = self.request.call.clone();
+        call.resume_after = self.passed_tokens;
+        let open = Open {
+            attempt: util::attempt(),
+            request: self.request.id.clone(),
+            entry: self.app.shared.settings.process.name.clone(),
+            incarnation,
+            once: once.cloned(),
+            ask: self.ask(),
+            call,
+        };
+        event!("attempt", request = %self.request.id, attempt = %open.attempt, peer = %target.endpoint, number = self.attempts);
+        let tokens = open.ask.prompt_tokens + open.ask.output_tokens;
+        let _outstanding = Outstanding::begin(self.app, target, tokens);
+        let limit = self.left();
+        let mut started = false;
+        let relayed = tokio::time::timeout(limit, self.relay(target, &open, &mut started)).await;
+        match relayed {
+            Ok(Ok(())) => Next::Over,
+            Ok(Err(broken)) => self.judge(broken, once.is_some()).await,
+            Err(_) => {
+                let voided = upstream::void(self.app, target, &open).await;
+                let ran = if started || asked_before { Ran::Unknown } else { voided };
+                Next::Fail(self.timed_out(ran))
+            }
+        }
+    }
+
+    async fn relay(&mut self, target: &Target, open: &Open, started: &mut bool) -> Result<(), Broken> {
+        let mut upstream: Upstream = upstream::open(self.app, target, open, &self.request.body).await?;
+        loop {
+            let part = upstream.next().await?;
+            match &part {
+                Part::Started => {
+                    *started = true;
+                    continue;
+                }
+                Part::Head { .. } => self.begun = true,
+                Part::Piece { tokens, .. } => {
+                    if *tokens > 0 && self.passed_tokens == 0 {
+                        let class = coord::estimate::class(self.request.admitted.prompt_tokens);
+                        metric::ttft(class, util::now().since(self.started));
+                        event!("first-token", request = %self.request.id, attempt = %open.attempt, peer = %target.endpoint);
+                    }
+                    self.begun = true;
+                    self.passed_tokens += u64::from(*tokens);
+                }
+                Part::End { .. } => {}
+            }
+            let last = matches!(part, Part::End { .. });
+            let part = self.whole_usage(part);
+            self.pass(part).await?;
+            if last {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Counts the tokens of all attempts, not only of the last.
+    fn whole_usage(&self, part: Part) -> Part {
+        match part {
+            Part::End { usage, finish } => {
+                let usage = Usage { output_tokens: usage.output_tokens.max(self.passed_tokens), ..usage };
+                Part::End { usage, finish }
+            }
+            part => part,
+        }
+    }
+
+    /// Passes a part to the caller; one that does not read is given up.
+    async fn pass(&self, part: Part) -> Result<(), Broken> {
+        let patience = self.app.shared.settings.slow_caller;
+        let gone = |message: &str| Broken::Lost { ran: Ran::Partial, step: CALLER.into(), message: message.into() };
+        match tokio::time::timeout(patience, self.request.parts.send(Ok(part))).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(gone("the caller went away")),
+            Err(_) => Err(gone("the caller reads too slowly")),
+        }
+    }
+
+    /// Decides what follows a broken attempt.
+    async fn judge(&mut self, broken: Broken, once: bool) -> Next {
+        match broken {
+            Broken::NotRun { refused, retry_after } => {
+                self.note_retry_after(retry_after);
+                self.reason = refused;
+                if refused == Some(Refused::OtherIncarnation) && once {
+                    return Next::Fail(
+                        lost(Ran::Unknown, "the sidecar that held this call was restarted").code(UNKNOWN),
+                    );
+                }
+                if refused == Some(Refused::Expired) {
+                    return Next::Fail(self.timed_out(Ran::No));
+                }
+                Next::Again
+            }
+            Broken::Rejected { status, message } => Next::Fail(rejected(status, message)),
+            Broken::Lost { ran, step, message } => {
+                event!("lost", request = %self.request.id, at = %step, ran = ran.as_str(), reason = %message);
+                if step == CALLER {
+                    return Next::Fail(lost(Ran::Partial, message).code("caller_too_slow"));
+                }
+                if once {
+                    let ran = if self.begun { Ran::Partial } else { Ran::Unknown };
+                    return Next::Fail(lost(ran, format!("{step}: {message}")));
+                }
+                self.again(ran, &step, &message).await
+            }
+        }
+    }
+
+    /// A repeatable request goes on elsewhere if the retry budget allows it.
+    async fn again(&mut self, ran: Ran, step: &str, message: &str) -> Next {
+        let allowed = self.app.shared.ask(Command::Retry).await.unwrap_or(false);
+        if !allowed {
+            let ran = if self.begun { Ran::Partial } else { ran };
+            return Next::Fail(lost(ran, format!("{step}: {message}; the retry budget is spent")));
+        }
+        metric::retry();
+        Next::Again
+    }
+}
+
+/// Step of a failure on the caller's side.
+const CALLER: &str = "caller";
+/// Code of a call whose outcome may still be learned.
+const LOST: &str = "upstream_lost";
+/// Code of a call whose outcome can no longer be learned.
+const UNKNOWN: &str = "outcome_unknown";
+
+impl Failure {
+    fn code(mut self, code: &'static str) -> Self {
+        self.code = code;
+        self
+    }
+}
+
+fn lost(ran: Ran, message: impl Into<String>) -> Failure {
+    Failure::new(StatusCode::BAD_GATEWAY, LOST, message).ran(ran).after(PLAIN_RETRY)
+}
+
+fn outcome_unknown(binding: &Binding) -> Failure {
+    let message = format!("the call is bound to {} run {}, which is gone", binding.endpoint, binding.incarnation);
+    Failure::new(StatusCode::BAD_GATEWAY, UNKNOWN, message).ran(Ran::Unknown)
+}
+
+fn rejected(status: u16, message: String) -> Failure {
+    let code = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let code = if code.is_client_error() { code } else { StatusCode::BAD_GATEWAY };
+    Failure::new(code, "endpoint_rejected", message)
+}
+
+fn stopping(error: eyre::Report) -> Failure {
+    Failure::busy("stopping", error.to_string(), PLAIN_RETRY)
+}
+
+/// Counts an attempt at an endpoint while it lives.
+struct Outstanding<'a> {
+    app: &'a App,
+    endpoint: Name,
+    tokens: u64,
+}
+
+impl<'a> Outstanding<'a> {
+    fn begin(app: &'a App, target: &Target, tokens: u64) -> Self {
+        app.shared.kernel.send_detached(Command::Begin(target.endpoint.clone(), tokens));
+        Self { app, endpoint: target.endpoint.clone(), tokens }
+    }
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        self.app.shared.kernel.send_detached(Command::End(self.endpoint.clone(), self.tokens));
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/main.rs
@@ -0,0 +1,21 @@
+//! The `sorrelpass` binary: dispatches to one subcommand.
+
+#![recursion_limit = "256"]
+
+mod cmd;
+mod config;
+mod entry;
+mod http;
+mod metric;
+mod platform;
+mod plugin;
+mod ring;
+mod secret;
+mod sidecar;
+mod timeline;
+mod util;
+mod wire;
+
+fn main() -> std::process::ExitCode {
+    cmd::main()
+}
--- /dev/null
+++ b/sorrelpass/src/metric.rs
@@ -0,0 +1,104 @@
+//! Metrics by opentelemetry, shown in the Prometheus text form at `/metrics`.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// All instruments of a process.
+struct Instruments {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    retries: Counter<u64>,
+    rings_full: Counter<u64>,
+    ttft: Histogram<f64>,
+    revision: Gauge<u64>,
+    waiting: Gauge<u64>,
+    running: Gauge<u64>,
+    memory: Gauge<u64>,
+    breaches: Gauge<u64>,
+}
+
+static INSTRUMENTS: OnceLock<Instruments> = OnceLock::new();
+
+/// Upper bounds of the buckets for time to first token, in seconds.
+const TTFT_BOUNDS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.7, 1.5, 3.0, 10.0, 30.0, 120.0];
+
+/// Sets up the instruments; without this call the others do nothing.
+pub fn init() -> Result<()> {
+    let registry = Registry::new();
+    let exporter =
+        opentelemetry_prometheus::exporter().with_registry(registry.clone()).build().wrap_err("step=start-metrics")?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    let meter = provider.meter("sorrelpass");
+    let instruments = Instruments {
+        registry,
+        requests: meter.u64_counter("sorrelpass_requests").build(),
+        retries: meter.u64_counter("sorrelpass_retries").build(),
+        rings_full: meter.u64_counter("sorrelpass_ring_full").build(),
+        ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BOUNDS.to_vec()).build(),
+        revision: meter.u64_gauge("sorrelpass_config_revision").build(),
+        waiting: meter.u64_gauge("sorrelpass_jobs_waiting").build(),
+        running: meter.u64_gauge("sorrelpass_jobs_running").build(),
+        memory: meter.u64_gauge("sorrelpass_memory_held_tokens").build(),
+        breaches: meter.u64_gauge("sorrelpass_invariant_breaches").build(),
+        _provider: provider,
+    };
+    let _ = INSTRUMENTS.set(instruments);
+    Ok(())
+}
+
+fn with(record: impl FnOnce(&Instruments)) {
+    if let Some(instruments) = INSTRUMENTS.get() {
+        record(instruments);
+    }
+}
+
+/// A request ended with `outcome`: `ok` or an error code.
+pub fn request(outcome: &str) {
+    with(|on| on.requests.add(1, &[KeyValue::new("outcome", outcome.to_owned())]));
+}
+
+/// A request was tried again.
+pub fn retry() {
+    with(|on| on.retries.add(1, &[]));
+}
+
+/// A ring was full.
+pub fn ring_full(ring: &'static str) {
+    with(|on| on.rings_full.add(1, &[KeyValue::new("ring", ring)]));
+}
+
+/// A first token came after `ttft`, for a prompt of length class `class`.
+pub fn ttft(class: usize, ttft: Duration) {
+    with(|on| on.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
+}
+
+/// The configuration's revision in force here.
+pub fn revision(revision: u64) {
+    with(|on| on.revision.record(revision, &[]));
+}
+
+/// What an endpoint's scheduler holds.
+pub fn scheduler(waiting: usize, running: usize, memory: u64) {
+    with(|on| {
+        on.waiting.record(waiting as u64, &[]);
+        on.running.record(running as u64, &[]);
+        on.memory.record(memory, &[]);
+    });
+}
+
+/// All metrics in the Prometheus text form.
+pub fn text() -> Vec<u8> {
+    let mut out = Vec::new();
+    with(|on| {
+        on.breaches.record(coord::invariant::breaches(), &[]);
+        let _ = TextEncoder::new().encode(&on.registry.gather(), &mut out);
+    });
+    out
+}
--- /dev/null
+++ b/sorrelpass/src/sidecar/control.rs
@@ -0,0 +1,92 @@
+//! What a sidecar learns: the configuration's word on its endpoint, and the endpoint's health.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::Name;
+use tokio::sync::watch;
+
+use super::Shared;
+use super::kernel::Command;
+use crate::entry::peer::{self, Brief};
+use crate::{event, http, util, warn_event};
+
+/// Failed health checks in a row after which the endpoint counts as dead.
+const MOST_MISSES: u32 = 3;
+/// How long an entry may hold a question for news.
+const BRIEF_WAIT: Duration = Duration::from_secs(5);
+/// Pause after an entry that could not be asked.
+const BRIEF_RETRY: Duration = Duration::from_millis(300);
+/// Entries asked for news: these are assigned by rendezvous.
+const ASSIGNED: usize = 2;
+
+/// Runs until told to stop.
+pub async fn run(shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
+    tokio::select! {
+        () = follow(&shared) => {}
+        () = check(&shared) => {}
+        _ = stopped.wait_for(|stop| *stop) => {}
+    }
+}
+
+/// Follows the configuration through the assigned entries, one at a time.
+async fn follow(shared: &Shared) {
+    let hash = xxhash_rust::xxh3::xxh3_64(shared.settings.endpoint.as_bytes());
+    let mut entries = shared.settings.entries.clone();
+    let mut revision = 0;
+    let mut drained = false;
+    let mut turn = 0;
+    loop {
+        let assigned = coord::pick::chosen(hash, entries.iter(), ASSIGNED);
+        let Some(entry) = assigned.get(turn % assigned.len().max(1)) else {
+            tokio::time::sleep(util::jitter(BRIEF_RETRY)).await;
+            continue;
+        };
+        match peer::brief(entry, &shared.settings.endpoint, (revision, drained), BRIEF_WAIT).await {
+            Ok(brief) => {
+                apply(shared, entry, &brief, &mut revision).await;
+                drained = brief.drained;
+                if !brief.entries.is_empty() {
+                    entries = brief.entries;
+                }
+            }
+            Err(error) => {
+                warn_event!("brief-failed", peer = %entry, reason = %error);
+                turn += 1;
+                // An assigned entry may be gone for good: the settings' ones are asked too.
+                if turn.is_multiple_of(2 * ASSIGNED) {
+                    entries = shared.settings.entries.clone();
+                }
+                tokio::time::sleep(util::jitter(BRIEF_RETRY)).await;
+            }
+        }
+    }
+}
+
+async fn apply(shared: &Shared, entry: &Name, brief: &Brief, revision: &mut u64) {
+    if brief.revision <= *revision {
+        return;
+    }
+    *revision = brief.revision;
+    crate::metric::revision(brief.revision);
+    event!("config", peer = %entry, revision = brief.revision, drained = brief.drained);
+    let _ = shared.kernel.send(Command::Drain(brief.drained)).await;
+}
+
+/// Checks the endpoint's health.
+async fn check(shared: &Shared) {
+    let caller = http::caller_h1();
+    let mut misses = 0;
+    let mut healthy = true;
+    loop {
+        tokio::time::sleep(util::jitter(shared.settings.probe)).await;
+        let probe = http::exchange(&caller, &shared.settings.endpoint_address, "GET", "/health", bytes::Bytes::new());
+        let alive = matches!(tokio::time::timeout(shared.settings.probe, probe).await, Ok(Ok((200, _))));
+        misses = if alive { 0 } else { misses + 1 };
+        let now_healthy = misses < MOST_MISSES;
+        if now_healthy != healthy {
+            healthy = now_healthy;
+            let _ = shared.kernel.send(Command::Health(healthy)).await;
+        }
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/sidecar/engine.rs
@@ -0,0 +1,212 @@
+//! Calls to a model engine: the prompt goes up as it comes, tokens come back as events.
+
+use std::cell::RefCell;
+
+use bytes::{Bytes, BytesMut};
+use coord::name::Ran;
+use coord::scheduler::Level;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use super::Shared;
+use super::job::{Failure, Upload, Writer};
+use super::kernel::Command;
+use crate::wire::{Open, Usage};
+
+/// Engine priority of short and long prompts, as the engine's header has it.
+const SHORT_PRIORITY: &str = "10";
+const LONG_PRIORITY: &str = "0";
+
+type EngineClient = Client<HttpConnector, axum::body::Body>;
+
+thread_local! {
+    static CLIENT: RefCell<Option<EngineClient>> = const { RefCell::new(None) };
+}
+
+/// The calling thread's client; a request is never sent again by the library.
+pub fn client() -> EngineClient {
+    CLIENT.with_borrow_mut(|client| {
+        client
+            .get_or_insert_with(|| {
+                let mut connector = HttpConnector::new();
+                connector.set_nodelay(true);
+                connector.set_connect_timeout(Some(std::time::Duration::from_millis(500)));
+                Client::builder(TokioExecutor::new())
+                    .pool_timer(TokioTimer::new())
+                    .retry_canceled_requests(false)
+                    .build(connector)
+            })
+            .clone()
+    })
+}
+
+/// One event of an engine's stream.
+#[derive(Deserialize)]
+struct Event<'a> {
+    #[serde(borrow, default)]
+    choices: Option<&'a RawValue>,
+    #[serde(default)]
+    usage: Option<EngineUsage>,
+}
+
+#[derive(Deserialize)]
+struct EngineUsage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+}
+
+/// The part of a choice that we need; the rest passes through as it is.
+#[derive(Deserialize)]
+struct Choice<'a> {
+    #[serde(default, borrow)]
+    delta: Option<&'a RawValue>,
+    #[serde(default, borrow)]
+    text: Option<&'a RawValue>,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+impl Choice<'_> {
+    fn has_token(&self) -> bool {
+        let full = |raw: &RawValue| !matches!(raw.get(), "{}" | "\"\"" | "null");
+        self.delta.is_some_and(full) || self.text.is_some_and(full)
+    }
+}
+
+/// Sends a prompt and passes its tokens on.
+pub async fn prompt(
+    shared: &Shared,
+    open: &Open,
+    upload: Upload,
+    level: Level,
+    writer: &mut Writer<'_>,
+) -> Result<(), Failure> {
+    let priority = if level == Level::Short { SHORT_PRIORITY } else { LONG_PRIORITY };
+    let mut request = Request::builder()
+        .method(open.call.method.as_str())
+        .uri(format!("http://{}{}", shared.settings.endpoint_address, open.call.path))
+        .header("x-request-id", open.attempt.to_string())
+        .header("x-priority", priority)
+        .header("x-resume-after", open.call.resume_after);
+    for (name, value) in &open.call.headers {
+        request = request.header(name, value);
+    }
+    let request =
+        request.body(upload.into_body()).map_err(|error| Failure::unknown("build-request", error.to_string()))?;
+    let response = match client().request(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => {
+            return Err(Failure { ran: Ran::No, step: "connect", message: error.to_string(), status: None });
+        }
+        Err(error) => return Err(Failure::unknown("call", error.to_string())),
+    };
+    let status = response.status();
+    let mut body = response.into_body();
+    if !status.is_success() {
+        let text = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        let message = String::from_utf8_lossy(&text).into_owned();
+        return Err(Failure { ran: Ran::No, step: "engine", message, status: Some(status.as_u16()) });
+    }
+    let mut events = Events::default();
+    let mut answer = Answer::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Failure::unknown("read", error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        events.push(&data);
+        while let Some(event) = events.next() {
+            if !answer.take(shared, open, &event, writer).await? {
+                return answer.end(writer).await;
+            }
+        }
+    }
+    Err(Failure::unknown("read", "the engine's stream broke off"))
+}
+
+#[derive(Default)]
+struct Answer {
+    usage: Usage,
+    finish: String,
+}
+
+impl Answer {
+    /// Takes one event's data; false when it was the last.
+    async fn take(
+        &mut self,
+        shared: &Shared,
+        open: &Open,
+        data: &[u8],
+        writer: &mut Writer<'_>,
+    ) -> Result<bool, Failure> {
+        if data == b"[DONE]" {
+            return Ok(false);
+        }
+        let event: Event =
+            serde_json::from_slice(data).map_err(|error| Failure::unknown("decode", error.to_string()))?;
+        if let Some(usage) = event.usage {
+            self.usage = Usage { prompt_tokens: usage.prompt_tokens, output_tokens: usage.completion_tokens };
+        }
+        let Some(raw) = event.choices else { return Ok(true) };
+        let choices: Vec<Choice> =
+            serde_json::from_str(raw.get()).map_err(|error| Failure::unknown("decode", error.to_string()))?;
+        let Some(choice) = choices.first() else { return Ok(true) };
+        if let Some(finish) = &choice.finish_reason {
+            self.finish.clone_from(finish);
+        }
+        let tokens = u32::from(choice.has_token());
+        if tokens > 0 && writer.tokens == 0 {
+            shared.kernel.send_detached(Command::FirstToken(open.attempt));
+        }
+        writer.piece(Bytes::copy_from_slice(raw.get().as_bytes()), tokens).await?;
+        Ok(true)
+    }
+
+    async fn end(mut self, writer: &mut Writer<'_>) -> Result<(), Failure> {
+        if self.finish.is_empty() {
+            return Err(Failure::unknown("read", "the engine closed its stream without a finish"));
+        }
+        if self.usage.output_tokens == 0 {
+            self.usage.output_tokens = writer.tokens;
+        }
+        Ok(writer.end(self.usage, self.finish).await?)
+    }
+}
+
+/// Takes the data of server-sent events out of a byte stream.
+#[derive(Default)]
+struct Events {
+    buffer: BytesMut,
+    searched: usize,
+}
+
+impl Events {
+    fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The data of the next event that has any.
+    fn next(&mut self) -> Option<Bytes> {
+        while let Some(end) = self.line_end() {
+            let line = self.buffer.split_to(end + 1).freeze();
+            self.searched = 0;
+            let text = line.trim_ascii_end();
+            if let Some(data) = text.strip_prefix(b"data:") {
+                return Some(line.slice_ref(data.trim_ascii_start()));
+            }
+        }
+        None
+    }
+
+    fn line_end(&mut self) -> Option<usize> {
+        let found = self.buffer[self.searched..].iter().position(|byte| *byte == b'\n');
+        let end = found.map(|at| self.searched + at);
+        if end.is_none() {
+            self.searched = self.buffer.len();
+        }
+        end
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/sidecar/job.rs
@@ -0,0 +1,247 @@
+//! The task of one accepted job: waits for its start, calls the endpoint, passes frames on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use coord::answer::Tally;
+use coord::name::{Attempt, Ran};
+use coord::scheduler::Level;
+use tokio::sync::mpsc;
+
+use super::kernel::{Command, Signal};
+use super::transcript::Transcript;
+use super::{Shared, engine, plain};
+use crate::event;
+use crate::wire::{self, Frame, Open, Usage};
+
+/// The caller's body: what was read of it already, and the rest as it comes.
+pub struct Upload {
+    start: Bytes,
+    rest: Body,
+}
+
+impl Upload {
+    /// A body whose first bytes were read already.
+    pub fn new(start: Bytes, rest: Body) -> Self {
+        Self { start, rest }
+    }
+
+    /// The body as a stream; what has not come yet is pulled when it is polled.
+    pub fn into_body(self) -> Body {
+        use futures_util::StreamExt;
+        let start = futures_util::stream::iter([Ok::<Bytes, axum::Error>(self.start)]);
+        Body::from_stream(start.chain(self.rest.into_data_stream()))
+    }
+}
+
+/// Where a job's frames go.
+pub enum Output {
+    /// To an entry, through a bounded ring.
+    Ring {
+        /// The ring.
+        frames: mpsc::Sender<Bytes>,
+        /// How long a full ring is waited for.
+        patience: Duration,
+    },
+    /// Into a transcript that any entry may read.
+    Transcript(Transcript),
+}
+
+/// Nobody takes the frames any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gone;
+
+impl Output {
+    /// Sends a frame on.
+    pub async fn send(&self, frame: &Frame) -> Result<(), Gone> {
+        let bytes = wire::encode_delimited(frame);
+        match self {
+            Output::Ring { frames, patience } => match frames.try_send(bytes) {
+                Ok(()) => Ok(()),
+                Err(mpsc::error::TrySendError::Closed(_)) => Err(Gone),
+                Err(mpsc::error::TrySendError::Full(bytes)) => {
+                    let sent = tokio::time::timeout(*patience, frames.send(bytes)).await;
+                    sent.map_err(|_| Gone)?.map_err(|_| Gone)
+                }
+            },
+            Output::Transcript(transcript) => {
+                transcript.push(bytes);
+                Ok(())
+            }
+        }
+    }
+
+    /// Resolves when nobody will take frames any more.
+    async fn gone(&self) {
+        match self {
+            Output::Ring { frames, .. } => frames.closed().await,
+            Output::Transcript(_) => std::future::pending().await,
+        }
+    }
+
+    /// No frame follows.
+    pub fn close(self) {
+        if let Output::Transcript(transcript) = self {
+            transcript.close();
+        }
+    }
+}
+
+/// Numbers the pieces of an answer and passes them on.
+pub struct Writer<'a> {
+    /// Where they go.
+    pub output: &'a Output,
+    attempt: Attempt,
+    tally: Tally,
+    /// Output tokens passed on.
+    pub tokens: u64,
+    /// Whether anything was passed on.
+    pub begun: bool,
+}
+
+impl Writer<'_> {
+    /// Passes a piece on.
+    pub async fn piece(&mut self, bytes: Bytes, tokens: u32) -> Result<(), Gone> {
+        let number = self.tally.add(&bytes);
+        self.tokens += u64::from(tokens);
+        self.begun = true;
+        self.output.send(&Frame::Piece { attempt: self.attempt, number, tokens, bytes }).await
+    }
+
+    /// Seals the answer as whole.
+    pub async fn end(&mut self, usage: Usage, finish: String) -> Result<(), Gone> {
+        let seal = self.tally.seal();
+        let end = Frame::End { attempt: self.attempt, count: seal.count, digest: seal.digest, usage, finish };
+        self.output.send(&end).await
+    }
+}
+
+/// Why a call to an endpoint came to no whole answer.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// Whether it ran.
+    pub ran: Ran,
+    /// The step at which it failed.
+    pub step: &'static str,
+    /// What happened.
+    pub message: String,
+    /// Status with which the endpoint refused the call.
+    pub status: Option<u16>,
+}
+
+impl Failure {
+    /// A failure whose effect at the endpoint is not known.
+    pub fn unknown(step: &'static str, message: impl Into<String>) -> Self {
+        Self { ran: Ran::Unknown, step, message: message.into(), status: None }
+    }
+}
+
+impl From<Gone> for Failure {
+    fn from(_: Gone) -> Self {
+        Self::unknown("pass-on", "nobody takes the answer any more")
+    }
+}
+
+/// Runs a job that the kernel accepted to its end.
+pub async fn run(
+    shared: Arc<Shared>,
+    open: Open,
+    upload: Upload,
+    mut signals: mpsc::UnboundedReceiver<Signal>,
+    output: Output,
+) {
+    let level = match wait(&shared, &open, &mut signals, &output).await {
+        Some(level) => level,
+        None => return output.close(),
+    };
+    event!("start-job", request = %open.request, attempt = %open.attempt, level = ?level);
+    let _ = output.send(&Frame::Started).await;
+    let mut writer = Writer { output: &output, attempt: open.attempt, tally: Tally::new(), tokens: 0, begun: false };
+    let result = tokio::select! {
+        result = call(&shared, &open, upload, level, &mut writer) => result,
+        failure = cancelled(&mut signals) => Err(failure),
+        () = output.gone() => Err(Gone.into()),
+    };
+    let tokens = writer.tokens;
+    let begun = writer.begun;
+    match &result {
+        Ok(()) => event!("end-job", request = %open.request, attempt = %open.attempt, tokens),
+        Err(failure) => {
+            event!("fail-job", request = %open.request, attempt = %open.attempt, tokens, at = failure.step,
+                ran = failure.ran.as_str(), reason = %failure.message);
+        }
+    }
+    let mut not_run = false;
+    if let Err(failure) = result {
+        not_run = failure.ran == Ran::No && failure.status.is_none();
+        let ran = if begun { Ran::Partial } else { failure.ran };
+        let step = failure.step.to_owned();
+        let _ = output.send(&Frame::Failed { ran, step, message: failure.message, status: failure.status }).await;
+    }
+    output.close();
+    shared.kernel.send_detached(Command::Finish { attempt: open.attempt, output_tokens: tokens, not_run });
+}
+
+/// Waits for the kernel to start the job; `None` if it never will.
+async fn wait(
+    shared: &Shared,
+    open: &Open,
+    signals: &mut mpsc::UnboundedReceiver<Signal>,
+    output: &Output,
+) -> Option<Level> {
+    let signal = tokio::select! {
+        signal = signals.recv() => signal,
+        () = output.gone() => {
+            shared.kernel.send_detached(Command::Void { attempt: open.attempt, once: None, reply: None });
+            // The kernel may have started it at this very moment: it then holds a slot until told.
+            match signals.recv().await {
+                Some(Signal::Start(_)) => {
+                    let finish = Command::Finish { attempt: open.attempt, output_tokens: 0, not_run: true };
+                    shared.kernel.send_detached(finish);
+                }
+                Some(Signal::Expired | Signal::Voided | Signal::Cancel) | None => {}
+            }
+            return None;
+        }
+    };
+    match signal {
+        Some(Signal::Start(level)) => Some(level),
+        Some(Signal::Expired) => {
+            let reason = wire::Refused::Expired;
+            let _ = output.send(&Frame::Refused { reason, retry_after_micros: 0 }).await;
+            None
+        }
+        Some(Signal::Voided | Signal::Cancel) | None => {
+            let reason = wire::Refused::Scheduler(coord::scheduler::Refusal::Voided);
+            let _ = output.send(&Frame::Refused { reason, retry_after_micros: 0 }).await;
+            None
+        }
+    }
+}
+
+async fn cancelled(signals: &mut mpsc::UnboundedReceiver<Signal>) -> Failure {
+    loop {
+        match signals.recv().await {
+            Some(Signal::Cancel) => {
+                return Failure::unknown("cancel", "stopped: its time ran out or its endpoint is dead");
+            }
+            Some(_) => {}
+            None => std::future::pending().await,
+        }
+    }
+}
+
+async fn call(
+    shared: &Shared,
+    open: &Open,
+    upload: Upload,
+    level: Level,
+    writer: &mut Writer<'_>,
+) -> Result<(), Failure> {
+    if open.call.prompt {
+        engine::prompt(shared, open, upload, level, writer).await
+    } else {
+        plain::call(shared, open, upload, writer).await
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/sidecar/mod.rs
@@ -0,0 +1,86 @@
+//! `sorrelpass sidecar`: the only process that hands work to the endpoint beside it.
+//!
+//! Threads by duty: `kernel` owns the scheduler, `work` serves entries and calls
+//! the endpoint, `control` learns configuration from the assigned entries and
+//! checks the endpoint's health.
+
+mod control;
+mod engine;
+mod job;
+mod kernel;
+pub mod plain;
+mod transcript;
+mod work;
+
+use std::sync::Arc;
+
+use eyre::Result;
+use tokio::sync::watch;
+
+use crate::config::Sidecar;
+use crate::{event, http, metric, ring, timeline, util};
+
+/// Commands that may wait for the kernel.
+const KERNEL_RING: usize = 4_096;
+
+/// What the threads of a sidecar share: settings and rings, no decision state.
+pub struct Shared {
+    /// The settings.
+    pub settings: Sidecar,
+    /// Commands to the kernel.
+    pub kernel: ring::Sender<kernel::Command>,
+}
+
+/// Runs a sidecar until it is told to stop and nothing runs any more.
+pub fn run(settings: Sidecar) -> Result<()> {
+    timeline::init(&settings.process.name, &settings.process.log_level);
+    metric::init()?;
+    let listener_address = settings.listen;
+    let (commands, receiver) = ring::pair("kernel", KERNEL_RING);
+    let shared = Arc::new(Shared { settings, kernel: commands });
+    let (stop, stopped) = watch::channel(false);
+
+    let kernel = util::duty("kernel", {
+        let settings = shared.settings.clone();
+        move || kernel::run(settings, receiver)
+    })?;
+    let std_listener = bind(listener_address)?;
+    let work = util::duty("work", {
+        let shared = shared.clone();
+        let stopped = stopped.clone();
+        move || async move {
+            let Ok(listener) = tokio::net::TcpListener::from_std(std_listener) else { return };
+            http::serve(listener, work::router(shared), stopped).await;
+        }
+    })?;
+    let control = util::duty("control", {
+        let shared = shared.clone();
+        move || control::run(shared, stopped)
+    })?;
+    event!("start", role = "sidecar", endpoint = %shared.settings.endpoint, listen = %listener_address);
+
+    util::block_until_signal()?;
+    event!("stop", role = "sidecar", reason = "signal");
+    close(shared, &stop)?;
+    for thread in [work, control, kernel] {
+        let _ = thread.join();
+    }
+    event!("stopped", role = "sidecar");
+    Ok(())
+}
+
+fn bind(address: std::net::SocketAddr) -> Result<std::net::TcpListener> {
+    util::with_runtime(async { Ok(http::listen(address)?.into_std()?) })
+}
+
+/// Refuses new work, waits until what runs is over, then lets the threads end.
+fn close(shared: Arc<Shared>, stop: &watch::Sender<bool>) -> Result<()> {
+    util::with_runtime(async {
+        let (done, idle) = tokio::sync::oneshot::channel();
+        let _ = shared.kernel.send(kernel::Command::Leave { idle: done }).await;
+        let _ = idle.await;
+        Ok(())
+    })?;
+    let _ = stop.send(true);
+    Ok(())
+}
--- /dev/null
+++ b/sorrelpass/src/sidecar/plain.rs
@@ -0,0 +1,61 @@
+//! Calls to a plain service: method, body, query and status carried through.
+
+use coord::name::Ran;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::header::HeaderMap;
+
+use super::Shared;
+use super::engine::client;
+use super::job::{Failure, Upload, Writer};
+use crate::wire::{Frame, Open, Usage};
+
+/// Headers that concern one connection only and are not passed on.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Calls the service and passes its answer on.
+pub async fn call(shared: &Shared, open: &Open, upload: Upload, writer: &mut Writer<'_>) -> Result<(), Failure> {
+    let mut request = Request::builder()
+        .method(open.call.method.as_str())
+        .uri(format!("http://{}{}", shared.settings.endpoint_address, open.call.path));
+    for (name, value) in &open.call.headers {
+        request = request.header(name, value);
+    }
+    let request =
+        request.body(upload.into_body()).map_err(|error| Failure::unknown("build-request", error.to_string()))?;
+    let response = match client().request(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => {
+            return Err(Failure { ran: Ran::No, step: "connect", message: error.to_string(), status: None });
+        }
+        Err(error) => return Err(Failure::unknown("call", error.to_string())),
+    };
+    let (head, mut body) = response.into_parts();
+    let frame = Frame::Head { status: head.status.as_u16(), headers: passed_on(&head.headers) };
+    writer.output.send(&frame).await?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Failure::unknown("read", error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            writer.piece(data, 0).await?;
+        }
+    }
+    Ok(writer.end(Usage::default(), "stop".to_owned()).await?)
+}
+
+/// The headers that pass from one hop to the next.
+pub fn passed_on(headers: &HeaderMap) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()) && *name != "content-length" && *name != "host")
+        .filter_map(|(name, value)| Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned())))
+        .collect()
+}
--- /dev/null
+++ b/sorrelpass/src/util.rs
@@ -0,0 +1,88 @@
+//! Small helpers without a better home: clocks, threads with a runtime, identities.
+
+use std::future::Future;
+use std::sync::OnceLock;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use coord::name::{Attempt, Incarnation};
+use coord::time::Moment;
+use eyre::{Result, WrapErr};
+
+static START: OnceLock<Instant> = OnceLock::new();
+static INCARNATION: OnceLock<Incarnation> = OnceLock::new();
+
+/// Monotonic time since this process first asked.
+pub fn now() -> Moment {
+    let start = START.get_or_init(Instant::now);
+    // An hour's head start keeps moments before the start representable.
+    Moment::from_micros(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)) + Duration::from_secs(3_600)
+}
+
+/// Wall-clock time since the Unix epoch.
+pub fn wall() -> Moment {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Moment::from_micros(coord::time::micros(since))
+}
+
+/// This process's incarnation: start time in milliseconds and some chance.
+pub fn incarnation() -> Incarnation {
+    *INCARNATION.get_or_init(|| {
+        let millis = wall().as_micros() / 1_000;
+        Incarnation(millis << 20 | u64::from(rand::random::<u32>() & 0xf_ffff))
+    })
+}
+
+/// A new attempt number.
+pub fn attempt() -> Attempt {
+    Attempt(rand::random())
+}
+
+/// Milliseconds in `span`, rounded up, so that a client never comes back too early.
+pub fn millis_up(span: Duration) -> u64 {
+    u64::try_from(span.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+}
+
+/// Starts a thread for one duty with its own single-threaded runtime.
+pub fn duty<F, Fut>(name: &str, run: F) -> Result<JoinHandle<()>>
+where
+    F: FnOnce() -> Fut + Send + 'static,
+    Fut: Future<Output = ()>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err_with(|| format!("step=start-thread duty={name}"))?;
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, run());
+        })
+        .wrap_err_with(|| format!("step=start-thread duty={name}"))
+}
+
+/// A span of up to half of `base` more than `base`, so that many processes do not act in step.
+pub fn jitter(base: Duration) -> Duration {
+    base.mul_f64(1.0 + rand::random::<f64>() / 2.0)
+}
+
+/// Runs a future to its end on a runtime of its own, for a plain thread.
+pub fn with_runtime<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().wrap_err("step=start-runtime")?;
+    runtime.block_on(future)
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub fn block_until_signal() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    with_runtime(async {
+        let mut terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
+        let mut interrupt = signal(SignalKind::interrupt()).wrap_err("step=watch-signals")?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/standin/src/cmd/demo.rs
@@ -0,0 +1,134 @@
+//! Starts a whole fleet, sends a deployment's mix, and prints what came of it.
+//!
+//! Usage: standin demo [--deployment market|colibri] [--seconds N] [--load SHARE] [--speed X]
+//!                     [--engines N] [--seed N] [--picker NAME] [--order NAME] [--no-long]
+//!                     [--json FILE] [--hold]
+//!
+//! The platform, engines, services, sidecars and entries run as separate processes on
+//! loopback. Times in the table are as measured; the fleet runs --speed times faster than
+//! real time. It ends with status 1 if the ledger does not balance. With --hold the fleet
+//! stays up and a ready curl line is printed.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use eyre::{Result, WrapErr};
+use standin::engine::model::Sizes;
+use standin::fleet::{Fleet, Spec, scratch, workspace_key};
+use standin::mix::{self, Deployment};
+use standin::report::{self, Floor};
+use standin::run::{self, Drive};
+
+/// Arguments of `demo`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(args))]
+pub struct Args {
+    /// Whose fleet and mix: market or colibri
+    #[bpaf(argument("NAME"), fallback(Deployment::Market))]
+    deployment: Deployment,
+    /// How long to send, in seconds
+    #[bpaf(argument("N"), fallback(20))]
+    seconds: u64,
+    /// Share of the engines' capacity that the mix asks for
+    #[bpaf(argument("SHARE"), fallback(0.5))]
+    load: f64,
+    /// How many times faster than real time the fleet runs
+    #[bpaf(argument("X"), fallback(4.0))]
+    speed: f64,
+    /// Engines
+    #[bpaf(argument("N"), fallback(20))]
+    engines: usize,
+    /// Seed of the mix
+    #[bpaf(argument("N"), fallback(1))]
+    seed: u64,
+    /// How entries pick
+    #[bpaf(argument("NAME"), fallback("quoted".to_owned()))]
+    picker: String,
+    /// Order of the sidecars' queues
+    #[bpaf(argument("NAME"), fallback("slack".to_owned()))]
+    order: String,
+    /// Leave the long prompts out
+    no_long: bool,
+    /// Write the report to this file as JSON
+    #[bpaf(argument("FILE"), optional)]
+    json: Option<PathBuf>,
+    /// Keep the fleet up afterwards
+    hold: bool,
+}
+
+/// Share of an engine's bare prefill rate that is left beside decoding.
+const MIXED_RATE: f64 = 0.75;
+
+/// Runs the subcommand.
+pub async fn run(args: Args) -> Result<ExitCode> {
+    let sizes = Sizes { speed: args.speed, ..Sizes::default() };
+    let spec = Spec {
+        deployment: args.deployment,
+        entries: 3,
+        engines: args.engines,
+        services: 3,
+        sizes: sizes.clone(),
+        picker: args.picker.clone(),
+        order: args.order.clone(),
+        vms_lag_ms: 500,
+        ..Spec::small("demo")
+    };
+    let dir = scratch("demo");
+    let fleet = Fleet::start(Spec { dir: dir.clone(), ..spec }).await?;
+    println!("fleet of {} processes is up; logs are in {}", fleet.names().len(), dir.display());
+    if args.hold {
+        print_hint(&fleet);
+    }
+
+    let keep = |class: &mix::Class| !(args.no_long && class.is_long());
+    let capacity = args.engines as f64 * sizes.prefill_per_s * sizes.speed * MIXED_RATE;
+    let rate = args.load * capacity / args.deployment.mean_tokens(|_| true);
+    let arrivals = mix::arrivals(args.deployment, rate, Duration::from_secs(args.seconds), args.seed, keep);
+    println!(
+        "sending {} requests at {rate:.0} a second for {} s, {} times faster than real time",
+        arrivals.len(),
+        args.seconds,
+        args.speed
+    );
+    let drive = Drive {
+        entries: fleet.entries.clone(),
+        deployment: args.deployment,
+        speed: args.speed,
+        run: format!("demo{}", args.seed),
+    };
+    let ledger = run::drive(&drive, arrivals).await;
+    let sums = ledger.sums(&fleet.runs().await);
+    let floor = Floor { prefill_per_s: sizes.prefill_per_s * sizes.speed };
+    let report = report::report(&ledger, sums, floor);
+    print!("{}", report.table());
+    if let Some(file) = &args.json {
+        let text = serde_json::to_string_pretty(&report).wrap_err("step=encode")?;
+        std::fs::write(file, text).wrap_err_with(|| format!("step=write file={}", file.display()))?;
+    }
+    if args.hold {
+        println!("holding; press Ctrl-C to end");
+        let _ = tokio::signal::ctrl_c().await;
+    }
+    let breaches = fleet.breaches()?;
+    let balances = report.ledger.balances() && breaches.is_empty();
+    breaches.iter().for_each(|line| println!("breach: {line}"));
+    let stuck = fleet.close().await?;
+    if !stuck.is_empty() {
+        println!("did not end in time: {stuck}");
+    }
+    println!("{}", if balances { "the ledger balances" } else { "the ledger does NOT balance" });
+    Ok(if balances { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn print_hint(fleet: &Fleet) {
+    println!("entries: {}", fleet.entries.join(" "));
+    println!(
+        "curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer {}' -H 'Content-Type: application/json' \\\n  \
+         -d '{{\"model\":\"{}\",\"stream\":true,\"max_tokens\":8,\"messages\":[{{\"role\":\"user\",\"content\":\"What is a stall permit?\"}}]}}'",
+        fleet.entries[0],
+        workspace_key(0),
+        fleet.spec.deployment.model()
+    );
+}
--- /dev/null
+++ b/standin/src/cmd/load.rs
@@ -0,0 +1,63 @@
+//! Drives entries that run already, and prints what came of it.
+//!
+//! Usage: standin load --entry IP:PORT... [--deployment market|colibri] [--seconds N]
+//!                     [--rate R] [--speed X] [--seed N] [--no-long]
+//!
+//! Only loopback addresses are taken. The workspaces' keys are those of a stand-in fleet.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use eyre::{Result, ensure};
+use standin::engine::model::Sizes;
+use standin::mix::{self, Deployment};
+use standin::report::{self, Floor};
+use standin::run::{self, Drive};
+
+/// Arguments of `load`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(args))]
+pub struct Args {
+    /// Entries to drive
+    #[bpaf(argument("IP:PORT"), some("name at least one --entry"))]
+    entry: Vec<SocketAddr>,
+    /// Whose mix: market or colibri
+    #[bpaf(argument("NAME"), fallback(Deployment::Market))]
+    deployment: Deployment,
+    /// How long to send, in seconds
+    #[bpaf(argument("N"), fallback(20))]
+    seconds: u64,
+    /// Requests a second
+    #[bpaf(argument("R"), fallback(20.0))]
+    rate: f64,
+    /// How many times faster than real time the fleet runs
+    #[bpaf(argument("X"), fallback(4.0))]
+    speed: f64,
+    /// Seed of the mix
+    #[bpaf(argument("N"), fallback(1))]
+    seed: u64,
+    /// Leave the long prompts out
+    no_long: bool,
+}
+
+/// Runs the subcommand.
+pub async fn run(args: Args) -> Result<ExitCode> {
+    ensure!(args.entry.iter().all(|entry| entry.ip().is_loopback()), "step=check-arguments: only loopback is driven");
+    let keep = |class: &mix::Class| !(args.no_long && class.is_long());
+    let arrivals = mix::arrivals(args.deployment, args.rate, Duration::from_secs(args.seconds), args.seed, keep);
+    let drive = Drive {
+        entries: args.entry.iter().map(SocketAddr::to_string).collect(),
+        deployment: args.deployment,
+        speed: args.speed,
+        run: format!("load{}", args.seed),
+    };
+    let ledger = run::drive(&drive, arrivals).await;
+    let sums = ledger.sums(&HashMap::new());
+    let floor = Floor { prefill_per_s: Sizes::default().prefill_per_s * args.speed };
+    let report = report::report(&ledger, sums, floor);
+    print!("{}", report.table());
+    Ok(if report.ledger.balances() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/standin/src/cmd/mod.rs
@@ -0,0 +1,69 @@
+//! One file per subcommand; this one only dispatches. The stand-ins themselves, which
+//! do no more than listen, stand in `listen`.
+
+mod demo;
+mod listen;
+mod load;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use eyre::{Result, WrapErr};
+
+/// Stand-ins for the platform, and the load and experiment tool
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    #[bpaf(command)]
+    /// Runs an engine stand-in
+    Engine(#[bpaf(external(listen::engine_args))] listen::EngineArgs),
+    #[bpaf(command)]
+    /// Runs a plain service stand-in
+    Service(#[bpaf(external(listen::service_args))] listen::ServiceArgs),
+    #[bpaf(command)]
+    /// Runs an append-only log stand-in
+    Log(#[bpaf(external(listen::log_args))] listen::LogArgs),
+    #[bpaf(command)]
+    /// Runs a VM list stand-in
+    Vms(#[bpaf(external(listen::vms_args))] listen::VmsArgs),
+    #[bpaf(command)]
+    /// Runs a weight store stand-in
+    Weights(#[bpaf(external(listen::weights_args))] listen::WeightsArgs),
+    #[bpaf(command)]
+    /// Starts a whole fleet, sends a deployment's mix, and prints what came of it
+    Demo(#[bpaf(external(demo::args))] demo::Args),
+    #[bpaf(command)]
+    /// Drives entries that run already
+    Load(#[bpaf(external(load::args))] load::Args),
+}
+
+/// Runs the subcommand that the command line names.
+pub fn main() -> ExitCode {
+    match run(command().run()) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: Command) -> Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(if matches!(command, Command::Demo(_) | Command::Load(_)) { 4 } else { 1 })
+        .enable_all()
+        .build()
+        .wrap_err("step=start-runtime")?;
+    let done = |()| ExitCode::SUCCESS;
+    runtime.block_on(async {
+        match command {
+            Command::Engine(args) => listen::engine(args).await.map(done),
+            Command::Service(args) => listen::service(args).await.map(done),
+            Command::Log(args) => listen::log(args).await.map(done),
+            Command::Vms(args) => listen::vms(args).await.map(done),
+            Command::Weights(args) => listen::weights(args).await.map(done),
+            Command::Demo(args) => demo::run(args).await,
+            Command::Load(args) => load::run(args).await,
+        }
+    })
+}
--- /dev/null
+++ b/standin/src/fleet.rs
@@ -0,0 +1,514 @@
+//! A fleet on loopback: the stand-ins, sidecars and entries as separate processes.
+//!
+//! Used by the demo, the experiments and the tests. It ends only processes that it
+//! started, by id, and leaves their logs behind.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write as _;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, bail, eyre};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::client::Client;
+use crate::engine::model::Sizes;
+use crate::mix::{Deployment, WORKSPACES};
+
+/// Key that operators of a fleet use.
+pub const OPERATOR_KEY: &str = "operator-key-of-a-stand-in-fleet";
+/// Environment variable that carries the operators' key to entries.
+const OPERATOR_ENV: &str = "SORRELPASS_OPERATOR_SECRET";
+/// Environment variable that carries the tickets' key to entries.
+const TICKET_ENV: &str = "SORRELPASS_TICKET_SECRET";
+/// How long a fleet may take to be ready.
+const READY: Duration = Duration::from_secs(30);
+/// How long a process may take to end after SIGTERM.
+const END: Duration = Duration::from_secs(10);
+
+/// The bearer key of a workspace of a fleet.
+pub fn workspace_key(number: usize) -> String {
+    format!("key-of-workspace-{number}")
+}
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Whose fleet it is.
+    pub deployment: Deployment,
+    /// Entries.
+    pub entries: usize,
+    /// Engines, each with its sidecar.
+    pub engines: usize,
+    /// Plain services, each with its sidecar.
+    pub services: usize,
+    /// Sizes and speeds of the engines.
+    pub sizes: Sizes,
+    /// Whether engines check fences.
+    pub checks_fence: bool,
+    /// How entries pick.
+    pub picker: String,
+    /// Order of the sidecars' queues.
+    pub order: String,
+    /// How late the VM list is, in milliseconds.
+    pub vms_lag_ms: u64,
+    /// How long the log keeps records, in milliseconds.
+    pub retention_ms: u64,
+    /// Lines added to every entry's section.
+    pub entry_settings: String,
+    /// Lines added to every sidecar's section.
+    pub sidecar_settings: String,
+    /// Where logs and settings go.
+    pub dir: PathBuf,
+}
+
+impl Spec {
+    /// A small fleet for tests, ten times faster than real time.
+    pub fn small(name: &str) -> Self {
+        Self {
+            deployment: Deployment::Market,
+            entries: 2,
+            engines: 3,
+            services: 2,
+            sizes: Sizes { speed: 10.0, ..Sizes::default() },
+            checks_fence: true,
+            picker: "quoted".into(),
+            order: "slack".into(),
+            vms_lag_ms: 50,
+            retention_ms: 24 * 3_600 * 1_000,
+            entry_settings: String::new(),
+            sidecar_settings: String::new(),
+            dir: scratch(name),
+        }
+    }
+}
+
+/// A fresh folder for a fleet's logs and settings.
+pub fn scratch(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("sorrelpass-{name}-{}", std::process::id()))
+}
+
+/// A process of the fleet.
+struct Process {
+    child: Child,
+    program: PathBuf,
+    args: Vec<String>,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// What it is made of.
+    pub spec: Spec,
+    /// A client for its APIs.
+    pub client: Client,
+    processes: BTreeMap<String, Process>,
+    /// Callers' addresses of the entries.
+    pub entries: Vec<String>,
+    /// Address of each process by name; for entries that of the peers' wire.
+    pub addresses: HashMap<String, String>,
+    ports: Ports,
+}
+
+/// Hands out free ports, each once.
+#[derive(Default)]
+struct Ports {
+    given: Vec<u16>,
+}
+
+impl Ports {
+    fn next(&mut self) -> Result<String> {
+        for _ in 0..100 {
+            let listener = TcpListener::bind("127.0.0.1:0").wrap_err("step=find-port")?;
+            let port = listener.local_addr().wrap_err("step=find-port")?.port();
+            if !self.given.contains(&port) {
+                self.given.push(port);
+                return Ok(format!("127.0.0.1:{port}"));
+            }
+        }
+        bail!("step=find-port: no free port")
+    }
+}
+
+/// The binary `name` beside the one that runs, or beside the folder of test binaries.
+fn binary(name: &str) -> Result<PathBuf> {
+    let own = std::env::current_exe().wrap_err("step=find-binary")?;
+    let found = own.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|path| path.is_file());
+    found.ok_or_else(|| {
+        eyre!("step=find-binary: no {name} beside {}; run `cargo build --workspace` first", own.display())
+    })
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every entry is ready.
+    pub async fn start(spec: Spec) -> Result<Self> {
+        std::fs::create_dir_all(&spec.dir).wrap_err_with(|| format!("step=make-folder path={}", spec.dir.display()))?;
+        let mut fleet = Self {
+            spec,
+            client: Client::new(),
+            processes: BTreeMap::new(),
+            entries: Vec::new(),
+            addresses: HashMap::new(),
+            ports: Ports::default(),
+        };
+        fleet.start_platform().await?;
+        let entries = fleet.allot_entries()?;
+        fleet.start_endpoints().await?;
+        for (name, listen, peer) in &entries {
+            fleet.start_entry(name, listen, peer)?;
+        }
+        fleet.publish(&fleet.first_changes()).await?;
+        for entry in fleet.entries.clone() {
+            fleet.wait_ready(&entry).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn start_platform(&mut self) -> Result<()> {
+        let retention = self.spec.retention_ms.to_string();
+        let lag = self.spec.vms_lag_ms.to_string();
+        let parts: [(&str, &[&str]); 3] =
+            [("log", &["--retention-ms", &retention]), ("vms", &["--lag-ms", &lag]), ("weights", &[])];
+        for (name, args) in parts {
+            let address = self.ports.next()?;
+            self.addresses.insert(name.to_owned(), address.clone());
+            let mut all = vec![name.to_owned(), "--listen".to_owned(), address];
+            all.extend(args.iter().map(|arg| (*arg).to_owned()));
+            self.spawn(name, "standin", all)?;
+        }
+        for name in ["log", "vms"] {
+            let address = self.addresses[name].clone();
+            self.wait_listening(&address).await?;
+        }
+        Ok(())
+    }
+
+    fn domain(&self, number: usize) -> &'static str {
+        self.spec.deployment.domains()[number % 3]
+    }
+
+    fn allot_entries(&mut self) -> Result<Vec<(String, String, String)>> {
+        let mut allotted = Vec::new();
+        for number in 0..self.spec.entries {
+            let name = format!("entry-{number}");
+            let (listen, peer) = (self.ports.next()?, self.ports.next()?);
+            self.entries.push(listen.clone());
+            self.addresses.insert(name.clone(), peer.clone());
+            allotted.push((name, listen, peer));
+        }
+        Ok(allotted)
+    }
+
+    fn peers(&self) -> String {
+        let peers = (0..self.spec.entries).filter_map(|number| self.addresses.get(&format!("entry-{number}")));
+        peers.cloned().collect::<Vec<_>>().join(",")
+    }
+
+    async fn start_endpoints(&mut self) -> Result<()> {
+        for number in 0..self.spec.engines {
+            self.add_engine(number).await?;
+        }
+        for number in 0..self.spec.services {
+            let name = format!("{}-{number}", self.spec.deployment.service());
+            let address = self.ports.next()?;
+            let args = ["service", "--listen", &address, "--name", self.spec.deployment.service()];
+            self.spawn(&name, "standin", args.map(str::to_owned).to_vec())?;
+            self.addresses.insert(name.clone(), address);
+            self.start_sidecar(&name, self.spec.deployment.service(), "plain", number).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts engine number `number` and its sidecar, and lists its VM.
+    pub async fn add_engine(&mut self, number: usize) -> Result<()> {
+        let name = format!("{}-{number}", self.spec.deployment.model());
+        let address = self.ports.next()?;
+        let sizes = &self.spec.sizes;
+        let mut args: Vec<String> = ["engine", "--listen", &address].map(str::to_owned).to_vec();
+        args.extend(["--speed".to_owned(), sizes.speed.to_string()]);
+        args.extend(["--prefill".to_owned(), sizes.prefill_per_s.to_string()]);
+        args.extend(["--memory".to_owned(), sizes.memory.to_string()]);
+        args.extend(["--slots".to_owned(), sizes.slots.to_string()]);
+        if !self.spec.checks_fence {
+            args.push("--no-fence".to_owned());
+        }
+        self.spawn(&name, "standin", args)?;
+        self.addresses.insert(name.clone(), address);
+        self.start_sidecar(&name, self.spec.deployment.model(), "engine", number).await
+    }
+
+    async fn start_sidecar(&mut self, endpoint: &str, service: &str, kind: &str, number: usize) -> Result<()> {
+        let name = format!("sidecar-{endpoint}");
+        let address = self.ports.next()?;
+        self.addresses.insert(name.clone(), address.clone());
+        let sizes = &self.spec.sizes;
+        let (slowdown, ttft) = self.spec.deployment.weights();
+        let gap_ms = (sizes.step.div_f64(sizes.speed).as_millis()).max(1);
+        let text = format!(
+            "[process]\nname = {name}\nfailure_domain = {}\n\n[sidecar]\nlisten = {address}\nendpoint = {endpoint}\n\
+             endpoint_address = {}\nservice = {service}\nkind = {kind}\nentries = {}\norder = {}\n\
+             slowdown_weight = {slowdown}\nttft_weight = {ttft}\nslots = {}\nmemory_tokens = {}\n\
+             prefill_tokens_per_s = {}\ngap_ms = {gap_ms}\nprobe_ms = 300\n{}\n",
+            self.domain(number),
+            self.addresses[endpoint],
+            self.peers(),
+            self.spec.order,
+            sizes.slots,
+            sizes.memory,
+            sizes.prefill_per_s * sizes.speed,
+            self.spec.sidecar_settings,
+        );
+        let file = self.write_settings(&name, &text)?;
+        self.spawn(&name, "sorrelpass", vec!["sidecar".to_owned(), file])?;
+        let vm = json!({ "name": endpoint, "address": address, "role": "endpoint", "service": service,
+            "failure_domain": self.domain(number), "leaving": false });
+        self.list_vm(endpoint, &vm).await
+    }
+
+    /// Puts a VM on the platform's list.
+    pub async fn list_vm(&self, name: &str, vm: &Value) -> Result<()> {
+        let (status, _) =
+            self.client.json("PUT", &self.addresses["vms"], &format!("/vms/{name}"), "", Some(vm)).await?;
+        if status == 204 { Ok(()) } else { bail!("step=list-vm status={status}") }
+    }
+
+    fn start_entry(&mut self, name: &str, listen: &str, peer: &str) -> Result<()> {
+        let number: usize = name.rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        let domain = self.domain(number);
+        let text = format!(
+            "[process]\nname = {name}\nfailure_domain = {domain}\n\n[entry]\nlisten = {listen}\npeer_listen = {peer}\n\
+             peers = {}\npicker = {}\noperator_secret_env = {OPERATOR_ENV}\nticket_secret_env = {TICKET_ENV}\n{}\n\n\
+             [platform]\nlog_address = {}\nvms_address = {}\nvms_poll_ms = 200\n",
+            self.peers(),
+            self.spec.picker,
+            self.spec.entry_settings,
+            self.addresses["log"],
+            self.addresses["vms"],
+        );
+        let file = self.write_settings(name, &text)?;
+        self.spawn(name, "sorrelpass", vec!["entry".to_owned(), file])
+    }
+
+    /// Lists the entries' VMs, publishes the first configuration and returns its changes.
+    fn first_changes(&self) -> Value {
+        let deployment = self.spec.deployment;
+        let mut changes = vec![
+            json!({ "put_intent": { "model": deployment.model(), "service": deployment.model(), "workspaces": ["*"],
+                "deadline_ms": 30_000, "deadline_ceiling_ms": 600_000, "context_tokens": 1_100_000 } }),
+            json!({ "put_service": { "name": deployment.service(), "repeatable": false, "deadline_ms": 10_000 } }),
+        ];
+        for number in 0..WORKSPACES {
+            let digest = blake3::hash(workspace_key(number).as_bytes()).to_hex().to_string();
+            let weight = if number < 2 { 2.0 } else { 1.0 };
+            changes.push(json!({ "put_workspace": { "name": format!("workspace-{number}"), "key_digest": digest, "weight": weight } }));
+        }
+        Value::from(changes)
+    }
+
+    /// Plans and confirms changes at the first entry, and returns the revision.
+    pub async fn publish(&self, changes: &Value) -> Result<u64> {
+        for number in 0..self.spec.entries {
+            let name = format!("entry-{number}");
+            let vm = json!({ "name": name, "address": self.addresses[&name], "role": "entry", "service": "",
+                "failure_domain": self.domain(number), "leaving": false });
+            self.list_vm(&name, &vm).await?;
+        }
+        let entry = &self.entries[0];
+        self.wait_listening(entry).await?;
+        let body = json!({ "changes": changes });
+        let (status, plan) = self.client.json("POST", entry, "/v1/intents", OPERATOR_KEY, Some(&body)).await?;
+        let Some(id) = plan["plan"].as_str() else { bail!("step=plan status={status}: {plan}") };
+        let path = format!("/v1/plans/{id}/confirm");
+        let (status, verdict) = self.client.json("POST", entry, &path, OPERATOR_KEY, None).await?;
+        verdict["revision"].as_u64().ok_or_else(|| eyre!("step=confirm status={status}: {verdict}"))
+    }
+
+    /// Waits until something listens on `address`.
+    pub async fn wait_listening(&self, address: &str) -> Result<()> {
+        let start = std::time::Instant::now();
+        while start.elapsed() < READY {
+            if tokio::net::TcpStream::connect(address).await.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        bail!("step=wait-listening peer={address}: nothing listens after {} s", READY.as_secs())
+    }
+
+    /// Waits until an entry is ready for callers and every sidecar answers.
+    pub async fn wait_ready(&self, entry: &str) -> Result<()> {
+        let start = std::time::Instant::now();
+        let wanted = self.spec.engines + self.spec.services + self.spec.entries;
+        while start.elapsed() < READY {
+            if let Ok((200, body)) = self.client.json("GET", entry, "/readyz", "", None).await
+                && body["members"].as_u64().unwrap_or(0) >= wanted as u64
+            {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        bail!("step=wait-ready peer={entry}: not ready after {} s", READY.as_secs())
+    }
+
+    fn write_settings(&self, name: &str, text: &str) -> Result<String> {
+        let path = self.spec.dir.join(format!("{name}.ini"));
+        std::fs::write(&path, text).wrap_err_with(|| format!("step=write-settings path={}", path.display()))?;
+        Ok(path.display().to_string())
+    }
+
+    fn spawn(&mut self, name: &str, program: &str, args: Vec<String>) -> Result<()> {
+        let program = binary(program)?;
+        let child = self.launch(name, &program, &args)?;
+        self.processes.insert(name.to_owned(), Process { child, program, args });
+        Ok(())
+    }
+
+    fn launch(&self, name: &str, program: &Path, args: &[String]) -> Result<Child> {
+        let path = self.log_file(name);
+        let open = || std::fs::OpenOptions::new().create(true).append(true).open(&path);
+        let log = open().wrap_err_with(|| format!("step=open-log path={}", path.display()))?;
+        let errors = open().wrap_err_with(|| format!("step=open-log path={}", path.display()))?;
+        Command::new(program)
+            .args(args)
+            .env(OPERATOR_ENV, OPERATOR_KEY)
+            .env(TICKET_ENV, "ticket-key-of-a-stand-in-fleet")
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .wrap_err_with(|| format!("step=start-process name={name}"))
+    }
+
+    /// Where a process logs to.
+    pub fn log_file(&self, name: &str) -> PathBuf {
+        self.spec.dir.join(format!("{name}.log"))
+    }
+
+    /// Log files of all processes of the system.
+    pub fn log_files(&self) -> Vec<PathBuf> {
+        self.processes.keys().map(|name| self.log_file(name)).collect()
+    }
+
+    /// Names of the processes that run, in order.
+    pub fn names(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
+    /// The process id of a process.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        self.processes.get(name).map(|process| process.child.id())
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: Signal) -> Result<()> {
+        let pid = self.pid(name).ok_or_else(|| eyre!("step=signal: no process {name}"))?;
+        let pid = Pid::from_raw(pid as i32).ok_or_else(|| eyre!("step=signal: no process {name}"))?;
+        kill_process(pid, signal).wrap_err_with(|| format!("step=signal name={name}"))
+    }
+
+    /// Kills a process at once and reaps it.
+    pub fn kill(&mut self, name: &str) -> Result<()> {
+        let process = self.processes.get_mut(name).ok_or_else(|| eyre!("step=kill: no process {name}"))?;
+        let _ = process.child.kill();
+        process.child.wait().wrap_err_with(|| format!("step=kill name={name}"))?;
+        Ok(())
+    }
+
+    /// Starts a killed or ended process again with the same settings.
+    pub fn restart(&mut self, name: &str) -> Result<()> {
+        let process = self.processes.get(name).ok_or_else(|| eyre!("step=restart: no process {name}"))?;
+        let (program, args) = (process.program.clone(), process.args.clone());
+        let child = self.launch(name, &program, &args)?;
+        self.processes.insert(name.to_owned(), Process { child, program, args });
+        Ok(())
+    }
+
+    /// Waits until a process has ended by itself; whether it ended in time and well.
+    pub async fn wait_end(&mut self, name: &str, limit: Duration) -> Result<bool> {
+        let process = self.processes.get_mut(name).ok_or_else(|| eyre!("step=wait-end: no process {name}"))?;
+        let start = std::time::Instant::now();
+        while start.elapsed() < limit {
+            if let Some(status) = process.child.try_wait().wrap_err("step=wait-end")? {
+                return Ok(status.success());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(false)
+    }
+
+    /// Switches a fault on at a stand-in.
+    pub async fn fault(&self, name: &str, fault: &Value) -> Result<()> {
+        let address = self.addresses.get(name).ok_or_else(|| eyre!("step=fault: no stand-in {name}"))?;
+        let (status, _) = self.client.json("POST", address, "/fault", "", Some(fault)).await?;
+        if status == 204 { Ok(()) } else { bail!("step=fault name={name} status={status}") }
+    }
+
+    /// How often each key ran, over all services that answer.
+    pub async fn runs(&self) -> HashMap<String, u64> {
+        let mut all = HashMap::new();
+        for number in 0..self.spec.services {
+            let name = format!("{}-{number}", self.spec.deployment.service());
+            let answer = self.client.json("GET", &self.addresses[&name], "/runs", "", None).await;
+            let Ok((200, Value::Object(runs))) = answer else { continue };
+            for (key, count) in runs {
+                *all.entry(key).or_default() += count.as_u64().unwrap_or(0);
+            }
+        }
+        all
+    }
+
+    /// KV tokens held at all engines that answer.
+    pub async fn held_tokens(&self) -> u64 {
+        let mut held = 0;
+        for number in 0..self.spec.engines {
+            let name = format!("{}-{number}", self.spec.deployment.model());
+            if let Ok((200, kv)) = self.client.json("GET", &self.addresses[&name], "/kv", "", None).await {
+                held += kv["held_tokens"].as_u64().unwrap_or(0);
+            }
+        }
+        held
+    }
+
+    /// Invariants that any process said were breached.
+    pub fn breaches(&self) -> Result<Vec<String>> {
+        let mut found = Vec::new();
+        for file in self.log_files() {
+            let text = String::from_utf8_lossy(&std::fs::read(&file).unwrap_or_default()).into_owned();
+            found.extend(
+                text.lines().filter(|line| line.contains("invariant") || line.contains("panicked")).map(str::to_owned),
+            );
+        }
+        Ok(found)
+    }
+
+    /// Ends all processes: with a request first, then by force. Returns what did not end well by itself.
+    pub async fn close(mut self) -> Result<String> {
+        let names: Vec<String> = self.names();
+        let ours = |name: &&String| name.starts_with("entry-") || name.starts_with("sidecar-");
+        for name in names.iter().filter(ours) {
+            let _ = self.signal(name, Signal::CONT);
+            let _ = self.signal(name, Signal::TERM);
+        }
+        let mut stuck = String::new();
+        for name in names.iter().filter(ours) {
+            if !self.wait_end(name, END).await? {
+                let _ = write!(stuck, "{name} ");
+            }
+        }
+        for name in &names {
+            let _ = self.kill(name);
+        }
+        Ok(stuck)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,16 @@
+//! Small stand-ins for the outside systems, the fleet that tests and the demo start,
+//! and the load and experiment tool. Never shipped; no simulator of a cluster.
+
+pub mod client;
+pub mod engine;
+pub mod fleet;
+pub mod ledger;
+pub mod log;
+pub mod mix;
+pub mod report;
+pub mod run;
+pub mod serve;
+pub mod service;
+pub mod text;
+pub mod vms;
+pub mod weights;
--- /dev/null
+++ b/standin/src/report.rs
@@ -0,0 +1,139 @@
+//! Tables of what was measured: time to first token, gaps and slowdown by class.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::ledger::{Ledger, Sums};
+
+/// Quantiles in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Quantiles {
+    /// Samples.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95 in 100.
+    pub p95: f64,
+    /// 99 in 100.
+    pub p99: f64,
+}
+
+/// The quantiles of some times.
+pub fn quantiles(times: impl Iterator<Item = Duration>) -> Quantiles {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Quantiles::default() };
+    for time in times {
+        let _ = histogram.record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX).max(1));
+    }
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Quantiles { count: histogram.len(), p50: at(0.5), p95: at(0.95), p99: at(0.99) }
+}
+
+/// One class of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// The class.
+    pub class: String,
+    /// Requests sent.
+    pub sent: usize,
+    /// Whole answers.
+    pub whole: usize,
+    /// Time to first token, or to the whole answer of a call.
+    pub ttft_ms: Quantiles,
+    /// Time between tokens.
+    pub gap_ms: Quantiles,
+    /// Time to first token as a multiple of the same prompt's on an empty engine.
+    pub slowdown: Quantiles,
+}
+
+/// A whole run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// By class.
+    pub rows: Vec<Row>,
+    /// The ledger's sums.
+    pub ledger: Sums,
+}
+
+/// What the engine itself needs for a first token, given a prompt's length.
+#[derive(Clone, Copy, Debug)]
+pub struct Floor {
+    /// Prompt tokens a second.
+    pub prefill_per_s: f64,
+}
+
+impl Floor {
+    fn of(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.prefill_per_s)
+    }
+}
+
+/// Makes the report of a run.
+pub fn report(ledger: &Ledger, sums: Sums, floor: Floor) -> Report {
+    let mut classes: BTreeMap<&str, Vec<&crate::ledger::Line>> = BTreeMap::new();
+    for line in &ledger.lines {
+        classes.entry(line.class).or_default().push(line);
+    }
+    let rows = classes.into_iter().map(|(class, lines)| row(class, &lines, floor)).collect();
+    Report { rows, ledger: sums }
+}
+
+fn row(class: &str, lines: &[&crate::ledger::Line], floor: Floor) -> Row {
+    let whole: Vec<&&crate::ledger::Line> =
+        lines.iter().filter(|line| line.outcome == crate::ledger::Outcome::Whole).collect();
+    let first = |line: &&&crate::ledger::Line| line.ttft.unwrap_or(line.took);
+    let ratio = |line: &&&crate::ledger::Line| {
+        let floor = floor.of(line.tokens).as_secs_f64();
+        // A thousandth stands for a microsecond in the histogram.
+        (floor > 0.0).then(|| Duration::from_secs_f64(first(line).as_secs_f64() / floor / 1_000.0))
+    };
+    Row {
+        class: class.to_owned(),
+        sent: lines.len(),
+        whole: whole.len(),
+        ttft_ms: quantiles(whole.iter().map(first)),
+        gap_ms: quantiles(whole.iter().flat_map(|line| line.gaps.iter().copied())),
+        slowdown: quantiles(whole.iter().filter_map(ratio)),
+    }
+}
+
+impl Report {
+    /// The report as a table for people.
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        let _ = writeln!(
+            out,
+            "{:<12} {:>6} {:>6} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8}",
+            "class", "sent", "whole", "ttft p50", "p95", "p99 ms", "gap p95", "x p50", "x p95"
+        );
+        for row in &self.rows {
+            let _ = writeln!(
+                out,
+                "{:<12} {:>6} {:>6} {:>9.1} {:>9.1} {:>9.1} {:>8.1} {:>8.2} {:>8.2}",
+                row.class,
+                row.sent,
+                row.whole,
+                row.ttft_ms.p50,
+                row.ttft_ms.p95,
+                row.ttft_ms.p99,
+                row.gap_ms.p95,
+                row.slowdown.p50,
+                row.slowdown.p95
+            );
+        }
+        let sums = &self.ledger;
+        let failed: usize = sums.failed.values().sum();
+        let _ = writeln!(
+            out,
+            "ledger: sent {} = whole {} + honest failures {}; lost {}, doubled {}, mixed up {}, false \"not run\" {}",
+            sums.sent, sums.whole, failed, sums.lost, sums.doubled, sums.mixed_up, sums.false_no
+        );
+        for (code, count) in &sums.failed {
+            let _ = writeln!(out, "  {count} x {code}");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/standin/tests/common/mod.rs
@@ -0,0 +1,77 @@
+//! What the fleet tests share: a small fleet, prompts and calls against it.
+#![allow(dead_code)]
+
+use std::process::Command;
+use std::time::Duration;
+
+use standin::client::{Prompt, Seen};
+use standin::fleet::{Fleet, Spec, workspace_key};
+use standin::text;
+
+/// A small fleet under the test's own name.
+pub async fn fleet(name: &str) -> Fleet {
+    start(Spec::small(name)).await
+}
+
+/// A fleet as specified.
+pub async fn start(spec: Spec) -> Fleet {
+    Fleet::start(spec).await.expect("the fleet starts")
+}
+
+/// A streamed prompt of `tokens` tokens that wants `output` tokens.
+pub fn prompt(tokens: usize, output: u64, seed: u64) -> Prompt {
+    Prompt {
+        model: "market-advisor".into(),
+        key: workspace_key(0),
+        text: text::prompt(tokens, seed),
+        output,
+        stream: true,
+        deadline: Duration::from_secs(20),
+        headers: Vec::new(),
+    }
+}
+
+/// Headers of a call by workspace 0, with a key if it may run once.
+pub fn call_headers(once: Option<&str>) -> Vec<(String, String)> {
+    let mut headers = vec![("authorization".to_owned(), format!("Bearer {}", workspace_key(0)))];
+    if let Some(once) = once {
+        headers.push(("idempotency-key".to_owned(), once.to_owned()));
+    }
+    headers
+}
+
+/// Posts a call that may run once.
+pub async fn pay(fleet: &Fleet, entry: usize, key: Option<&str>, deadline: Duration) -> Seen {
+    let mut headers = call_headers(key);
+    headers.push(("x-deadline-ms".to_owned(), deadline.as_millis().to_string()));
+    fleet.client.call("POST", &fleet.entries[entry], "/services/stall-ledger/payments", &headers, "levy 500").await
+}
+
+/// Runs `sorrelpass` with arguments and returns what it printed and whether it ended well.
+pub fn sorrelpass(args: &[&str]) -> (String, bool) {
+    let path = std::path::Path::new(env!("CARGO_BIN_EXE_standin")).with_file_name("sorrelpass");
+    let output = Command::new(path).args(args).output().expect("sorrelpass runs");
+    let text = [output.stdout, output.stderr].concat();
+    (String::from_utf8_lossy(&text).into_owned(), output.status.success())
+}
+
+/// Ends a fleet; every process must end by itself and none may have breached an invariant.
+pub async fn close(fleet: Fleet) {
+    let breaches = fleet.breaches().expect("logs can be read");
+    assert!(breaches.is_empty(), "{breaches:?}");
+    let dir = fleet.spec.dir.clone();
+    let stuck = fleet.close().await.expect("the fleet closes");
+    assert_eq!(stuck, "", "these processes did not end by themselves");
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+/// Polls until `done` says so; fails after ten seconds.
+pub async fn until<F: Future<Output = bool>>(what: &str, mut done: impl FnMut() -> F) {
+    for _ in 0..1_000 {
+        if done().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("never came about: {what}");
+}
