--- a/standin/src/ledger.rs
+++ b/standin/src/ledger.rs
@@ -57,7 +57,7 @@
     pub tokens: u64,
     /// What became of it.
     pub outcome: Outcome,
-    /// Time to the first token.
+    /// Time to the first token, or to the whole answer of a call; none for a prompt that was not streamed.
     pub ttft: Option<Duration>,
     /// Time to the end.
     pub took: Duration,
--- a/standin/src/run.rs
+++ b/standin/src/run.rs
@@ -79,7 +79,7 @@
         id,
         tokens: arrival.tokens,
         outcome,
-        ttft: seen.ttft,
+        ttft: if arrival.tokens == 0 { Some(seen.took) } else { seen.ttft },
         took: seen.took,
         retry_after: seen.retry_after(),
         gaps: seen.gaps,
