At most once, in time, whole, leaving, configuration: failure tests over processes

Real processes are killed, stopped and cut at steps of a request and of a plan. Causes and mends:

A key repeated through another entry got no answer: a_key_repeated_through_another_entry_gets_the_same_answer: left: (200, 0) right: (200, 200) and the same for raced keys, for a known key in a log outage, and after an entry's death. Cause: a transcript's frames carried the first attempt's number, and the asking entry rightly dropped them as another attempt's. Ruled out: the claim (the time line shows the same binding at both entries). A transcript now keeps frames, and tells them to the attempt that asks. 2. a_call_on_a_frozen_service_fails_within_its_time_as_unknown: left: (502, Some("unknown")) right: (504, Some("unknown")) Cause: the sidecar's clock ran out a moment before the entry's, so the caller heard "lost" in place of "deadline". One fleet in three runs did not start: "Address already in use". Cause: the probe for a free port left its listener for a moment in a child that another thread forked just then. Ruled out: TIME_WAIT, the ephemeral port range. Ports are now found by connecting, below the ephemeral range.

--- a/sorrelpass/src/config.rs
+++ b/sorrelpass/src/config.rs
@@ -299,6 +299,8 @@
     pub retry_share: f64,
     /// How long an idempotency key is remembered.
     pub once_window: Duration,
+    /// How often a snapshot of the configuration is due on the log.
+    pub snapshot_every: Duration,
     /// Key that authenticates tickets.
     pub ticket_secret: Option<Secret>,
     /// Key that authenticates operators; none lets anyone in.
@@ -418,6 +420,7 @@
     let distance = reader.millis("entry", "distance_ms", 0..=10_000, 2);
     let retry_share = reader.number("entry", "retry_share", 0.0..=1.0, 0.1);
     let once_window = reader.millis("entry", "once_window_ms", 1_000..=DAY_MS, 3_600_000);
+    let snapshot_every = reader.millis("entry", "snapshot_every_ms", 100..=DAY_MS, 600_000);
     let ticket_secret = reader.secret("entry", "ticket_secret");
     let operator_secret = reader.secret("entry", "operator_secret");
     if body_budget_bytes < max_body_bytes {
@@ -440,6 +443,7 @@
         distance,
         retry_share,
         once_window,
+        snapshot_every,
         ticket_secret,
         operator_secret,
     })
--- a/sorrelpass/src/entry/log.rs
+++ b/sorrelpass/src/entry/log.rs
@@ -31,8 +31,6 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// How long a plan or confirm is tried before the operator is told that nothing is known.
 const PATIENCE: Duration = Duration::from_secs(5);
-/// How often a snapshot is due.
-const SNAPSHOT_EVERY: Duration = Duration::from_secs(600);
 /// Records after which a snapshot is due.
 const SNAPSHOT_RECORDS: u64 = 512;
 /// Bytes of snapshot in one record.
@@ -226,7 +224,8 @@
     async fn publish_snapshot(&self) {
         let (at, records) = *self.snapshot_at.borrow();
         let next = self.replay.borrow().next();
-        let due = next.saturating_sub(records) >= SNAPSHOT_RECORDS || util::now().since(at) >= SNAPSHOT_EVERY;
+        let due = next.saturating_sub(records) >= SNAPSHOT_RECORDS
+            || util::now().since(at) >= self.shared.settings.snapshot_every;
         if !due || next == 0 || !self.is_writer(next) {
             return;
         }
--- a/sorrelpass/src/entry/route.rs
+++ b/sorrelpass/src/entry/route.rs
@@ -25,6 +25,8 @@
 const MOST_ATTEMPTS: u32 = 6;
 /// Pause before an attempt at the same bound sidecar is repeated.
 const BOUND_PAUSE: Duration = Duration::from_millis(50);
+/// Difference of two clocks within which both count as run out.
+const CLOCK_SLACK: Duration = Duration::from_millis(20);
 /// When to come back after a failure that tells nothing.
 const PLAIN_RETRY: Duration = Duration::from_millis(500);
 
@@ -413,6 +415,10 @@
                 if step == CALLER {
                     return Next::Fail(lost(Ran::Partial, message).code("caller_too_slow"));
                 }
+                // The sidecar's clock may run out a moment before this one.
+                if self.left() <= CLOCK_SLACK {
+                    return Next::Fail(self.timed_out(ran));
+                }
                 if once {
                     let ran = if self.begun { Ran::Partial } else { Ran::Unknown };
                     return Next::Fail(lost(ran, format!("{step}: {message}")));
--- a/sorrelpass/src/sidecar/job.rs
+++ b/sorrelpass/src/sidecar/job.rs
@@ -55,9 +55,8 @@
 impl Output {
     /// Sends a frame on.
     pub async fn send(&self, frame: &Frame) -> Result<(), Gone> {
-        let bytes = wire::encode_delimited(frame);
         match self {
-            Output::Ring { frames, patience } => match frames.try_send(bytes) {
+            Output::Ring { frames, patience } => match frames.try_send(wire::encode_delimited(frame)) {
                 Ok(()) => Ok(()),
                 Err(mpsc::error::TrySendError::Closed(_)) => Err(Gone),
                 Err(mpsc::error::TrySendError::Full(bytes)) => {
@@ -66,7 +65,7 @@
                 }
             },
             Output::Transcript(transcript) => {
-                transcript.push(bytes);
+                transcript.push(frame.clone());
                 Ok(())
             }
         }
--- a/sorrelpass/src/sidecar/transcript.rs
+++ b/sorrelpass/src/sidecar/transcript.rs
@@ -2,13 +2,15 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use bytes::Bytes;
+use coord::name::Attempt;
 use tokio::sync::watch;
 
+use crate::wire::Frame;
+
 /// Frames as they were sent; clones share them.
 #[derive(Clone)]
 pub struct Transcript {
-    frames: Arc<Mutex<Vec<Bytes>>>,
+    frames: Arc<Mutex<Vec<Frame>>>,
     progress: Arc<watch::Sender<Progress>>,
 }
 
@@ -24,8 +26,8 @@
         Self { frames: Arc::default(), progress: Arc::new(watch::channel(Progress::default()).0) }
     }
 
-    /// Adds an encoded frame.
-    pub fn push(&self, frame: Bytes) {
+    /// Adds a frame.
+    pub fn push(&self, frame: Frame) {
         let mut frames = self.lock();
         frames.push(frame);
         let count = frames.len();
@@ -38,15 +40,16 @@
         self.progress.send_modify(|progress| progress.closed = true);
     }
 
-    /// The frame number `index`, waiting for it; `None` after the last.
-    pub async fn frame(&self, index: usize) -> Option<Bytes> {
+    /// The frame number `index` as told to `attempt`, waiting for it; `None` after the last.
+    pub async fn frame(&self, index: usize, attempt: Attempt) -> Option<Frame> {
         let mut progress = self.progress.subscribe();
         let ready = progress.wait_for(|progress| progress.frames > index || progress.closed).await;
         drop(ready);
-        self.lock().get(index).cloned()
+        let frame = self.lock().get(index).cloned()?;
+        Some(frame.told_to(attempt))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Bytes>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<Frame>> {
         self.frames.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
--- a/sorrelpass/src/sidecar/work.rs
+++ b/sorrelpass/src/sidecar/work.rs
@@ -120,6 +120,7 @@
     let whole = Bytes::from([start, rest].concat());
     let transcript = Transcript::new();
     let own = transcript.clone();
+    let attempt = open.attempt;
     let offered =
         ask(&shared, |reply| Command::Offer { open: Box::new(open.clone()), transcript: Some(own), reply }).await?;
     let heard = match offered {
@@ -131,9 +132,9 @@
             transcript
         }
     };
-    Ok(stamped(Body::from_stream(stream::unfold((heard, 0), |(heard, index)| async move {
-        let frame = heard.frame(index).await?;
-        Some((Ok::<Bytes, Infallible>(frame), (heard, index + 1)))
+    Ok(stamped(Body::from_stream(stream::unfold((heard, 0), move |(heard, index)| async move {
+        let frame = heard.frame(index, attempt).await?;
+        Some((Ok::<Bytes, Infallible>(wire::encode_delimited(&frame)), (heard, index + 1)))
     }))))
 }
 
--- a/sorrelpass/src/wire.rs
+++ b/sorrelpass/src/wire.rs
@@ -153,6 +153,17 @@
     },
 }
 
+impl Frame {
+    /// The frame as an answer to `attempt`, which asks for what another attempt ran.
+    pub fn told_to(self, attempt: Attempt) -> Self {
+        match self {
+            Frame::Piece { number, tokens, bytes, .. } => Frame::Piece { attempt, number, tokens, bytes },
+            Frame::End { count, digest, usage, finish, .. } => Frame::End { attempt, count, digest, usage, finish },
+            frame => frame,
+        }
+    }
+}
+
 /// Why a sidecar refused work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refused {
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -5,9 +5,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, bail, eyre};
@@ -109,27 +111,31 @@
     pub entries: Vec<String>,
     /// Address of each process by name; for entries that of the peers' wire.
     pub addresses: HashMap<String, String>,
-    ports: Ports,
 }
 
-/// Hands out free ports, each once.
-#[derive(Default)]
-struct Ports {
-    given: Vec<u16>,
-}
-
-impl Ports {
-    fn next(&mut self) -> Result<String> {
-        for _ in 0..100 {
-            let listener = TcpListener::bind("127.0.0.1:0").wrap_err("step=find-port")?;
-            let port = listener.local_addr().wrap_err("step=find-port")?.port();
-            if !self.given.contains(&port) {
-                self.given.push(port);
-                return Ok(format!("127.0.0.1:{port}"));
-            }
+/// First port that a fleet may use. They lie below those from which the system takes ports
+/// for outgoing connections, so that a port handed out stays free until it is listened on.
+const FIRST_PORT: u16 = 10_000;
+/// Ports that a fleet may use, from the first on.
+const PORTS: u16 = 20_000;
+/// Ports between the starting points of two processes that use fleets at once.
+const PORTS_APART: u16 = 500;
+
+static NEXT_PORT: OnceLock<AtomicU16> = OnceLock::new();
+
+/// A free address on loopback, handed out once in this process.
+fn free_address() -> Result<String> {
+    let start = || AtomicU16::new((std::process::id() % u32::from(PORTS / PORTS_APART)) as u16 * PORTS_APART);
+    let next = NEXT_PORT.get_or_init(start);
+    for _ in 0..PORTS {
+        let port = FIRST_PORT + next.fetch_add(1, Ordering::Relaxed) % PORTS;
+        // Asked by connecting: a listener of ours would live on for a moment in a child that another
+        // thread forks just then, and be found in the way.
+        if TcpStream::connect(("127.0.0.1", port)).is_err() {
+            return Ok(format!("127.0.0.1:{port}"));
         }
-        bail!("step=find-port: no free port")
     }
+    bail!("step=find-port: no free port")
 }
 
 /// The binary `name` beside the one that runs, or beside the folder of test binaries.
@@ -151,7 +157,6 @@
             processes: BTreeMap::new(),
             entries: Vec::new(),
             addresses: HashMap::new(),
-            ports: Ports::default(),
         };
         fleet.start_platform().await?;
         let entries = fleet.allot_entries()?;
@@ -172,7 +177,7 @@
         let parts: [(&str, &[&str]); 3] =
             [("log", &["--retention-ms", &retention]), ("vms", &["--lag-ms", &lag]), ("weights", &[])];
         for (name, args) in parts {
-            let address = self.ports.next()?;
+            let address = free_address()?;
             self.addresses.insert(name.to_owned(), address.clone());
             let mut all = vec![name.to_owned(), "--listen".to_owned(), address];
             all.extend(args.iter().map(|arg| (*arg).to_owned()));
@@ -193,7 +198,7 @@
         let mut allotted = Vec::new();
         for number in 0..self.spec.entries {
             let name = format!("entry-{number}");
-            let (listen, peer) = (self.ports.next()?, self.ports.next()?);
+            let (listen, peer) = (free_address()?, free_address()?);
             self.entries.push(listen.clone());
             self.addresses.insert(name.clone(), peer.clone());
             allotted.push((name, listen, peer));
@@ -212,7 +217,7 @@
         }
         for number in 0..self.spec.services {
             let name = format!("{}-{number}", self.spec.deployment.service());
-            let address = self.ports.next()?;
+            let address = free_address()?;
             let args = ["service", "--listen", &address, "--name", self.spec.deployment.service()];
             self.spawn(&name, "standin", args.map(str::to_owned).to_vec())?;
             self.addresses.insert(name.clone(), address);
@@ -224,7 +229,7 @@
     /// Starts engine number `number` and its sidecar, and lists its VM.
     pub async fn add_engine(&mut self, number: usize) -> Result<()> {
         let name = format!("{}-{number}", self.spec.deployment.model());
-        let address = self.ports.next()?;
+        let address = free_address()?;
         let sizes = &self.spec.sizes;
         let mut args: Vec<String> = ["engine", "--listen", &address].map(str::to_owned).to_vec();
         args.extend(["--speed".to_owned(), sizes.speed.to_string()]);
@@ -241,7 +246,7 @@
 
     async fn start_sidecar(&mut self, endpoint: &str, service: &str, kind: &str, number: usize) -> Result<()> {
         let name = format!("sidecar-{endpoint}");
-        let address = self.ports.next()?;
+        let address = free_address()?;
         self.addresses.insert(name.clone(), address.clone());
         let sizes = &self.spec.sizes;
         let (slowdown, ttft) = self.spec.deployment.weights();
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -56,6 +56,8 @@
     lose_answers: u32,
     /// Drop every record before this offset of every stream now.
     trim_before: u64,
+    /// Drop every record of this stream now.
+    trim_stream: String,
 }
 
 struct Inner {
@@ -217,6 +219,9 @@
     for stream in inner.streams.values_mut() {
         stream.records.retain(|record| record.offset >= faults.trim_before);
     }
+    if let Some(stream) = inner.streams.get_mut(&faults.trim_stream) {
+        stream.records.clear();
+    }
     drop(inner);
     // Those who wait for news feel the fault at once.
     log.news.send_modify(|count| *count += 1);
