--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -153,7 +153,8 @@
         serving.push(util::duty(&format!("callers-{number}"), move || async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
             let app = App { shared, caller: http::caller_h2() };
-            http::serve(listener, callers::router(app), closed).await;
+            let patience = app.shared.settings.slow_caller;
+            http::serve(listener, callers::router(app), patience, closed).await;
         })?);
     }
     event!("start", role = "entry", listen = %settings.listen);
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio_io_timeout::TimeoutStream;
 use tower::ServiceExt;
 
 use crate::timeline;
@@ -37,6 +38,11 @@
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A caller that has not sent its headers by then is cut off.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes that the kernel may hold for a peer that does not read; unbounded tuning would keep
+/// megabytes for each, and hide for seconds that nobody reads.
+const SEND_BUFFER: u32 = 128 * 1_024;
+/// Bytes that an HTTP/1 connection buffers; also the most that headers may take.
+const CONNECTION_BUFFER: usize = 64 * 1_024;
 /// Connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -142,6 +148,8 @@
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_reuseaddr(true)?;
         socket.set_reuseport(true)?;
+        // Accepted connections inherit it.
+        socket.set_send_buffer_size(SEND_BUFFER)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
     };
@@ -149,7 +157,14 @@
 }
 
 /// Serves `router` on `listener` until `stop` says so, then lets open calls finish.
-pub async fn serve(listener: TcpListener, router: Router, mut stop: tokio::sync::watch::Receiver<bool>) {
+///
+/// A connection whose peer does not read for `patience` is cut off.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    patience: Duration,
+    mut stop: tokio::sync::watch::Receiver<bool>,
+) {
     let graceful = hyper_util::server::graceful::GracefulShutdown::new();
     loop {
         let stream = tokio::select! {
@@ -160,20 +175,27 @@
             },
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        tokio::spawn(connection(stream, router.clone(), graceful.watcher()));
+        tokio::spawn(connection(stream, router.clone(), patience, graceful.watcher()));
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
-async fn connection(stream: TcpStream, router: Router, watcher: hyper_util::server::graceful::Watcher) {
+async fn connection(
+    stream: TcpStream,
+    router: Router,
+    patience: Duration,
+    watcher: hyper_util::server::graceful::Watcher,
+) {
     let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(patience));
     let service = hyper::service::service_fn(move |request: Request<Incoming>| {
         let router = router.clone();
         async move { router.oneshot(request.map(Body::new)).await }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(CONNECTION_BUFFER);
     builder
         .http2()
         .timer(TokioTimer::new())
@@ -182,7 +204,7 @@
         .max_concurrent_streams(MOST_STREAMS)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT);
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    let connection = builder.serve_connection(TokioIo::new(Box::pin(stream)), service).into_owned();
     // A caller that goes away mid-request is no fault of ours.
     let _ = watcher.watch(connection).await;
 }
--- a/sorrelpass/src/sidecar/mod.rs
+++ b/sorrelpass/src/sidecar/mod.rs
@@ -50,7 +50,8 @@
         let stopped = stopped.clone();
         move || async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(std_listener) else { return };
-            http::serve(listener, work::router(shared), stopped).await;
+            let patience = shared.settings.slow_entry;
+            http::serve(listener, work::router(shared), patience, stopped).await;
         }
     })?;
     let control = util::duty("control", {
--- /dev/null
+++ b/standin/tests/bad_input.rs
@@ -0,0 +1,177 @@
+//! Bad input gets a clear error, and everything it held is freed.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{call_headers, close, fleet, prompt, start, until};
+use serde_json::{Value, json};
+use standin::client::Seen;
+use standin::fleet::{Fleet, Spec, workspace_key};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+async fn post(fleet: &Fleet, body: &str, more: &[(&str, &str)]) -> Seen {
+    let mut headers = call_headers(None);
+    headers.extend(more.iter().map(|(name, value)| ((*name).to_owned(), (*value).to_owned())));
+    fleet.client.call("POST", &fleet.entries[0], "/v1/chat/completions", &headers, body.to_owned()).await
+}
+
+fn good_body() -> String {
+    json!({ "model": "market-advisor", "max_tokens": 3, "messages": [{ "role": "user", "content": "hi" }] }).to_string()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_bad_body_is_named() {
+    let fleet = fleet("bad-bodies").await;
+    let cases = [
+        ("{", 400, "invalid_json"),
+        ("[]", 400, "invalid_json"),
+        ("{}", 400, "missing_field"),
+        (r#"{"model":"market-advisor"}"#, 400, "missing_field"),
+        (r#"{"model":7,"messages":[{}]}"#, 400, "invalid_field"),
+        (r#"{"model":"market-advisor","messages":[]}"#, 400, "invalid_field"),
+        (r#"{"model":"market-advisor","messages":"x"}"#, 400, "invalid_field"),
+        (r#"{"model":"market-advisor","messages":[{}],"max_tokens":0}"#, 400, "invalid_field"),
+        (r#"{"model":"market-advisor","messages":[{}],"max_tokens":-4}"#, 400, "invalid_field"),
+        (r#"{"model":"market-advisor","messages":[{}],"stream":"yes"}"#, 400, "invalid_field"),
+        (r#"{"model":"market-advisor","messages":[{}],"n":2}"#, 400, "unsupported_field"),
+        (r#"{"model":"nobody","messages":[{}]}"#, 404, "model_not_found"),
+    ];
+    for (body, status, code) in cases {
+        let seen = post(&fleet, body, &[]).await;
+        assert_eq!((seen.status, seen.code(), seen.ran()), (status, code, Some("no")), "{body}: {}", seen.text);
+    }
+    close(fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_bad_header_is_named() {
+    let fleet = fleet("bad-headers").await;
+    for deadline in ["0", "-5", "soon", "99999999999", ""] {
+        let seen = post(&fleet, &good_body(), &[("x-deadline-ms", deadline)]).await;
+        assert_eq!((seen.status, seen.code()), (400, "invalid_deadline"), "{deadline}");
+    }
+    let long = "k".repeat(600);
+    let seen = post(&fleet, &good_body(), &[("idempotency-key", &long)]).await;
+    assert_eq!((seen.status, seen.code()), (400, "invalid_key"));
+    let huge = "h".repeat(600_000);
+    let seen = post(&fleet, &good_body(), &[("x-huge", &huge)]).await;
+    assert_eq!(seen.status, 431, "{seen:?}");
+    for (headers, code) in
+        [(vec![], "missing_key"), (vec![("authorization".into(), "Bearer wrong".into())], "invalid_key")]
+    {
+        let path = "/v1/chat/completions";
+        let seen = fleet.client.call("POST", &fleet.entries[0], path, &headers, good_body()).await;
+        assert_eq!((seen.status, seen.code()), (401, code));
+    }
+    close(fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_paths_methods_and_services_are_named() {
+    let fleet = fleet("bad-paths").await;
+    let headers = call_headers(None);
+    for (method, path, status, code) in [
+        ("GET", "/v1/nothing", 404, "not_found"),
+        ("GET", "/v1/chat/completions", 405, "method_not_allowed"),
+        ("GET", "/services/nobody/x", 404, "service_not_found"),
+        ("GET", "/v1/models/nobody", 404, "model_not_found"),
+    ] {
+        let seen = fleet.client.call(method, &fleet.entries[0], path, &headers, "").await;
+        assert_eq!((seen.status, seen.code()), (status, code), "{method} {path}");
+    }
+    let (status, models) =
+        fleet.client.json("GET", &fleet.entries[0], "/v1/models", &workspace_key(0), None).await.expect("an answer");
+    assert_eq!((status, &models["data"][0]["id"]), (200, &Value::from("market-advisor")));
+    close(fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn oversized_bodies_and_prompts_are_refused() {
+    let settings = "max_body_bytes = 200000\nbody_budget_bytes = 400000\n".to_owned();
+    let fleet = start(Spec { entry_settings: settings, ..Spec::small("oversized") }).await;
+    let large = prompt(60_000, 3, 1);
+    let seen = fleet.client.prompt(&fleet.entries[0], &large).await;
+    assert_eq!((seen.status, seen.code()), (413, "body_too_large"), "{seen:?}");
+    let body = json!({ "changes": [{ "put_intent": { "model": "market-advisor", "service": "market-advisor",
+        "workspaces": ["*"], "context_tokens": 1_000 } }] });
+    fleet.publish(&body["changes"]).await.expect("the change is accepted");
+    until("the limit is in force", || async {
+        let long = prompt(2_000, 3, 1);
+        fleet.client.prompt(&fleet.entries[0], &long).await.code() == "context_length_exceeded"
+    })
+    .await;
+    close(fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_over_the_budget_are_refused_and_the_budget_comes_back() {
+    let settings = "max_body_bytes = 200000\nbody_budget_bytes = 200000\n".to_owned();
+    let fleet = start(Spec { entry_settings: settings, ..Spec::small("budget") }).await;
+    let mut half_sent = tokio::net::TcpStream::connect(&fleet.entries[0]).await.expect("connected");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\ncontent-length: 190000\r\n\r\n{{",
+        workspace_key(0)
+    );
+    half_sent.write_all(head.as_bytes()).await.expect("sent");
+    until("the budget is used up", || async {
+        fleet.client.prompt(&fleet.entries[0], &prompt(10_000, 3, 1)).await.code() == "bodies_in_flight"
+    })
+    .await;
+    drop(half_sent);
+    until("the budget is back", || async { fleet.client.prompt(&fleet.entries[0], &prompt(10_000, 3, 1)).await.ended })
+        .await;
+    close(fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_read_is_cut_off_and_frees_the_engine() {
+    let settings = "slow_caller_ms = 300\n".to_owned();
+    let spec = Spec { engines: 1, entry_settings: settings, ..Spec::small("slow-caller") };
+    let fleet = start(spec).await;
+    let prompt = prompt(500, 9_000, 1);
+    let body = prompt.body();
+    // A small window, so that the answer does not fit into the kernel's buffers.
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("the window is set");
+    let address = fleet.entries[0].parse().expect("an address");
+    let mut stream = socket.connect(address).await.expect("connected");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\nx-deadline-ms: 60000\r\ncontent-length: {}\r\n\r\n{body}",
+        prompt.key,
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let mut first = [0; 16];
+    stream.read_exact(&mut first).await.expect("the answer begins");
+    until("the entry gives the caller up", || async {
+        let log = std::fs::read_to_string(fleet.log_file("entry-0")).unwrap_or_default();
+        log.contains("code=caller_too_slow")
+    })
+    .await;
+    until("the engine is free", || async { fleet.held_tokens().await == 0 }).await;
+    close(fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_workspace_over_its_limit_is_told_when_to_come_back() {
+    let fleet = fleet("limit").await;
+    let digest = blake3::hash(workspace_key(3).as_bytes()).to_hex().to_string();
+    let changes = json!([{ "put_workspace": { "name": "workspace-3", "key_digest": digest, "requests_per_s": 2.0 } }]);
+    fleet.publish(&changes).await.expect("the change is accepted");
+    let mut limited = None;
+    for seed in 0..40 {
+        let mut prompt = prompt(200, 2, seed);
+        prompt.key = workspace_key(3);
+        let seen = fleet.client.prompt(&fleet.entries[0], &prompt).await;
+        if seen.status == 429 {
+            limited = Some(seen);
+            break;
+        }
+    }
+    let seen = limited.expect("the limit shows");
+    assert_eq!((seen.code(), seen.ran()), ("workspace_limit", Some("no")));
+    let wait = seen.retry_after().expect("when to come back");
+    assert!(wait > Duration::ZERO && wait <= Duration::from_secs(2), "{wait:?}");
+    close(fleet).await;
+}
