Prompts beyond one engine: gangs with leased spans

Cause: a prompt of a million tokens on engines of 400,000 was refused as "overloaded", always. The entry now cuts such a prompt into spans, takes their memory in the order of the endpoints' names (so no two gangs wait for each other), lets the members prefill one after the other, and the last one's engine answers.

Ways weighed: the lead's sidecar as coordinator (it would have to hold the whole prompt; ruled out, the entry has it already); all-or-nothing with release on the first refusal (livelock between large gangs; ruled out by the global order, which needs no release).

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod quota;
 pub mod replay;
 pub mod scheduler;
+pub mod span;
 pub mod ticket;
 pub mod time;
--- a/coord/src/scheduler.rs
+++ b/coord/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::memory::Ledger;
 use crate::name::{Attempt, Ran};
 use crate::queue::{Job, Order, Queue};
+use crate::span::Spans;
 use crate::time::Moment;
 
 /// Sizes and limits of one endpoint.
@@ -69,6 +70,8 @@
     Expire(Attempt),
     /// Stop the job on the engine: its time ran out while it ran.
     Cancel(Attempt),
+    /// Free the span on the engine: its lease has lapsed.
+    FreeSpan(Attempt),
 }
 
 /// Engine priority of a job.
@@ -133,6 +136,10 @@
     pub outstanding: u32,
     /// Prefill tokens waiting and running, and output tokens still to come.
     pub active_tokens: u64,
+    /// KV memory of the engine, in tokens.
+    pub capacity_tokens: u64,
+    /// Of it, what is free.
+    pub free_tokens: u64,
 }
 
 /// Time an answer may need beyond its estimate before it is refused as too late.
@@ -141,6 +148,9 @@
 /// When to come back to an endpoint that does not answer.
 const UNHEALTHY_RETRY: Duration = Duration::from_secs(1);
 
+/// When to ask again for a span's memory.
+const SPAN_RETRY: Duration = Duration::from_millis(50);
+
 /// The scheduler; see the module's text.
 pub struct Scheduler {
     limits: Limits,
@@ -148,6 +158,7 @@
     queue: Queue,
     running: HashMap<Attempt, Running>,
     memory: Ledger<Attempt>,
+    spans: Spans,
     /// Attempts that never started and never will.
     void: Remembered<Attempt>,
     /// Attempts that started and are over.
@@ -198,6 +209,7 @@
             queue: Queue::new(order),
             running: HashMap::new(),
             memory,
+            spans: Spans::default(),
             void: Remembered::new(),
             over: Remembered::new(),
             keys: HashMap::new(),
@@ -296,17 +308,20 @@
     /// Prefill already on the engine that goes before `job`'s.
     fn prefill_ahead(&self, job: &Job, now: Moment) -> Duration {
         let level = self.level(job);
-        self.running
+        let spans = if level == Level::Long { self.spans.prefill_left(now) } else { Duration::ZERO };
+        let running: Duration = self
+            .running
             .values()
             .filter(|run| run.first_token.is_none())
             .filter(|run| level == Level::Long || run.level == Level::Short || !self.queue.keeps_headroom())
             .map(|run| run.job.cost.saturating_sub(now.since(run.started)))
-            .sum()
+            .sum();
+        running + spans
     }
 
     /// Expected wait for a slot or memory, if `job` would not fit now.
     fn slot_wait(&self, job: &Job, now: Moment) -> Duration {
-        if self.room().fits(job) {
+        if self.room(now).fits(job) {
             return Duration::ZERO;
         }
         let ends = self.running.values().map(|run| self.expected_left(run, now));
@@ -327,7 +342,7 @@
     }
 
     /// What may start now.
-    fn room(&self) -> Room {
+    fn room(&self, now: Moment) -> Room {
         let share = if self.queue.keeps_headroom() { self.limits.short_share } else { 0.0 };
         let free_slots = self.limits.slots.saturating_sub(self.running.len());
         Room {
@@ -336,6 +351,7 @@
             capacity: self.limits.memory_tokens,
             free_memory: self.memory.free(),
             kept_memory: (self.limits.memory_tokens as f64 * share) as u64,
+            wanted_memory: self.spans.wanted_tokens(now),
             short_tokens: self.limits.short_tokens,
         }
     }
@@ -353,6 +369,8 @@
             retry_after: refused.map_or(Duration::ZERO, |refused| refused.retry_after),
             outstanding: (self.queue.len() + self.running.len()) as u32,
             active_tokens: waiting + running,
+            capacity_tokens: self.limits.memory_tokens,
+            free_tokens: self.memory.free(),
         }
     }
 
@@ -361,6 +379,10 @@
         let mut actions = Vec::new();
         self.forget(now);
         self.expire(now, &mut actions);
+        for span in self.spans.lapsed(now) {
+            self.spans.give_up(span);
+            actions.push(Action::FreeSpan(span));
+        }
         while let Some(job) = self.take_next(now) {
             let level = self.level(&job);
             let attempt = job.attempt;
@@ -375,7 +397,7 @@
     }
 
     fn take_next(&mut self, now: Moment) -> Option<Job> {
-        let room = self.room();
+        let room = self.room(now);
         self.queue.pop(now, |job| room.fits(job))
     }
 
@@ -418,7 +440,64 @@
         if let Some(first) = run.first_token {
             self.estimate.learn_decode(output_tokens.saturating_sub(1), now.since(first));
         }
-        crate::invariant!(!self.running.is_empty() || self.memory.held() == 0, "an idle endpoint holds no memory");
+        self.check_memory();
+    }
+
+    fn check_memory(&self) {
+        let spans = self.spans.tokens();
+        let held = self.memory.held();
+        crate::invariant!(held >= spans, "every span's memory is held");
+        crate::invariant!(!self.running.is_empty() || held == spans, "an idle endpoint holds no memory but spans'");
+    }
+
+    /// Holds memory for a span under a lease until `until`, or collects for it and says when to ask again.
+    pub fn reserve(&mut self, span: Attempt, tokens: u64, until: Moment, now: Moment) -> Result<(), Refused> {
+        let refuse = |reason, retry_after| Err(Refused { reason, retry_after });
+        if let Some(held) = self.spans.get_mut(span) {
+            held.until = until;
+            return Ok(());
+        }
+        if self.leaving || self.unhealthy {
+            let reason = if self.leaving { Refusal::Leaving } else { Refusal::Unhealthy };
+            return refuse(reason, UNHEALTHY_RETRY);
+        }
+        if tokens > self.limits.memory_tokens {
+            return refuse(Refusal::TooLarge, Duration::ZERO);
+        }
+        if !self.spans.want(span, tokens, until, now) || !self.memory.hold(span, tokens, until) {
+            return refuse(Refusal::QueueFull, SPAN_RETRY);
+        }
+        self.spans.hold(span, tokens, until);
+        self.check_memory();
+        Ok(())
+    }
+
+    /// Notes that a held span is being prefilled, or no longer; false if it is not held.
+    pub fn fill(&mut self, span: Attempt, filling: bool, now: Moment) -> bool {
+        let Some(tokens) = self.spans.get_mut(span).map(|held| held.tokens) else { return false };
+        let cost = self.cost(tokens);
+        if let Some(held) = self.spans.get_mut(span) {
+            held.filling = filling.then_some((now, cost));
+        }
+        true
+    }
+
+    /// Renews a span's lease; false if it is not held.
+    pub fn renew(&mut self, span: Attempt, until: Moment) -> bool {
+        self.spans.get_mut(span).map(|held| held.until = until).is_some()
+    }
+
+    /// Gives a span up; whether the engine has to free it.
+    pub fn give_up(&mut self, span: Attempt) -> bool {
+        self.spans.give_up(span)
+    }
+
+    /// Notes that the engine has freed a span.
+    pub fn freed(&mut self, span: Attempt) {
+        if self.spans.freed(span) {
+            self.memory.free_owner(span);
+        }
+        self.check_memory();
     }
 
     /// Makes sure that an attempt that has not started never will.
@@ -459,7 +538,7 @@
 
     /// Whether nothing runs or waits.
     pub fn is_idle(&self) -> bool {
-        self.running.is_empty() && self.queue.is_empty()
+        self.running.is_empty() && self.queue.is_empty() && self.spans.is_empty()
     }
 
     /// Jobs waiting.
@@ -477,6 +556,11 @@
         self.memory.held()
     }
 
+    /// Whether an attempt that runs, or a span that is held, has this name.
+    pub fn owns(&self, name: Attempt) -> bool {
+        self.running.contains_key(&name) || self.spans.is_held(name)
+    }
+
     /// Whether `attempt` runs.
     pub fn is_running(&self, attempt: Attempt) -> bool {
         self.running.contains_key(&attempt)
@@ -495,6 +579,8 @@
     capacity: u64,
     free_memory: u64,
     kept_memory: u64,
+    /// What is being collected for a span.
+    wanted_memory: u64,
     short_tokens: u64,
 }
 
@@ -505,7 +591,8 @@
         }
         // A prompt that could never fit beside the headroom may take it all on an empty engine.
         let kept = self.kept_memory.min(self.capacity.saturating_sub(job.memory_tokens));
-        self.free_slots > self.kept_slots && job.memory_tokens + kept <= self.free_memory
+        let taken = job.memory_tokens + kept + self.wanted_memory;
+        self.free_slots > self.kept_slots && taken <= self.free_memory
     }
 }
 
--- a/sorrelpass/src/entry/callers.rs
+++ b/sorrelpass/src/entry/callers.rs
@@ -20,7 +20,7 @@
 use super::kernel::{Admission, Admitted, Command, Search, Wanted};
 use super::prompt::{Form, Prompt};
 use super::reply::{self, Parts};
-use super::route::{self, Once, Request};
+use super::route::{self, Long, Once, Request};
 use super::{App, body, operators, ticket, upstream};
 use crate::wire::{Ask, Call};
 use crate::{event, metric, util};
@@ -156,6 +156,7 @@
         id: id.clone(),
         call: prompt_call(&prompt),
         body: prompt.body.clone(),
+        long: Some(Long { text: prompt.text.clone(), shell: prompt.shell() }),
         chain: prompt.chain.clone(),
         output_tokens: prompt.output_tokens,
         once,
@@ -241,6 +242,7 @@
         id: id.clone(),
         call,
         body: vec![held.bytes.clone()],
+        long: None,
         chain: Chain::default(),
         output_tokens: 0,
         once,
--- a/sorrelpass/src/entry/kernel.rs
+++ b/sorrelpass/src/entry/kernel.rs
@@ -1,6 +1,6 @@
 //! The kernel thread of an entry: owns members, configuration, limits and the retry budget.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -115,6 +115,8 @@
     Admit(Admission, oneshot::Sender<Result<Admitted, Failure>>),
     /// Where?
     Find(Search, oneshot::Sender<Found>),
+    /// Endpoints of a service by failure domain, the nearest first.
+    ByDomain(Search, oneshot::Sender<Vec<Vec<Target>>>),
     /// Where is this endpoint?
     Locate(Name, oneshot::Sender<Option<Target>>),
     /// A sidecar answered.
@@ -256,6 +258,7 @@
         match command {
             Command::Admit(admission, reply) => drop(reply.send(self.admit(&admission))),
             Command::Find(search, reply) => drop(reply.send(self.find(&search))),
+            Command::ByDomain(search, reply) => drop(reply.send(self.by_domain(&search))),
             Command::Locate(endpoint, reply) => drop(reply.send(self.locate(&endpoint))),
             Command::Heard { endpoint, incarnation, leaving } => self.members.heard(&endpoint, incarnation, leaving),
             Command::Failed(endpoint) => self.members.failed(&endpoint, util::now()),
@@ -395,6 +398,17 @@
         Found { targets: names.iter().filter_map(|name| self.locate(name)).collect(), asks: self.picker.asks() }
     }
 
+    fn by_domain(&self, search: &Search) -> Vec<Vec<Target>> {
+        let all = self.members.candidates(&search.service, &search.domains, util::now());
+        let mut domains: BTreeMap<(u64, Name), Vec<Target>> = BTreeMap::new();
+        for candidate in all.iter().filter(|candidate| !search.exclude.contains(&candidate.endpoint)) {
+            let Some(member) = self.members.get(&candidate.endpoint) else { continue };
+            let domain = (candidate.distance, member.vm.failure_domain.clone());
+            domains.entry(domain).or_default().extend(self.locate(&candidate.endpoint));
+        }
+        domains.into_values().collect()
+    }
+
     fn locate(&self, endpoint: &Name) -> Option<Target> {
         let member = self.members.get(endpoint)?;
         let near = member.vm.failure_domain == self.settings.process.failure_domain;
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod claims;
 mod failure;
+mod gang;
 mod kernel;
 mod limits;
 mod log;
--- a/sorrelpass/src/entry/prompt.rs
+++ b/sorrelpass/src/entry/prompt.rs
@@ -62,6 +62,17 @@
     pub chain: Chain,
     /// The body for the engine, in pieces that share the caller's bytes.
     pub body: Vec<Bytes>,
+    /// The prompt text, as it stands in the body.
+    pub text: Bytes,
+}
+
+impl Prompt {
+    /// The body without its prompt text, for an engine that has the text in spans.
+    pub fn shell(&self) -> Vec<Bytes> {
+        let empty = Bytes::from_static(if self.form == Form::Chat { b"[]" } else { b"\"\"" });
+        let is_text = |piece: &Bytes| piece.as_ptr() == self.text.as_ptr() && piece.len() == self.text.len();
+        self.body.iter().map(|piece| if is_text(piece) { empty.clone() } else { piece.clone() }).collect()
+    }
 }
 
 /// The top-level fields of a body, in their order, as they came.
@@ -131,6 +142,7 @@
         prompt_bytes: text.len() as u64,
         chain: Chain::of(text.as_bytes()),
         body: rewrite(&fields, body),
+        text: body.slice_ref(text.as_bytes()),
     })
 }
 
--- a/sorrelpass/src/entry/route.rs
+++ b/sorrelpass/src/entry/route.rs
@@ -14,15 +14,20 @@
 use super::App;
 use super::claims;
 use super::failure::Failure;
+use super::gang::{self, Member, Spans};
 use super::kernel::{Admitted, Command, Search, Target};
 use super::upstream::{self, Broken, Part, Upstream};
-use crate::wire::{Ask, Call, Open, Refused, Usage};
+use crate::wire::{Ask, Call, Filled, Open, Refused, Usage};
 use crate::{event, metric, util};
 
 /// Rounds of new candidates before a request is given up.
 const MOST_ROUNDS: u32 = 4;
 /// Attempts at one request.
 const MOST_ATTEMPTS: u32 = 6;
+/// Gangs gathered for one request.
+const MOST_GANGS: u32 = 3;
+/// Endpoints asked for a gang.
+const MOST_GANG_SAMPLE: usize = 24;
 /// Pause before an attempt at the same bound sidecar is repeated.
 const BOUND_PAUSE: Duration = Duration::from_millis(50);
 /// Difference of two clocks within which both count as run out.
@@ -53,6 +58,8 @@
     pub call: Call,
     /// The body, in pieces.
     pub body: Vec<Bytes>,
+    /// What a gang of engines needs of a prompt that exceeds one.
+    pub long: Option<Long>,
     /// The prompt's prefix.
     pub chain: Chain,
     /// Most output tokens.
@@ -67,6 +74,15 @@
     pub _budget: OwnedSemaphorePermit,
 }
 
+/// A prompt in the form that a gang of engines needs.
+#[derive(Clone)]
+pub struct Long {
+    /// The prompt text.
+    pub text: Bytes,
+    /// The body without it.
+    pub shell: Vec<Bytes>,
+}
+
 /// What ended an attempt, as far as the request goes on.
 enum Next {
     /// The whole answer was passed on, or nobody wants it any more.
@@ -88,6 +104,10 @@
     begun: bool,
     retry_after: Option<Duration>,
     reason: Option<Refused>,
+    /// Largest engine memory that a quote named, in tokens.
+    capacity: u64,
+    /// The spans that hold the prompt, once a gang has filled them.
+    spans: Option<Filled>,
     started: Moment,
 }
 
@@ -104,6 +124,8 @@
         begun: false,
         retry_after: None,
         reason: None,
+        capacity: 0,
+        spans: None,
         started: util::now(),
     };
     let outcome = tokio::select! {
@@ -158,7 +180,7 @@
         Ask {
             workspace: admitted.workspace.name.clone(),
             weight: admitted.workspace.weight,
-            prompt_tokens: admitted.prompt_tokens + self.passed_tokens,
+            prompt_tokens: if self.spans.is_some() { 0 } else { admitted.prompt_tokens } + self.passed_tokens,
             output_tokens: self.request.output_tokens.saturating_sub(self.passed_tokens),
             priority: admitted.priority,
             left_micros: micros(self.left()),
@@ -185,6 +207,7 @@
         self.tried.extend(names.into_iter().filter(|name| !asked.iter().any(|asked| asked.target.endpoint == *name)));
         let mut open = Vec::new();
         for asked in asked {
+            self.capacity = self.capacity.max(asked.offer.quote.capacity_tokens);
             if asked.offer.quote.open {
                 open.push((asked.target, Some(asked.incarnation)));
                 continue;
@@ -205,6 +228,9 @@
     async fn anywhere(&mut self, once: Option<Key>) -> Result<(), Failure> {
         for _ in 0..MOST_ROUNDS {
             let targets = self.search(once.is_some()).await?;
+            if self.exceeds_one_engine() {
+                return self.ganged().await;
+            }
             for (target, incarnation) in targets {
                 if self.left().is_zero() {
                     return Err(self.timed_out(Ran::No));
@@ -234,6 +260,90 @@
         Err(self.exhausted())
     }
 
+    fn exceeds_one_engine(&self) -> bool {
+        let needed = self.request.admitted.prompt_tokens + self.request.output_tokens;
+        self.request.long.is_some() && self.capacity > 0 && needed > self.capacity
+    }
+
+    /// Gathers gangs until one gives the whole answer.
+    async fn ganged(&mut self) -> Result<(), Failure> {
+        self.tried.clear();
+        for _ in 0..MOST_GANGS {
+            if self.left().is_zero() {
+                return Err(self.timed_out(Ran::No));
+            }
+            match self.gang().await {
+                Ok(Next::Over) => return Ok(()),
+                Ok(Next::Again) => {}
+                Ok(Next::Fail(failure)) => return Err(failure),
+                Err(failed) => {
+                    event!("gang-failed", request = %self.request.id, peer = %failed.target.endpoint, at = failed.step);
+                    // One that was only full is asked again.
+                    if failed.step != "wait-for-memory" {
+                        self.tried.push(failed.target.endpoint);
+                    }
+                }
+            }
+            self.spans = None;
+        }
+        Err(self.exhausted())
+    }
+
+    /// One gang: holds the spans' memory, fills them, and lets the last one's engine answer.
+    async fn gang(&mut self) -> Result<Next, gang::Failed> {
+        let Some(long) = self.request.long.clone() else { return Ok(Next::Fail(self.exhausted())) };
+        let bytes_per_token = self.request.admitted.bytes_per_token;
+        let texts = gang::cut(&long.text, bytes_per_token, self.capacity);
+        let tokens = |text: &Bytes| (text.len() as f64 / bytes_per_token).ceil() as u64;
+        let largest = texts.iter().map(tokens).max().unwrap_or(0);
+        let Some(targets) = self.gang_targets(texts.len(), largest).await else {
+            return Ok(Next::Fail(self.exhausted()));
+        };
+        let members: Vec<Member> = targets
+            .iter()
+            .zip(&texts)
+            .map(|(target, text)| Member { target: target.clone(), span: util::attempt(), tokens: tokens(text) })
+            .collect();
+        let Some(lead) = members.last().map(|member| member.target.clone()) else {
+            return Ok(Next::Fail(self.exhausted()));
+        };
+        event!("gang", request = %self.request.id, members = members.len(), peer = %lead.endpoint);
+        let texts: Vec<_> = members.iter().map(|member| member.span).zip(texts).collect();
+        let spans = Spans::hold(self.app, members, self.left() / 4).await?;
+        let filled = match tokio::time::timeout(self.left(), spans.fill(&texts)).await {
+            Ok(filled) => filled?,
+            Err(_) => return Ok(Next::Fail(self.timed_out(Ran::Unknown))),
+        };
+        event!("gang-filled", request = %self.request.id, tokens = filled.tokens);
+        self.spans = Some(filled);
+        let next = self.attempt(&lead, None, None, false).await;
+        spans.close();
+        Ok(next)
+    }
+
+    /// Members for a gang, in the nearest failure domain that has enough of them.
+    async fn gang_targets(&mut self, count: usize, span_tokens: u64) -> Option<Vec<Target>> {
+        let admitted = &self.request.admitted;
+        let search = Search {
+            service: admitted.service.clone(),
+            domains: admitted.domains.clone(),
+            hash: None,
+            exclude: self.tried.clone(),
+        };
+        let domains = self.app.shared.ask(|reply| Command::ByDomain(search, reply)).await.ok()?;
+        let ask = Ask { prompt_tokens: span_tokens, output_tokens: 0, chain: Chain::default(), ..self.ask() };
+        for targets in domains.into_iter().filter(|targets| targets.len() >= count) {
+            let sample = targets.into_iter().take(MOST_GANG_SAMPLE).collect();
+            let mut asked = upstream::quotes(self.app, sample, &ask).await;
+            asked.retain(|asked| asked.offer.quote.capacity_tokens >= span_tokens);
+            let needed: Duration = asked.iter().take(count).map(|asked| asked.offer.quote.ttft).sum();
+            if asked.len() >= count && needed <= self.left() {
+                return Some(asked.into_iter().take(count).map(|asked| asked.target).collect());
+            }
+        }
+        None
+    }
+
     fn exhausted(&self) -> Failure {
         if self.begun {
             return Failure::busy(
@@ -315,6 +425,10 @@
         self.attempts += 1;
         let mut call = self.request.call.clone();
         call.resume_after = self.passed_tokens;
+        if let Some(spans) = &self.spans {
+            call.headers.push((gang::DIGEST_HEADER.to_owned(), spans.digest.to_string()));
+            call.headers.push((gang::TOKENS_HEADER.to_owned(), spans.tokens.to_string()));
+        }
         let open = Open {
             attempt: util::attempt(),
             request: self.request.id.clone(),
@@ -342,7 +456,9 @@
     }
 
     async fn relay(&mut self, target: &Target, open: &Open, started: &mut bool) -> Result<(), Broken> {
-        let mut upstream: Upstream = upstream::open(self.app, target, open, &self.request.body).await?;
+        let shell = self.request.long.as_ref().filter(|_| self.spans.is_some()).map(|long| &long.shell);
+        let body = shell.unwrap_or(&self.request.body);
+        let mut upstream: Upstream = upstream::open(self.app, target, open, body).await?;
         loop {
             let part = upstream.next().await?;
             match &part {
--- a/sorrelpass/src/entry/upstream.rs
+++ b/sorrelpass/src/entry/upstream.rs
@@ -132,12 +132,17 @@
     receiver: Receiver,
 }
 
+/// A body of several pieces, shared and not copied.
+pub fn pieces(pieces: Vec<Bytes>) -> Sent {
+    let frames = stream::iter(pieces.into_iter().map(|bytes| Ok::<_, Infallible>(BodyFrame::data(bytes))));
+    BodyExt::boxed(StreamBody::new(frames))
+}
+
 /// Hands work to a sidecar and returns its stream of frames.
 pub async fn open(app: &App, target: &Target, open: &Open, body: &[Bytes]) -> Result<Upstream, Broken> {
-    let mut pieces = vec![wire::encode_delimited(open)];
-    pieces.extend(body.iter().cloned());
-    let frames = stream::iter(pieces.into_iter().map(|bytes| Ok::<_, Infallible>(BodyFrame::data(bytes))));
-    let sent: Sent = BodyExt::boxed(StreamBody::new(frames));
+    let mut all = vec![wire::encode_delimited(open)];
+    all.extend(body.iter().cloned());
+    let sent = pieces(all);
     let request = Request::post(format!("http://{}{}", target.address, wire::WORK))
         .header(timeline::HEADER, timeline::stamp())
         .body(sent)
--- a/sorrelpass/src/sidecar/control.rs
+++ b/sorrelpass/src/sidecar/control.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coord::name::Name;
-use tokio::sync::watch;
+use coord::name::{Attempt, Name};
+use tokio::sync::{mpsc, watch};
 
-use super::Shared;
 use super::kernel::Command;
+use super::{Shared, span};
+use crate::config::Kind;
 use crate::entry::peer::{self, Brief};
 use crate::{event, http, util, warn_event};
 
@@ -21,8 +22,21 @@
 const ASSIGNED: usize = 2;
 
 /// Runs until told to stop.
-pub async fn run(shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
+pub async fn run(
+    shared: Arc<Shared>,
+    mut lapsed: mpsc::UnboundedReceiver<Attempt>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let reconcile = async {
+        if shared.settings.kind == Kind::Engine {
+            span::reconcile(&shared).await;
+        }
+        while let Some(span) = lapsed.recv().await {
+            span::free_on_engine(&shared, span).await;
+        }
+    };
     tokio::select! {
+        () = reconcile => {}
         () = follow(&shared) => {}
         () = check(&shared) => {}
         _ = stopped.wait_for(|stop| *stop) => {}
--- a/sorrelpass/src/sidecar/kernel.rs
+++ b/sorrelpass/src/sidecar/kernel.rs
@@ -8,15 +8,15 @@
 use coord::name::{Attempt, Name};
 use coord::prefix::{Cache, Chain};
 use coord::queue::Job;
-use coord::scheduler::{Action, Level, Once, Refused, Scheduler, Voided};
-use coord::time::Moment;
+use coord::scheduler::{Action, Level, Once, Refusal, Refused, Scheduler, Voided};
+use coord::time::{Moment, micros};
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
 use super::transcript::Transcript;
 use crate::config::{Kind, Sidecar};
 use crate::plugin::{self, OrderPlugin};
-use crate::wire::{Ask, Open, Quoted};
+use crate::wire::{Ask, Held, Hold, Open, Quoted};
 use crate::{event, metric, ring, util, warn_event};
 
 /// Longest the kernel sleeps while jobs wait or run.
@@ -80,6 +80,16 @@
         /// Tells what became of it.
         reply: Option<oneshot::Sender<Voided>>,
     },
+    /// Hold a span's memory, or renew its lease.
+    Hold(Hold, oneshot::Sender<Held>),
+    /// A span is being prefilled, or no longer; tells whether it is held.
+    Fill(Attempt, bool, oneshot::Sender<bool>),
+    /// Give a span up; tells whether the engine has to free it.
+    GiveUp(Attempt, oneshot::Sender<bool>),
+    /// Does anything of this run own what the engine holds under this name?
+    Owns(Attempt, oneshot::Sender<bool>),
+    /// The engine has freed a span.
+    Freed(Attempt),
     /// Refuse new work and say when nothing runs.
     Leave {
         /// Told once idle.
@@ -123,12 +133,14 @@
     once: HashMap<Key, Transcript>,
     once_attempts: HashMap<Attempt, Key>,
     leaving: Vec<oneshot::Sender<()>>,
+    /// Spans that the `control` thread has to free on the engine.
+    lapsed: mpsc::UnboundedSender<Attempt>,
     stopping: bool,
 }
 
 /// Runs the kernel until all senders are gone or the sidecar has closed.
-pub async fn run(settings: Sidecar, mut commands: ring::Receiver<Command>) {
-    let mut kernel = Kernel::new(settings);
+pub async fn run(settings: Sidecar, mut commands: ring::Receiver<Command>, lapsed: mpsc::UnboundedSender<Attempt>) {
+    let mut kernel = Kernel::new(settings, lapsed);
     loop {
         let tick = if kernel.scheduler.is_idle() { IDLE_TICK } else { TICK };
         match tokio::time::timeout(tick, commands.recv()).await {
@@ -149,7 +161,7 @@
 }
 
 impl Kernel {
-    fn new(settings: Sidecar) -> Self {
+    fn new(settings: Sidecar, lapsed: mpsc::UnboundedSender<Attempt>) -> Self {
         let order = plugin::find::<OrderPlugin>(settings.order, |plugin| plugin.name);
         let order =
             order.map_or_else(|| Box::new(coord::queue::Fifo) as Box<_>, |plugin| (plugin.make)(settings.weights));
@@ -162,6 +174,7 @@
             once: HashMap::new(),
             once_attempts: HashMap::new(),
             leaving: Vec::new(),
+            lapsed,
             stopping: false,
             settings,
         }
@@ -174,6 +187,11 @@
             Command::FirstToken(attempt) => self.first_token(attempt),
             Command::Finish { attempt, output_tokens, not_run } => self.finish(attempt, output_tokens, not_run),
             Command::Void { attempt, once, reply } => self.void(attempt, once.as_ref(), reply),
+            Command::Hold(hold, reply) => drop(reply.send(self.hold(hold))),
+            Command::Fill(span, filling, reply) => drop(reply.send(self.scheduler.fill(span, filling, util::now()))),
+            Command::GiveUp(span, reply) => drop(reply.send(self.scheduler.give_up(span))),
+            Command::Owns(name, reply) => drop(reply.send(self.scheduler.owns(name))),
+            Command::Freed(span) => self.freed(span),
             Command::Leave { idle } => self.leave(idle),
             Command::Drain(drained) => self.drain(drained),
             Command::Health(healthy) => self.health(healthy),
@@ -298,6 +316,27 @@
         }
     }
 
+    fn hold(&mut self, hold: Hold) -> Held {
+        let now = util::now();
+        let until = now + Duration::from_micros(hold.lease_micros);
+        if hold.renew {
+            return if self.scheduler.renew(hold.span, until) { Held::Yes } else { Held::No };
+        }
+        match self.scheduler.reserve(hold.span, hold.tokens, until, now) {
+            Ok(()) => {
+                event!("hold-span", span = %hold.span, tokens = hold.tokens);
+                Held::Yes
+            }
+            Err(refused) if refused.reason == Refusal::QueueFull => Held::Wait(micros(refused.retry_after)),
+            Err(_) => Held::No,
+        }
+    }
+
+    fn freed(&mut self, span: Attempt) {
+        event!("free-span", span = %span);
+        self.scheduler.freed(span);
+    }
+
     fn leave(&mut self, idle: oneshot::Sender<()>) {
         event!("leave", waiting = self.scheduler.waiting(), running = self.scheduler.running());
         self.stopping = true;
@@ -347,6 +386,10 @@
                     self.unbind(attempt);
                 }
                 Action::Cancel(attempt) => self.signal(attempt, Signal::Cancel),
+                Action::FreeSpan(span) => {
+                    event!("lapse-span", span = %span);
+                    let _ = self.lapsed.send(span);
+                }
             }
         }
         metric::scheduler(self.scheduler.waiting(), self.scheduler.running(), self.scheduler.memory_held());
--- a/sorrelpass/src/sidecar/mod.rs
+++ b/sorrelpass/src/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod kernel;
 pub mod plain;
+mod span;
 mod transcript;
 mod work;
 
@@ -39,10 +40,11 @@
     let (commands, receiver) = ring::pair("kernel", KERNEL_RING);
     let shared = Arc::new(Shared { settings, kernel: commands });
     let (stop, stopped) = watch::channel(false);
+    let (lapsed, lapsed_spans) = tokio::sync::mpsc::unbounded_channel();
 
     let kernel = util::duty("kernel", {
         let settings = shared.settings.clone();
-        move || kernel::run(settings, receiver)
+        move || kernel::run(settings, receiver, lapsed)
     })?;
     let std_listener = bind(listener_address)?;
     let work = util::duty("work", {
@@ -56,7 +58,7 @@
     })?;
     let control = util::duty("control", {
         let shared = shared.clone();
-        move || control::run(shared, stopped)
+        move || control::run(shared, lapsed_spans, stopped)
     })?;
     event!("start", role = "sidecar", endpoint = %shared.settings.endpoint, listen = %listener_address);
 
--- /dev/null
+++ b/sorrelpass/src/sidecar/span.rs
@@ -0,0 +1,132 @@
+//! Spans of prompts that exceed one engine: held, filled and freed beside their engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::Response;
+use coord::name::Attempt;
+use http_body_util::BodyExt;
+use hyper::Request;
+use serde::Deserialize;
+
+use super::Shared;
+use super::engine::client;
+use super::job::Upload;
+use super::kernel::Command;
+use super::work::{ask, read_delimited, stamped};
+use crate::wire::{self, Fill, Filled, Hold};
+use crate::{event, util, warn_event};
+
+/// Pause before the engine is asked again to free a span.
+const RETRY: Duration = Duration::from_millis(200);
+/// Longest that the engine may take to free one.
+const FREE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// `POST /span/hold`
+pub async fn hold(State(shared): State<Arc<Shared>>, body: Bytes) -> Result<Response, StatusCode> {
+    let hold: Hold = wire::decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let held = ask(&shared, |reply| Command::Hold(hold, reply)).await?;
+    Ok(stamped(wire::encode(&held)))
+}
+
+/// `POST /span/fill`: prefills a held span; answers once it is done.
+pub async fn fill(State(shared): State<Arc<Shared>>, mut body: Body) -> Result<Response, StatusCode> {
+    let (fill, start) = read_delimited::<Fill>(&mut body).await?;
+    if !ask(&shared, |reply| Command::Fill(fill.span, true, reply)).await? {
+        return Err(StatusCode::GONE);
+    }
+    let filled = prefill(&shared, fill, Upload::new(start, body)).await;
+    ask(&shared, |reply| Command::Fill(fill.span, false, reply)).await?;
+    let filled = filled.map_err(|error| {
+        warn_event!("fill-failed", span = %fill.span, reason = %error);
+        StatusCode::BAD_GATEWAY
+    })?;
+    event!("fill-span", span = %fill.span, tokens = filled.tokens);
+    Ok(stamped(wire::encode(&filled)))
+}
+
+#[derive(Deserialize)]
+struct EngineFilled {
+    tokens: u64,
+    digest: u64,
+}
+
+async fn prefill(shared: &Shared, fill: Fill, upload: Upload) -> eyre::Result<Filled> {
+    let uri = format!("http://{}/spans/{}?digest={}", shared.settings.endpoint_address, fill.span, fill.digest);
+    let response = client().request(Request::post(uri).body(upload.into_body())?).await?;
+    let status = response.status();
+    let bytes = response.into_body().collect().await?.to_bytes();
+    eyre::ensure!(status.is_success(), "step=fill-span status={status}");
+    let filled: EngineFilled = serde_json::from_slice(&bytes)?;
+    Ok(Filled { tokens: filled.tokens, digest: filled.digest })
+}
+
+/// `POST /span/free`
+pub async fn free(State(shared): State<Arc<Shared>>, body: Bytes) -> Result<Response, StatusCode> {
+    let span: Attempt = wire::decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    if ask(&shared, |reply| Command::GiveUp(span, reply)).await? {
+        tokio::spawn(async move { free_on_engine(&shared, span).await });
+    }
+    Ok(stamped(Bytes::new()))
+}
+
+/// Frees a span on the engine, again and again until the engine says so.
+pub async fn free_on_engine(shared: &Shared, span: Attempt) {
+    loop {
+        if delete(shared, &span.to_string()).await {
+            let _ = shared.kernel.send(Command::Freed(span)).await;
+            return;
+        }
+        tokio::time::sleep(util::jitter(RETRY)).await;
+    }
+}
+
+async fn delete(shared: &Shared, span: &str) -> bool {
+    let uri = format!("http://{}/spans/{span}", shared.settings.endpoint_address);
+    let Ok(request) = Request::delete(uri).body(Body::empty()) else { return true };
+    let answer = tokio::time::timeout(FREE_TIMEOUT, client().request(request)).await;
+    matches!(answer, Ok(Ok(response)) if response.status().is_success())
+}
+
+#[derive(Deserialize)]
+struct EngineMemory {
+    requests: Vec<String>,
+    spans: Vec<String>,
+}
+
+/// Frees what an earlier run of this sidecar left on the engine: nothing owns it any more.
+pub async fn reconcile(shared: &Shared) {
+    let caller = crate::http::caller_h1();
+    let found: EngineMemory = loop {
+        let listed = crate::http::exchange_json(&caller, &shared.settings.endpoint_address, "GET", "/kv", None).await;
+        match listed {
+            Ok(found) => break found,
+            Err(_) => tokio::time::sleep(util::jitter(RETRY)).await,
+        }
+    };
+    for span in found.spans {
+        if !owned(shared, &span).await {
+            event!("reconcile-span", span = %span);
+            while !delete(shared, &span).await {
+                tokio::time::sleep(util::jitter(RETRY)).await;
+            }
+        }
+    }
+    for request in found.requests {
+        if !owned(shared, &request).await {
+            event!("reconcile-request", attempt = %request);
+            let path = format!("/cancel/{request}");
+            let call = crate::http::exchange(&caller, &shared.settings.endpoint_address, "POST", &path, Bytes::new());
+            let _ = tokio::time::timeout(FREE_TIMEOUT, call).await;
+        }
+    }
+}
+
+/// Whether anything of this run owns what the engine holds under `name`; what is no name of ours is left alone.
+async fn owned(shared: &Shared, name: &str) -> bool {
+    let Ok(number) = u128::from_str_radix(name, 16) else { return true };
+    ask(shared, |reply| Command::Owns(Attempt(number), reply)).await.unwrap_or(true)
+}
--- a/sorrelpass/src/sidecar/work.rs
+++ b/sorrelpass/src/sidecar/work.rs
@@ -11,12 +11,13 @@
 use axum::routing::{get, post};
 use futures_util::stream;
 use http_body_util::BodyExt;
+use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 
 use super::Shared;
-use super::job;
 use super::kernel::{Answer, Command};
 use super::transcript::Transcript;
+use super::{job, span};
 use crate::wire::{self, Frame, Open, Splitter};
 use crate::{metric, timeline, util};
 
@@ -31,6 +32,9 @@
         .route(wire::QUOTE, post(quote))
         .route(wire::WORK, post(work))
         .route(wire::VOID, post(void))
+        .route(wire::SPAN_HOLD, post(span::hold))
+        .route(wire::SPAN_FILL, post(span::fill))
+        .route(wire::SPAN_FREE, post(span::free))
         .route("/status", get(status))
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(|| async { "ok\n" }))
@@ -44,11 +48,13 @@
     }
 }
 
-fn stamped(body: impl IntoResponse) -> Response {
+/// An answer with our clock's stamp.
+pub fn stamped(body: impl IntoResponse) -> Response {
     ([(timeline::HEADER, timeline::stamp())], body).into_response()
 }
 
-async fn ask<T>(shared: &Shared, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> Result<T, StatusCode> {
+/// Asks the kernel and waits for its answer.
+pub async fn ask<T>(shared: &Shared, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> Result<T, StatusCode> {
     let (reply, answer) = oneshot::channel();
     shared.kernel.send(command(reply)).await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     answer.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
@@ -74,12 +80,12 @@
     Ok(axum::Json(status).into_response())
 }
 
-/// Reads the [`Open`] at the start of the body; returns the rest of the body's first bytes too.
-async fn read_open(body: &mut Body) -> Result<(Open, Bytes), StatusCode> {
+/// Reads the message at the start of the body; returns the rest of the body's first bytes too.
+pub async fn read_delimited<T: DeserializeOwned>(body: &mut Body) -> Result<(T, Bytes), StatusCode> {
     let mut splitter = Splitter::new();
     loop {
-        if let Some(open) = splitter.next().map_err(|_| StatusCode::BAD_REQUEST)? {
-            return Ok((open, splitter.rest()));
+        if let Some(message) = splitter.next().map_err(|_| StatusCode::BAD_REQUEST)? {
+            return Ok((message, splitter.rest()));
         }
         let frame = body.frame().await.ok_or(StatusCode::BAD_REQUEST)?.map_err(|_| StatusCode::BAD_REQUEST)?;
         if let Ok(data) = frame.into_data() {
@@ -90,7 +96,7 @@
 
 async fn work(State(shared): State<Arc<Shared>>, headers: HeaderMap, mut body: Body) -> Result<Response, StatusCode> {
     observe(&headers);
-    let (open, start) = read_open(&mut body).await?;
+    let (open, start) = read_delimited::<Open>(&mut body).await?;
     if open.incarnation.is_some_and(|wanted| wanted != util::incarnation()) {
         let reason = wire::Refused::OtherIncarnation;
         return Ok(one_frame(&Frame::Refused { reason, retry_after_micros: 0 }));
--- a/sorrelpass/src/wire.rs
+++ b/sorrelpass/src/wire.rs
@@ -19,6 +19,12 @@
 pub const WORK: &str = "/work";
 /// Path for voiding an attempt.
 pub const VOID: &str = "/void";
+/// Path for holding a span's memory, or renewing its lease.
+pub const SPAN_HOLD: &str = "/span/hold";
+/// Path for prefilling a span.
+pub const SPAN_FILL: &str = "/span/fill";
+/// Path for freeing a span.
+pub const SPAN_FREE: &str = "/span/free";
 /// Largest frame, in bytes.
 const MAX_FRAME: usize = 16 * 1_024 * 1_024;
 
@@ -193,6 +199,48 @@
     pub voided: Voided,
 }
 
+/// Asks for a span's memory, or renews its lease.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Hold {
+    /// The span.
+    pub span: Attempt,
+    /// Its KV memory, in tokens.
+    pub tokens: u64,
+    /// How long the lease lasts from now, in microseconds.
+    pub lease_micros: u64,
+    /// Whether it is held already: then it is renewed or lost, never taken anew.
+    pub renew: bool,
+}
+
+/// The answer to a [`Hold`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Held {
+    /// The memory is held.
+    Yes,
+    /// Ask again after so many microseconds.
+    Wait(u64),
+    /// Not here.
+    No,
+}
+
+/// Asks for a held span to be prefilled; the span's text follows.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Fill {
+    /// The span.
+    pub span: Attempt,
+    /// Digest of the spans before it.
+    pub digest: u64,
+}
+
+/// The answer to a [`Fill`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Filled {
+    /// Tokens in the span, as the engine counted them.
+    pub tokens: u64,
+    /// Digest of all spans up to this one.
+    pub digest: u64,
+}
+
 /// Encodes a message without a length.
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
     match postcard::to_stdvec(message) {
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -264,8 +264,9 @@
     let resume_after: u64 = number(headers, "x-resume-after");
     let seed: u64 = number(headers, "x-span-digest");
     let remote: u64 = number(headers, "x-span-tokens");
-    let digest = text::digest(bytes, seed);
-    let local = (bytes.len() / text::BYTES_PER_TOKEN) as u64;
+    // A prompt that stands in spans comes without its text.
+    let digest = if remote > 0 { seed } else { text::digest(bytes, 0) };
+    let local = if remote > 0 { 0 } else { (bytes.len() / text::BYTES_PER_TOKEN) as u64 };
     let output = wanted.max_completion_tokens.or(wanted.max_tokens).unwrap_or(16 + digest % 48);
     let prompt_tokens = local + remote;
     let prompt = Prompt {
