Long prompts of different lengths share an engine: levels, eviction, harm

The time line shows reviews queued at sidecars whose memory a span had taken, and reviews prefilled behind a span of 300,000 tokens at equal engine priority.

Eviction is safe because a job that has not started is proven not to run. Ruled out: evicting whatever does not fit as long as a span is held, which would refuse prompts in a small fleet that could wait.

--- a/coord/src/pick.rs
+++ b/coord/src/pick.rs
@@ -134,7 +134,7 @@
 /// The offers in the order in which to try them: open ones first, then by expected time.
 pub fn rank_offers(mut offers: Vec<Offer>) -> Vec<Offer> {
     offers.sort_by_key(|offer| {
-        let ttft = crate::time::micros(offer.quote.ttft) + offer.distance;
+        let ttft = crate::time::micros(offer.quote.ttft + offer.quote.harm) + offer.distance;
         (!offer.quote.open, ttft, offer.quote.outstanding)
     });
     offers
--- a/coord/src/scheduler.rs
+++ b/coord/src/scheduler.rs
@@ -29,6 +29,8 @@
     pub short_tokens: u64,
     /// Share of slots and memory that only short prompts may use.
     pub short_share: f64,
+    /// Whether long prompts are told apart by length, so that the shorter go first on the engine.
+    pub grade_long: bool,
     /// How long outcomes of keys and void attempts are remembered.
     pub window: Duration,
 }
@@ -50,6 +52,8 @@
     QueueFull,
     /// It needs more memory than the engine has.
     TooLarge,
+    /// It waited here and cannot start for long: better elsewhere.
+    Evicted,
 }
 
 /// A refusal with when to come back.
@@ -70,17 +74,23 @@
     Expire(Attempt),
     /// Stop the job on the engine: its time ran out while it ran.
     Cancel(Attempt),
+    /// Send the job elsewhere: it did not start and will not.
+    Evict(Attempt),
     /// Free the span on the engine: its lease has lapsed.
     FreeSpan(Attempt),
 }
 
-/// Engine priority of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Engine priority of a job: the prefill of a larger level goes first, and pauses that of smaller ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Level {
-    /// Prefill goes before that of long prompts.
-    Short,
-    /// Prefill may be paused for short prompts.
+    /// Of the longest prompts and of spans.
+    Huge,
+    /// Of long prompts.
     Long,
+    /// Of middling prompts.
+    Middle,
+    /// Of short prompts, which also have headroom of their own.
+    Short,
 }
 
 /// What became of a void.
@@ -128,6 +138,8 @@
     pub ttft: Duration,
     /// Expected time to the whole answer.
     pub whole: Duration,
+    /// Time by which it would hold up the first tokens of others here, summed.
+    pub harm: Duration,
     /// Whether the endpoint would accept it now.
     pub open: bool,
     /// If not, when to come back.
@@ -142,6 +154,10 @@
     pub free_tokens: u64,
 }
 
+/// Most tokens of a middling prompt.
+const MIDDLE_TOKENS: u64 = 16_000;
+/// Most tokens of a long prompt.
+const LONG_TOKENS: u64 = 100_000;
 /// Time an answer may need beyond its estimate before it is refused as too late.
 const MARGIN: f64 = 1.25;
 
@@ -167,6 +183,8 @@
     key_ages: VecDeque<(Moment, Key)>,
     leaving: bool,
     unhealthy: bool,
+    /// A span has come to want memory since jobs were last looked through.
+    span_came: bool,
 }
 
 /// A set that forgets after a window.
@@ -216,6 +234,7 @@
             key_ages: VecDeque::new(),
             leaving: false,
             unhealthy: false,
+            span_came: false,
         }
     }
 
@@ -308,12 +327,12 @@
     /// Prefill already on the engine that goes before `job`'s.
     fn prefill_ahead(&self, job: &Job, now: Moment) -> Duration {
         let level = self.level(job);
-        let spans = if level == Level::Long { self.spans.prefill_left(now) } else { Duration::ZERO };
+        let spans = if level == Level::Huge { self.spans.prefill_left(now) } else { Duration::ZERO };
         let running: Duration = self
             .running
             .values()
             .filter(|run| run.first_token.is_none())
-            .filter(|run| level == Level::Long || run.level == Level::Short || !self.queue.keeps_headroom())
+            .filter(|run| run.level >= level)
             .map(|run| run.job.cost.saturating_sub(now.since(run.started)))
             .sum();
         running + spans
@@ -325,7 +344,13 @@
             return Duration::ZERO;
         }
         let ends = self.running.values().map(|run| self.expected_left(run, now));
-        ends.min().unwrap_or(Duration::ZERO)
+        ends.min().unwrap_or(Duration::ZERO) + self.spans_wait(now)
+    }
+
+    /// Expected time until the spans here give their memory back: those that are still to be filled count whole.
+    fn spans_wait(&self, now: Moment) -> Duration {
+        let unfilled = self.spans.unfilled_tokens() + self.spans.wanted_tokens(now);
+        self.cost(unfilled) + self.spans.prefill_left(now)
     }
 
     fn expected_left(&self, run: &Running, now: Moment) -> Duration {
@@ -338,7 +363,8 @@
     }
 
     fn level(&self, job: &Job) -> Level {
-        level(job, self.limits.short_tokens)
+        let level = level(job, self.limits.short_tokens);
+        if level == Level::Short || self.limits.grade_long { level } else { Level::Huge }
     }
 
     /// What may start now.
@@ -356,6 +382,14 @@
         }
     }
 
+    /// Time by which `job` would hold up others: each prefill that it pauses or goes before.
+    fn harm(&self, job: &Job, now: Moment) -> Duration {
+        let level = self.level(job);
+        let paused = self.running.values().filter(|run| run.first_token.is_none() && run.level < level).count();
+        let spans = usize::from(level > Level::Huge && !self.spans.prefill_left(now).is_zero());
+        job.cost * (paused + spans) as u32
+    }
+
     /// What the endpoint expects of a job like `job`.
     pub fn quote(&self, job: &Job, now: Moment) -> Quote {
         let (ttft, whole) = self.expect(job, now);
@@ -365,6 +399,7 @@
         Quote {
             ttft,
             whole,
+            harm: self.harm(job, now),
             open: refused.is_none(),
             retry_after: refused.map_or(Duration::ZERO, |refused| refused.retry_after),
             outstanding: (self.queue.len() + self.running.len()) as u32,
@@ -383,6 +418,7 @@
             self.spans.give_up(span);
             actions.push(Action::FreeSpan(span));
         }
+        self.evict(now, &mut actions);
         while let Some(job) = self.take_next(now) {
             let level = self.level(&job);
             let attempt = job.attempt;
@@ -412,6 +448,23 @@
         actions.extend(over.map(|run| Action::Cancel(run.job.attempt)));
     }
 
+    /// Sends away what waits for an endpoint that does not answer, or for memory that a span has come
+    /// to want. What is accepted later knew of the span, and stays.
+    fn evict(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let span_came = std::mem::take(&mut self.span_came);
+        if !span_came && !self.unhealthy {
+            return;
+        }
+        let room = self.room(now);
+        let stuck = |job: &&Job| self.unhealthy || (!room.fits(job) && self.level(job) != Level::Short);
+        let stuck: Vec<Attempt> = self.queue.iter().filter(stuck).map(|job| job.attempt).collect();
+        for attempt in stuck {
+            self.queue.remove(attempt);
+            self.void.insert(attempt, now);
+            actions.push(Action::Evict(attempt));
+        }
+    }
+
     fn forget(&mut self, now: Moment) {
         let before = now - self.limits.window;
         self.void.forget(before);
@@ -464,6 +517,7 @@
         if tokens > self.limits.memory_tokens {
             return refuse(Refusal::TooLarge, Duration::ZERO);
         }
+        self.span_came |= !self.spans.is_wanted(span);
         if !self.spans.want(span, tokens, until, now) || !self.memory.hold(span, tokens, until) {
             return refuse(Refusal::QueueFull, SPAN_RETRY);
         }
@@ -568,7 +622,12 @@
 }
 
 fn level(job: &Job, short_tokens: u64) -> Level {
-    if job.prefill_tokens <= short_tokens { Level::Short } else { Level::Long }
+    match job.prefill_tokens {
+        tokens if tokens <= short_tokens => Level::Short,
+        tokens if tokens <= MIDDLE_TOKENS => Level::Middle,
+        tokens if tokens <= LONG_TOKENS => Level::Long,
+        _ => Level::Huge,
+    }
 }
 
 /// Free slots and memory, and the part of them that only short jobs may take.
--- a/coord/src/span.rs
+++ b/coord/src/span.rs
@@ -48,7 +48,7 @@
 
     /// Notes that `span` now holds its memory.
     pub fn hold(&mut self, span: Attempt, tokens: u64, until: Moment) {
-        if self.wanted.is_some_and(|(holder, _)| holder == span) {
+        if self.is_wanted(span) {
             self.wanted = None;
         }
         self.held.insert(span, Span { tokens, until, filling: None });
@@ -69,6 +69,16 @@
         self.wanted.filter(|(_, wanted)| wanted.until > now).map_or(0, |(_, wanted)| wanted.tokens)
     }
 
+    /// Whether memory is being collected for this span.
+    pub fn is_wanted(&self, span: Attempt) -> bool {
+        self.wanted.is_some_and(|(holder, _)| holder == span)
+    }
+
+    /// Tokens of held spans that are not being prefilled now.
+    pub fn unfilled_tokens(&self) -> u64 {
+        self.held.values().filter(|span| span.filling.is_none()).map(|span| span.tokens).sum()
+    }
+
     /// Prefill of spans still to be done on the engine.
     pub fn prefill_left(&self, now: Moment) -> Duration {
         let filling = self.held.values().filter_map(|span| span.filling);
@@ -77,7 +87,7 @@
 
     /// Gives up a span: nothing is collected for it, and if it was held it is now to be freed.
     pub fn give_up(&mut self, span: Attempt) -> bool {
-        if self.wanted.is_some_and(|(holder, _)| holder == span) {
+        if self.is_wanted(span) {
             self.wanted = None;
         }
         match self.held.remove(&span) {
--- a/sorrelpass/src/config.rs
+++ b/sorrelpass/src/config.rs
@@ -456,6 +456,7 @@
         queue: reader.number("sidecar", "queue", 1..=65_536, 256),
         short_tokens: reader.number("sidecar", "short_tokens", 1..=1 << 40, 4_000),
         short_share: reader.number("sidecar", "short_share", 0.0..=0.9, 0.2),
+        grade_long: reader.choice("sidecar", "grade_long", &["yes", "no"], "yes") == "yes",
         window: reader.millis("sidecar", "once_window_ms", 1_000..=DAY_MS, 3_600_000),
     }
 }
--- a/sorrelpass/src/sidecar/engine.rs
+++ b/sorrelpass/src/sidecar/engine.rs
@@ -18,9 +18,15 @@
 use super::kernel::Command;
 use crate::wire::{Open, Usage};
 
-/// Engine priority of short and long prompts, as the engine's header has it.
-const SHORT_PRIORITY: &str = "10";
-const LONG_PRIORITY: &str = "0";
+/// A level as the engine's priority header has it; larger goes first.
+const fn priority(level: Level) -> u16 {
+    match level {
+        Level::Huge => 0,
+        Level::Long => 3,
+        Level::Middle => 6,
+        Level::Short => 9,
+    }
+}
 
 type EngineClient = Client<HttpConnector, axum::body::Body>;
 
@@ -86,12 +92,11 @@
     level: Level,
     writer: &mut Writer<'_>,
 ) -> Result<(), Failure> {
-    let priority = if level == Level::Short { SHORT_PRIORITY } else { LONG_PRIORITY };
     let mut request = Request::builder()
         .method(open.call.method.as_str())
         .uri(format!("http://{}{}", shared.settings.endpoint_address, open.call.path))
         .header("x-request-id", open.attempt.to_string())
-        .header("x-priority", priority)
+        .header("x-priority", priority(level))
         .header("x-resume-after", open.call.resume_after);
     for (name, value) in &open.call.headers {
         request = request.header(name, value);
--- a/sorrelpass/src/sidecar/job.rs
+++ b/sorrelpass/src/sidecar/job.rs
@@ -6,7 +6,7 @@
 use axum::body::{Body, Bytes};
 use coord::answer::Tally;
 use coord::name::{Attempt, Ran};
-use coord::scheduler::Level;
+use coord::scheduler::{Level, Refusal};
 use tokio::sync::mpsc;
 
 use super::kernel::{Command, Signal};
@@ -199,26 +199,25 @@
                     let finish = Command::Finish { attempt: open.attempt, output_tokens: 0, not_run: true };
                     shared.kernel.send_detached(finish);
                 }
-                Some(Signal::Expired | Signal::Voided | Signal::Cancel) | None => {}
+                Some(_) | None => {}
             }
             return None;
         }
     };
     match signal {
         Some(Signal::Start(level)) => Some(level),
-        Some(Signal::Expired) => {
-            let reason = wire::Refused::Expired;
-            let _ = output.send(&Frame::Refused { reason, retry_after_micros: 0 }).await;
-            None
-        }
-        Some(Signal::Voided | Signal::Cancel) | None => {
-            let reason = wire::Refused::Scheduler(coord::scheduler::Refusal::Voided);
-            let _ = output.send(&Frame::Refused { reason, retry_after_micros: 0 }).await;
-            None
-        }
+        Some(Signal::Expired) => refuse(output, wire::Refused::Expired).await,
+        Some(Signal::Evicted) => refuse(output, wire::Refused::Scheduler(Refusal::Evicted)).await,
+        Some(Signal::Voided | Signal::Cancel) | None => refuse(output, wire::Refused::Scheduler(Refusal::Voided)).await,
     }
 }
 
+/// Tells the entry that the job did not start and never will.
+async fn refuse(output: &Output, reason: wire::Refused) -> Option<Level> {
+    let _ = output.send(&Frame::Refused { reason, retry_after_micros: 0 }).await;
+    None
+}
+
 async fn cancelled(signals: &mut mpsc::UnboundedReceiver<Signal>) -> Failure {
     loop {
         match signals.recv().await {
--- a/sorrelpass/src/sidecar/kernel.rs
+++ b/sorrelpass/src/sidecar/kernel.rs
@@ -31,6 +31,8 @@
     Start(Level),
     /// Its time ran out before it started; it never will.
     Expired,
+    /// It is better off elsewhere; it never starts here.
+    Evicted,
     /// It was voided before it started; it never will.
     Voided,
     /// Stop it: its time ran out or its endpoint is dead.
@@ -386,6 +388,12 @@
                     self.unbind(attempt);
                 }
                 Action::Cancel(attempt) => self.signal(attempt, Signal::Cancel),
+                Action::Evict(attempt) => {
+                    event!("evict", attempt = %attempt);
+                    self.signal(attempt, Signal::Evicted);
+                    self.forget(attempt);
+                    self.unbind(attempt);
+                }
                 Action::FreeSpan(span) => {
                     event!("lapse-span", span = %span);
                     let _ = self.lapsed.send(span);
