standin soak: the whole fleet under random faults from a seed

Cause: the failure tests each bring about one fault; the promises must hold under several at once, and for long.

Sixteen kinds of faults: kill, freeze and planned stop of sidecars, engines, entries and services; the log out, slow, losing answers; the VM list out; drains and racing operators. The ledger tells apart requests whose entry was killed or frozen under them (nobody is left to answer those); a planned stop excuses nothing that was in flight. Also checked: revisions never go back, acceptance to in force, memory held at the end, invariants in the logs.

--- a/standin/src/cmd/demo.rs
+++ b/standin/src/cmd/demo.rs
@@ -59,7 +59,7 @@
 }
 
 /// Share of an engine's bare prefill rate that is left beside decoding.
-const MIXED_RATE: f64 = 0.75;
+pub const MIXED_RATE: f64 = 0.75;
 
 /// Runs the subcommand.
 pub async fn run(args: Args) -> Result<ExitCode> {
--- /dev/null
+++ b/standin/src/cmd/soak.rs
@@ -0,0 +1,117 @@
+//! Runs the whole fleet under random faults, and prints the ledger and every breach.
+//!
+//! Usage: standin soak [--seconds N] [--seed S] [--deployment market|colibri] [--load SHARE]
+//!                     [--speed X] [--engines N] [--json FILE]
+//!
+//! Processes are killed, frozen and stopped in the planned way; the log and the VM list go
+//! out, slow down and lose answers; operators race. All from the seed. It ends with status 1
+//! if the ledger does not balance, an invariant was breached, or memory stayed held.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use eyre::{Result, WrapErr};
+use serde_json::json;
+use standin::engine::model::Sizes;
+use standin::fleet::{Fleet, Spec};
+use standin::mix::{self, Deployment};
+use standin::report::{self, Floor};
+use standin::run::{self, Drive};
+use standin::soak::Injector;
+
+use super::demo::MIXED_RATE;
+
+/// Arguments of `soak`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(args))]
+pub struct Args {
+    /// How long to inject faults, in seconds
+    #[bpaf(argument("N"), fallback(60))]
+    seconds: u64,
+    /// Seed of the faults and of the mix
+    #[bpaf(argument("S"), fallback(1))]
+    seed: u64,
+    /// Whose fleet and mix: market or colibri
+    #[bpaf(argument("NAME"), fallback(Deployment::Market))]
+    deployment: Deployment,
+    /// Share of the engines' capacity that the mix asks for
+    #[bpaf(argument("SHARE"), fallback(0.5))]
+    load: f64,
+    /// How many times faster than real time the fleet runs
+    #[bpaf(argument("X"), fallback(10.0))]
+    speed: f64,
+    /// Engines
+    #[bpaf(argument("N"), fallback(9))]
+    engines: usize,
+    /// Write the report to this file as JSON
+    #[bpaf(argument("FILE"), optional)]
+    json: Option<PathBuf>,
+}
+
+/// Longest that memory may stay held after the last answer: two leases of a span.
+const FREED_WITHIN: Duration = Duration::from_secs(5);
+
+/// Runs the subcommand.
+pub async fn run(args: Args) -> Result<ExitCode> {
+    let sizes = Sizes { speed: args.speed, ..Sizes::default() };
+    let spec = Spec {
+        deployment: args.deployment,
+        entries: 3,
+        engines: args.engines,
+        services: 3,
+        sizes: sizes.clone(),
+        ..Spec::small("soak")
+    };
+    let mut fleet = Fleet::start(spec).await?;
+    println!("fleet of {} processes is up; logs are in {}", fleet.names().len(), fleet.spec.dir.display());
+    let capacity = args.engines as f64 * sizes.prefill_per_s * sizes.speed * MIXED_RATE;
+    let rate = args.load * capacity / args.deployment.mean_tokens(|_| true);
+    let span = Duration::from_secs(args.seconds);
+    let arrivals = mix::arrivals(args.deployment, rate, span, args.seed, |_| true);
+    println!("sending {} requests at {rate:.0} a second for {} s, seed {}", arrivals.len(), args.seconds, args.seed);
+    let drive = Drive {
+        entries: fleet.entries.clone(),
+        deployment: args.deployment,
+        speed: args.speed,
+        run: format!("soak{}", args.seed),
+    };
+    let mut injector = Injector::new(&mut fleet, args.seed);
+    let (mut ledger, injected) = tokio::join!(run::drive(&drive, arrivals), injector.run(span));
+    injected?;
+    let mut outcomes = injector.close(&mut ledger);
+
+    let start = Instant::now();
+    while fleet.held_tokens().await > 0 && start.elapsed() < FREED_WITHIN {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let held = fleet.held_tokens().await;
+    if held > 0 {
+        outcomes.breaches.push(format!("{held} tokens stayed held"));
+    }
+    outcomes.breaches.extend(fleet.breaches()?);
+    let sums = ledger.sums(&fleet.runs().await);
+    let report = report::report(&ledger, sums, Floor { prefill_per_s: sizes.prefill_per_s * sizes.speed });
+    print!("{}", report.table());
+    for line in ledger.lines.iter().filter(|line| line.is_breach()) {
+        println!("breach: {} {} entry-{} {:?}", line.class, line.id, line.entry, line.outcome);
+    }
+    let faults: usize = outcomes.faults.values().sum();
+    println!("faults: {faults} {}", json!(outcomes.faults));
+    println!("changes accepted: {}, in force within ms: {}", outcomes.accepted, json!(outcomes.in_force_ms));
+    println!("tokens held at the end: {held}");
+    outcomes.breaches.iter().for_each(|breach| println!("breach: {breach}"));
+    if let Some(file) = &args.json {
+        let text =
+            serde_json::to_string_pretty(&json!({ "report": report, "soak": outcomes })).wrap_err("step=encode")?;
+        std::fs::write(file, text).wrap_err_with(|| format!("step=write file={}", file.display()))?;
+    }
+    let kept = report.ledger.balances() && outcomes.breaches.is_empty();
+    let stuck = fleet.close().await?;
+    if !stuck.is_empty() {
+        println!("did not end in time: {stuck}");
+    }
+    println!("{}", if kept { "every promise that was checked was kept" } else { "promises were BROKEN" });
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/standin/src/ledger.rs
+++ b/standin/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger: every request sent must come to a whole answer or an honest failure.
 
 use std::collections::{BTreeMap, HashMap};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 
@@ -21,6 +21,8 @@
     },
     /// The answer of somebody else, or a wrong one that claims to be whole.
     MixedUp,
+    /// The connection broke because its entry was killed or frozen: nobody is left to answer.
+    EntryDown,
     /// No answer within the time allowed, or one that broke off without a word.
     Lost(String),
 }
@@ -49,6 +51,12 @@
 /// One request and what became of it.
 #[derive(Clone, Debug)]
 pub struct Line {
+    /// The entry that it was sent to.
+    pub entry: usize,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When its answer was over.
+    pub ended: Instant,
     /// Its class.
     pub class: &'static str,
     /// Its id.
@@ -69,6 +77,13 @@
     pub retry_after: Option<Duration>,
 }
 
+impl Line {
+    /// Whether it came to what must never be.
+    pub fn is_breach(&self) -> bool {
+        matches!(self.outcome, Outcome::Lost(_) | Outcome::MixedUp)
+    }
+}
+
 /// All requests of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -85,6 +100,8 @@
     pub whole: usize,
     /// Honest failures, by code and what they said of whether they ran.
     pub failed: BTreeMap<String, usize>,
+    /// Requests whose entry was killed or frozen under them.
+    pub entry_down: usize,
     /// Requests without an answer in time.
     pub lost: usize,
     /// Answers that were not the request's own.
@@ -99,7 +116,8 @@
     /// Whether every promise that the ledger can tell was kept.
     pub fn balances(&self) -> bool {
         let failed: usize = self.failed.values().sum();
-        self.sent == self.whole + failed && self.lost + self.mixed_up + self.doubled + self.false_no == 0
+        self.sent == self.whole + failed + self.entry_down
+            && self.lost + self.mixed_up + self.doubled + self.false_no == 0
     }
 }
 
@@ -111,6 +129,7 @@
             match &line.outcome {
                 Outcome::Whole => sums.whole += 1,
                 Outcome::Failed { code, ran } => *sums.failed.entry(format!("{code} ran={ran}")).or_default() += 1,
+                Outcome::EntryDown => sums.entry_down += 1,
                 Outcome::MixedUp => sums.mixed_up += 1,
                 Outcome::Lost(_) => sums.lost += 1,
             }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod run;
 pub mod serve;
 pub mod service;
+pub mod soak;
 pub mod text;
 pub mod vms;
 pub mod weights;
--- a/standin/src/report.rs
+++ b/standin/src/report.rs
@@ -128,8 +128,8 @@
         let failed: usize = sums.failed.values().sum();
         let _ = writeln!(
             out,
-            "ledger: sent {} = whole {} + honest failures {}; lost {}, doubled {}, mixed up {}, false \"not run\" {}",
-            sums.sent, sums.whole, failed, sums.lost, sums.doubled, sums.mixed_up, sums.false_no
+            "ledger: sent {} = whole {} + honest failures {} + entry down {}; lost {}, doubled {}, mixed up {}, false \"not run\" {}",
+            sums.sent, sums.whole, failed, sums.entry_down, sums.lost, sums.doubled, sums.mixed_up, sums.false_no
         );
         for (code, count) in &sums.failed {
             let _ = writeln!(out, "  {count} x {code}");
--- a/standin/src/run.rs
+++ b/standin/src/run.rs
@@ -51,7 +51,9 @@
 }
 
 async fn send(drive: &Drive, client: &Client, number: usize, arrival: &Arrival) -> Line {
-    let entry = &drive.entries[number % drive.entries.len()];
+    let entry_number = number % drive.entries.len();
+    let entry = &drive.entries[entry_number];
+    let sent = std::time::Instant::now();
     let id = format!("{}-{number}", drive.run);
     let key = workspace_key(arrival.workspace);
     let deadline = arrival.class.deadline.div_f64(drive.speed).max(Duration::from_millis(500));
@@ -75,6 +77,9 @@
         },
     };
     Line {
+        entry: entry_number,
+        sent,
+        ended: std::time::Instant::now(),
         class: arrival.class.name,
         id,
         tokens: arrival.tokens,
