Placement under a fenced lease; standin scale

Cause: intents named versions and adapters, but nothing brought an endpoint to hold them, and the lease and fence had no user.

One entry per failure domain holds the domain's controller lease: a claim on the log whose offset is the fence. It places loads, at most a quarter of a service's endpoints in the domain at a time. Every entry replays the control stream and tells sidecars their order; only the sidecar orders its endpoint, the newest order only, and a new run of it waits out the longest life of an order. A former holder's record is void in every replay.

Ways weighed: the sidecar reports what its endpoint holds with each question for news (first written; ruled out, since it asks two assigned entries, not the controller, and a roll-out would have stuck); the controller asks the sidecars of endpoints that have not come to their order (taken: it costs nothing once all are settled).

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod name;
 pub mod pick;
+pub mod placement;
 pub mod prefix;
 pub mod queue;
 pub mod quota;
--- /dev/null
+++ b/coord/tests/placement_random.rs
@@ -0,0 +1,102 @@
+//! Random leases and placements: what a former holder writes is void, and a roll-out keeps its share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use coord::fence::Fence;
+use coord::intent::{Change, Config, Intent};
+use coord::name::{Incarnation, Name};
+use coord::placement::{Board, Endpoint, Load, Order, Record, roll_out};
+use coord::time::Moment;
+use proptest::prelude::*;
+
+fn config(version: &str) -> Config {
+    let intent: Intent = serde_json::from_value(serde_json::json!({
+        "model": "m", "service": "s", "workspaces": ["*"], "version": version, "adapters": ["a"],
+    }))
+    .expect("an intent");
+    let mut config = Config::default();
+    config.apply(&Change::PutIntent(Arc::new(intent)));
+    config
+}
+
+fn load(version: &str) -> Load {
+    Load { version: version.into(), adapters: vec!["a".into()] }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: if std::env::var_os("SORRELPASS_LONG").is_some() { 50_000 } else { 500 },
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
+
+    /// Three processes claim and place at random times, each under the last fence it won.
+    #[test]
+    fn only_the_last_holders_placements_count(
+        steps in prop::collection::vec((0..3usize, any::<bool>(), 0..5_000u64), 1..100),
+    ) {
+        let mut board = Board::new();
+        let mut now = 0;
+        let mut fences: [Option<Fence>; 3] = [None; 3];
+        let mut newest = None;
+        for (offset, (process, claims, pause)) in steps.into_iter().enumerate() {
+            now += pause;
+            let (offset, at) = (offset as u64, Moment::from_millis(now));
+            let name = Name::from(format!("p{process}"));
+            if claims {
+                let record = Record::Claim {
+                    domain: "d".into(), process: name.clone(), incarnation: Incarnation(1), term_ms: 4_000,
+                };
+                let won = board.replay(offset, at, record);
+                if won {
+                    let fence = board.lease("d").and_then(|lease| lease.holder()).map(|holder| holder.fence);
+                    prop_assert!(fence >= newest, "a fence never goes back");
+                    newest = fence;
+                    fences[process] = fence;
+                }
+                continue;
+            }
+            let Some(fence) = fences[process] else { continue };
+            let loads = BTreeMap::from([(Name::from("e"), load(&format!("v{offset}")))]);
+            let counted = board.replay(offset, at, Record::Place { domain: "d".into(), fence, loads });
+            prop_assert_eq!(counted, Some(fence) == newest);
+            if counted {
+                let order = board.order_to("e").expect("an order");
+                prop_assert_eq!((order.offset, order.fence), (offset, fence));
+            }
+        }
+    }
+
+    /// Endpoints come to their orders at random; the rest keep what they hold.
+    #[test]
+    fn a_roll_out_takes_no_more_than_its_share_at_a_time_and_ends(
+        count in 1..40usize,
+        share in 0.05..0.6f64,
+        arrivals in prop::collection::vec(any::<prop::sample::Index>(), 0..400),
+    ) {
+        let config = config("v2");
+        let mut endpoints: Vec<Endpoint> = (0..count)
+            .map(|number| Endpoint { name: format!("e{number}").into(), service: "s".into(), holds: Some(load("v1")) })
+            .collect();
+        let mut orders: BTreeMap<Name, Order> = BTreeMap::new();
+        let most = ((count as f64 * share) as usize).max(1);
+        let finish = (0..count).map(|number| number % count);
+        let picks: Vec<usize> = arrivals.iter().map(|index| index.index(count)).chain(finish.cycle().take(count * count)).collect();
+        for pick in picks {
+            for (name, load) in roll_out(&config, &endpoints, &orders, share) {
+                orders.insert(name, Order { fence: Fence(1), offset: 1, load });
+            }
+            let changing = endpoints
+                .iter()
+                .filter(|endpoint| orders.contains_key(&endpoint.name) && endpoint.holds != Some(load("v2")))
+                .count();
+            prop_assert!(changing <= most, "{} of {} change at once", changing, count);
+            if orders.contains_key(&endpoints[pick].name) {
+                endpoints[pick].holds = Some(load("v2"));
+            }
+        }
+        prop_assert!(endpoints.iter().all(|endpoint| endpoint.holds == Some(load("v2"))));
+    }
+}
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! Threads by duty: `callers-N` serve HTTP and carry the answers, `kernel` owns
 //! the decisions, `log` replays configuration and appends plans, `claims` binds
-//! keys that may run once, `members` reads the VM list, `peer` answers other
+//! keys that may run once, `controller` places loads while it holds its domain's lease, `members` reads the VM list, `peer` answers other
 //! processes of the system, `parse` reads large bodies.
 
 mod body;
 mod callers;
 mod claims;
+mod controller;
 mod failure;
 mod gang;
 mod kernel;
@@ -22,12 +23,14 @@
 mod ticket;
 mod upstream;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use coord::intent::Config;
 use coord::membership::Vm;
 use coord::name::Name;
+use coord::placement::Order;
 use eyre::{Result, eyre};
 use tokio::sync::{Semaphore, oneshot, watch};
 
@@ -57,6 +60,8 @@
     pub config: watch::Receiver<Arc<Config>>,
     /// The VM list as last read.
     pub vms: watch::Receiver<Arc<Vec<Vm>>>,
+    /// Orders that count, by endpoint.
+    pub orders: watch::Receiver<Arc<HashMap<Name, Order>>>,
     /// Bytes of bodies that may still be held.
     pub body_budget: Arc<Semaphore>,
     /// Whether this entry has been told to stop.
@@ -99,6 +104,7 @@
     let (parse_ring, parse_commands) = ring::pair("parse", RING);
     let (config_out, config) = watch::channel(Arc::new(Config::default()));
     let (vms_out, vms) = watch::channel(Arc::new(Vec::new()));
+    let (orders_out, orders) = watch::channel(Arc::default());
     let (stop, stopping) = watch::channel(false);
     let (close, closed) = watch::channel(false);
     let body_budget = Arc::new(Semaphore::new(body::permits(settings.body_budget_bytes)));
@@ -110,6 +116,7 @@
         parse: parse_ring,
         config,
         vms,
+        orders,
         body_budget,
         stopping,
     });
@@ -136,6 +143,10 @@
         let shared = shared.clone();
         move || async move { claims::run(shared, make_log(&address), claims_commands).await }
     })?;
+    util::duty("controller", {
+        let (shared, address) = (shared.clone(), shared.settings.platform.log_address.clone());
+        move || async move { controller::run(shared, make_log(&address), orders_out).await }
+    })?;
     util::duty("members", {
         let shared = shared.clone();
         move || async move {
--- a/sorrelpass/src/entry/peer.rs
+++ b/sorrelpass/src/entry/peer.rs
@@ -7,6 +7,7 @@
 
 use coord::claim::{Binding, Key};
 use coord::name::Name;
+use coord::placement::Order;
 use coord::replay::Snapshot;
 use eyre::{Result, eyre};
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -34,6 +35,21 @@
     pub drained: bool,
     /// Peer addresses of all entries.
     pub entries: Vec<Name>,
+    /// The order to the endpoint that counts.
+    pub order: Option<Order>,
+}
+
+/// What a sidecar knows and says when it asks for its [`Brief`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Known {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The newest revision that it was told.
+    pub revision: u64,
+    /// Whether it was told that operators drain the endpoint.
+    pub drained: bool,
+    /// Offset of the newest order that it was told.
+    pub order: Option<u64>,
 }
 
 /// What entries answer.
@@ -41,7 +57,7 @@
 pub trait Peer {
     /// The configuration's word on an endpoint; waits for a change from what the asker knows.
     #[method(name = "brief")]
-    async fn brief(&self, endpoint: Name, revision: u64, drained: bool, wait_ms: u64) -> RpcResult<Brief>;
+    async fn brief(&self, known: Known, wait_ms: u64) -> RpcResult<Brief>;
 
     /// The replayed configuration, if newer than `next`.
     #[method(name = "snapshot")]
@@ -60,14 +76,21 @@
 
 #[async_trait]
 impl PeerServer for Answers {
-    async fn brief(&self, endpoint: Name, revision: u64, drained: bool, wait_ms: u64) -> RpcResult<Brief> {
-        let mut config = self.0.config.clone();
-        let news = config.wait_for(|config| config.drained.contains(&endpoint) != drained || revision == 0);
+    async fn brief(&self, known: Known, wait_ms: u64) -> RpcResult<Brief> {
+        let Known { endpoint, revision, drained, order } = known;
+        let (mut config, mut orders) = (self.0.config.clone(), self.0.orders.clone());
+        let news = async {
+            tokio::select! {
+                _ = config.wait_for(|config| config.drained.contains(&endpoint) != drained || revision == 0) => {}
+                _ = orders.wait_for(|orders| orders.get(&endpoint).map(|order| order.offset) != order) => {}
+            }
+        };
         let _ = tokio::time::timeout(Duration::from_millis(wait_ms), news).await;
-        let config = config.borrow().clone();
+        let config = self.0.config.borrow().clone();
+        let order = self.0.orders.borrow().get(&endpoint).cloned();
         let mut entries = members::entries(&self.0.vms.borrow());
         entries.sort_unstable();
-        Ok(Brief { revision: config.revision, drained: config.drained.contains(&endpoint), entries })
+        Ok(Brief { revision: config.revision, drained: config.drained.contains(&endpoint), entries, order })
     }
 
     async fn snapshot(&self, next: u64) -> RpcResult<Option<Snapshot>> {
@@ -137,11 +160,11 @@
     }
 }
 
-/// Asks an entry for the configuration's word on `endpoint`.
-pub async fn brief(peer: &Name, endpoint: &Name, known: (u64, bool), wait: Duration) -> Result<Brief> {
+/// Asks an entry for the configuration's word on an endpoint.
+pub async fn brief(peer: &Name, known: Known, wait: Duration) -> Result<Brief> {
     let client = client(peer)?;
     let wait_ms = crate::util::millis_up(wait);
-    timed(peer, wait + TIMEOUT, PeerClient::brief(&client, endpoint.clone(), known.0, known.1, wait_ms)).await
+    timed(peer, wait + TIMEOUT, PeerClient::brief(&client, known, wait_ms)).await
 }
 
 /// Asks an entry for its state, if newer than `next`.
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -108,6 +108,17 @@
     Ok((status, bytes))
 }
 
+/// Sends JSON to be acted upon; returns the status.
+pub async fn post_json(caller: &Caller, address: &str, path: &str, body: &serde_json::Value) -> Result<u16> {
+    let request = Request::post(format!("http://{address}{path}")).header("content-type", "application/json");
+    let request =
+        request.body(full(body.to_string())).wrap_err_with(|| format!("step=build-request peer={address}"))?;
+    let response = send(caller, address, request).await?;
+    let status = response.status().as_u16();
+    response.into_body().collect().await.wrap_err_with(|| format!("step=read peer={address}"))?;
+    Ok(status)
+}
+
 /// Sends JSON and reads JSON; a status that is not a success is an error.
 pub async fn exchange_json<T: serde::de::DeserializeOwned>(
     caller: &Caller,
--- a/sorrelpass/src/sidecar/control.rs
+++ b/sorrelpass/src/sidecar/control.rs
@@ -7,9 +7,10 @@
 use tokio::sync::{mpsc, watch};
 
 use super::kernel::Command;
+use super::order::Orders;
 use super::{Shared, span};
 use crate::config::Kind;
-use crate::entry::peer::{self, Brief};
+use crate::entry::peer::{self, Brief, Known};
 use crate::{event, http, util, warn_event};
 
 /// Failed health checks in a row after which the endpoint counts as dead.
@@ -47,8 +48,9 @@
 async fn follow(shared: &Shared) {
     let hash = xxhash_rust::xxh3::xxh3_64(shared.settings.endpoint.as_bytes());
     let mut entries = shared.settings.entries.clone();
-    let mut revision = 0;
-    let mut drained = false;
+    let mut orders = Orders::new();
+    let endpoint = shared.settings.endpoint.clone();
+    let mut known = Known { endpoint, revision: 0, drained: false, order: None };
     let mut turn = 0;
     loop {
         let assigned = coord::pick::chosen(hash, entries.iter(), ASSIGNED);
@@ -56,10 +58,14 @@
             tokio::time::sleep(util::jitter(BRIEF_RETRY)).await;
             continue;
         };
-        match peer::brief(entry, &shared.settings.endpoint, (revision, drained), BRIEF_WAIT).await {
+        let settled = shared.settings.kind == Kind::Plain || orders.converge(shared).await;
+        let wait = if settled { BRIEF_WAIT } else { BRIEF_RETRY };
+        match peer::brief(entry, known.clone(), wait).await {
             Ok(brief) => {
-                apply(shared, entry, &brief, &mut revision).await;
-                drained = brief.drained;
+                apply(shared, entry, &brief, &mut known).await;
+                if let Some(order) = brief.order {
+                    orders.take(order);
+                }
                 if !brief.entries.is_empty() {
                     entries = brief.entries;
                 }
@@ -77,11 +83,13 @@
     }
 }
 
-async fn apply(shared: &Shared, entry: &Name, brief: &Brief, revision: &mut u64) {
-    if brief.revision <= *revision {
+async fn apply(shared: &Shared, entry: &Name, brief: &Brief, known: &mut Known) {
+    known.order = brief.order.as_ref().map(|order| order.offset);
+    if brief.revision <= known.revision {
         return;
     }
-    *revision = brief.revision;
+    known.revision = brief.revision;
+    known.drained = brief.drained;
     crate::metric::revision(brief.revision);
     event!("config", peer = %entry, revision = brief.revision, drained = brief.drained);
     let _ = shared.kernel.send(Command::Drain(brief.drained)).await;
--- a/sorrelpass/src/sidecar/mod.rs
+++ b/sorrelpass/src/sidecar/mod.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod job;
 mod kernel;
+mod order;
 pub mod plain;
 mod span;
 mod transcript;
--- a/sorrelpass/src/sidecar/work.rs
+++ b/sorrelpass/src/sidecar/work.rs
@@ -17,9 +17,9 @@
 use super::Shared;
 use super::kernel::{Answer, Command};
 use super::transcript::Transcript;
-use super::{job, span};
+use super::{job, order, span};
 use crate::wire::{self, Frame, Open, Splitter};
-use crate::{metric, timeline, util};
+use crate::{http, metric, timeline, util};
 
 /// Frames that may wait for an entry that reads slowly.
 const FRAME_RING: usize = 256;
@@ -35,6 +35,7 @@
         .route(wire::SPAN_HOLD, post(span::hold))
         .route(wire::SPAN_FILL, post(span::fill))
         .route(wire::SPAN_FREE, post(span::free))
+        .route(wire::HOLDS, get(holds))
         .route("/status", get(status))
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(|| async { "ok\n" }))
@@ -75,6 +76,11 @@
     Ok(stamped(wire::encode(&wire::VoidAnswer { incarnation: util::incarnation(), voided })))
 }
 
+async fn holds(State(shared): State<Arc<Shared>>) -> Result<Response, StatusCode> {
+    let held = order::holds(&http::caller_h1(), &shared).await.ok_or(StatusCode::BAD_GATEWAY)?;
+    Ok(axum::Json(held).into_response())
+}
+
 async fn status(State(shared): State<Arc<Shared>>) -> Result<Response, StatusCode> {
     let status = ask(&shared, Command::Status).await?;
     Ok(axum::Json(status).into_response())
--- a/sorrelpass/src/wire.rs
+++ b/sorrelpass/src/wire.rs
@@ -19,6 +19,8 @@
 pub const WORK: &str = "/work";
 /// Path for voiding an attempt.
 pub const VOID: &str = "/void";
+/// Path for asking what the endpoint holds.
+pub const HOLDS: &str = "/holds";
 /// Path for holding a span's memory, or renewing its lease.
 pub const SPAN_HOLD: &str = "/span/hold";
 /// Path for prefilling a span.
--- a/standin/src/cmd/mod.rs
+++ b/standin/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod listen;
 mod load;
+mod scale;
 mod soak;
 
 use std::process::ExitCode;
@@ -37,6 +38,9 @@
     /// Drives entries that run already
     Load(#[bpaf(external(load::args))] load::Args),
     #[bpaf(command)]
+    /// Measures how what a process uses grows with the fleet and the load
+    Scale(#[bpaf(external(scale::args))] scale::Args),
+    #[bpaf(command)]
     /// Runs a fleet under random faults from a seed
     Soak(#[bpaf(external(soak::args))] soak::Args),
 }
@@ -54,7 +58,13 @@
 
 fn run(command: Command) -> Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(if matches!(command, Command::Demo(_) | Command::Load(_) | Command::Soak(_)) { 4 } else { 1 })
+        .worker_threads(
+            if matches!(command, Command::Demo(_) | Command::Load(_) | Command::Soak(_) | Command::Scale(_)) {
+                4
+            } else {
+                1
+            },
+        )
         .enable_all()
         .build()
         .wrap_err("step=start-runtime")?;
@@ -68,6 +78,7 @@
             Command::Weights(args) => listen::weights(args).await.map(done),
             Command::Demo(args) => demo::run(args).await,
             Command::Load(args) => load::run(args).await,
+            Command::Scale(args) => scale::run(args).await,
             Command::Soak(args) => soak::run(args).await,
         }
     })
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -47,6 +47,8 @@
     pub engines: usize,
     /// Plain services, each with its sidecar.
     pub services: usize,
+    /// Whether the sidecars of plain services stand beside one stand-in, to save processes.
+    pub shared_service: bool,
     /// Sizes and speeds of the engines.
     pub sizes: Sizes,
     /// Whether engines check fences.
@@ -75,6 +77,7 @@
             entries: 2,
             engines: 3,
             services: 2,
+            shared_service: false,
             sizes: Sizes { speed: 10.0, ..Sizes::default() },
             checks_fence: true,
             picker: "quoted".into(),
@@ -217,10 +220,16 @@
         }
         for number in 0..self.spec.services {
             let name = format!("{}-{number}", self.spec.deployment.service());
-            let address = free_address()?;
-            let args = ["service", "--listen", &address, "--name", self.spec.deployment.service()];
-            self.spawn(&name, "standin", args.map(str::to_owned).to_vec())?;
-            self.addresses.insert(name.clone(), address);
+            let shared = format!("{}-0", self.spec.deployment.service());
+            match self.addresses.get(&shared).filter(|_| self.spec.shared_service).cloned() {
+                Some(address) => drop(self.addresses.insert(name.clone(), address)),
+                None => {
+                    let address = free_address()?;
+                    let args = ["service", "--listen", &address, "--name", self.spec.deployment.service()];
+                    self.spawn(&name, "standin", args.map(str::to_owned).to_vec())?;
+                    self.addresses.insert(name.clone(), address);
+                }
+            }
             self.start_sidecar(&name, self.spec.deployment.service(), "plain", number).await?;
         }
         Ok(())
@@ -296,7 +305,7 @@
         self.spawn(name, "sorrelpass", vec!["entry".to_owned(), file])
     }
 
-    /// Lists the entries' VMs, publishes the first configuration and returns its changes.
+    /// The changes that make a fleet's first configuration.
     fn first_changes(&self) -> Value {
         let deployment = self.spec.deployment;
         let mut changes = vec![
@@ -312,7 +321,7 @@
         Value::from(changes)
     }
 
-    /// Plans and confirms changes at the first entry, and returns the revision.
+    /// Lists the entries' VMs, plans and confirms changes at the first entry, and returns the revision.
     pub async fn publish(&self, changes: &Value) -> Result<u64> {
         for number in 0..self.spec.entries {
             let name = format!("entry-{number}");
@@ -320,7 +329,12 @@
                 "failure_domain": self.domain(number), "leaving": false });
             self.list_vm(&name, &vm).await?;
         }
-        let entry = &self.entries[0];
+        self.publish_at(0, changes).await
+    }
+
+    /// Plans and confirms changes at an entry, and returns the revision.
+    pub async fn publish_at(&self, entry: usize, changes: &Value) -> Result<u64> {
+        let entry = &self.entries[entry];
         self.wait_listening(entry).await?;
         let body = json!({ "changes": changes });
         let (status, plan) = self.client.json("POST", entry, "/v1/intents", OPERATOR_KEY, Some(&body)).await?;
--- /dev/null
+++ b/standin/src/probe.rs
@@ -0,0 +1,73 @@
+//! What a process uses, read from the system: processor time, memory, and the loopback's bytes.
+
+use std::fs;
+use std::time::Instant;
+
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS_PER_S: f64 = 100.0;
+
+/// A reading of one process.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    at: Instant,
+    /// Processor time so far, in seconds.
+    pub cpu_s: f64,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+    /// Threads.
+    pub threads: u64,
+}
+
+/// Reads a process; `None` if it is gone.
+pub fn read(pid: u32) -> Option<Reading> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name in parentheses may hold blanks.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let number = |key: &str| {
+        let line = status.lines().find(|line| line.starts_with(key))?;
+        line.split_whitespace().nth(1)?.parse::<u64>().ok()
+    };
+    let resident = number("VmRSS:")? * 1_024;
+    Some(Reading { at: Instant::now(), cpu_s: ticks / TICKS_PER_S, resident, threads: number("Threads:")? })
+}
+
+impl Reading {
+    /// Share of one core used since `earlier`.
+    pub fn cores_since(&self, earlier: &Reading) -> f64 {
+        (self.cpu_s - earlier.cpu_s) / (self.at - earlier.at).as_secs_f64().max(1e-9)
+    }
+}
+
+/// Bytes and packets that the loopback has carried so far; each counts once.
+pub fn loopback() -> Option<(u64, u64)> {
+    let text = fs::read_to_string("/proc/net/dev").ok()?;
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:"))?;
+    let numbers: Vec<u64> = line.split_whitespace().filter_map(|field| field.parse().ok()).collect();
+    Some((*numbers.first()?, *numbers.get(1)?))
+}
+
+/// A line fitted through points by least squares.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+pub struct Fit {
+    /// Value at zero.
+    pub base: f64,
+    /// Value per unit.
+    pub slope: f64,
+    /// Root mean square of what the line leaves over.
+    pub residual: f64,
+}
+
+/// Fits a line.
+pub fn fit(points: &[(f64, f64)]) -> Fit {
+    let count = points.len().max(1) as f64;
+    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
+    let (x, y) = (mean(|point| point.0), mean(|point| point.1));
+    let spread: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
+    let joint: f64 = points.iter().map(|point| (point.0 - x) * (point.1 - y)).sum();
+    let slope = if spread > 0.0 { joint / spread } else { 0.0 };
+    let base = y - slope * x;
+    let left: f64 = points.iter().map(|point| (point.1 - base - slope * point.0).powi(2)).sum();
+    Fit { base, slope, residual: (left / count).sqrt() }
+}
