--- a/coord/src/scheduler.rs
+++ b/coord/src/scheduler.rs
@@ -363,6 +363,10 @@
     }
 
     fn level(&self, job: &Job) -> Level {
+        // The baseline knows no lengths.
+        if !self.queue.keeps_headroom() {
+            return Level::Huge;
+        }
         let level = level(job, self.limits.short_tokens);
         if level == Level::Short || self.limits.grade_long { level } else { Level::Huge }
     }
--- a/sorrelpass/src/entry/claims.rs
+++ b/sorrelpass/src/entry/claims.rs
@@ -1,7 +1,9 @@
 //! The `claims` thread: binds callers' keys to sidecar runs through the log.
 //!
-//! Claims that come together go into one append. The first offset wins, so two
-//! entries that claim one key at once learn the same binding.
+//! Keys fall into partitions, each with a stream of its own. For each partition rendezvous
+//! hashing ranks the entries: the first is its writer, the second follows the stream and
+//! stands by, and all others ask them. So appends a second do not grow with the entries, and
+//! an entry follows few partitions. Two writers at once are harmless: the first offset wins.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -11,28 +13,38 @@
 
 use bytes::Bytes;
 use coord::claim::{Binding, Board, Key};
-use coord::name::Ran;
+use coord::name::{Name, Ran};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::failure::Failure;
 use super::{Shared, peer};
 use crate::platform::Log;
 use crate::{event, ring, util, warn_event};
 
-/// Stream of claims.
-const CLAIMS: &str = "claims";
+/// Partitions of the claims.
+pub const PARTITIONS: u64 = 8;
+/// Entries that follow a partition: its writer and one that stands by.
+const RANKS: usize = 2;
+/// Other entries that are asked, when the log is out, whether they know a key.
+const MOST_ASKED: usize = 16;
 /// How long a read may wait for news, in milliseconds.
 const READ_WAIT_MS: u64 = 2_000;
-/// Claims that come within this span share one append.
-const GROUP: Duration = Duration::from_millis(2);
+/// Shortest time between two appends of a partition; claims that come meanwhile share the next.
+const GROUP: Duration = Duration::from_millis(50);
 /// Most claims in one append.
 const MOST_IN_GROUP: usize = 256;
+/// How often it is looked whether a partition has come to this entry.
+const FOLLOW_CHECK: Duration = Duration::from_millis(500);
+/// Longest that this entry's own partitions are waited for, for a lookup …
+const HERE_TIMEOUT: Duration = Duration::from_millis(400);
+/// … and for a claim, which needs an append.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call to the log, and when callers are told to come back.
 const RETRY: Duration = Duration::from_millis(300);
 
-/// Commands to the claims thread.
-pub enum Command {
+/// What is asked of a partition.
+pub enum Question {
     /// Who holds this key, as far as read?
     Lookup(Key, oneshot::Sender<Option<Binding>>),
     /// Bind this key, unless it is bound; answered once read back, or dropped if the log is out.
@@ -51,35 +63,102 @@
     binding: Binding,
 }
 
+/// The claims of one partition, at an entry that writes it or stands by.
 struct Binder {
+    stream: String,
     log: Box<dyn Log>,
     board: RefCell<Board>,
     waiting: RefCell<HashMap<Key, Vec<oneshot::Sender<Binding>>>>,
     proposed: RefCell<Vec<Claim>>,
     work: Notify,
+    reading: watch::Sender<Reading>,
+}
+
+/// How far a partition was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// Not yet to the end.
+    Behind,
+    /// Not yet to the end, and the log is out.
+    Out,
+    /// To the end, once: from then on "nobody" means that nobody claimed before.
+    CaughtUp,
+}
+
+/// The partition of a key.
+fn partition(key: &Key) -> u64 {
+    let hash = xxhash_rust::xxh3::xxh3_64(key.key.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(key.workspace.as_bytes(), hash) % PARTITIONS
+}
+
+/// The entries that write a partition, by rank.
+fn ranked(shared: &Shared, partition: u64) -> Vec<Name> {
+    let mut all = shared.peers();
+    all.push(own(shared));
+    coord::pick::chosen(partition, all.iter(), RANKS)
+}
+
+fn own(shared: &Shared) -> Name {
+    Name::from(shared.settings.peer_listen.to_string())
 }
 
 /// Runs the thread.
-pub async fn run(shared: Arc<Shared>, log: Box<dyn Log>, mut commands: ring::Receiver<Command>) {
-    let binder = Rc::new(Binder {
-        log,
-        board: RefCell::new(Board::new(shared.settings.once_window)),
-        waiting: RefCell::default(),
-        proposed: RefCell::default(),
-        work: Notify::new(),
-    });
-    tokio::task::spawn_local(binder.clone().follow());
-    tokio::task::spawn_local(binder.clone().append());
-    while let Some(command) = commands.recv().await {
-        binder.handle(command);
+pub async fn run(shared: Arc<Shared>, make_log: impl Fn() -> Box<dyn Log>, mut questions: ring::Receiver<Question>) {
+    let mut binders: HashMap<u64, Rc<Binder>> = HashMap::new();
+    loop {
+        for partition in 0..PARTITIONS {
+            if !binders.contains_key(&partition) && ranked(&shared, partition).contains(&own(&shared)) {
+                binders.insert(partition, Binder::start(&shared, partition, make_log()));
+            }
+        }
+        let question = match tokio::time::timeout(FOLLOW_CHECK, questions.recv()).await {
+            Ok(Some(question)) => question,
+            Ok(None) => return,
+            Err(_) => continue,
+        };
+        let partition = match &question {
+            Question::Lookup(key, _) | Question::Claim(key, ..) => partition(key),
+        };
+        match (question, binders.get(&partition)) {
+            (question, Some(binder)) => drop(tokio::task::spawn_local(binder.clone().handle(question))),
+            // What this entry does not follow it has bound nothing of.
+            (Question::Lookup(_, reply), None) => drop(reply.send(None)),
+            (question, None) => {
+                let binder = Binder::start(&shared, partition, make_log());
+                binders.insert(partition, binder.clone());
+                tokio::task::spawn_local(binder.handle(question));
+            }
+        }
     }
 }
 
 impl Binder {
-    fn handle(&self, command: Command) {
-        match command {
-            Command::Lookup(key, reply) => drop(reply.send(self.board.borrow().binding(&key).cloned())),
-            Command::Claim(key, binding, reply) => self.propose(key, binding, reply),
+    fn start(shared: &Shared, partition: u64, log: Box<dyn Log>) -> Rc<Self> {
+        let binder = Rc::new(Self {
+            stream: format!("claims-{partition}"),
+            log,
+            board: RefCell::new(Board::new(shared.settings.once_window)),
+            waiting: RefCell::default(),
+            proposed: RefCell::default(),
+            work: Notify::new(),
+            reading: watch::channel(Reading::Behind).0,
+        });
+        event!("follow-claims", stream = %binder.stream);
+        tokio::task::spawn_local(binder.clone().follow());
+        tokio::task::spawn_local(binder.clone().append());
+        binder
+    }
+
+    async fn handle(self: Rc<Self>, question: Question) {
+        // Before the stream was read to its end nothing is said; if the log is out, at once.
+        let mut reading = self.reading.subscribe();
+        match reading.wait_for(|reading| *reading != Reading::Behind).await {
+            Ok(reading) if *reading == Reading::CaughtUp => {}
+            _ => return,
+        }
+        match question {
+            Question::Lookup(key, reply) => drop(reply.send(self.board.borrow().binding(&key).cloned())),
+            Question::Claim(key, binding, reply) => self.propose(key, binding, reply),
         }
     }
 
@@ -95,11 +174,13 @@
 
     /// Appends what was proposed, in groups. What cannot be appended is given up at once.
     async fn append(self: Rc<Self>) {
+        let mut next_append = tokio::time::Instant::now();
         loop {
             if self.proposed.borrow().is_empty() {
                 self.work.notified().await;
-                tokio::time::sleep(GROUP).await;
             }
+            tokio::time::sleep_until(next_append).await;
+            next_append = tokio::time::Instant::now() + GROUP;
             let group: Vec<Claim> = {
                 let mut proposed = self.proposed.borrow_mut();
                 let count = proposed.len().min(MOST_IN_GROUP);
@@ -110,8 +191,8 @@
             }
             let keys: Vec<Key> = group.iter().map(|claim| claim.key.clone()).collect();
             let Ok(payload) = serde_json::to_vec(&Group { claims: group }) else { continue };
-            if let Err(error) = self.log.append(CLAIMS, Bytes::from(payload)).await {
-                warn_event!("claim-failed", stream = CLAIMS, keys = keys.len(), reason = %error);
+            if let Err(error) = self.log.append(&self.stream, Bytes::from(payload)).await {
+                warn_event!("claim-failed", stream = %self.stream, keys = keys.len(), reason = %error);
                 // Dropping the replies tells the callers; a claim that took effect all the same is harmless.
                 let mut waiting = self.waiting.borrow_mut();
                 keys.iter().for_each(|key| drop(waiting.remove(key)));
@@ -122,7 +203,9 @@
     async fn follow(self: Rc<Self>) {
         loop {
             let next = self.board.borrow().next();
-            match self.log.read(CLAIMS, next, READ_WAIT_MS).await {
+            let caught_up = *self.reading.borrow() == Reading::CaughtUp;
+            let wait = if caught_up { READ_WAIT_MS } else { 0 };
+            match self.log.read(&self.stream, next, wait).await {
                 Ok(batch) => {
                     if batch.oldest > next {
                         // Claims that were trimmed unread are older than the window, which is below the retention.
@@ -131,8 +214,16 @@
                     for entry in &batch.entries {
                         self.take(entry.offset, entry.at, &entry.payload);
                     }
+                    if self.board.borrow().next() >= batch.end {
+                        self.reading.send_replace(Reading::CaughtUp);
+                    }
+                }
+                Err(_) => {
+                    if !caught_up {
+                        self.reading.send_replace(Reading::Out);
+                    }
+                    tokio::time::sleep(util::jitter(RETRY)).await;
                 }
-                Err(_) => tokio::time::sleep(util::jitter(RETRY)).await,
             }
         }
     }
@@ -141,7 +232,7 @@
         let claims = match serde_json::from_slice::<Group>(payload) {
             Ok(group) => group.claims,
             Err(error) => {
-                warn_event!("record-unreadable", stream = CLAIMS, offset, reason = %error);
+                warn_event!("record-unreadable", stream = %self.stream, offset, reason = %error);
                 Vec::new()
             }
         };
@@ -157,36 +248,71 @@
     }
 }
 
-fn stopping() -> Failure {
-    Failure::busy("stopping", "the entry is stopping", RETRY)
+/// Who holds a key, as far as this entry itself has bound or read; `None` if it cannot tell yet.
+pub async fn lookup_here(shared: &Shared, key: Key) -> Option<Option<Binding>> {
+    let (reply, answer) = oneshot::channel();
+    shared.claims.send(Question::Lookup(key, reply)).await.ok()?;
+    tokio::time::timeout(HERE_TIMEOUT, answer).await.ok()?.ok()
 }
 
-/// Who holds a key, as far as this entry has read the log.
-pub async fn lookup(shared: &Shared, key: Key) -> Result<Option<Binding>, Failure> {
+/// Binds a key here, as its partition's writer; `None` if the log is out.
+pub async fn claim_here(shared: &Shared, key: Key, binding: Binding) -> Option<Binding> {
     let (reply, answer) = oneshot::channel();
-    shared.claims.send(Command::Lookup(key, reply)).await.map_err(|_| stopping())?;
-    answer.await.map_err(|_| stopping())
+    shared.claims.send(Question::Claim(key, binding, reply)).await.ok()?;
+    tokio::time::timeout(CLAIM_TIMEOUT, answer).await.ok()?.ok()
+}
+
+/// Who holds a key, by its partition's writer, or by who stands by.
+pub async fn lookup(shared: &Shared, key: &Key) -> Option<Binding> {
+    for entry in ranked(shared, partition(key)) {
+        let found = if entry == own(shared) {
+            lookup_here(shared, key.clone()).await
+        } else {
+            peer::binding(&entry, key).await.ok()
+        };
+        if let Some(found) = found {
+            return found;
+        }
+    }
+    None
 }
 
 /// Binds a key to `binding`, unless it is bound; returns the binding that holds.
 ///
-/// When the log is out, the other entries are asked: an entry runs a claim only
-/// after it has read it back, so if none knows the key, nothing under it ran.
-pub async fn claim(shared: &Shared, key: Key, binding: Binding, limit: Duration) -> Result<Binding, Failure> {
-    let (reply, answer) = oneshot::channel();
-    shared.claims.send(Command::Claim(key.clone(), binding, reply)).await.map_err(|_| stopping())?;
-    if let Ok(Ok(bound)) = tokio::time::timeout(limit, answer).await {
-        return Ok(bound);
+/// When the log is out, the other entries are asked: a key runs only after its claim was read
+/// back by the entry that served it, so if every one of them says that it knows none, nothing
+/// under the key ran.
+pub async fn claim(shared: &Shared, key: Key, binding: Binding) -> Result<Binding, Failure> {
+    for entry in ranked(shared, partition(&key)) {
+        let bound = if entry == own(shared) {
+            claim_here(shared, key.clone(), binding.clone()).await
+        } else {
+            peer::claim(&entry, &key, &binding).await.ok().flatten()
+        };
+        if let Some(bound) = bound {
+            return Ok(bound);
+        }
     }
     event!("claims-out", workspace = %key.workspace);
-    let mut ran = Ran::No;
-    for entry in shared.peers() {
-        match peer::binding(&entry, &key).await {
-            Ok(Some(bound)) => return Ok(bound),
+    let (held, ran) = asked_around(shared, &key).await;
+    if let Some(bound) = held {
+        return Ok(bound);
+    }
+    let message = "the platform's log does not take the claim of this key now; a ticket would not need it";
+    Err(Failure::busy("claims_unavailable", message, RETRY).ran(ran))
+}
+
+/// What all entries know of a key, and what that proves.
+async fn asked_around(shared: &Shared, key: &Key) -> (Option<Binding>, Ran) {
+    let peers = shared.peers();
+    let mut ran = if peers.len() > MOST_ASKED { Ran::Unknown } else { Ran::No };
+    let answers = peers.iter().take(MOST_ASKED).map(|entry| peer::binding(entry, key));
+    for answer in futures_util::future::join_all(answers).await {
+        match answer {
+            Ok(Some(bound)) => return (Some(bound), Ran::Unknown),
             Ok(None) => {}
             Err(_) => ran = Ran::Unknown,
         }
     }
-    let message = "the platform's log does not take the claim of this key now; a ticket would not need it";
-    Err(Failure::busy("claims_unavailable", message, RETRY).ran(ran))
+    (lookup_here(shared, key.clone()).await.flatten(), ran)
 }
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -53,7 +53,7 @@
     /// Commands to the log thread.
     pub log: ring::Sender<log::Command>,
     /// Commands to the claims thread.
-    pub claims: ring::Sender<claims::Command>,
+    pub claims: ring::Sender<claims::Question>,
     /// Large bodies to be read.
     pub parse: ring::Sender<body::Parse>,
     /// The configuration in force here.
@@ -141,7 +141,7 @@
     })?;
     util::duty("claims", {
         let shared = shared.clone();
-        move || async move { claims::run(shared, make_log(&address), claims_commands).await }
+        move || async move { claims::run(shared, || make_log(&address), claims_commands).await }
     })?;
     util::duty("controller", {
         let (shared, address) = (shared.clone(), shared.settings.platform.log_address.clone());
--- a/sorrelpass/src/entry/peer.rs
+++ b/sorrelpass/src/entry/peer.rs
@@ -67,6 +67,10 @@
     #[method(name = "binding")]
     async fn binding(&self, key: Key) -> RpcResult<Option<Binding>>;
 
+    /// Binds a key at its partition's writer; none if the log is out.
+    #[method(name = "claim")]
+    async fn claim(&self, key: Key, binding: Binding) -> RpcResult<Option<Binding>>;
+
     /// An entry's demand, against the shares of its limits.
     #[method(name = "report")]
     async fn report(&self, entry: Name, demands: Vec<Demand>) -> RpcResult<Vec<Share>>;
@@ -102,8 +106,12 @@
     }
 
     async fn binding(&self, key: Key) -> RpcResult<Option<Binding>> {
-        let found = claims::lookup(&self.0, key).await;
-        found.map_err(|failure| jsonrpsee::types::ErrorObjectOwned::owned(1, failure.message, None::<()>))
+        let unread = || jsonrpsee::types::ErrorObjectOwned::owned(1, "the claims have not been read", None::<()>);
+        claims::lookup_here(&self.0, key).await.ok_or_else(unread)
+    }
+
+    async fn claim(&self, key: Key, binding: Binding) -> RpcResult<Option<Binding>> {
+        Ok(claims::claim_here(&self.0, key, binding).await)
     }
 
     async fn report(&self, entry: Name, demands: Vec<Demand>) -> RpcResult<Vec<Share>> {
@@ -179,6 +187,12 @@
     timed(peer, TIMEOUT / 2, PeerClient::binding(&client, key.clone())).await
 }
 
+/// Asks a partition's writer to bind a key; none if the log is out.
+pub async fn claim(peer: &Name, key: &Key, binding: &Binding) -> Result<Option<Binding>> {
+    let client = client(peer)?;
+    timed(peer, 2 * TIMEOUT, PeerClient::claim(&client, key.clone(), binding.clone())).await
+}
+
 /// Reports demand to the owner of the limits.
 pub async fn report(peer: &Name, entry: &Name, demands: &[Demand]) -> Result<Vec<Share>> {
     let client = client(peer)?;
--- a/sorrelpass/src/entry/route.rs
+++ b/sorrelpass/src/entry/route.rs
@@ -368,14 +368,13 @@
 
     /// Proposes the best sidecar for a caller's key and learns from the log who holds it.
     async fn claim(&mut self, key: &Key) -> Result<Binding, Failure> {
-        let held = claims::lookup(&self.app.shared, key.clone()).await?;
-        if let Some(binding) = held {
+        if let Some(binding) = claims::lookup(&self.app.shared, key).await {
             return Ok(binding);
         }
         let targets = self.search(true).await?;
         let Some((target, Some(incarnation))) = targets.into_iter().next() else { return Err(self.exhausted()) };
         let proposed = Binding { endpoint: target.endpoint, incarnation };
-        let bound = claims::claim(&self.app.shared, key.clone(), proposed, self.left()).await?;
+        let bound = claims::claim(&self.app.shared, key.clone(), proposed).await?;
         event!("bound", request = %self.request.id, peer = %bound.endpoint, at = %bound.incarnation);
         Ok(bound)
     }
--- a/standin/src/cmd/demo.rs
+++ b/standin/src/cmd/demo.rs
@@ -15,6 +15,7 @@
 
 use bpaf::Bpaf;
 use eyre::{Result, WrapErr};
+use standin::compare;
 use standin::engine::model::Sizes;
 use standin::fleet::{Fleet, Spec, scratch, workspace_key};
 use standin::mix::{self, Deployment};
@@ -58,9 +59,6 @@
     hold: bool,
 }
 
-/// Share of an engine's bare prefill rate that is left beside decoding.
-pub const MIXED_RATE: f64 = 0.75;
-
 /// Runs the subcommand.
 pub async fn run(args: Args) -> Result<ExitCode> {
     let sizes = Sizes { speed: args.speed, ..Sizes::default() };
@@ -83,8 +81,7 @@
     }
 
     let keep = |class: &mix::Class| !(args.no_long && class.is_long());
-    let capacity = args.engines as f64 * sizes.prefill_per_s * sizes.speed * MIXED_RATE;
-    let rate = args.load * capacity / args.deployment.mean_tokens(|_| true);
+    let rate = compare::rate(args.deployment, args.load, args.engines, &sizes);
     let arrivals = mix::arrivals(args.deployment, rate, Duration::from_secs(args.seconds), args.seed, keep);
     println!(
         "sending {} requests at {rate:.0} a second for {} s, {} times faster than real time",
--- a/standin/src/cmd/mod.rs
+++ b/standin/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One file per subcommand; this one only dispatches. The stand-ins themselves, which
 //! do no more than listen, stand in `listen`.
 
+mod compare;
 mod demo;
 mod listen;
 mod load;
@@ -38,6 +39,9 @@
     /// Drives entries that run already
     Load(#[bpaf(external(load::args))] load::Args),
     #[bpaf(command)]
+    /// Compares pickers and queue orders under the same arrivals
+    Compare(#[bpaf(external(compare::args))] compare::Args),
+    #[bpaf(command)]
     /// Measures how what a process uses grows with the fleet and the load
     Scale(#[bpaf(external(scale::args))] scale::Args),
     #[bpaf(command)]
@@ -45,6 +49,16 @@
     Soak(#[bpaf(external(soak::args))] soak::Args),
 }
 
+/// Threads of a tool that drives a fleet; a stand-in has one, so that many fit a machine.
+const DRIVER_THREADS: usize = 4;
+
+impl Command {
+    fn is_standin(&self) -> bool {
+        use Command::{Engine, Log, Service, Vms, Weights};
+        matches!(self, Engine(_) | Service(_) | Log(_) | Vms(_) | Weights(_))
+    }
+}
+
 /// Runs the subcommand that the command line names.
 pub fn main() -> ExitCode {
     match run(command().run()) {
@@ -58,13 +72,7 @@
 
 fn run(command: Command) -> Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(
-            if matches!(command, Command::Demo(_) | Command::Load(_) | Command::Soak(_) | Command::Scale(_)) {
-                4
-            } else {
-                1
-            },
-        )
+        .worker_threads(if command.is_standin() { 1 } else { DRIVER_THREADS })
         .enable_all()
         .build()
         .wrap_err("step=start-runtime")?;
@@ -78,6 +86,7 @@
             Command::Weights(args) => listen::weights(args).await.map(done),
             Command::Demo(args) => demo::run(args).await,
             Command::Load(args) => load::run(args).await,
+            Command::Compare(args) => compare::run(args).await,
             Command::Scale(args) => scale::run(args).await,
             Command::Soak(args) => soak::run(args).await,
         }
--- a/standin/src/cmd/soak.rs
+++ b/standin/src/cmd/soak.rs
@@ -14,6 +14,7 @@
 use bpaf::Bpaf;
 use eyre::{Result, WrapErr};
 use serde_json::json;
+use standin::compare;
 use standin::engine::model::Sizes;
 use standin::fleet::{Fleet, Spec};
 use standin::mix::{self, Deployment};
@@ -21,8 +22,6 @@
 use standin::run::{self, Drive};
 use standin::soak::Injector;
 
-use super::demo::MIXED_RATE;
-
 /// Arguments of `soak`.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(args))]
@@ -66,8 +65,7 @@
     };
     let mut fleet = Fleet::start(spec).await?;
     println!("fleet of {} processes is up; logs are in {}", fleet.names().len(), fleet.spec.dir.display());
-    let capacity = args.engines as f64 * sizes.prefill_per_s * sizes.speed * MIXED_RATE;
-    let rate = args.load * capacity / args.deployment.mean_tokens(|_| true);
+    let rate = compare::rate(args.deployment, args.load, args.engines, &sizes);
     let span = Duration::from_secs(args.seconds);
     let arrivals = mix::arrivals(args.deployment, rate, span, args.seed, |_| true);
     println!("sending {} requests at {rate:.0} a second for {} s, seed {}", arrivals.len(), args.seconds, args.seed);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the load and experiment tool. Never shipped; no simulator of a cluster.
 
 pub mod client;
+pub mod compare;
 pub mod engine;
 pub mod fleet;
 pub mod history;
--- a/standin/tests/at_most_once.rs
+++ b/standin/tests/at_most_once.rs
@@ -149,7 +149,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn in_a_log_outage_a_new_key_is_not_run_at_once_and_a_ticket_runs_once() {
-    let fleet = fleet("once-outage").await;
+    // Three entries: of each partition one writes, one stands by, one does not follow it.
+    let fleet = start(Spec { entries: 3, ..Spec::small("once-outage") }).await;
     let claimed = pay(&fleet, 0, Some("before-1"), LONG).await;
     assert_eq!(claimed.status, 200);
     let ticket = mint(&fleet).await;
