Spans are freed by the sidecar itself, whoever asked and went away

The handler of /span/free told the kernel, and then started the task that frees the span on the engine; the entry was killed between the two, hyper dropped the handler, and nobody freed it. Ruled out: the lease (the kernel had given the span up already), the engine (it listed the span and freed it when asked).

The kernel now has the control thread free it, one task per span, so that nothing hangs on a caller that may go away.

--- a/sorrelpass/src/sidecar/control.rs
+++ b/sorrelpass/src/sidecar/control.rs
@@ -33,7 +33,9 @@
             span::reconcile(&shared).await;
         }
         while let Some(span) = lapsed.recv().await {
-            span::free_on_engine(&shared, span).await;
+            // One that the engine does not answer for must not hold up the others.
+            let shared = shared.clone();
+            tokio::task::spawn_local(async move { span::free_on_engine(&shared, span).await });
         }
     };
     tokio::select! {
--- a/sorrelpass/src/sidecar/kernel.rs
+++ b/sorrelpass/src/sidecar/kernel.rs
@@ -86,8 +86,8 @@
     Hold(Hold, oneshot::Sender<Held>),
     /// A span is being prefilled, or no longer; tells whether it is held.
     Fill(Attempt, bool, oneshot::Sender<bool>),
-    /// Give a span up; tells whether the engine has to free it.
-    GiveUp(Attempt, oneshot::Sender<bool>),
+    /// Give a span up, and have the engine free it.
+    GiveUp(Attempt),
     /// Does anything of this run own what the engine holds under this name?
     Owns(Attempt, oneshot::Sender<bool>),
     /// The engine has freed a span.
@@ -191,7 +191,7 @@
             Command::Void { attempt, once, reply } => self.void(attempt, once.as_ref(), reply),
             Command::Hold(hold, reply) => drop(reply.send(self.hold(hold))),
             Command::Fill(span, filling, reply) => drop(reply.send(self.scheduler.fill(span, filling, util::now()))),
-            Command::GiveUp(span, reply) => drop(reply.send(self.scheduler.give_up(span))),
+            Command::GiveUp(span) => self.give_up(span),
             Command::Owns(name, reply) => drop(reply.send(self.scheduler.owns(name))),
             Command::Freed(span) => self.freed(span),
             Command::Leave { idle } => self.leave(idle),
@@ -334,6 +334,13 @@
         }
     }
 
+    /// The `control` thread frees it on the engine: whoever asked may be gone by now.
+    fn give_up(&mut self, span: Attempt) {
+        if self.scheduler.give_up(span) {
+            let _ = self.lapsed.send(span);
+        }
+    }
+
     fn freed(&mut self, span: Attempt) {
         event!("free-span", span = %span);
         self.scheduler.freed(span);
--- a/sorrelpass/src/sidecar/span.rs
+++ b/sorrelpass/src/sidecar/span.rs
@@ -67,9 +67,7 @@
 /// `POST /span/free`
 pub async fn free(State(shared): State<Arc<Shared>>, body: Bytes) -> Result<Response, StatusCode> {
     let span: Attempt = wire::decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
-    if ask(&shared, |reply| Command::GiveUp(span, reply)).await? {
-        tokio::spawn(async move { free_on_engine(&shared, span).await });
-    }
+    shared.kernel.send(Command::GiveUp(span)).await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     Ok(stamped(Bytes::new()))
 }
 
--- a/standin/tests/gangs.rs
+++ b/standin/tests/gangs.rs
@@ -5,6 +5,11 @@
 use std::time::Duration;
 
 use common::{close, prompt, start, until};
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Bytes;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use rustix::process::Signal;
 use standin::engine::model::Sizes;
 use standin::fleet::{Fleet, Spec};
@@ -98,3 +103,46 @@
     until("no memory is held", || async { fleet.held_tokens().await == 0 }).await;
     close(fleet).await;
 }
+
+/// The wire's form of a span's hold, as `wire::Hold` has it.
+#[derive(serde::Serialize)]
+struct Hold {
+    span: u128,
+    tokens: u64,
+    lease_micros: u64,
+    renew: bool,
+}
+
+/// Found by the ten-minute soak: an entry died between asking for a span to be freed and hearing of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_span_is_freed_although_who_asked_for_it_goes_away_at_once() {
+    let fleet = start(Spec { engines: 1, services: 1, ..Spec::small("gang-gone") }).await;
+    let sidecar = &fleet.addresses["sidecar-market-advisor-0"];
+    // As entries do: over HTTP/2, where a call that is given up ends at once on the other side too.
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+    for span in 1..1_000u128 {
+        let hold = Hold { span, tokens: 1, lease_micros: 3_600_000_000, renew: false };
+        let body = postcard::to_stdvec(&hold).expect("encoded");
+        assert_eq!(fleet.client.call("POST", sidecar, "/span/hold", &[], body).await.status, 200);
+        let body = Full::from(postcard::to_stdvec(&span).expect("encoded"));
+        let request = Request::post(format!("http://{sidecar}/span/free")).body(body).expect("a request");
+        let asked = tokio::spawn(client.request(request));
+        let patience = Duration::from_micros(20 + 5 * (span as u64 % 60));
+        let start = std::time::Instant::now();
+        while start.elapsed() < patience {
+            tokio::task::yield_now().await;
+        }
+        asked.abort();
+    }
+    // Those that were given up before they were sent are asked for once more.
+    for span in 1..1_000u128 {
+        let body = postcard::to_stdvec(&span).expect("encoded");
+        fleet.client.call("POST", sidecar, "/span/free", &[], body).await;
+    }
+    until("every span is freed", || async {
+        let status = fleet.client.json("GET", sidecar, "/status", "", None).await;
+        status.is_ok_and(|(_, status)| status["memory_held_tokens"] == 0)
+    })
+    .await;
+    close(fleet).await;
+}
