--- /dev/null
+++ b/coord/examples/placement.rs
@@ -0,0 +1,34 @@
+//! A controller is paused past its lease; what it writes when it wakes is void.
+
+use std::collections::BTreeMap;
+
+use coord::fence::Fence;
+use coord::name::{Incarnation, Name};
+use coord::placement::{Board, Load, Record};
+use coord::time::Moment;
+
+fn claim(process: &str) -> Record {
+    Record::Claim { domain: "leon".into(), process: process.into(), incarnation: Incarnation(1), term_ms: 4_000 }
+}
+
+fn place(fence: u64, version: &str) -> Record {
+    let load = Load { version: version.into(), adapters: Vec::new() };
+    let loads = BTreeMap::from([(Name::from("pluma-1"), load)]);
+    Record::Place { domain: "leon".into(), fence: Fence(fence), loads }
+}
+
+fn main() {
+    let mut board = Board::new();
+    let log = [
+        (0, claim("entry-1"), "entry-1 claims"),
+        (100, place(0, "v1"), "entry-1 places v1"),
+        (5_000, claim("entry-2"), "entry-2 claims after the lease lapsed"),
+        (5_100, place(2, "v2"), "entry-2 places v2"),
+        (5_200, place(0, "v1"), "entry-1 wakes and places v1 again"),
+    ];
+    for (offset, (millis, record, what)) in log.into_iter().enumerate() {
+        let counts = board.replay(offset as u64, Moment::from_millis(millis), record);
+        println!("{what}: {}", if counts { "counts" } else { "void" });
+    }
+    println!("order: {:?}", board.order_to("pluma-1"));
+}
--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod prefix;
 pub mod queue;
 pub mod quota;
+pub mod remembered;
 pub mod replay;
 pub mod scheduler;
 pub mod span;
--- a/coord/src/scheduler.rs
+++ b/coord/src/scheduler/mod.rs
@@ -3,126 +3,23 @@
 //! It admits, queues, starts, expires and voids jobs, keeps the ledger of the
 //! engine's memory, and remembers the keys that were bound to this incarnation.
 
+mod message;
+mod room;
+
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
+pub use self::message::*;
+use self::room::{Room, level};
 use crate::claim::Key;
 use crate::estimate::Estimate;
 use crate::memory::Ledger;
-use crate::name::{Attempt, Ran};
+use crate::name::Attempt;
 use crate::queue::{Job, Order, Queue};
+use crate::remembered::Remembered;
 use crate::span::Spans;
 use crate::time::Moment;
 
-/// Sizes and limits of one endpoint.
-#[derive(Clone, Debug)]
-pub struct Limits {
-    /// Jobs that may run at once.
-    pub slots: usize,
-    /// KV memory of the engine, in tokens.
-    pub memory_tokens: u64,
-    /// Most jobs waiting.
-    pub queue: usize,
-    /// Prompts up to this many tokens are short.
-    pub short_tokens: u64,
-    /// Share of slots and memory that only short prompts may use.
-    pub short_share: f64,
-    /// Whether long prompts are told apart by length, so that the shorter go first on the engine.
-    pub grade_long: bool,
-    /// How long outcomes of keys and void attempts are remembered.
-    pub window: Duration,
-}
-
-/// Why a job was not accepted. A refused job did not run and will not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Refusal {
-    /// The endpoint is leaving.
-    Leaving,
-    /// The endpoint does not answer.
-    Unhealthy,
-    /// The attempt was voided before it came.
-    Voided,
-    /// The attempt was already offered.
-    Repeated,
-    /// It cannot finish within its time.
-    TooLate,
-    /// Too many jobs wait.
-    QueueFull,
-    /// It needs more memory than the engine has.
-    TooLarge,
-    /// It waited here and cannot start for long: better elsewhere.
-    Evicted,
-}
-
-/// A refusal with when to come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refused {
-    /// Why.
-    pub reason: Refusal,
-    /// When a like job could be accepted.
-    pub retry_after: Duration,
-}
-
-/// What the caller of the scheduler has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Start the job on the engine at this priority.
-    Start(Attempt, Level),
-    /// Give the job up: its time ran out. It did not start.
-    Expire(Attempt),
-    /// Stop the job on the engine: its time ran out while it ran.
-    Cancel(Attempt),
-    /// Send the job elsewhere: it did not start and will not.
-    Evict(Attempt),
-    /// Free the span on the engine: its lease has lapsed.
-    FreeSpan(Attempt),
-}
-
-/// Engine priority of a job: the prefill of a larger level goes first, and pauses that of smaller ones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Level {
-    /// Of the longest prompts and of spans.
-    Huge,
-    /// Of long prompts.
-    Long,
-    /// Of middling prompts.
-    Middle,
-    /// Of short prompts, which also have headroom of their own.
-    Short,
-}
-
-/// What became of a void.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Voided {
-    /// It had not started and never will.
-    NotRun,
-    /// It had started and was stopped or is over.
-    Started,
-}
-
-impl Voided {
-    /// What a caller may be told of a voided attempt.
-    pub fn ran(self) -> Ran {
-        match self {
-            Voided::NotRun => Ran::No,
-            Voided::Started => Ran::Unknown,
-        }
-    }
-}
-
-/// What is known of a key bound to this incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Once {
-    /// The key is new here: this attempt may run it.
-    First,
-    /// This attempt holds the key and is not over.
-    Running(Attempt),
-    /// This attempt ran the key to its end.
-    Done(Attempt),
-}
-
 #[derive(Clone, Debug)]
 struct Running {
     job: Job,
@@ -131,33 +28,6 @@
     first_token: Option<Moment>,
 }
 
-/// What an endpoint expects of a prompt, for an entry that asks.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Quote {
-    /// Expected time to the first token.
-    pub ttft: Duration,
-    /// Expected time to the whole answer.
-    pub whole: Duration,
-    /// Time by which it would hold up the first tokens of others here, summed.
-    pub harm: Duration,
-    /// Whether the endpoint would accept it now.
-    pub open: bool,
-    /// If not, when to come back.
-    pub retry_after: Duration,
-    /// Jobs waiting and running.
-    pub outstanding: u32,
-    /// Prefill tokens waiting and running, and output tokens still to come.
-    pub active_tokens: u64,
-    /// KV memory of the engine, in tokens.
-    pub capacity_tokens: u64,
-    /// Of it, what is free.
-    pub free_tokens: u64,
-}
-
-/// Most tokens of a middling prompt.
-const MIDDLE_TOKENS: u64 = 16_000;
-/// Most tokens of a long prompt.
-const LONG_TOKENS: u64 = 100_000;
 /// Time an answer may need beyond its estimate before it is refused as too late.
 const MARGIN: f64 = 1.25;
 
@@ -187,36 +57,6 @@
     span_came: bool,
 }
 
-/// A set that forgets after a window.
-struct Remembered<T> {
-    at: HashMap<T, Moment>,
-    ages: VecDeque<(Moment, T)>,
-}
-
-impl<T: Copy + Eq + std::hash::Hash> Remembered<T> {
-    fn new() -> Self {
-        Self { at: HashMap::new(), ages: VecDeque::new() }
-    }
-
-    fn insert(&mut self, item: T, now: Moment) {
-        if self.at.insert(item, now).is_none() {
-            self.ages.push_back((now, item));
-        }
-    }
-
-    fn contains(&self, item: T) -> bool {
-        self.at.contains_key(&item)
-    }
-
-    fn forget(&mut self, before: Moment) {
-        while self.ages.front().is_some_and(|(at, _)| *at < before) {
-            if let Some((_, item)) = self.ages.pop_front() {
-                self.at.remove(&item);
-            }
-        }
-    }
-}
-
 impl Scheduler {
     /// A scheduler for an idle endpoint.
     pub fn new(limits: Limits, estimate: Estimate, order: Box<dyn Order>) -> Self {
@@ -625,40 +465,6 @@
     }
 }
 
-fn level(job: &Job, short_tokens: u64) -> Level {
-    match job.prefill_tokens {
-        tokens if tokens <= short_tokens => Level::Short,
-        tokens if tokens <= MIDDLE_TOKENS => Level::Middle,
-        tokens if tokens <= LONG_TOKENS => Level::Long,
-        _ => Level::Huge,
-    }
-}
-
-/// Free slots and memory, and the part of them that only short jobs may take.
-#[derive(Clone, Copy)]
-struct Room {
-    free_slots: usize,
-    kept_slots: usize,
-    capacity: u64,
-    free_memory: u64,
-    kept_memory: u64,
-    /// What is being collected for a span.
-    wanted_memory: u64,
-    short_tokens: u64,
-}
-
-impl Room {
-    fn fits(&self, job: &Job) -> bool {
-        if level(job, self.short_tokens) == Level::Short {
-            return self.free_slots > 0 && job.memory_tokens <= self.free_memory;
-        }
-        // A prompt that could never fit beside the headroom may take it all on an empty engine.
-        let kept = self.kept_memory.min(self.capacity.saturating_sub(job.memory_tokens));
-        let taken = job.memory_tokens + kept + self.wanted_memory;
-        self.free_slots > self.kept_slots && taken <= self.free_memory
-    }
-}
-
 fn active_tokens(run: &Running) -> u64 {
     let prefill = if run.first_token.is_none() { run.job.prefill_tokens } else { 0 };
     prefill + run.job.output_tokens
--- a/sorrelpass/src/entry/kernel.rs
+++ b/sorrelpass/src/entry/kernel/mod.rs
@@ -1,5 +1,8 @@
 //! The kernel thread of an entry: owns members, configuration, limits and the retry budget.
 
+mod message;
+mod meter;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,13 +11,12 @@
 use coord::budget::Budget;
 use coord::intent::{ALL_WORKSPACES, Config, Intent, Workspace};
 use coord::membership::{Members, Vm};
-use coord::name::{Incarnation, Name};
+use coord::name::Name;
 use coord::pick::Picker;
-use coord::quota::Bucket;
-use coord::time::{Moment, micros};
-use serde::Serialize;
-use tokio::sync::oneshot;
+use coord::time::micros;
 
+pub use self::message::*;
+use self::meter::{Limit, Meters};
 use super::failure::Failure;
 use crate::config::Entry;
 use crate::plugin::{self, PickerPlugin};
@@ -25,200 +27,6 @@
 /// When to come back if the configuration has not been read yet.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
-/// What a caller asks for.
-#[derive(Clone, Debug)]
-pub enum Wanted {
-    /// A prompt to a model.
-    Model {
-        /// The model's name.
-        model: Name,
-        /// Bytes of prompt.
-        prompt_bytes: u64,
-        /// Most output tokens.
-        output_tokens: u64,
-    },
-    /// A call to a plain service.
-    Service {
-        /// The service's name.
-        service: Name,
-    },
-}
-
-/// A caller's request, for admission.
-#[derive(Clone, Debug)]
-pub struct Admission {
-    /// Hex BLAKE3 digest of the bearer key.
-    pub key_digest: String,
-    /// What is asked for.
-    pub wanted: Wanted,
-}
-
-/// An endpoint to try.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// The endpoint.
-    pub endpoint: Name,
-    /// Its sidecar's address.
-    pub address: Name,
-    /// Extra microseconds to reach it.
-    pub distance: u64,
-}
-
-/// What admission decided.
-#[derive(Clone, Debug)]
-pub struct Admitted {
-    /// The workspace.
-    pub workspace: Arc<Workspace>,
-    /// The service whose endpoints serve it.
-    pub service: Name,
-    /// Failure domains allowed; empty is all.
-    pub domains: Vec<Name>,
-    /// The intent's priority.
-    pub priority: u8,
-    /// Prompt tokens, estimated.
-    pub prompt_tokens: u64,
-    /// Bytes of text per token.
-    pub bytes_per_token: f64,
-    /// Time allowed when the caller says none.
-    pub deadline: Duration,
-    /// Longest time the caller may ask for.
-    pub ceiling: Duration,
-    /// Whether any call may be sent again without harm.
-    pub repeatable: bool,
-}
-
-/// A question for endpoints to try.
-#[derive(Clone, Debug)]
-pub struct Search {
-    /// The service.
-    pub service: Name,
-    /// Failure domains allowed; empty is all.
-    pub domains: Vec<Name>,
-    /// The prompt's prefix.
-    pub hash: Option<u64>,
-    /// Endpoints already tried.
-    pub exclude: Vec<Name>,
-}
-
-/// Endpoints to try.
-#[derive(Clone, Debug, Default)]
-pub struct Found {
-    /// Best first.
-    pub targets: Vec<Target>,
-    /// Whether to ask them for quotes before choosing.
-    pub asks: bool,
-}
-
-/// Commands to the kernel.
-pub enum Command {
-    /// May this run?
-    Admit(Admission, oneshot::Sender<Result<Admitted, Failure>>),
-    /// Where?
-    Find(Search, oneshot::Sender<Found>),
-    /// Endpoints of a service by failure domain, the nearest first.
-    ByDomain(Search, oneshot::Sender<Vec<Vec<Target>>>),
-    /// Where is this endpoint?
-    Locate(Name, oneshot::Sender<Option<Target>>),
-    /// A sidecar answered.
-    Heard {
-        /// The endpoint.
-        endpoint: Name,
-        /// The sidecar's incarnation.
-        incarnation: Incarnation,
-        /// Whether it refuses new work.
-        leaving: bool,
-    },
-    /// A sidecar could not be reached.
-    Failed(Name),
-    /// An attempt was sent there.
-    Begin(Name, u64),
-    /// It is over.
-    End(Name, u64),
-    /// May a retry be sent?
-    Retry(oneshot::Sender<bool>),
-    /// The configuration changed.
-    Config(Arc<Config>),
-    /// The platform's list.
-    Vms(Vec<Vm>),
-    /// What models may this key use?
-    Models(String, oneshot::Sender<Result<Vec<Name>, Failure>>),
-    /// What is going on?
-    Status(oneshot::Sender<Status>),
-    /// All endpoints.
-    Endpoints(oneshot::Sender<Vec<Endpoint>>),
-    /// Local shares of the workspaces' limits, as worked out with the other entries.
-    Shares(Vec<Share>),
-    /// What each limited workspace asked for since the last report.
-    Demands(oneshot::Sender<Vec<Demand>>),
-}
-
-/// An entry's share of a workspace's limits.
-#[derive(Clone, Debug, PartialEq, Serialize, serde::Deserialize)]
-pub struct Share {
-    /// The workspace.
-    pub workspace: Name,
-    /// Requests a second here.
-    pub requests_per_s: Option<f64>,
-    /// Prompt tokens a second here.
-    pub tokens_per_s: Option<f64>,
-}
-
-/// What a workspace asked for at one entry, as rates.
-#[derive(Clone, Debug, PartialEq, Serialize, serde::Deserialize)]
-pub struct Demand {
-    /// The workspace.
-    pub workspace: Name,
-    /// Requests a second.
-    pub requests_per_s: f64,
-    /// Prompt tokens a second.
-    pub tokens_per_s: f64,
-}
-
-/// What `/v1/status` shows.
-#[derive(Clone, Debug, Serialize)]
-pub struct Status {
-    /// The entry's name.
-    pub entry: Name,
-    /// Its failure domain.
-    pub failure_domain: Name,
-    /// This process's run.
-    pub incarnation: String,
-    /// The configuration's revision in force here.
-    pub revision: u64,
-    /// Endpoints known.
-    pub endpoints: usize,
-    /// Of them, those that are leaving.
-    pub leaving: usize,
-    /// Invariants breached in this process.
-    pub breaches: u64,
-}
-
-/// What `/v1/endpoints` shows of one.
-#[derive(Clone, Debug, Serialize)]
-pub struct Endpoint {
-    /// Its name.
-    pub endpoint: Name,
-    /// Its service.
-    pub service: Name,
-    /// Its failure domain.
-    pub failure_domain: Name,
-    /// Its sidecar's address.
-    pub address: Name,
-    /// The sidecar's incarnation, once heard of.
-    pub incarnation: Option<String>,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// This entry's unfinished attempts there.
-    pub outstanding: u32,
-}
-
-struct Meter {
-    requests: Option<Bucket>,
-    tokens: Option<Bucket>,
-    asked_requests: f64,
-    asked_tokens: f64,
-}
-
 struct Kernel {
     settings: Entry,
     config: Arc<Config>,
@@ -226,8 +34,7 @@
     members: Members,
     picker: Box<dyn Picker>,
     budget: Budget,
-    meters: HashMap<Name, Meter>,
-    demands_since: Moment,
+    meters: Meters,
 }
 
 /// Runs the kernel until all senders are gone.
@@ -248,8 +55,7 @@
             members: Members::new(settings.process.failure_domain.clone(), micros(settings.distance)),
             picker,
             budget: Budget::new(settings.retry_share, RETRY_CAP),
-            meters: HashMap::new(),
-            demands_since: util::now(),
+            meters: Meters::new(util::now()),
             settings,
         }
     }
@@ -270,8 +76,8 @@
             Command::Models(key, reply) => drop(reply.send(self.models(&key))),
             Command::Status(reply) => drop(reply.send(self.status())),
             Command::Endpoints(reply) => drop(reply.send(self.endpoints())),
-            Command::Shares(shares) => self.share(&shares),
-            Command::Demands(reply) => drop(reply.send(self.demands())),
+            Command::Shares(shares) => self.meters.share(&shares, util::now()),
+            Command::Demands(reply) => drop(reply.send(self.meters.demands(util::now()))),
         }
     }
 
@@ -281,9 +87,7 @@
         event!("config", revision = config.revision);
         self.by_key =
             config.workspaces.values().map(|workspace| (workspace.key_digest.clone(), workspace.clone())).collect();
-        let now = util::now();
-        let old = std::mem::take(&mut self.meters);
-        self.meters = config.workspaces.values().filter_map(|workspace| meter(workspace, &old, now)).collect();
+        self.meters.configure(config.workspaces.values().map(AsRef::as_ref), util::now());
         self.config = config;
         self.mark_drained();
     }
@@ -372,22 +176,15 @@
 
     /// Takes the request out of its workspace's local shares.
     fn meter(&mut self, admitted: &Admitted) -> Result<(), Failure> {
-        let Some(meter) = self.meters.get_mut(&admitted.workspace.name) else { return Ok(()) };
-        let now = util::now();
-        let tokens = admitted.prompt_tokens as f64;
-        meter.asked_requests += 1.0;
-        meter.asked_tokens += tokens;
-        let limited = |what: &str, wait| {
+        let taken = self.meters.take(&admitted.workspace.name, admitted.prompt_tokens as f64, util::now());
+        taken.map_err(|(limit, wait)| {
+            let what = match limit {
+                Limit::Requests => "requests",
+                Limit::Tokens => "prompt tokens",
+            };
             let message = format!("the workspace's limit of {what} a second is used up");
             Failure::new(StatusCode::TOO_MANY_REQUESTS, "workspace_limit", message).after(wait)
-        };
-        if let Some(bucket) = &mut meter.requests {
-            bucket.take(1.0, now).map_err(|wait| limited("requests", wait))?;
-        }
-        if let Some(bucket) = &mut meter.tokens {
-            bucket.take(tokens, now).map_err(|wait| limited("prompt tokens", wait))?;
-        }
-        Ok(())
+        })
     }
 
     fn find(&mut self, search: &Search) -> Found {
@@ -425,33 +222,6 @@
         Ok(served.map(|intent| intent.model.clone()).collect())
     }
 
-    fn share(&mut self, shares: &[Share]) {
-        let now = util::now();
-        for share in shares {
-            let Some(meter) = self.meters.get_mut(&share.workspace) else { continue };
-            if let (Some(bucket), Some(rate)) = (&mut meter.requests, share.requests_per_s) {
-                bucket.set_rate(rate, now);
-            }
-            if let (Some(bucket), Some(rate)) = (&mut meter.tokens, share.tokens_per_s) {
-                bucket.set_rate(rate, now);
-            }
-        }
-    }
-
-    fn demands(&mut self) -> Vec<Demand> {
-        let now = util::now();
-        let span = now.since(self.demands_since).as_secs_f64().max(1e-3);
-        self.demands_since = now;
-        let active = self.meters.iter_mut().filter(|(_, meter)| meter.asked_requests > 0.0);
-        active
-            .map(|(workspace, meter)| Demand {
-                workspace: workspace.clone(),
-                requests_per_s: std::mem::take(&mut meter.asked_requests) / span,
-                tokens_per_s: std::mem::take(&mut meter.asked_tokens) / span,
-            })
-            .collect()
-    }
-
     fn status(&self) -> Status {
         Status {
             entry: self.settings.process.name.clone(),
@@ -483,26 +253,3 @@
 fn serves(intent: &Intent, workspace: &Workspace) -> bool {
     intent.workspaces.iter().any(|name| **name == *ALL_WORKSPACES || *name == workspace.name)
 }
-
-/// The meter of a workspace that has limits, keeping its level where the limits stay.
-fn meter(workspace: &Workspace, old: &HashMap<Name, Meter>, now: Moment) -> Option<(Name, Meter)> {
-    if workspace.requests_per_s.is_none() && workspace.tokens_per_s.is_none() {
-        return None;
-    }
-    let before = old.get(&workspace.name);
-    let bucket = |rate: Option<f64>, before: Option<&Bucket>| {
-        let rate = rate?;
-        let mut bucket = before.cloned().unwrap_or_else(|| Bucket::new(rate, now));
-        if before.is_none_or(|before| before.rate() > rate) {
-            bucket.set_rate(rate, now);
-        }
-        Some(bucket)
-    };
-    let meter = Meter {
-        requests: bucket(workspace.requests_per_s, before.and_then(|meter| meter.requests.as_ref())),
-        tokens: bucket(workspace.tokens_per_s, before.and_then(|meter| meter.tokens.as_ref())),
-        asked_requests: before.map_or(0.0, |meter| meter.asked_requests),
-        asked_tokens: before.map_or(0.0, |meter| meter.asked_tokens),
-    };
-    Some((workspace.name.clone(), meter))
-}
--- a/sorrelpass/src/entry/route.rs
+++ b/sorrelpass/src/entry/route/mod.rs
@@ -1,5 +1,8 @@
 //! The way of one request: quotes, attempts, retries, resumption, and its end in time.
 
+mod ending;
+mod ganged;
+
 use std::time::Duration;
 
 use axum::http::StatusCode;
@@ -11,10 +14,11 @@
 use coord::time::{Moment, micros};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
+use self::ending::{CALLER, LOST, PLAIN_RETRY, UNKNOWN, lost, outcome_unknown, rejected, stopping};
 use super::App;
 use super::claims;
 use super::failure::Failure;
-use super::gang::{self, Member, Spans};
+use super::gang;
 use super::kernel::{Admitted, Command, Search, Target};
 use super::upstream::{self, Broken, Part, Upstream};
 use crate::wire::{Ask, Call, Filled, Open, Refused, Usage};
@@ -24,16 +28,10 @@
 const MOST_ROUNDS: u32 = 4;
 /// Attempts at one request.
 const MOST_ATTEMPTS: u32 = 6;
-/// Gangs gathered for one request.
-const MOST_GANGS: u32 = 3;
-/// Endpoints asked for a gang.
-const MOST_GANG_SAMPLE: usize = 24;
 /// Pause before an attempt at the same bound sidecar is repeated.
 const BOUND_PAUSE: Duration = Duration::from_millis(50);
 /// Difference of two clocks within which both count as run out.
 const CLOCK_SLACK: Duration = Duration::from_millis(20);
-/// When to come back after a failure that tells nothing.
-const PLAIN_RETRY: Duration = Duration::from_millis(500);
 
 /// How often a request may run.
 #[derive(Clone, Debug)]
@@ -260,90 +258,6 @@
         Err(self.exhausted())
     }
 
-    fn exceeds_one_engine(&self) -> bool {
-        let needed = self.request.admitted.prompt_tokens + self.request.output_tokens;
-        self.request.long.is_some() && self.capacity > 0 && needed > self.capacity
-    }
-
-    /// Gathers gangs until one gives the whole answer.
-    async fn ganged(&mut self) -> Result<(), Failure> {
-        self.tried.clear();
-        for _ in 0..MOST_GANGS {
-            if self.left().is_zero() {
-                return Err(self.timed_out(Ran::No));
-            }
-            match self.gang().await {
-                Ok(Next::Over) => return Ok(()),
-                Ok(Next::Again) => {}
-                Ok(Next::Fail(failure)) => return Err(failure),
-                Err(failed) => {
-                    event!("gang-failed", request = %self.request.id, peer = %failed.target.endpoint, at = failed.step);
-                    // One that was only full is asked again.
-                    if failed.step != "wait-for-memory" {
-                        self.tried.push(failed.target.endpoint);
-                    }
-                }
-            }
-            self.spans = None;
-        }
-        Err(self.exhausted())
-    }
-
-    /// One gang: holds the spans' memory, fills them, and lets the last one's engine answer.
-    async fn gang(&mut self) -> Result<Next, gang::Failed> {
-        let Some(long) = self.request.long.clone() else { return Ok(Next::Fail(self.exhausted())) };
-        let bytes_per_token = self.request.admitted.bytes_per_token;
-        let texts = gang::cut(&long.text, bytes_per_token, self.capacity);
-        let tokens = |text: &Bytes| (text.len() as f64 / bytes_per_token).ceil() as u64;
-        let largest = texts.iter().map(tokens).max().unwrap_or(0);
-        let Some(targets) = self.gang_targets(texts.len(), largest).await else {
-            return Ok(Next::Fail(self.exhausted()));
-        };
-        let members: Vec<Member> = targets
-            .iter()
-            .zip(&texts)
-            .map(|(target, text)| Member { target: target.clone(), span: util::attempt(), tokens: tokens(text) })
-            .collect();
-        let Some(lead) = members.last().map(|member| member.target.clone()) else {
-            return Ok(Next::Fail(self.exhausted()));
-        };
-        event!("gang", request = %self.request.id, members = members.len(), peer = %lead.endpoint);
-        let texts: Vec<_> = members.iter().map(|member| member.span).zip(texts).collect();
-        let spans = Spans::hold(self.app, members, self.left() / 4).await?;
-        let filled = match tokio::time::timeout(self.left(), spans.fill(&texts)).await {
-            Ok(filled) => filled?,
-            Err(_) => return Ok(Next::Fail(self.timed_out(Ran::Unknown))),
-        };
-        event!("gang-filled", request = %self.request.id, tokens = filled.tokens);
-        self.spans = Some(filled);
-        let next = self.attempt(&lead, None, None, false).await;
-        spans.close();
-        Ok(next)
-    }
-
-    /// Members for a gang, in the nearest failure domain that has enough of them.
-    async fn gang_targets(&mut self, count: usize, span_tokens: u64) -> Option<Vec<Target>> {
-        let admitted = &self.request.admitted;
-        let search = Search {
-            service: admitted.service.clone(),
-            domains: admitted.domains.clone(),
-            hash: None,
-            exclude: self.tried.clone(),
-        };
-        let domains = self.app.shared.ask(|reply| Command::ByDomain(search, reply)).await.ok()?;
-        let ask = Ask { prompt_tokens: span_tokens, output_tokens: 0, chain: Chain::default(), ..self.ask() };
-        for targets in domains.into_iter().filter(|targets| targets.len() >= count) {
-            let sample = targets.into_iter().take(MOST_GANG_SAMPLE).collect();
-            let mut asked = upstream::quotes(self.app, sample, &ask).await;
-            asked.retain(|asked| asked.offer.quote.capacity_tokens >= span_tokens);
-            let needed: Duration = asked.iter().take(count).map(|asked| asked.offer.quote.ttft).sum();
-            if asked.len() >= count && needed <= self.left() {
-                return Some(asked.into_iter().take(count).map(|asked| asked.target).collect());
-            }
-        }
-        None
-    }
-
     fn exhausted(&self) -> Failure {
         if self.begun {
             return Failure::busy(
@@ -555,39 +469,6 @@
     }
 }
 
-/// Step of a failure on the caller's side.
-const CALLER: &str = "caller";
-/// Code of a call whose outcome may still be learned.
-const LOST: &str = "upstream_lost";
-/// Code of a call whose outcome can no longer be learned.
-const UNKNOWN: &str = "outcome_unknown";
-
-impl Failure {
-    fn code(mut self, code: &'static str) -> Self {
-        self.code = code;
-        self
-    }
-}
-
-fn lost(ran: Ran, message: impl Into<String>) -> Failure {
-    Failure::new(StatusCode::BAD_GATEWAY, LOST, message).ran(ran).after(PLAIN_RETRY)
-}
-
-fn outcome_unknown(binding: &Binding) -> Failure {
-    let message = format!("the call is bound to {} run {}, which is gone", binding.endpoint, binding.incarnation);
-    Failure::new(StatusCode::BAD_GATEWAY, UNKNOWN, message).ran(Ran::Unknown)
-}
-
-fn rejected(status: u16, message: String) -> Failure {
-    let code = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let code = if code.is_client_error() { code } else { StatusCode::BAD_GATEWAY };
-    Failure::new(code, "endpoint_rejected", message)
-}
-
-fn stopping(error: eyre::Report) -> Failure {
-    Failure::busy("stopping", error.to_string(), PLAIN_RETRY)
-}
-
 /// Counts an attempt at an endpoint while it lives.
 struct Outstanding<'a> {
     app: &'a App,
--- /dev/null
+++ b/standin/src/fleet/control.rs
@@ -0,0 +1,123 @@
+//! Starting, signalling and ending a fleet's processes, by id.
+
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::place::binary;
+use super::{Fleet, OPERATOR_ENV, OPERATOR_KEY, Process, TICKET_ENV};
+
+/// How long a process may take to end after SIGTERM.
+const END: Duration = Duration::from_secs(10);
+
+impl Fleet {
+    pub(super) fn write_settings(&self, name: &str, text: &str) -> Result<String> {
+        let path = self.spec.dir.join(format!("{name}.ini"));
+        std::fs::write(&path, text).wrap_err_with(|| format!("step=write-settings path={}", path.display()))?;
+        Ok(path.display().to_string())
+    }
+
+    pub(super) fn spawn(&mut self, name: &str, program: &str, args: Vec<String>) -> Result<()> {
+        let program = binary(program)?;
+        let child = self.launch(name, &program, &args)?;
+        self.processes.insert(name.to_owned(), Process { child, program, args });
+        Ok(())
+    }
+
+    fn launch(&self, name: &str, program: &Path, args: &[String]) -> Result<Child> {
+        let path = self.log_file(name);
+        let open = || std::fs::OpenOptions::new().create(true).append(true).open(&path);
+        let log = open().wrap_err_with(|| format!("step=open-log path={}", path.display()))?;
+        let errors = open().wrap_err_with(|| format!("step=open-log path={}", path.display()))?;
+        Command::new(program)
+            .args(args)
+            .env(OPERATOR_ENV, OPERATOR_KEY)
+            .env(TICKET_ENV, "ticket-key-of-a-stand-in-fleet")
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .wrap_err_with(|| format!("step=start-process name={name}"))
+    }
+
+    /// Where a process logs to.
+    pub fn log_file(&self, name: &str) -> PathBuf {
+        self.spec.dir.join(format!("{name}.log"))
+    }
+
+    /// Log files of all processes of the system.
+    pub fn log_files(&self) -> Vec<PathBuf> {
+        self.processes.keys().map(|name| self.log_file(name)).collect()
+    }
+
+    /// Names of the processes that run, in order.
+    pub fn names(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
+    /// The process id of a process.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        self.processes.get(name).map(|process| process.child.id())
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: Signal) -> Result<()> {
+        let pid = self.pid(name).ok_or_else(|| eyre!("step=signal: no process {name}"))?;
+        let pid = Pid::from_raw(pid as i32).ok_or_else(|| eyre!("step=signal: no process {name}"))?;
+        kill_process(pid, signal).wrap_err_with(|| format!("step=signal name={name}"))
+    }
+
+    /// Kills a process at once and reaps it.
+    pub fn kill(&mut self, name: &str) -> Result<()> {
+        let process = self.processes.get_mut(name).ok_or_else(|| eyre!("step=kill: no process {name}"))?;
+        let _ = process.child.kill();
+        process.child.wait().wrap_err_with(|| format!("step=kill name={name}"))?;
+        Ok(())
+    }
+
+    /// Starts a killed or ended process again with the same settings.
+    pub fn restart(&mut self, name: &str) -> Result<()> {
+        let process = self.processes.get(name).ok_or_else(|| eyre!("step=restart: no process {name}"))?;
+        let (program, args) = (process.program.clone(), process.args.clone());
+        let child = self.launch(name, &program, &args)?;
+        self.processes.insert(name.to_owned(), Process { child, program, args });
+        Ok(())
+    }
+
+    /// Waits until a process has ended by itself; whether it ended in time and well.
+    pub async fn wait_end(&mut self, name: &str, limit: Duration) -> Result<bool> {
+        let process = self.processes.get_mut(name).ok_or_else(|| eyre!("step=wait-end: no process {name}"))?;
+        let start = std::time::Instant::now();
+        while start.elapsed() < limit {
+            if let Some(status) = process.child.try_wait().wrap_err("step=wait-end")? {
+                return Ok(status.success());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(false)
+    }
+
+    /// Ends all processes: with a request first, then by force. Returns what did not end well by itself.
+    pub async fn close(mut self) -> Result<String> {
+        let names: Vec<String> = self.names();
+        let ours = |name: &&String| name.starts_with("entry-") || name.starts_with("sidecar-");
+        for name in names.iter().filter(ours) {
+            let _ = self.signal(name, Signal::CONT);
+            let _ = self.signal(name, Signal::TERM);
+        }
+        let mut stuck = String::new();
+        for name in names.iter().filter(ours) {
+            if !self.wait_end(name, END).await? {
+                let _ = write!(stuck, "{name} ");
+            }
+        }
+        for name in &names {
+            let _ = self.kill(name);
+        }
+        Ok(stuck)
+    }
+}
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet/mod.rs
@@ -3,19 +3,18 @@
 //! Used by the demo, the experiments and the tests. It ends only processes that it
 //! started, by id, and leaves their logs behind.
 
+mod control;
+mod place;
+
 use std::collections::{BTreeMap, HashMap};
-use std::fmt::Write as _;
-use std::net::TcpStream;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::path::PathBuf;
+use std::process::Child;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, bail, eyre};
-use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+use self::place::free_address;
 use crate::client::Client;
 use crate::engine::model::Sizes;
 use crate::mix::{Deployment, WORKSPACES};
@@ -28,8 +27,6 @@
 const TICKET_ENV: &str = "SORRELPASS_TICKET_SECRET";
 /// How long a fleet may take to be ready.
 const READY: Duration = Duration::from_secs(30);
-/// How long a process may take to end after SIGTERM.
-const END: Duration = Duration::from_secs(10);
 
 /// The bearer key of a workspace of a fleet.
 pub fn workspace_key(number: usize) -> String {
@@ -116,40 +113,6 @@
     pub addresses: HashMap<String, String>,
 }
 
-/// First port that a fleet may use. They lie below those from which the system takes ports
-/// for outgoing connections, so that a port handed out stays free until it is listened on.
-const FIRST_PORT: u16 = 10_000;
-/// Ports that a fleet may use, from the first on.
-const PORTS: u16 = 20_000;
-/// Ports between the starting points of two processes that use fleets at once.
-const PORTS_APART: u16 = 500;
-
-static NEXT_PORT: OnceLock<AtomicU16> = OnceLock::new();
-
-/// A free address on loopback, handed out once in this process.
-fn free_address() -> Result<String> {
-    let start = || AtomicU16::new((std::process::id() % u32::from(PORTS / PORTS_APART)) as u16 * PORTS_APART);
-    let next = NEXT_PORT.get_or_init(start);
-    for _ in 0..PORTS {
-        let port = FIRST_PORT + next.fetch_add(1, Ordering::Relaxed) % PORTS;
-        // Asked by connecting: a listener of ours would live on for a moment in a child that another
-        // thread forks just then, and be found in the way.
-        if TcpStream::connect(("127.0.0.1", port)).is_err() {
-            return Ok(format!("127.0.0.1:{port}"));
-        }
-    }
-    bail!("step=find-port: no free port")
-}
-
-/// The binary `name` beside the one that runs, or beside the folder of test binaries.
-fn binary(name: &str) -> Result<PathBuf> {
-    let own = std::env::current_exe().wrap_err("step=find-binary")?;
-    let found = own.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|path| path.is_file());
-    found.ok_or_else(|| {
-        eyre!("step=find-binary: no {name} beside {}; run `cargo build --workspace` first", own.display())
-    })
-}
-
 impl Fleet {
     /// Starts a fleet and waits until every entry is ready.
     pub async fn start(spec: Spec) -> Result<Self> {
@@ -371,92 +334,6 @@
         bail!("step=wait-ready peer={entry}: not ready after {} s", READY.as_secs())
     }
 
-    fn write_settings(&self, name: &str, text: &str) -> Result<String> {
-        let path = self.spec.dir.join(format!("{name}.ini"));
-        std::fs::write(&path, text).wrap_err_with(|| format!("step=write-settings path={}", path.display()))?;
-        Ok(path.display().to_string())
-    }
-
-    fn spawn(&mut self, name: &str, program: &str, args: Vec<String>) -> Result<()> {
-        let program = binary(program)?;
-        let child = self.launch(name, &program, &args)?;
-        self.processes.insert(name.to_owned(), Process { child, program, args });
-        Ok(())
-    }
-
-    fn launch(&self, name: &str, program: &Path, args: &[String]) -> Result<Child> {
-        let path = self.log_file(name);
-        let open = || std::fs::OpenOptions::new().create(true).append(true).open(&path);
-        let log = open().wrap_err_with(|| format!("step=open-log path={}", path.display()))?;
-        let errors = open().wrap_err_with(|| format!("step=open-log path={}", path.display()))?;
-        Command::new(program)
-            .args(args)
-            .env(OPERATOR_ENV, OPERATOR_KEY)
-            .env(TICKET_ENV, "ticket-key-of-a-stand-in-fleet")
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .wrap_err_with(|| format!("step=start-process name={name}"))
-    }
-
-    /// Where a process logs to.
-    pub fn log_file(&self, name: &str) -> PathBuf {
-        self.spec.dir.join(format!("{name}.log"))
-    }
-
-    /// Log files of all processes of the system.
-    pub fn log_files(&self) -> Vec<PathBuf> {
-        self.processes.keys().map(|name| self.log_file(name)).collect()
-    }
-
-    /// Names of the processes that run, in order.
-    pub fn names(&self) -> Vec<String> {
-        self.processes.keys().cloned().collect()
-    }
-
-    /// The process id of a process.
-    pub fn pid(&self, name: &str) -> Option<u32> {
-        self.processes.get(name).map(|process| process.child.id())
-    }
-
-    /// Sends a signal to a process.
-    pub fn signal(&self, name: &str, signal: Signal) -> Result<()> {
-        let pid = self.pid(name).ok_or_else(|| eyre!("step=signal: no process {name}"))?;
-        let pid = Pid::from_raw(pid as i32).ok_or_else(|| eyre!("step=signal: no process {name}"))?;
-        kill_process(pid, signal).wrap_err_with(|| format!("step=signal name={name}"))
-    }
-
-    /// Kills a process at once and reaps it.
-    pub fn kill(&mut self, name: &str) -> Result<()> {
-        let process = self.processes.get_mut(name).ok_or_else(|| eyre!("step=kill: no process {name}"))?;
-        let _ = process.child.kill();
-        process.child.wait().wrap_err_with(|| format!("step=kill name={name}"))?;
-        Ok(())
-    }
-
-    /// Starts a killed or ended process again with the same settings.
-    pub fn restart(&mut self, name: &str) -> Result<()> {
-        let process = self.processes.get(name).ok_or_else(|| eyre!("step=restart: no process {name}"))?;
-        let (program, args) = (process.program.clone(), process.args.clone());
-        let child = self.launch(name, &program, &args)?;
-        self.processes.insert(name.to_owned(), Process { child, program, args });
-        Ok(())
-    }
-
-    /// Waits until a process has ended by itself; whether it ended in time and well.
-    pub async fn wait_end(&mut self, name: &str, limit: Duration) -> Result<bool> {
-        let process = self.processes.get_mut(name).ok_or_else(|| eyre!("step=wait-end: no process {name}"))?;
-        let start = std::time::Instant::now();
-        while start.elapsed() < limit {
-            if let Some(status) = process.child.try_wait().wrap_err("step=wait-end")? {
-                return Ok(status.success());
-            }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        Ok(false)
-    }
-
     /// Switches a fault on at a stand-in.
     pub async fn fault(&self, name: &str, fault: &Value) -> Result<()> {
         let address = self.addresses.get(name).ok_or_else(|| eyre!("step=fault: no stand-in {name}"))?;
@@ -501,26 +378,6 @@
         }
         Ok(found)
     }
-
-    /// Ends all processes: with a request first, then by force. Returns what did not end well by itself.
-    pub async fn close(mut self) -> Result<String> {
-        let names: Vec<String> = self.names();
-        let ours = |name: &&String| name.starts_with("entry-") || name.starts_with("sidecar-");
-        for name in names.iter().filter(ours) {
-            let _ = self.signal(name, Signal::CONT);
-            let _ = self.signal(name, Signal::TERM);
-        }
-        let mut stuck = String::new();
-        for name in names.iter().filter(ours) {
-            if !self.wait_end(name, END).await? {
-                let _ = write!(stuck, "{name} ");
-            }
-        }
-        for name in &names {
-            let _ = self.kill(name);
-        }
-        Ok(stuck)
-    }
 }
 
 impl Drop for Fleet {
