Capacity from measured slopes; entries use a bounded sample

Working it out showed two rows that grew with the fleet for no need: 1. A sidecar's question for news was answered with the list of all entries each time: at 770 entries 17 KB per question (by reckoning). It is now sent only when its digest differs from what the asker knows. 2. An entry could come to use, and connect to, every endpoint. It now keeps to a sample of 256 per service (a setting), chosen by rendezvous on its name.

--- a/coord/src/membership.rs
+++ b/coord/src/membership.rs
@@ -1,12 +1,13 @@
 //! Members as one entry sees them: a listed set, what use has shown, and who is leaving.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::name::{Incarnation, Name};
-use crate::pick::Candidate;
+use crate::pick::{Candidate, rendezvous};
 use crate::time::Moment;
 
 /// A VM as the platform lists it.
@@ -95,13 +96,24 @@
 pub struct Members {
     home: Name,
     distance: u64,
+    sample: Sample,
     members: BTreeMap<Name, Member>,
 }
 
+/// How many endpoints of one service a process uses, and which: its own choice by rendezvous, so
+/// that what it remembers and connects to does not grow with the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Most endpoints of one service.
+    pub most: usize,
+    /// Hash of the process's name.
+    pub hash: u64,
+}
+
 impl Members {
     /// No members yet; `home` is the entry's failure domain, `distance` the extra microseconds to others.
-    pub fn new(home: Name, distance: u64) -> Self {
-        Self { home, distance, members: BTreeMap::new() }
+    pub fn new(home: Name, distance: u64, sample: Sample) -> Self {
+        Self { home, distance, sample, members: BTreeMap::new() }
     }
 
     /// Takes the platform's list: new VMs come in, vanished ones go.
@@ -179,7 +191,16 @@
         let all: Vec<&Member> = self.members.values().filter(fits).collect();
         let ready: Vec<&Member> = all.iter().copied().filter(|member| member.takes_work(now)).collect();
         let from = if ready.is_empty() { all } else { ready };
-        from.into_iter().map(|member| self.candidate(member)).collect()
+        self.sampled(from).into_iter().map(|member| self.candidate(member)).collect()
+    }
+
+    /// Of more endpoints than the sample holds, those that rendezvous hashing gives this process.
+    fn sampled<'a>(&self, mut from: Vec<&'a Member>) -> Vec<&'a Member> {
+        if from.len() > self.sample.most {
+            from.sort_by_cached_key(|member| Reverse(rendezvous(self.sample.hash, &member.vm.name)));
+            from.truncate(self.sample.most);
+        }
+        from
     }
 
     fn candidate(&self, member: &Member) -> Candidate {
--- a/coord/tests/parts.rs
+++ b/coord/tests/parts.rs
@@ -8,7 +8,7 @@
 use coord::claim::{Binding, Board, Key};
 use coord::estimate::Quantile;
 use coord::fence::{Fence, Guard, Lease};
-use coord::membership::{Members, Role, Vm};
+use coord::membership::{Members, Role, Sample, Vm};
 use coord::memory::Ledger;
 use coord::name::{Attempt, Incarnation, Name};
 use coord::pick::{self, Candidate, Picker, Quoted};
@@ -140,7 +140,7 @@
 
 #[test]
 fn what_leaves_by_anyones_word_is_no_candidate() {
-    let mut members = Members::new("d".into(), 0);
+    let mut members = Members::new("d".into(), 0, Sample { most: 256, hash: 1 });
     members.list([vm("a", "d"), vm("b", "d"), vm("c", "d"), vm("e", "d")]);
     members.heard(&"a".into(), Incarnation(1), true);
     members.drain(|name| **name == *"b");
@@ -150,7 +150,7 @@
 
 #[test]
 fn what_failed_is_left_alone_for_a_growing_while_unless_nothing_else_is_left() {
-    let mut members = Members::new("d".into(), 0);
+    let mut members = Members::new("d".into(), 0, Sample { most: 256, hash: 1 });
     members.list([vm("a", "d"), vm("b", "d")]);
     members.failed(&"a".into(), at(1_000));
     assert_eq!(names(&members, at(1_100)), ["b"]);
@@ -163,6 +163,23 @@
     assert_eq!(names(&members, at(1_560)), ["a"]);
 }
 
+#[test]
+fn a_process_uses_a_bounded_sample_and_keeps_to_it_as_endpoints_come_and_go() {
+    let listed = |count: usize| (0..count).map(|number| vm(&format!("e{number}"), "d")).collect::<Vec<_>>();
+    let mut members = Members::new("d".into(), 0, Sample { most: 64, hash: 7 });
+    members.list(listed(12_000));
+    let before = names(&members, at(0));
+    assert_eq!(before.len(), 64);
+    members.list(listed(11_900));
+    let after = names(&members, at(0));
+    let kept = before.iter().filter(|name| after.contains(name)).count();
+    assert!(kept >= 60, "{kept} of 64 kept");
+    let mut other = Members::new("d".into(), 0, Sample { most: 64, hash: 8 });
+    other.list(listed(12_000));
+    let shared = names(&other, at(0)).iter().filter(|name| before.contains(name)).count();
+    assert!(shared < 10, "{shared} of 64 shared with another process");
+}
+
 #[test]
 fn equal_prompts_meet_at_the_same_endpoints_and_few_move_when_one_leaves() {
     let candidates = |count: usize| -> Vec<Candidate> {
--- a/sorrelpass/src/config/mod.rs
+++ b/sorrelpass/src/config/mod.rs
@@ -62,6 +62,8 @@
     pub picker: &'static str,
     /// Endpoints asked for each request.
     pub candidates: usize,
+    /// Most endpoints of one service that this entry uses.
+    pub sample: usize,
     /// Largest body, in bytes.
     pub max_body_bytes: usize,
     /// Bytes of bodies held at once.
@@ -191,6 +193,7 @@
     let pickers = plugin::names::<PickerPlugin>(|plugin| plugin.name);
     let picker = reader.choice("entry", "picker", &pickers, "quoted");
     let candidates = reader.number("entry", "candidates", 1..=16, 3);
+    let sample = reader.number("entry", "sample", 1..=1 << 20, 256);
     let max_body_bytes = reader.number("entry", "max_body_bytes", 1_024..=1 << 30, 16 << 20);
     let body_budget_bytes = reader.number("entry", "body_budget_bytes", 1_024..=1 << 36, 256 << 20);
     let quote_timeout = reader.millis("entry", "quote_timeout_ms", 1..=60_000, 100);
@@ -214,6 +217,7 @@
         threads,
         picker,
         candidates,
+        sample,
         max_body_bytes,
         body_budget_bytes,
         quote_timeout,
--- a/sorrelpass/src/entry/kernel/mod.rs
+++ b/sorrelpass/src/entry/kernel/mod.rs
@@ -10,7 +10,7 @@
 use axum::http::StatusCode;
 use coord::budget::Budget;
 use coord::intent::{ALL_WORKSPACES, Config, Intent, Workspace};
-use coord::membership::{Members, Vm};
+use coord::membership::{Members, Sample, Vm};
 use coord::name::Name;
 use coord::pick::Picker;
 use coord::time::micros;
@@ -49,10 +49,12 @@
     fn new(settings: Entry) -> Self {
         let picker = plugin::find::<PickerPlugin>(settings.picker, |plugin| plugin.name);
         let picker = picker.map_or_else(|| Box::new(coord::pick::LeastOutstanding) as Box<_>, |plugin| (plugin.make)());
+        let hash = xxhash_rust::xxh3::xxh3_64(settings.process.name.as_bytes());
+        let sample = Sample { most: settings.sample, hash };
         Self {
             config: Arc::default(),
             by_key: HashMap::new(),
-            members: Members::new(settings.process.failure_domain.clone(), micros(settings.distance)),
+            members: Members::new(settings.process.failure_domain.clone(), micros(settings.distance), sample),
             picker,
             budget: Budget::new(settings.retry_share, RETRY_CAP),
             meters: Meters::new(util::now()),
--- a/sorrelpass/src/entry/peer.rs
+++ b/sorrelpass/src/entry/peer.rs
@@ -33,8 +33,8 @@
     pub revision: u64,
     /// Whether operators drain the endpoint.
     pub drained: bool,
-    /// Peer addresses of all entries.
-    pub entries: Vec<Name>,
+    /// Peer addresses of all entries, unless they are those that the asker knows.
+    pub entries: Option<Vec<Name>>,
     /// The order to the endpoint that counts.
     pub order: Option<Order>,
 }
@@ -50,6 +50,13 @@
     pub drained: bool,
     /// Offset of the newest order that it was told.
     pub order: Option<u64>,
+    /// Digest of the entries that it was told: at size the list alone would be most of the traffic.
+    pub entries: u64,
+}
+
+/// The digest of a list of entries.
+pub fn digest(entries: &[Name]) -> u64 {
+    entries.iter().fold(0, |digest, entry| xxhash_rust::xxh3::xxh3_64_with_seed(entry.as_bytes(), digest))
 }
 
 /// What entries answer.
@@ -81,7 +88,7 @@
 #[async_trait]
 impl PeerServer for Answers {
     async fn brief(&self, known: Known, wait_ms: u64) -> RpcResult<Brief> {
-        let Known { endpoint, revision, drained, order } = known;
+        let Known { endpoint, revision, drained, order, entries: known_entries } = known;
         let (mut config, mut orders) = (self.0.config.clone(), self.0.orders.clone());
         let news = async {
             tokio::select! {
@@ -94,6 +101,7 @@
         let order = self.0.orders.borrow().get(&endpoint).cloned();
         let mut entries = members::entries(&self.0.vms.borrow());
         entries.sort_unstable();
+        let entries = Some(entries).filter(|entries| digest(entries) != known_entries);
         Ok(Brief { revision: config.revision, drained: config.drained.contains(&endpoint), entries, order })
     }
 
--- a/sorrelpass/src/sidecar/control.rs
+++ b/sorrelpass/src/sidecar/control.rs
@@ -52,7 +52,7 @@
     let mut entries = shared.settings.entries.clone();
     let mut orders = Orders::new();
     let endpoint = shared.settings.endpoint.clone();
-    let mut known = Known { endpoint, revision: 0, drained: false, order: None };
+    let mut known = Known { endpoint, revision: 0, drained: false, order: None, entries: 0 };
     let mut turn = 0;
     loop {
         let assigned = coord::pick::chosen(hash, entries.iter(), ASSIGNED);
@@ -68,8 +68,9 @@
                 if let Some(order) = brief.order {
                     orders.take(order);
                 }
-                if !brief.entries.is_empty() {
-                    entries = brief.entries;
+                if let Some(told) = brief.entries.filter(|told| !told.is_empty()) {
+                    known.entries = peer::digest(&told);
+                    entries = told;
                 }
             }
             Err(error) => {
@@ -78,6 +79,7 @@
                 // An assigned entry may be gone for good: the settings' ones are asked too.
                 if turn.is_multiple_of(2 * ASSIGNED) {
                     entries = shared.settings.entries.clone();
+                    known.entries = 0;
                 }
                 tokio::time::sleep(util::jitter(BRIEF_RETRY)).await;
             }
--- a/sorrelpass/tests/check.rs
+++ b/sorrelpass/tests/check.rs
@@ -55,3 +55,63 @@
     let (text, ok) = sorrelpass(&["check", "no-such-file.ini"]);
     assert!(!ok && text.contains("no-such-file.ini"), "{text}");
 }
+
+/// Keys that a table of docs/OPERATING.md names under a heading such as `[entry]`.
+fn documented(section: &str) -> Vec<String> {
+    let page = include_str!("../../docs/OPERATING.md");
+    let start = page.find(&format!("`[{section}]`")).expect("the section has a table");
+    let table = page[start..]
+        .lines()
+        .skip(1)
+        .skip_while(|line| !line.starts_with('|'))
+        .take_while(|line| line.starts_with('|'));
+    let cells = table.skip(2).filter_map(|line| line.split('|').nth(1));
+    // `a`, `b` are two keys; `x_file` / `_env` are x_file and x_env.
+    cells
+        .flat_map(|cell| {
+            let words: Vec<&str> = cell.split('`').skip(1).step_by(2).collect();
+            let first = words[0].to_owned();
+            words
+                .into_iter()
+                .map(move |word| match word.strip_prefix('_') {
+                    Some(suffix) => format!("{}_{suffix}", first.trim_end_matches("_file")),
+                    None => word.to_owned(),
+                })
+                .collect::<Vec<_>>()
+        })
+        .collect()
+}
+
+/// Keys that the source asks for in a section.
+fn asked(section: &str) -> Vec<String> {
+    let source: String = include_str!("../src/config/mod.rs").split_whitespace().collect();
+    let marker = format!("(\"{section}\",\"");
+    let with_reader = format!("(reader,\"{section}\",\"");
+    let mut keys = Vec::new();
+    for marker in [marker, with_reader] {
+        for (at, _) in source.match_indices(&marker) {
+            let before = &source[..at];
+            let key = source[at + marker.len()..].split('"').next().expect("a key").to_owned();
+            if before.ends_with("reader.fault") {
+                continue;
+            }
+            if before.ends_with("reader.secret") {
+                keys.extend([format!("{key}_file"), format!("{key}_env")]);
+            } else {
+                keys.push(key);
+            }
+        }
+    }
+    keys
+}
+
+#[test]
+fn the_operators_page_names_exactly_the_settings_that_there_are() {
+    for section in ["process", "platform", "entry", "sidecar"] {
+        let (mut page, mut code) = (documented(section), asked(section));
+        page.sort_unstable();
+        code.sort_unstable();
+        code.dedup();
+        assert_eq!(page, code, "[{section}]");
+    }
+}
--- a/standin/src/cmd/mod.rs
+++ b/standin/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod listen;
 mod load;
+mod overhead;
 mod scale;
 mod soak;
 
@@ -42,6 +43,9 @@
     /// Compares pickers and queue orders under the same arrivals
     Compare(#[bpaf(external(compare::args))] compare::Args),
     #[bpaf(command)]
+    /// Measures what entry and sidecar add against calling the engine directly
+    Overhead(#[bpaf(external(overhead::args))] overhead::Args),
+    #[bpaf(command)]
     /// Measures how what a process uses grows with the fleet and the load
     Scale(#[bpaf(external(scale::args))] scale::Args),
     #[bpaf(command)]
@@ -87,6 +91,7 @@
             Command::Demo(args) => demo::run(args).await,
             Command::Load(args) => load::run(args).await,
             Command::Compare(args) => compare::run(args).await,
+            Command::Overhead(args) => overhead::run(args).await,
             Command::Scale(args) => scale::run(args).await,
             Command::Soak(args) => soak::run(args).await,
         }
--- a/standin/src/cmd/scale.rs
+++ b/standin/src/cmd/scale.rs
@@ -1,6 +1,6 @@
 //! Measures slopes for docs/CAPACITY.md.
 //!
-//! Usage: standin scale [--only members|workspaces|claims|requests] [--seconds N] [--json FILE]
+//! Usage: standin scale [--only members|listed|workspaces|claims|requests] [--seconds N] [--json FILE]
 //!
 //! Real entries and sidecars on loopback, at most some two hundred processes and well under half
 //! of the machine's memory. For each step it prints the points, the fitted line and its residual.
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(args))]
 pub struct Args {
-    /// Only this step: members, workspaces, claims or requests
+    /// Only this step: members, listed, workspaces, claims or requests
     #[bpaf(argument("STEP"), optional)]
     only: Option<String>,
     /// How long each point is measured, in seconds
@@ -30,6 +30,10 @@
 
 /// Sidecars before one entry.
 const MEMBERS: [usize; 4] = [20, 50, 100, 200];
+/// VMs on the platform's list.
+const LISTED: [usize; 4] = [1_000, 4_000, 8_000, 12_000];
+/// How often the list is read meanwhile.
+const LISTED_POLL_MS: u64 = 1_000;
 /// Workspaces in the configuration.
 const WORKSPACES: [usize; 3] = [1_000, 10_000, 35_000];
 /// Changes measured at each size.
@@ -49,6 +53,9 @@
     if wanted("members") {
         all.extend(scale::members(&MEMBERS, span).await?);
     }
+    if wanted("listed") {
+        all.extend(scale::listed(&LISTED, LISTED_POLL_MS, span).await?);
+    }
     if wanted("workspaces") {
         all.extend(scale::workspaces(&WORKSPACES, CHANGES).await?);
     }
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -56,6 +56,8 @@
     pub order: String,
     /// How late the VM list is, in milliseconds.
     pub vms_lag_ms: u64,
+    /// How often entries read the VM list, in milliseconds.
+    pub vms_poll_ms: u64,
     /// How long the log keeps records, in milliseconds.
     pub retention_ms: u64,
     /// Lines added to every entry's section.
@@ -80,6 +82,7 @@
             picker: "quoted".into(),
             order: "slack".into(),
             vms_lag_ms: 50,
+            vms_poll_ms: 200,
             retention_ms: 24 * 3_600 * 1_000,
             entry_settings: String::new(),
             sidecar_settings: String::new(),
@@ -257,12 +260,13 @@
         let text = format!(
             "[process]\nname = {name}\nfailure_domain = {domain}\n\n[entry]\nlisten = {listen}\npeer_listen = {peer}\n\
              peers = {}\npicker = {}\noperator_secret_env = {OPERATOR_ENV}\nticket_secret_env = {TICKET_ENV}\n{}\n\n\
-             [platform]\nlog_address = {}\nvms_address = {}\nvms_poll_ms = 200\n",
+             [platform]\nlog_address = {}\nvms_address = {}\nvms_poll_ms = {}\n",
             self.peers(),
             self.spec.picker,
             self.spec.entry_settings,
             self.addresses["log"],
             self.addresses["vms"],
+            self.spec.vms_poll_ms,
         );
         let file = self.write_settings(name, &text)?;
         self.spawn(name, "sorrelpass", vec!["entry".to_owned(), file])
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ledger;
 pub mod log;
 pub mod mix;
+pub mod overhead;
 pub mod probe;
 pub mod report;
 pub mod run;
--- /dev/null
+++ b/standin/src/overhead.rs
@@ -0,0 +1,143 @@
+//! What entry and sidecar add against calling the engine stand-in directly, in one run.
+
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use serde::Serialize;
+
+use crate::client::{Client, Prompt};
+use crate::engine::model::Sizes;
+use crate::fleet::{Fleet, Spec, workspace_key};
+use crate::probe;
+use crate::report::{Quantiles, quantiles};
+use crate::text;
+
+/// Bytes in a mebibyte.
+const MIB: f64 = 1_048_576.0;
+/// Prompt tokens of each request: few, so that the engine's time is short.
+const PROMPT_TOKENS: usize = 64;
+
+/// One number of streams at once.
+#[derive(Clone, Debug, Serialize)]
+pub struct Level {
+    /// Streams at once.
+    pub streams: usize,
+    /// First token of direct calls, ms.
+    pub direct_ms: Quantiles,
+    /// First token through entry and sidecar, ms.
+    pub through_ms: Quantiles,
+    /// Output tokens a second of direct calls.
+    pub direct_tokens_per_s: f64,
+    /// Output tokens a second through entry and sidecar.
+    pub through_tokens_per_s: f64,
+    /// Resident memory of the entry, MiB.
+    pub entry_mib: f64,
+    /// Resident memory of the sidecar, MiB.
+    pub sidecar_mib: f64,
+}
+
+/// Measures every number of streams, direct and through by turns.
+pub async fn measure(levels: &[usize], output: u64, speed: f64, span: Duration) -> Result<Vec<Level>> {
+    let sizes = Sizes { speed, slots: 4_096, memory: 100_000_000, ..Sizes::default() };
+    let settings = "queue = 4096\n".to_owned();
+    let entry_settings = "threads = 3\nquote_timeout_ms = 2000\n".to_owned();
+    let spec = Spec {
+        entries: 1,
+        engines: 1,
+        services: 1,
+        sizes,
+        sidecar_settings: settings,
+        entry_settings,
+        ..Spec::small("overhead")
+    };
+    let fleet = Fleet::start(spec).await?;
+    let model = fleet.spec.deployment.model();
+    let engine = fleet.addresses[&format!("{model}-0")].clone();
+    let entry = fleet.entries[0].clone();
+    let mut measured = Vec::new();
+    for streams in levels {
+        let direct = closed_loop(&fleet.client, &engine, model, *streams, output, span).await;
+        let through = closed_loop(&fleet.client, &entry, model, *streams, output, span).await;
+        let resident =
+            |name: &str| fleet.pid(name).and_then(probe::read).map_or(0.0, |read| read.resident as f64 / MIB);
+        measured.push(Level {
+            streams: *streams,
+            direct_ms: direct.0,
+            through_ms: through.0,
+            direct_tokens_per_s: direct.1,
+            through_tokens_per_s: through.1,
+            entry_mib: resident("entry-0"),
+            sidecar_mib: resident(&format!("sidecar-{model}-0")),
+        });
+    }
+    fleet.close().await?;
+    Ok(measured)
+}
+
+/// So many callers, each sending the next prompt when the last answer is over.
+async fn closed_loop(
+    client: &Client,
+    address: &str,
+    model: &str,
+    streams: usize,
+    output: u64,
+    span: Duration,
+) -> (Quantiles, f64) {
+    let start = Instant::now();
+    let callers = (0..streams).map(|caller| {
+        let (client, address, model) = (client.clone(), address.to_owned(), model.to_owned());
+        tokio::spawn(async move {
+            let mut firsts = Vec::new();
+            let mut tokens = 0;
+            let mut seed = caller as u64;
+            while start.elapsed() < span {
+                seed += streams as u64;
+                let prompt = Prompt {
+                    model: model.clone(),
+                    key: workspace_key(0),
+                    text: text::prompt(PROMPT_TOKENS, seed),
+                    output,
+                    stream: true,
+                    deadline: Duration::from_secs(30),
+                    headers: Vec::new(),
+                };
+                let seen = client.prompt(&address, &prompt).await;
+                if seen.ended {
+                    firsts.extend(seen.ttft);
+                    tokens += output;
+                }
+            }
+            (firsts, tokens)
+        })
+    });
+    let all = futures_util::future::join_all(callers).await;
+    let took = start.elapsed().as_secs_f64();
+    let done: Vec<(Vec<Duration>, u64)> = all.into_iter().flatten().collect();
+    let tokens: u64 = done.iter().map(|(_, tokens)| tokens).sum();
+    (quantiles(done.into_iter().flat_map(|(firsts, _)| firsts)), tokens as f64 / took)
+}
+
+/// The measurements as a table in Markdown.
+pub fn table(levels: &[Level]) -> String {
+    let mut out = String::from(
+        "| streams | direct p50 ms | p99 | through p50 | p99 | added p50 | added p99 | direct tokens/s | through tokens/s | entry MiB | sidecar MiB |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|\n",
+    );
+    for level in levels {
+        out.push_str(&format!(
+            "| {} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {:.0} | {:.0} | {:.1} | {:.1} |\n",
+            level.streams,
+            level.direct_ms.p50,
+            level.direct_ms.p99,
+            level.through_ms.p50,
+            level.through_ms.p99,
+            level.through_ms.p50 - level.direct_ms.p50,
+            level.through_ms.p99 - level.direct_ms.p99,
+            level.direct_tokens_per_s,
+            level.through_tokens_per_s,
+            level.entry_mib,
+            level.sidecar_mib,
+        ));
+    }
+    out
+}
--- a/standin/src/scale.rs
+++ b/standin/src/scale.rs
@@ -116,6 +116,35 @@
     Ok(names.into_iter().zip(points).map(|(name, points)| series("sidecars", name, points)).collect())
 }
 
+/// One entry before a list of more and more VMs that it never calls.
+pub async fn listed(sizes: &[usize], poll_ms: u64, span: Duration) -> Result<Vec<Series>> {
+    let mut points: [Vec<(f64, f64)>; 3] = Default::default();
+    let spec = Spec { entries: 1, engines: 1, services: 1, vms_poll_ms: poll_ms, ..Spec::small("scale-listed") };
+    let fleet = Fleet::start(spec).await?;
+    let sidecar = format!("sidecar-{}-0", fleet.spec.deployment.model());
+    let mut listed = 0;
+    for size in sizes {
+        for number in listed..*size {
+            let name = format!("listed-{number}");
+            let vm = json!({ "name": name, "address": "127.0.0.1:1", "role": "endpoint", "service": "elsewhere",
+                "failure_domain": format!("domain-{}", number % 11), "leaving": false });
+            fleet.list_vm(&name, &vm).await?;
+        }
+        listed = *size;
+        tokio::time::sleep(SETTLE).await;
+        let used = used(&fleet, &sidecar, tokio::time::sleep(span)).await?;
+        let values = [used.entry_cores, used.entry_mib, used.bytes_per_s / 1_024.0];
+        points.iter_mut().zip(values).for_each(|(points, value)| points.push((*size as f64, value)));
+    }
+    fleet.close().await?;
+    let names = ["entry, cores", "entry, resident MiB", "loopback, whole fleet, KiB/s"];
+    Ok(names
+        .into_iter()
+        .zip(points)
+        .map(|(name, points)| series("VMs listed, one poll a second", name, points))
+        .collect())
+}
+
 async fn grow(fleet: &Fleet, from: usize, to: usize) -> Result<u64> {
     let mut revision = 0;
     let numbers: Vec<usize> = (from..to).collect();
