Repeated logic made one; memory under prompts of a million tokens

Cause: `duplicates` names the calls to an endpoint (engine and plain service sent and judged a request alike) and the two event macros as the same logic twice; the exchange of limits was a global. One `send`, one `log_event!`, and a field of the shared state now serve both.

`standin overhead` gains the memory of entry and sidecar under 0, 1 and 10 prompts of a million tokens. Not run on an idle machine yet; its figures go into docs/MEASUREMENTS.md when they are.

--- a/sorrelpass/src/entry/limits.rs
+++ b/sorrelpass/src/entry/limits.rs
@@ -2,7 +2,6 @@
 //! which the others report what was asked of them and which shares the limit out.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use coord::intent::{Config, Workspace};
@@ -55,12 +54,12 @@
     }
 }
 
-static EXCHANGE: Mutex<Option<Exchange>> = Mutex::new(None);
-
-/// Takes a report at the owner.
-pub fn report(config: &Config, entry: &Name, demands: Vec<Demand>) -> Vec<Share> {
-    let mut exchange = EXCHANGE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-    exchange.get_or_insert_default().report(config, entry, demands, util::now())
+/// Takes a report at the owner. The lock is between the threads `members` and `peer`; no
+/// request waits for it.
+pub fn report(shared: &Shared, entry: &Name, demands: Vec<Demand>) -> Vec<Share> {
+    let config = shared.config.borrow().clone();
+    let mut exchange = shared.exchange.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    exchange.report(&config, entry, demands, util::now())
 }
 
 /// Reports demand again and again.
@@ -97,7 +96,7 @@
 async fn ask_owner(shared: &Shared, own: &Name, owner: &Name, demands: Vec<Demand>, entries: usize) -> Vec<Share> {
     let config = shared.config.borrow().clone();
     if owner == own {
-        return report(&config, own, demands);
+        return report(shared, own, demands);
     }
     match peer::report(owner, own, &demands).await {
         Ok(shares) => shares,
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -24,7 +24,7 @@
 mod upstream;
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use coord::intent::Config;
@@ -62,6 +62,8 @@
     pub vms: watch::Receiver<Arc<Vec<Vm>>>,
     /// Orders that count, by endpoint.
     pub orders: watch::Receiver<Arc<HashMap<Name, Order>>>,
+    /// Demand on the limits that this entry owns.
+    pub exchange: Mutex<limits::Exchange>,
     /// Bytes of bodies that may still be held.
     pub body_budget: Arc<Semaphore>,
     /// Whether this entry has been told to stop.
@@ -117,6 +119,7 @@
         config,
         vms,
         orders,
+        exchange: Mutex::default(),
         body_budget,
         stopping,
     });
--- a/sorrelpass/src/entry/peer.rs
+++ b/sorrelpass/src/entry/peer.rs
@@ -123,8 +123,7 @@
     }
 
     async fn report(&self, entry: Name, demands: Vec<Demand>) -> RpcResult<Vec<Share>> {
-        let config = self.0.config.borrow().clone();
-        Ok(limits::report(&config, &entry, demands))
+        Ok(limits::report(&self.0, &entry, demands))
     }
 }
 
--- a/sorrelpass/src/sidecar/engine.rs
+++ b/sorrelpass/src/sidecar/engine.rs
@@ -51,6 +51,19 @@
     })
 }
 
+/// Sends a request to the endpoint; an endpoint that could not be connected to has not run it.
+pub async fn send(
+    request: http::request::Builder,
+    upload: Upload,
+) -> Result<hyper::Response<hyper::body::Incoming>, Failure> {
+    let request =
+        request.body(upload.into_body()).map_err(|error| Failure::unknown("build-request", error.to_string()))?;
+    client().request(request).await.map_err(|error| {
+        let failure = Failure::unknown("call", error.to_string());
+        if error.is_connect() { Failure { ran: Ran::No, step: "connect", ..failure } } else { failure }
+    })
+}
+
 /// One event of an engine's stream.
 #[derive(Deserialize)]
 struct Event<'a> {
@@ -101,15 +114,7 @@
     for (name, value) in &open.call.headers {
         request = request.header(name, value);
     }
-    let request =
-        request.body(upload.into_body()).map_err(|error| Failure::unknown("build-request", error.to_string()))?;
-    let response = match client().request(request).await {
-        Ok(response) => response,
-        Err(error) if error.is_connect() => {
-            return Err(Failure { ran: Ran::No, step: "connect", message: error.to_string(), status: None });
-        }
-        Err(error) => return Err(Failure::unknown("call", error.to_string())),
-    };
+    let response = send(request, upload).await?;
     let status = response.status();
     let mut body = response.into_body();
     if !status.is_success() {
--- a/sorrelpass/src/sidecar/plain.rs
+++ b/sorrelpass/src/sidecar/plain.rs
@@ -1,12 +1,11 @@
 //! Calls to a plain service: method, body, query and status carried through.
 
-use coord::name::Ran;
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::header::HeaderMap;
 
 use super::Shared;
-use super::engine::client;
+use super::engine::send;
 use super::job::{Failure, Upload, Writer};
 use crate::wire::{Frame, Open, Usage};
 
@@ -30,15 +29,7 @@
     for (name, value) in &open.call.headers {
         request = request.header(name, value);
     }
-    let request =
-        request.body(upload.into_body()).map_err(|error| Failure::unknown("build-request", error.to_string()))?;
-    let response = match client().request(request).await {
-        Ok(response) => response,
-        Err(error) if error.is_connect() => {
-            return Err(Failure { ran: Ran::No, step: "connect", message: error.to_string(), status: None });
-        }
-        Err(error) => return Err(Failure::unknown("call", error.to_string())),
-    };
+    let response = send(request, upload).await?;
     let (head, mut body) = response.into_parts();
     let frame = Frame::Head { status: head.status.as_u16(), headers: passed_on(&head.headers) };
     writer.output.send(&frame).await?;
--- a/sorrelpass/src/timeline.rs
+++ b/sorrelpass/src/timeline.rs
@@ -51,22 +51,20 @@
 /// Logs one event: `event!("step", peer = …, request = …)`.
 #[macro_export]
 macro_rules! event {
-    ($step:expr $(, $($fields:tt)*)?) => {
-        tracing::info!(
-            hlc = $crate::timeline::stamp(),
-            process = $crate::timeline::process(),
-            incarnation = %$crate::util::incarnation(),
-            step = $step
-            $(, $($fields)*)?
-        )
-    };
+    ($($fields:tt)*) => { $crate::log_event!(info, $($fields)*) };
 }
 
 /// Logs one event that an operator should look at.
 #[macro_export]
 macro_rules! warn_event {
-    ($step:expr $(, $($fields:tt)*)?) => {
-        tracing::warn!(
+    ($($fields:tt)*) => { $crate::log_event!(warn, $($fields)*) };
+}
+
+/// Logs one event at a level, with the stamp and the process's names.
+#[macro_export]
+macro_rules! log_event {
+    ($level:ident, $step:expr $(, $($fields:tt)*)?) => {
+        tracing::$level!(
             hlc = $crate::timeline::stamp(),
             process = $crate::timeline::process(),
             incarnation = %$crate::util::incarnation(),
--- a/standin/src/overhead.rs
+++ b/standin/src/overhead.rs
@@ -74,6 +74,60 @@
     Ok(measured)
 }
 
+/// Peak resident memory while large prompts are in flight.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Large {
+    /// Prompts of a million tokens at once.
+    pub prompts: usize,
+    /// Whole answers.
+    pub whole: usize,
+    /// Of the entry, MiB.
+    pub entry_mib: f64,
+    /// Of the sidecar with the most, MiB.
+    pub sidecar_mib: f64,
+}
+
+/// Measures memory under prompts of a million tokens, on engines that hold them whole.
+pub async fn large(counts: &[usize]) -> Result<Vec<Large>> {
+    let sizes = Sizes { speed: 100.0, memory: 20_000_000, ..Sizes::default() };
+    let fleet = Fleet::start(Spec { entries: 1, engines: 2, services: 1, sizes, ..Spec::small("large") }).await?;
+    let model = fleet.spec.deployment.model();
+    let mut measured = Vec::new();
+    for count in counts {
+        let prompts: Vec<Prompt> = (0..*count)
+            .map(|seed| Prompt {
+                model: model.to_owned(),
+                key: workspace_key(0),
+                text: text::prompt(1_000_000, seed as u64),
+                output: 20,
+                stream: true,
+                deadline: Duration::from_secs(60),
+                headers: Vec::new(),
+            })
+            .collect();
+        let sent =
+            futures_util::future::join_all(prompts.iter().map(|prompt| fleet.client.prompt(&fleet.entries[0], prompt)));
+        tokio::pin!(sent);
+        let mut peak = Large { prompts: *count, whole: 0, entry_mib: 0.0, sidecar_mib: 0.0 };
+        let resident =
+            |name: &str| fleet.pid(name).and_then(probe::read).map_or(0.0, |read| read.resident as f64 / MIB);
+        let seen = loop {
+            peak.entry_mib = resident("entry-0").max(peak.entry_mib);
+            for number in 0..2 {
+                peak.sidecar_mib = resident(&format!("sidecar-{model}-{number}")).max(peak.sidecar_mib);
+            }
+            tokio::select! {
+                seen = &mut sent => break seen,
+                () = tokio::time::sleep(Duration::from_millis(2)) => {}
+            }
+        };
+        peak.whole = prompts.iter().zip(seen).filter(|(prompt, seen)| seen.text == prompt.expected()).count();
+        measured.push(peak);
+    }
+    fleet.close().await?;
+    Ok(measured)
+}
+
 /// So many callers, each sending the next prompt when the last answer is over.
 async fn closed_loop(
     client: &Client,
