A claim does not outlast the call's time

Since claims go to a partition's writer nothing bounded the wait for a frozen writer by the call's own time: half a second for the look-up and two for the claim. Ruled out: the sidecars (never called).

The claim is now given up at the call's time, as ran=unknown: an earlier call under the key may have run.

--- a/sorrelpass/src/entry/route/mod.rs
+++ b/sorrelpass/src/entry/route/mod.rs
@@ -156,7 +156,11 @@
                 self.anywhere(Some(key)).await
             }
             Once::Claimed(key) => {
-                let binding = self.claim(&key).await?;
+                // Nothing was sent yet, but an earlier call under the key may have run.
+                let Ok(claimed) = tokio::time::timeout(self.left(), self.claim(&key)).await else {
+                    return Err(self.timed_out(Ran::Unknown));
+                };
+                let binding = claimed?;
                 self.bound(key, binding).await
             }
             Once::Ticket(key, binding) => self.bound(key, binding).await,
--- a/standin/tests/in_time.rs
+++ b/standin/tests/in_time.rs
@@ -112,3 +112,20 @@
     until("its memory is free", || async { fleet.held_tokens().await == 0 }).await;
     close(fleet).await;
 }
+
+/// Found by a soak: a claim waited for its partition's frozen writer beyond the call's time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_whose_writer_is_frozen_does_not_outlast_the_calls_time() {
+    let fleet = start(Spec { entries: 3, ..one_engine("frozen-writer") }).await;
+    fleet.signal("entry-1", Signal::STOP).expect("the entry is stopped");
+    let deadline = Duration::from_millis(500);
+    let calls = (0..16).map(|number| {
+        let fleet = &fleet;
+        async move { pay(fleet, 0, Some(&format!("frozen-writer-{number}")), deadline).await }
+    });
+    for seen in futures_util::future::join_all(calls).await {
+        assert!(seen.status == 200 || seen.failure.is_some(), "{seen:?}");
+        assert!(seen.took < deadline + GRACE, "{seen:?}");
+    }
+    close(fleet).await;
+}
