Two calls that share a request id are two calls

Cause, found on reading the whole change again: a call that may not be repeated and has no caller's key was bound under its request id. A caller may choose that id, and a second call with the same one got the first call's answer and never ran: a lost RSVP. The key is now a number of our own.

Ruled out: refusing the second call, since request ids are for tracing and need not be unique.

--- a/sorrelpass/src/entry/route/mod.rs
+++ b/sorrelpass/src/entry/route/mod.rs
@@ -152,7 +152,9 @@
         match self.request.once.clone() {
             Once::Repeatable => self.anywhere(None).await,
             Once::Own => {
-                let key = Key { workspace: self.request.admitted.workspace.name.clone(), key: self.request.id.clone() };
+                // Not the request's id: a caller may choose that, and give it to two calls.
+                let own = Name::from(util::attempt().to_string());
+                let key = Key { workspace: self.request.admitted.workspace.name.clone(), key: own };
                 self.anywhere(Some(key)).await
             }
             Once::Claimed(key) => {
--- a/standin/tests/at_most_once.rs
+++ b/standin/tests/at_most_once.rs
@@ -205,3 +205,18 @@
     assert_eq!((seen.status, seen.code(), seen.ran()), (400, "invalid_ticket", Some("no")));
     close(fleet).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_calls_that_share_a_request_id_are_two_calls() {
+    let fleet = start(one_service("once-same-id")).await;
+    let mut headers = call_headers(None);
+    headers.push(("x-request-id".to_owned(), "trace-7".to_owned()));
+    for body in ["levy 500", "levy 900"] {
+        let path = "/services/stall-ledger/payments";
+        let seen = fleet.client.call("POST", &fleet.entries[0], path, &headers, body).await;
+        let answer: Value = serde_json::from_str(&seen.text).expect("the answer is JSON");
+        assert_eq!(answer["body"], body, "the answer is of the call itself");
+    }
+    assert_eq!(fleet.runs().await["trace-7"], 2);
+    close(fleet).await;
+}
