--- a/coord/src/budget.rs
+++ b/coord/src/budget.rs
@@ -1,4 +1,9 @@
-//! Retry budget: retries are a bounded share of first tries.
+//! Retry budgets: retries are a bounded share of first tries.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::time::Moment;
 
 /// Tokens that one retry costs; a first try earns `share` of it.
 const RETRY_COST: f64 = 1.0;
@@ -33,3 +38,51 @@
         true
     }
 }
+
+/// A budget over every window of a fixed length: at most `allowance + share * first tries` retries.
+///
+/// First tries count for the window in which they fall; a retry is allowed only if the bound holds
+/// for the window that ends now. Several processes keep a common bound without a word to each
+/// other when each keeps its own part of the allowance, since the shares of first tries add up.
+#[derive(Clone, Debug)]
+pub struct Windowed {
+    share: f64,
+    allowance: f64,
+    window: Duration,
+    firsts: VecDeque<Moment>,
+    retries: VecDeque<Moment>,
+}
+
+impl Windowed {
+    /// A budget of `allowance` retries and `share` retries per first try in every `window`.
+    pub fn new(share: f64, allowance: f64, window: Duration) -> Self {
+        Self { share, allowance, window, firsts: VecDeque::new(), retries: VecDeque::new() }
+    }
+
+    /// Notes a first try.
+    pub fn earn(&mut self, now: Moment) {
+        self.forget(now);
+        self.firsts.push_back(now);
+    }
+
+    /// Takes one retry out, or says that the budget is spent.
+    pub fn spend(&mut self, now: Moment) -> bool {
+        self.forget(now);
+        let bound = self.allowance + self.share * self.firsts.len() as f64;
+        if self.retries.len() as f64 + RETRY_COST > bound {
+            return false;
+        }
+        self.retries.push_back(now);
+        let within = self.retries.len() as f64 <= bound;
+        crate::invariant!(within, "retry budget is never overdrawn");
+        true
+    }
+
+    fn forget(&mut self, now: Moment) {
+        for times in [&mut self.firsts, &mut self.retries] {
+            while times.front().is_some_and(|at| now.since(*at) > self.window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod budget;
 pub mod claim;
+pub mod engine;
 pub mod estimate;
 pub mod fence;
 pub mod intent;
@@ -24,6 +25,8 @@
 pub mod quota;
 pub mod remembered;
 pub mod replay;
+pub mod roster;
+pub mod route;
 pub mod scheduler;
 pub mod span;
 pub mod ticket;
--- /dev/null
+++ b/coord/src/roster.rs
@@ -0,0 +1,183 @@
+//! What a process believes of the replicas of all services, from the records that they keep in a store.
+//!
+//! Three things make this more than a map. A replica that announced its end never takes work
+//! again. A record may vanish because its replica left, or because the store could not be reached
+//! for so long that records lapsed: after an outage a vanished record counts as *lapsed* for a
+//! while before it counts as gone. And a store that answers with an older state than was already
+//! seen does not take anything back.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::name::Name;
+use crate::time::Moment;
+
+/// A replica as its record tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Identity of this run of the replica; never used twice.
+    pub id: Name,
+    /// The service it belongs to.
+    pub service: Name,
+    /// Where it listens, `ip:port`.
+    pub address: Name,
+    /// Its failure domain.
+    pub failure_domain: Name,
+    /// Requests at once.
+    pub slots: u32,
+    /// Whether it announced its end.
+    pub leaving: bool,
+}
+
+/// What the store says of a replica at one offset.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// The replica's record.
+    Here(Record),
+    /// The record was removed.
+    Removed(Name),
+}
+
+/// How far a replica may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It takes work.
+    Ready,
+    /// Its record vanished right after an outage of the store; it takes work until `Moment`.
+    Lapsed(Moment),
+    /// It is leaving or gone, and takes no new work.
+    Gone,
+}
+
+/// One replica with its standing.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// As last recorded.
+    pub record: Record,
+    /// How far it may be used.
+    pub standing: Standing,
+    /// Offset of the newest news of it.
+    offset: u64,
+}
+
+impl Replica {
+    /// Whether new work may go there.
+    pub fn takes_work(&self) -> bool {
+        self.standing != Standing::Gone
+    }
+}
+
+/// All replicas that this process knows of.
+#[derive(Debug, Default)]
+pub struct Roster {
+    replicas: BTreeMap<Name, Replica>,
+    /// A vanished record counts as lapsed until then.
+    doubtful_until: Moment,
+}
+
+/// A change of belief, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The replica.
+    pub id: Name,
+    /// Its standing from now on.
+    pub standing: Standing,
+}
+
+impl Roster {
+    /// Notes that the store answers again after an outage: what vanishes within `grace` may only have lapsed.
+    pub fn store_returned(&mut self, now: Moment, grace: Duration) {
+        self.doubtful_until = now + grace;
+    }
+
+    /// Takes one piece of news at its offset; older news than known is left out.
+    pub fn hear(&mut self, offset: u64, news: News, now: Moment) -> Option<Change> {
+        match news {
+            News::Here(record) => self.here(offset, record),
+            News::Removed(id) => self.removed(offset, &id, now),
+        }
+    }
+
+    fn here(&mut self, offset: u64, record: Record) -> Option<Change> {
+        let id = record.id.clone();
+        let mut standing = if record.leaving { Standing::Gone } else { Standing::Ready };
+        if let Some(known) = self.replicas.get(&id) {
+            if offset < known.offset {
+                return None;
+            }
+            // An announced end is final; a vanished record may come back with its replica.
+            if known.record.leaving {
+                standing = Standing::Gone;
+            }
+            if known.standing == standing {
+                let known = self.replicas.get_mut(&id)?;
+                known.offset = offset;
+                known.record = Record { leaving: record.leaving || known.record.leaving, ..record };
+                return None;
+            }
+        }
+        let leaving = record.leaving || self.replicas.get(&id).is_some_and(|known| known.record.leaving);
+        self.replicas.insert(id.clone(), Replica { record: Record { leaving, ..record }, standing, offset });
+        Some(Change { id, standing })
+    }
+
+    fn removed(&mut self, offset: u64, id: &Name, now: Moment) -> Option<Change> {
+        let doubtful_until = self.doubtful_until;
+        let known = self.replicas.get_mut(id)?;
+        if offset < known.offset {
+            return None;
+        }
+        known.offset = offset;
+        let standing = match known.standing {
+            Standing::Ready if now < doubtful_until => Standing::Lapsed(doubtful_until),
+            Standing::Lapsed(until) if now < until => return None,
+            _ => Standing::Gone,
+        };
+        let changed = known.standing != standing;
+        known.standing = standing;
+        changed.then(|| Change { id: id.clone(), standing })
+    }
+
+    /// Takes a whole picture whose newest offset is below `end`: what it leaves out was removed.
+    pub fn replace(&mut self, end: u64, newest: Vec<(u64, Record)>, now: Moment) -> Vec<Change> {
+        let missing: Vec<Name> = self
+            .replicas
+            .values()
+            .filter(|known| known.offset < end && !newest.iter().any(|(_, record)| record.id == known.record.id))
+            .map(|known| known.record.id.clone())
+            .collect();
+        let mut changes: Vec<Change> =
+            newest.into_iter().filter_map(|(offset, record)| self.here(offset, record)).collect();
+        let last = end.saturating_sub(1);
+        changes.extend(missing.iter().filter_map(|id| self.removed(last, id, now)));
+        changes
+    }
+
+    /// Turns lapsed replicas whose time is over into gone ones.
+    pub fn expire(&mut self, now: Moment) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (id, replica) in &mut self.replicas {
+            if matches!(replica.standing, Standing::Lapsed(until) if until <= now) {
+                replica.standing = Standing::Gone;
+                changes.push(Change { id: id.clone(), standing: Standing::Gone });
+            }
+        }
+        changes
+    }
+
+    /// A replica by identity.
+    pub fn get(&self, id: &str) -> Option<&Replica> {
+        self.replicas.get(id)
+    }
+
+    /// All replicas, by identity.
+    pub fn iter(&self) -> impl Iterator<Item = &Replica> {
+        self.replicas.values()
+    }
+
+    /// Replicas of `service` that take new work.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Record> {
+        let fits = move |replica: &&Replica| replica.takes_work() && *replica.record.service == *service;
+        self.replicas.values().filter(fits).map(|replica| &replica.record)
+    }
+}
--- a/sorrelpass/src/cmd/check.rs
+++ b/sorrelpass/src/cmd/check.rs
@@ -32,7 +32,7 @@
     match Settings::load(file) {
         Ok(settings) => {
             let role = match settings {
-                Settings::Entry(_) => "entry",
+                Settings::Entry(_) | Settings::Gateway(_) => "entry",
                 Settings::Sidecar(_) => "sidecar",
             };
             println!("file={} role={role} ok", file.display());
--- a/sorrelpass/src/cmd/mod.rs
+++ b/sorrelpass/src/cmd/mod.rs
@@ -47,7 +47,9 @@
 
 /// Runs the subcommand that the command line names.
 pub fn main() -> ExitCode {
-    match run(command().run()) {
+    let outcome = run(command().run());
+    crate::timeline::close();
+    match outcome {
         Ok(code) => code,
         Err(error) => {
             eprintln!("sorrelpass: {error:#}");
--- a/sorrelpass/src/cmd/sidecar.rs
+++ b/sorrelpass/src/cmd/sidecar.rs
@@ -26,6 +26,8 @@
 pub fn run(args: &Args) -> Result<()> {
     match Settings::load(&args.file)? {
         Settings::Sidecar(settings) => crate::sidecar::run(*settings),
-        Settings::Entry(_) => bail!("step=start file={}: these are an entry's settings", args.file.display()),
+        Settings::Entry(_) | Settings::Gateway(_) => {
+            bail!("step=start file={}: these are an entry's settings", args.file.display())
+        }
     }
 }
--- /dev/null
+++ b/sorrelpass/src/config/gateway.rs
@@ -0,0 +1,70 @@
+//! Settings of an entry that serves replicas directly, without sidecars.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::reader::Reader;
+use super::{DAY_MS, Process, address, process};
+
+/// Settings of such an entry.
+#[derive(Clone, Debug)]
+pub struct Gateway {
+    /// What every role has.
+    pub process: Process,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks for readiness and operators for metrics.
+    pub ready_listen: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Ports for what processes of the system say to each other: the first of the range.
+    pub peer_port: Option<u16>,
+    /// Bounds that the deployment sets.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// A replica that announced its end gets no request later than this.
+    pub drain: Duration,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// A key that was taken away is refused after this.
+    pub revoke: Duration,
+    /// Retries per first try that all entries may make together.
+    pub retry_share: f64,
+    /// Window over which retries are counted.
+    pub retry_window: Duration,
+    /// Retries that all entries may make in a window beyond that share.
+    pub retry_allowance: f64,
+}
+
+/// Longest grace and windows that settings may give, in seconds.
+const HOUR_S: f64 = 3_600.0;
+
+/// Reads the sections `[gateway]` and `[bounds]`.
+pub(super) fn gateway(reader: &mut Reader) -> Option<Gateway> {
+    let process = process(reader);
+    let listen = address(reader, "gateway", "listen");
+    let ready_listen = address(reader, "gateway", "ready_listen");
+    let store = address(reader, "gateway", "store");
+    let peer_port = reader.numbers("gateway", "peer_ports").first().copied();
+    let bounds = bounds(reader);
+    Some(Gateway { process: process?, listen: listen?, ready_listen: ready_listen?, store: store?, peer_port, bounds })
+}
+
+/// The defaults are those of the users' first deployments; the platform always gives its own.
+fn bounds(reader: &mut Reader) -> Bounds {
+    let seconds = |reader: &mut Reader, key, default| {
+        Duration::from_secs_f64(reader.number("bounds", key, 0.0..=HOUR_S, default))
+    };
+    Bounds {
+        drain: reader.millis("bounds", "drain_ms", 1..=DAY_MS, 2_000),
+        grace: seconds(reader, "grace_s", 8.0),
+        revoke: reader.millis("bounds", "revoke_ms", 1..=DAY_MS, 5_000),
+        retry_share: reader.number("bounds", "retry_share", 0.0..=1.0, 0.2),
+        retry_window: seconds(reader, "retry_window_s", 10.0),
+        retry_allowance: reader.number("bounds", "retry_allowance", 0.0..=1e9, 0.0),
+    }
+}
--- a/sorrelpass/src/config/mod.rs
+++ b/sorrelpass/src/config/mod.rs
@@ -3,6 +3,7 @@
 //! A [`Reader`] hands out typed values section by section and remembers what was
 //! asked for; [`Reader::finish`] reports what was wrong and what nobody asked for.
 
+mod gateway;
 mod reader;
 
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use coord::scheduler::Limits;
 use eyre::{Result, eyre};
 
+pub use self::gateway::Gateway;
 use self::reader::Reader;
 use crate::plugin::{self, LogPlugin, OrderPlugin, PickerPlugin, VmListPlugin, Weights};
 use crate::secret::Secret;
@@ -132,9 +134,11 @@
     pub probe: Duration,
 }
 
-/// Settings of either role.
+/// Settings of any role.
 #[derive(Clone, Debug)]
 pub enum Settings {
+    /// Of an entry that serves replicas directly, as on the users' platform.
+    Gateway(Box<Gateway>),
     /// Of an entry.
     Entry(Box<Entry>),
     /// Of a sidecar.
@@ -145,14 +149,17 @@
 const DAY_MS: u64 = 24 * 3_600 * 1_000;
 
 impl Settings {
-    /// Reads and checks a settings file of either role.
+    /// Reads and checks a settings file of any role.
     pub fn load(file: &Path) -> Result<Self> {
         let mut reader = Reader::open(file)?;
-        let settings = match (reader.has("entry"), reader.has("sidecar")) {
-            (true, false) => entry(&mut reader).map(|entry| Settings::Entry(Box::new(entry))),
-            (false, true) => sidecar(&mut reader).map(|sidecar| Settings::Sidecar(Box::new(sidecar))),
+        let roles = ["entry", "gateway", "sidecar"].map(|section| reader.has(section));
+        let settings = match roles {
+            [true, false, false] => entry(&mut reader).map(|entry| Settings::Entry(Box::new(entry))),
+            [false, true, false] => gateway::gateway(&mut reader).map(|entry| Settings::Gateway(Box::new(entry))),
+            [false, false, true] => sidecar(&mut reader).map(|sidecar| Settings::Sidecar(Box::new(sidecar))),
             _ => {
-                reader.fault("entry", "-", "the file must have exactly one of the sections [entry] and [sidecar]");
+                let reason = "the file must have exactly one of the sections [entry], [gateway] and [sidecar]";
+                reader.fault("entry", "-", reason);
                 None
             }
         };
--- a/sorrelpass/src/config/reader.rs
+++ b/sorrelpass/src/config/reader.rs
@@ -190,6 +190,19 @@
         found
     }
 
+    /// A list of port numbers, separated by commas.
+    pub fn numbers(&mut self, section: &str, key: &str) -> Vec<u16> {
+        let Some(raw) = self.raw(section, key) else { return Vec::new() };
+        let mut found = Vec::new();
+        for part in raw.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+            match part.parse() {
+                Ok(port) => found.push(port),
+                Err(_) => self.fault(section, key, format!("{part:?} is not a port")),
+            }
+        }
+        found
+    }
+
     /// A secret named by `key_file` or `key_env`.
     pub fn secret(&mut self, section: &str, key: &str) -> Option<Secret> {
         let file_key = format!("{key}_file");
--- a/sorrelpass/src/entry/body.rs
+++ b/sorrelpass/src/entry/body.rs
@@ -9,9 +9,9 @@
 use http_body_util::BodyExt;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 
-use super::failure::Failure;
 use super::prompt::{self, Form, Prompt};
 use crate::config::Entry;
+use crate::failure::Failure;
 use crate::ring;
 
 /// Bytes that one permit of the body budget stands for.
--- a/sorrelpass/src/entry/callers.rs
+++ b/sorrelpass/src/entry/callers.rs
@@ -16,12 +16,12 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use super::failure::Failure;
 use super::kernel::{Admission, Admitted, Command, Search, Wanted};
 use super::prompt::{Form, Prompt};
 use super::reply::{self, Parts};
 use super::route::{self, Long, Once, Request};
 use super::{App, body, operators, ticket, upstream};
+use crate::failure::Failure;
 use crate::wire::{Ask, Call};
 use crate::{event, metric, util};
 
--- a/sorrelpass/src/entry/claims.rs
+++ b/sorrelpass/src/entry/claims.rs
@@ -17,8 +17,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot, watch};
 
-use super::failure::Failure;
 use super::{Shared, peer};
+use crate::failure::Failure;
 use crate::platform::Log;
 use crate::{event, ring, util, warn_event};
 
--- a/sorrelpass/src/entry/kernel/message.rs
+++ b/sorrelpass/src/entry/kernel/message.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use tokio::sync::oneshot;
 
-use crate::entry::failure::Failure;
+use crate::failure::Failure;
 
 /// What a caller asks for.
 #[derive(Clone, Debug)]
--- a/sorrelpass/src/entry/kernel/mod.rs
+++ b/sorrelpass/src/entry/kernel/mod.rs
@@ -17,8 +17,8 @@
 
 pub use self::message::*;
 use self::meter::{Limit, Meters};
-use super::failure::Failure;
 use crate::config::Entry;
+use crate::failure::Failure;
 use crate::plugin::{self, PickerPlugin};
 use crate::{event, metric, ring, util};
 
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -9,7 +9,7 @@
 mod callers;
 mod claims;
 mod controller;
-mod failure;
+
 mod gang;
 mod kernel;
 mod limits;
--- a/sorrelpass/src/entry/operators.rs
+++ b/sorrelpass/src/entry/operators.rs
@@ -16,9 +16,9 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 
-use super::failure::Failure;
 use super::kernel::Command;
 use super::{App, Shared, log};
+use crate::failure::Failure;
 use crate::{event, util};
 
 /// Largest plan, in bytes.
--- a/sorrelpass/src/entry/prompt.rs
+++ b/sorrelpass/src/entry/prompt.rs
@@ -10,7 +10,7 @@
 use serde::de::{MapAccess, Visitor};
 use serde_json::value::RawValue;
 
-use super::failure::Failure;
+use crate::failure::Failure;
 
 /// Output tokens when the caller names no limit.
 const DEFAULT_OUTPUT_TOKENS: u64 = 1_024;
--- a/sorrelpass/src/entry/reply.rs
+++ b/sorrelpass/src/entry/reply.rs
@@ -9,9 +9,9 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
-use super::failure::Failure;
 use super::prompt::{Form, Prompt};
 use super::upstream::Part;
+use crate::failure::Failure;
 use crate::util;
 use crate::wire::Usage;
 
--- a/sorrelpass/src/entry/route/ending.rs
+++ b/sorrelpass/src/entry/route/ending.rs
@@ -6,7 +6,7 @@
 use coord::claim::Binding;
 use coord::name::Ran;
 
-use crate::entry::failure::Failure;
+use crate::failure::Failure;
 
 /// When to come back after a failure that tells nothing.
 pub const PLAIN_RETRY: Duration = Duration::from_millis(500);
--- a/sorrelpass/src/entry/route/ganged.rs
+++ b/sorrelpass/src/entry/route/ganged.rs
@@ -7,10 +7,10 @@
 use coord::prefix::Chain;
 
 use super::{Next, Route};
-use crate::entry::failure::Failure;
 use crate::entry::gang::{self, Member, Spans};
 use crate::entry::kernel::{Command, Search, Target};
 use crate::entry::upstream;
+use crate::failure::Failure;
 use crate::wire::Ask;
 use crate::{event, util};
 
--- a/sorrelpass/src/entry/route/mod.rs
+++ b/sorrelpass/src/entry/route/mod.rs
@@ -17,10 +17,10 @@
 use self::ending::{CALLER, LOST, PLAIN_RETRY, UNKNOWN, lost, outcome_unknown, rejected, stopping};
 use super::App;
 use super::claims;
-use super::failure::Failure;
 use super::gang;
 use super::kernel::{Admitted, Command, Search, Target};
 use super::upstream::{self, Broken, Part, Upstream};
+use crate::failure::Failure;
 use crate::wire::{Ask, Call, Filled, Open, Refused, Usage};
 use crate::{event, metric, util};
 
--- /dev/null
+++ b/sorrelpass/src/gateway/health.rs
@@ -0,0 +1,43 @@
+//! Readiness for the balancer and metrics for operators.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use super::state::Gateway;
+use crate::metric;
+
+/// Answers `/ready` and `/metrics`.
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            continue;
+        };
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| std::future::ready(Ok::<_, Infallible>(answer(&gateway, &request))));
+            // The balancer may leave whenever it likes.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn answer<B>(gateway: &Gateway, request: &Request<B>) -> Response<Full<Bytes>> {
+    let (status, body) = match request.uri().path() {
+        "/metrics" => (StatusCode::OK, Bytes::from(metric::text())),
+        "/ready" if gateway.ready() => (StatusCode::OK, Bytes::from_static(b"ready\n")),
+        "/ready" => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/mod.rs
@@ -0,0 +1,82 @@
+//! An entry that serves replicas directly: no sidecar, no disk, nothing of its own in between.
+//!
+//! One thread does all of it: on a fifth of a core the wake-ups of a thread per duty cost more
+//! than the duties (see `docs/design/08-platform.md`). Each duty is a task of its own, and what
+//! they share lives in [`state::State`].
+
+mod answer;
+mod attempt;
+mod call;
+mod health;
+mod place;
+mod relay;
+mod serve;
+mod state;
+mod stream;
+mod watch;
+
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use eyre::{Result, WrapErr};
+use tokio::signal::unix::{SignalKind, signal};
+
+use self::state::Gateway;
+use crate::config::{self, Settings};
+use crate::{event, http, metric, timeline, util, warn_event};
+
+/// Runs until SIGTERM and the end of the requests in flight.
+pub fn run(settings: config::Gateway, file: PathBuf) -> Result<()> {
+    timeline::init(&settings.process.name, &settings.process.log_level);
+    metric::init()?;
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().wrap_err("step=start-runtime")?;
+    local.block_on(&runtime, serve(settings, file))
+}
+
+async fn serve(settings: config::Gateway, file: PathBuf) -> Result<()> {
+    let listener = http::listen(settings.listen)?;
+    let ready_listener = http::listen(settings.ready_listen)?;
+    let grace = settings.bounds.grace;
+    event!("start", role = "gateway", listen = %settings.listen, store = %settings.store);
+    let gateway = Rc::new(Gateway::new(settings));
+    tokio::task::spawn_local(watch::configuration(gateway.clone()));
+    tokio::task::spawn_local(watch::replicas(gateway.clone()));
+    tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
+    tokio::task::spawn_local(reload(file));
+    let (stop, stopping) = tokio::sync::watch::channel(serve::Phase::Serving);
+    tokio::task::spawn_local(serve::run(gateway.clone(), listener, stopping));
+
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("step=watch-signals")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    gateway.begin_stop();
+    event!("stop", reason = "signal", in_flight = gateway.in_flight());
+    serve::wind_down(&gateway, grace, &stop).await;
+    event!("stopped", in_flight = gateway.in_flight());
+    Ok(())
+}
+
+/// Reads the settings again at each SIGHUP. What is bound to a socket stays until the next start;
+/// a faulty file changes nothing.
+async fn reload(file: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        warn_event!("reload", outcome = "signal cannot be watched");
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        match Settings::load(&file) {
+            Ok(Settings::Gateway(_)) => event!("reload", outcome = "checked; in force at the next start"),
+            Ok(_) => warn_event!("reload", outcome = "refused: settings of another role"),
+            Err(error) => warn_event!("reload", outcome = "refused", error = %format!("{error:#}")),
+        }
+    }
+}
+
+/// Monotonic time.
+fn now() -> coord::time::Moment {
+    util::now()
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/relay.rs
@@ -0,0 +1,167 @@
+//! Passing a stream on as it comes, and going on at another replica when it breaks off.
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use platform::dialect;
+use tokio::sync::mpsc;
+
+use super::answer::{Answer, Broken};
+use super::call::{Job, Opened};
+use super::now;
+use super::stream::Splitter;
+use crate::{event, metric};
+
+/// Events that may wait for a caller that reads slowly; then the replica is held up.
+const RING: usize = 16;
+
+type Piece = Result<Frame<Bytes>, Broken>;
+
+/// How one replica's part of a stream ended.
+enum End {
+    /// It was whole.
+    Whole,
+    /// It broke off.
+    Broke(String),
+    /// The caller went away.
+    CallerGone,
+    /// The time allowed is over.
+    Late,
+}
+
+/// Starts a stream to the caller: the head now, the events as they come.
+pub fn start(job: Job, mut opened: Opened) -> Answer {
+    let mut headers = dialect::end_to_end(opened.response.headers());
+    // A stream that goes on elsewhere may differ in length; chunks tell its end.
+    headers.remove(hyper::header::CONTENT_LENGTH);
+    let status = opened.response.status();
+    let (pieces, receiver) = mpsc::channel::<Piece>(RING);
+    let relay = Relay { job, pieces, splitter: Splitter::default(), last: None, events: 0 };
+    tokio::task::spawn_local(async move {
+        let mut relay = relay;
+        loop {
+            let end = relay.pass(&mut opened).await;
+            opened.connection.close();
+            match relay.settle(end, &opened.record.id).await {
+                Some(next) => opened = next,
+                None => break,
+            }
+        }
+    });
+    let body = stream::unfold(receiver, |mut receiver| async { Some((receiver.recv().await?, receiver)) });
+    let mut answer = Response::new(StreamBody::new(body).boxed_unsync());
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+struct Relay {
+    job: Job,
+    pieces: mpsc::Sender<Piece>,
+    splitter: Splitter,
+    /// Number of the last event passed on.
+    last: Option<u64>,
+    events: u64,
+}
+
+impl Relay {
+    /// Passes on what one replica sends.
+    async fn pass(&mut self, opened: &mut Opened) -> End {
+        let deadline = tokio::time::Instant::now() + self.job.left();
+        let body = opened.response.body_mut();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.pieces.closed() => return End::CallerGone,
+                () = tokio::time::sleep_until(deadline) => return End::Late,
+            };
+            let data = match frame {
+                None => return self.finish().await,
+                Some(Err(error)) => return End::Broke(error.to_string()),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            self.splitter.push(&data);
+            if !self.drain().await {
+                return End::CallerGone;
+            }
+        }
+    }
+
+    /// Passes on the whole events that have come; says whether the caller is still there.
+    async fn drain(&mut self) -> bool {
+        while let Some(event) = self.splitter.next() {
+            if self.events == 0 {
+                let after = now().since(self.job.started);
+                event!("first-event", request = %self.job.call.id, after_ms = after.as_millis());
+                metric::first_event(&self.job.route.name, after);
+            }
+            self.events += 1;
+            self.last = event.id.or(self.last);
+            if self.pieces.send(Ok(Frame::data(event.bytes))).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn finish(&mut self) -> End {
+        let rest = self.splitter.rest();
+        if !rest.is_empty() && self.pieces.send(Ok(Frame::data(rest))).await.is_err() {
+            return End::CallerGone;
+        }
+        End::Whole
+    }
+
+    /// Ends the stream, or opens its rest at another replica.
+    async fn settle(&mut self, end: End, peer: &str) -> Option<Opened> {
+        let id = self.job.call.id.clone();
+        let after_ms = now().since(self.job.started).as_millis();
+        match end {
+            End::Whole => {
+                event!("done", request = %id, peer, events = self.events, after_ms);
+                metric::request("ok");
+                None
+            }
+            End::CallerGone => {
+                event!("caller-gone", request = %id, peer, events = self.events, after_ms);
+                metric::request("caller_gone");
+                None
+            }
+            End::Late => {
+                event!("give-up", request = %id, peer, code = "deadline", events = self.events, after_ms);
+                self.break_off("deadline").await
+            }
+            End::Broke(error) => {
+                event!("broke", request = %id, peer, events = self.events, after_ms, error = %error);
+                self.resume().await
+            }
+        }
+    }
+
+    async fn resume(&mut self) -> Option<Opened> {
+        self.splitter.clear();
+        if !self.job.may_resume() {
+            return self.break_off("broken").await;
+        }
+        let after = self.last.or(self.job.call.after_event);
+        let left = self.job.left();
+        let opened = tokio::select! {
+            opened = tokio::time::timeout(left, self.job.open(after)) => opened,
+            () = self.pieces.closed() => return None,
+        };
+        match opened {
+            Ok(Ok(opened)) if opened.response.status().is_success() => Some(opened),
+            _ => self.break_off("broken").await,
+        }
+    }
+
+    /// Breaks the caller's connection, so that the stream cannot pass for a whole one.
+    async fn break_off(&mut self, code: &'static str) -> Option<Opened> {
+        event!("give-up", request = %self.job.call.id, code, ran = "partial", events = self.events);
+        metric::request(code);
+        let _ = self.pieces.send(Err(Broken)).await;
+        None
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/serve.rs
@@ -0,0 +1,143 @@
+//! Callers' connections: accepting them, resting ones, and the way to the end of the process.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coord::time::Moment;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::state::Gateway;
+use super::{call, now};
+
+/// How far the process is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Connections are taken.
+    Serving,
+    /// Resting connections are closed.
+    Closing,
+}
+
+/// Largest request head where the configuration names none, in bytes; also the least that hyper takes.
+const HEAD_BYTES: usize = 16 * 1_024;
+/// Longest rest of a kept connection before a configuration is known.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// Part of the configured rest that is added before a connection is closed, so that a request under way meets an open one.
+const IDLE_MARGIN: f64 = 0.25;
+/// The balancer asks once a second and leaves out an entry after two refusals; connections that it hands over
+/// until then are served.
+const LAME_DUCK: Duration = Duration::from_millis(2_500);
+/// Part of the grace after which the process ends with whatever still runs.
+const GRACE_SHARE: f64 = 0.93;
+/// Time between the close of resting connections and the end of the process, for requests that cross it.
+const CROSSING: Duration = Duration::from_millis(150);
+/// How often the end of the last request is looked for.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Takes connections until the process ends.
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, stop: watch::Receiver<Phase>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(gateway.clone(), stream, stop.clone()));
+            }
+            Err(error) => {
+                // Out of descriptors, most likely: let some close.
+                crate::warn_event!("accept", error = %error);
+                tokio::time::sleep(POLL).await;
+            }
+        }
+    }
+}
+
+/// What a connection's watchdog looks at.
+struct Rest {
+    requests: Cell<u32>,
+    since: Cell<Moment>,
+}
+
+async fn connection(gateway: Rc<Gateway>, stream: TcpStream, mut stop: watch::Receiver<Phase>) {
+    let _ = stream.set_nodelay(true);
+    let rest = Rc::new(Rest { requests: Cell::new(0), since: Cell::new(now()) });
+    let limits = gateway.table().limits();
+    let service = service_fn({
+        let (gateway, rest) = (gateway.clone(), rest.clone());
+        move |request| {
+            let (gateway, rest) = (gateway.clone(), rest.clone());
+            async move {
+                rest.requests.set(rest.requests.get() + 1);
+                let busy = Busy(rest);
+                Ok::<_, Infallible>(call::handle(gateway, request, Box::new(busy)).await)
+            }
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
+    builder.max_buf_size(limits.map_or(HEAD_BYTES, |limits| limits.header_bytes.max(HEAD_BYTES)));
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let closing = RefCell::new(false);
+    loop {
+        tokio::select! {
+            // A caller that goes away mid-request is no fault of ours.
+            _ = serving.as_mut() => return,
+            _ = stop.wait_for(|phase| *phase == Phase::Closing), if !*closing.borrow() => {
+                *closing.borrow_mut() = true;
+                serving.as_mut().graceful_shutdown();
+            }
+            () = rested(&gateway, &rest), if !*closing.borrow() => {
+                *closing.borrow_mut() = true;
+                serving.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// Ends once the connection has rested for longer than callers may let it.
+async fn rested(gateway: &Gateway, rest: &Rest) {
+    loop {
+        let idle = gateway.table().limits().map_or(DEFAULT_IDLE, |limits| limits.idle_timeout);
+        let bound = idle.mul_f64(1.0 + IDLE_MARGIN);
+        let so_far = now().since(rest.since.get());
+        if rest.requests.get() == 0 && so_far >= bound {
+            return;
+        }
+        let left = bound.saturating_sub(if rest.requests.get() == 0 { so_far } else { Duration::ZERO });
+        tokio::time::sleep(left.max(POLL)).await;
+    }
+}
+
+/// Counts one request of a connection until its answer is over.
+struct Busy(Rc<Rest>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get() - 1);
+        self.0.since.set(now());
+    }
+}
+
+/// Serves what still comes until the balancer has taken notice, lets requests finish, and closes what rests.
+pub async fn wind_down(gateway: &Gateway, grace: Duration, stop: &watch::Sender<Phase>) {
+    let started = now();
+    let last = started + grace.mul_f64(GRACE_SHARE);
+    loop {
+        let now = now();
+        let noticed = now.since(started) >= LAME_DUCK;
+        if (noticed && gateway.in_flight() == 0) || now + CROSSING >= last {
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    let _ = stop.send(Phase::Closing);
+    tokio::time::sleep(CROSSING).await;
+    while gateway.in_flight() > 0 && now() < last {
+        tokio::time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/state.rs
@@ -0,0 +1,142 @@
+//! What the tasks of a gateway share: the routing table with the age of its proof, the replicas, the retry budgets.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use coord::budget::Windowed;
+use coord::invariant;
+use coord::name::Name;
+use coord::roster::Roster;
+use coord::route::Table;
+use coord::time::Moment;
+
+use super::now;
+use super::place::Placer;
+use crate::config;
+
+/// Part of `revoke` for which a proof is good. The rest covers drift between two steady clocks.
+const PROOF_SHARE: f64 = 0.9;
+/// Part of the common retry share that entries use, so that a window's edge never overdraws it.
+const RETRY_SHARE_USED: f64 = 0.9;
+/// Entries among which the common retry allowance is divided: more than any deployment seen has.
+const ENTRIES_AT_MOST: f64 = 32.0;
+
+/// A gateway's shared state.
+pub struct Gateway {
+    /// The settings.
+    pub settings: config::Gateway,
+    table: RefCell<Arc<Table>>,
+    /// When the reading was sent that last showed the table to be the newest.
+    proven: Cell<Option<Moment>>,
+    /// The replicas.
+    pub roster: RefCell<Roster>,
+    /// Where requests go.
+    pub placer: RefCell<Placer>,
+    budgets: RefCell<HashMap<Name, Windowed>>,
+    stopping: Cell<bool>,
+    in_flight: Cell<usize>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: config::Gateway) -> Self {
+        let placer = Placer::new(settings.process.failure_domain.clone());
+        Self {
+            settings,
+            table: RefCell::default(),
+            proven: Cell::new(None),
+            roster: RefCell::default(),
+            placer: RefCell::new(placer),
+            budgets: RefCell::default(),
+            stopping: Cell::new(false),
+            in_flight: Cell::new(0),
+        }
+    }
+
+    /// The table in force here.
+    pub fn table(&self) -> Arc<Table> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts a newer table in force; an older one than is in force is left out.
+    pub fn put_table(&self, table: Table) -> bool {
+        let newer = table.version() > self.table.borrow().version();
+        if newer {
+            *self.table.borrow_mut() = Arc::new(table);
+        }
+        newer
+    }
+
+    /// Notes that a reading sent at `sent` showed the table in force to be the newest.
+    pub fn prove(&self, sent: Moment) {
+        invariant!(self.proven.get().is_none_or(|proven| proven <= sent), "a proof never gets older");
+        self.proven.set(Some(sent));
+    }
+
+    /// Age of the proof in milliseconds, if there is any.
+    pub fn proof_age_ms(&self) -> Option<u128> {
+        self.proven.get().map(|proven| now().since(proven).as_millis())
+    }
+
+    /// Whether keys may be trusted: the table was the newest a short while ago.
+    pub fn proof_holds(&self) -> bool {
+        let bound = self.settings.bounds.revoke.mul_f64(PROOF_SHARE);
+        self.proven.get().is_some_and(|proven| now().since(proven) < bound)
+    }
+
+    /// Whether this entry wants callers.
+    pub fn ready(&self) -> bool {
+        !self.stopping.get() && self.proof_holds()
+    }
+
+    /// Notes that the process was told to end.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether the process was told to end.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn begin_request(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self.clone())
+    }
+
+    /// Notes a first send to a service.
+    pub fn note_first(&self, service: &Name) {
+        self.with_budget(service, |budget| budget.earn(now()));
+    }
+
+    /// Takes a further send to a service out of its budget.
+    pub fn take_retry(&self, service: &Name) -> bool {
+        self.with_budget(service, |budget| budget.spend(now()))
+    }
+
+    fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Windowed) -> T) -> T {
+        let bounds = self.settings.bounds;
+        let fresh = || {
+            let allowance = bounds.retry_allowance / ENTRIES_AT_MOST;
+            Windowed::new(bounds.retry_share * RETRY_SHARE_USED, allowance, bounds.retry_window)
+        };
+        act(self.budgets.borrow_mut().entry(service.clone()).or_insert_with(fresh))
+    }
+}
+
+/// Counts one request in flight.
+pub struct InFlight(Rc<Gateway>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/watch.rs
@@ -0,0 +1,203 @@
+//! Reading the store: the configuration and the replicas' records.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coord::roster::{Change, Standing};
+use coord::time::Moment;
+use eyre::Result;
+use platform::store::{Client, Keyed, Read};
+use platform::{replica, table};
+
+use super::now;
+use super::state::Gateway;
+use crate::{event, warn_event};
+
+/// The store holds a read of the configuration for so long if nothing changes. Two such reads and
+/// an answer's patience stay within the shortest bound on taken keys seen, 5 s.
+const LONG_READ: Duration = Duration::from_millis(1_500);
+/// Time for an answer of the store, which takes a few milliseconds and on bad days 60 times that.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Records that lapsed in an outage of the store are back within this time of its return.
+const RETURN_GRACE: Duration = Duration::from_secs(2);
+/// Reads of the replicas' records in the time in which a leaving replica must be left alone.
+const READS_PER_DRAIN: u32 = 2;
+
+/// Follows one topic of the store and tells once when it is lost and once when it is back.
+struct Follower {
+    topic: &'static str,
+    client: Client,
+    /// The offset to read from; none before the first whole picture.
+    next: Option<u64>,
+    lost: bool,
+}
+
+impl Follower {
+    fn new(gateway: &Gateway, topic: &'static str) -> Self {
+        Self { topic, client: Client::new(gateway.settings.store), next: None, lost: false }
+    }
+
+    /// Notes how a call ended; returns whether the store came back with it.
+    fn note<T>(&mut self, outcome: &Result<T>) -> bool {
+        match outcome {
+            Ok(_) => {
+                let returned = std::mem::take(&mut self.lost);
+                if returned {
+                    event!("store-regained", topic = self.topic);
+                }
+                returned
+            }
+            Err(error) => {
+                if !self.lost {
+                    warn_event!("store-lost", topic = self.topic, error = %format!("{error:#}"));
+                }
+                self.lost = true;
+                false
+            }
+        }
+    }
+}
+
+/// Keeps the routing table the newest.
+pub async fn configuration(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, table::TOPIC);
+    loop {
+        let outcome = read_configuration(&gateway, &mut follower).await;
+        follower.note(&outcome);
+        if outcome.is_err() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn read_configuration(gateway: &Gateway, follower: &mut Follower) -> Result<()> {
+    let sent = now();
+    let (records, next) = match follower.next {
+        None => {
+            let whole = follower.client.newest(follower.topic, PATIENCE).await?;
+            (whole.records, whole.end)
+        }
+        Some(from) => match follower.client.read(follower.topic, from, LONG_READ, PATIENCE).await? {
+            Read::Trimmed => {
+                event!("store-trimmed", topic = follower.topic, from);
+                follower.next = None;
+                return Ok(());
+            }
+            Read::Records { records, next, end } => {
+                if end < from {
+                    // An answer from before what was already read proves nothing.
+                    warn_event!("store-stale", topic = follower.topic, from, end);
+                    return Ok(());
+                }
+                (records, next)
+            }
+        },
+    };
+    let mut sound = true;
+    for record in records.iter().filter(|record| &*record.key == table::KEY) {
+        sound &= apply(gateway, record);
+    }
+    follower.next = Some(next);
+    if sound && gateway.table().version() > 0 {
+        gateway.prove(sent);
+    }
+    if gateway.table().version() == 0 {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    Ok(())
+}
+
+/// Puts one configuration in force. One that cannot be decoded changes nothing, and proves nothing.
+fn apply(gateway: &Gateway, record: &Keyed) -> bool {
+    let Some(value) = &record.value else { return true };
+    match table::decode(value) {
+        Ok(table) => {
+            let (version, (routes, services, keys)) = (table.version(), table.sizes());
+            let taken = gateway.put_table(table);
+            event!("configuration", version, routes, services, keys, offset = record.offset, taken);
+            true
+        }
+        Err(error) => {
+            warn_event!("configuration", offset = record.offset, error = %format!("{error:#}"));
+            false
+        }
+    }
+}
+
+/// Keeps the belief about replicas up to date.
+pub async fn replicas(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, replica::TOPIC);
+    let period = gateway.settings.bounds.drain / READS_PER_DRAIN;
+    loop {
+        let outcome = read_replicas(&gateway, &mut follower).await;
+        if follower.note(&outcome) {
+            gateway.roster.borrow_mut().store_returned(now(), RETURN_GRACE);
+        }
+        let changes = gateway.roster.borrow_mut().expire(now());
+        tell(&changes);
+        let pause = if outcome.is_ok() && follower.next.is_some() { period } else { RETRY_PAUSE };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn read_replicas(gateway: &Gateway, follower: &mut Follower) -> Result<()> {
+    let Some(from) = follower.next else {
+        let whole = follower.client.newest(follower.topic, PATIENCE).await?;
+        let mut newest = Vec::new();
+        for record in &whole.records {
+            if let coord::roster::News::Here(found) = replica::decode(record)? {
+                newest.push((record.offset, found));
+            }
+        }
+        note_return(gateway, follower);
+        let changes = gateway.roster.borrow_mut().replace(whole.end, newest, now());
+        tell(&changes);
+        follower.next = Some(whole.end);
+        return Ok(());
+    };
+    match follower.client.read(follower.topic, from, Duration::ZERO, PATIENCE).await? {
+        Read::Trimmed => {
+            event!("store-trimmed", topic = follower.topic, from);
+            follower.next = None;
+        }
+        Read::Records { end, .. } if end < from => warn_event!("store-stale", topic = follower.topic, from, end),
+        Read::Records { records, next, .. } => {
+            note_return(gateway, follower);
+            hear(gateway, &records, now());
+            follower.next = Some(next);
+        }
+    }
+    Ok(())
+}
+
+/// What the first answer after an outage says may show records that only lapsed.
+fn note_return(gateway: &Gateway, follower: &Follower) {
+    if follower.lost {
+        gateway.roster.borrow_mut().store_returned(now(), RETURN_GRACE);
+    }
+}
+
+fn hear(gateway: &Gateway, records: &[Keyed], at: Moment) {
+    for record in records {
+        match replica::decode(record) {
+            Ok(news) => {
+                let change = gateway.roster.borrow_mut().hear(record.offset, news, at);
+                tell(change.as_slice());
+            }
+            Err(error) => warn_event!("replica", offset = record.offset, error = %format!("{error:#}")),
+        }
+    }
+}
+
+fn tell(changes: &[Change]) {
+    for change in changes {
+        let standing = match change.standing {
+            Standing::Ready => "ready",
+            Standing::Lapsed(_) => "lapsed",
+            Standing::Gone => "gone",
+        };
+        event!("replica", peer = %change.id, standing);
+    }
+}
--- a/sorrelpass/src/main.rs
+++ b/sorrelpass/src/main.rs
@@ -5,6 +5,8 @@
 mod cmd;
 mod config;
 mod entry;
+mod failure;
+mod gateway;
 mod http;
 mod metric;
 mod platform;
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -17,6 +17,7 @@
     retries: Counter<u64>,
     rings_full: Counter<u64>,
     ttft: Histogram<f64>,
+    first_event: Histogram<f64>,
     revision: Gauge<u64>,
     waiting: Gauge<u64>,
     running: Gauge<u64>,
@@ -42,6 +43,10 @@
         retries: meter.u64_counter("sorrelpass_retries").build(),
         rings_full: meter.u64_counter("sorrelpass_ring_full").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BOUNDS.to_vec()).build(),
+        first_event: meter
+            .f64_histogram("sorrelpass_first_event_seconds")
+            .with_boundaries(TTFT_BOUNDS.to_vec())
+            .build(),
         revision: meter.u64_gauge("sorrelpass_config_revision").build(),
         waiting: meter.u64_gauge("sorrelpass_jobs_waiting").build(),
         running: meter.u64_gauge("sorrelpass_jobs_running").build(),
@@ -79,6 +84,11 @@
     with(|on| on.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
 }
 
+/// A stream's first event was passed on `after` its request came, on route `route`.
+pub fn first_event(route: &str, after: Duration) {
+    with(|on| on.first_event.record(after.as_secs_f64(), &[KeyValue::new("route", route.to_owned())]));
+}
+
 /// The configuration's revision in force here.
 pub fn revision(revision: u64) {
     with(|on| on.revision.record(revision, &[]));
--- a/sorrelpass/src/timeline.rs
+++ b/sorrelpass/src/timeline.rs
@@ -3,7 +3,9 @@
 //! Stamps travel with every call between our processes, so that merging the
 //! logs of all processes by stamp gives a causal order.
 
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock, PoisonError};
+
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -14,6 +16,10 @@
 
 static CLOCK: OnceLock<HLC> = OnceLock::new();
 static PROCESS: OnceLock<String> = OnceLock::new();
+static WRITER: Mutex<Option<WorkerGuard>> = Mutex::new(None);
+
+/// Lines that may wait for standard output; more are dropped and counted, so that no duty waits for a reader.
+const WAITING_LINES: usize = 4_096;
 
 fn clock() -> &'static HLC {
     CLOCK.get_or_init(|| HLCBuilder::new().build())
@@ -39,8 +45,16 @@
 pub fn init(process: &str, level: &str) {
     let _ = PROCESS.set(process.to_owned());
     let filter = tracing_subscriber::EnvFilter::new(level);
-    let lines = tracing_logfmt::builder().with_target(false).layer();
+    let (writer, guard) =
+        NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING_LINES).finish(std::io::stdout());
+    let lines = tracing_logfmt::builder().with_target(false).layer().with_writer(writer);
     let _ = tracing_subscriber::registry().with(filter).with(lines).try_init();
+    *WRITER.lock().unwrap_or_else(PoisonError::into_inner) = Some(guard);
+}
+
+/// Writes out the lines that wait.
+pub fn close() {
+    drop(WRITER.lock().unwrap_or_else(PoisonError::into_inner).take());
 }
 
 /// The process's name, for log lines.
