Prompts get their engines from one planner over the whole fleet

Change: coord::planner keeps a picture of every engine; short prompts are packed onto few, long ones wait, shortest first, and are read in parts where nobody who writes waits too long. One entry plans for all: the oldest announced in the store; the others follow it over their internal port and take over when it is silent for three beats. What binds now: prompts beyond one engine's memory, which nobody serves yet.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod name;
 pub mod pick;
 pub mod placement;
+pub mod planner;
 pub mod prefix;
 pub mod queue;
 pub mod quota;
--- /dev/null
+++ b/coord/src/planner.rs
@@ -0,0 +1,428 @@
+//! Order and place for prompts over all engines of a service.
+//!
+//! The planner keeps a picture of each engine: which prompts it reads, which answers it writes,
+//! and what its memory holds. A prompt is granted an engine, and helpers to read parts of it,
+//! when that keeps two promises as far as the model of [`crate::engine`] tells: the pauses of the
+//! answers that are being written stay within what their callers want, and the prompt's own first
+//! event is in time. Short prompts are granted at once and packed onto few engines, so that the
+//! others stay free of writers whom long reads would stall. Long prompts wait here, the shortest
+//! first, and are read in parts by many engines.
+//!
+//! The same picture serves a process that decides for all entries and one that decides for
+//! itself alone; nothing that must hold depends on how complete it is.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::engine::{Figures, millis};
+use crate::name::Name;
+use crate::time::Moment;
+
+/// Identity of a job: the entry that has it, and the entry's number for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id {
+    /// Who has the job: 0 for the planner's own process, else a connection.
+    pub entry: u64,
+    /// The entry's number for it.
+    pub number: u64,
+}
+
+/// What a prompt asks for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Job {
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Most output tokens.
+    pub output: u64,
+    /// When its first event is wanted.
+    pub aim: Moment,
+    /// Longest pause that its caller wants between events, in milliseconds; 0 if none is told.
+    pub gap_ms: f64,
+    /// When its caller gives up.
+    pub deadline: Moment,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+}
+
+/// A decision: who reads and who writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The job.
+    pub id: Id,
+    /// The engine that gets the request and writes the answer.
+    pub engine: Name,
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<Name>,
+}
+
+/// Settings of the policy. The values were found by measured rounds; see `docs/design/08-platform.md`.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Part of a wanted pause that a pass may take.
+    pub pause_share: f64,
+    /// Least time that a part is worth, in milliseconds: smaller ones cost more passes than they save.
+    pub least_part_ms: f64,
+    /// Most engines that read one prompt.
+    pub most_parts: usize,
+    /// A long prompt starts on engines that have at most this left to read, in milliseconds.
+    pub start_pending_ms: f64,
+    /// Part of an engine's slots that is granted; the rest absorbs what this planner does not see.
+    pub slot_share: f64,
+    /// Part of an engine's memory that is granted.
+    pub memory_share: f64,
+    /// Part of the engines that short prompts leave to long ones.
+    pub long_share: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            pause_share: 0.85,
+            least_part_ms: 40.0,
+            most_parts: 17,
+            start_pending_ms: 40.0,
+            slot_share: 0.85,
+            memory_share: 0.97,
+            long_share: 0.1,
+        }
+    }
+}
+
+/// How long an engine that failed is left out, at first; doubled with each failure in a row.
+const FIRST_PENALTY: Duration = Duration::from_millis(500);
+/// Longest such time.
+const LONGEST_PENALTY: Duration = Duration::from_secs(8);
+/// A part that is overdue by this factor no longer counts as pending.
+const OVERDUE: f64 = 3.0;
+/// Output tokens that a job is expected to write at most, for memory.
+const LIKELY_OUTPUT: u64 = 4_096;
+
+/// A part of a prompt that an engine has still to read.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    job: Id,
+    ms: f64,
+}
+
+/// An answer that an engine writes, or will write once its prompt is read.
+#[derive(Clone, Copy, Debug)]
+struct Seat {
+    tokens: u64,
+    gap_ms: f64,
+}
+
+#[derive(Debug)]
+struct Engine {
+    figures: Arc<Figures>,
+    parts: VecDeque<Part>,
+    /// When the first part began to be read.
+    front_since: Moment,
+    seats: BTreeMap<Id, Seat>,
+    failures: u32,
+    avoid_until: Moment,
+}
+
+impl Engine {
+    fn new(figures: Arc<Figures>) -> Self {
+        Self {
+            figures,
+            parts: VecDeque::new(),
+            front_since: Moment::ZERO,
+            seats: BTreeMap::new(),
+            failures: 0,
+            avoid_until: Moment::ZERO,
+        }
+    }
+
+    fn context(&self) -> u64 {
+        self.seats.values().map(|seat| seat.tokens).sum()
+    }
+
+    /// Milliseconds of a pass in which nothing is read.
+    fn pass_ms(&self) -> f64 {
+        if self.seats.is_empty() { 0.0 } else { self.figures.pass_ms(self.seats.len() as u32, self.context()) }
+    }
+
+    /// Milliseconds of reading that are left.
+    fn pending_ms(&self, now: Moment) -> f64 {
+        let Some(front) = self.parts.front() else { return 0.0 };
+        let elapsed = now.since(self.front_since).as_secs_f64() * 1e3;
+        let front_left =
+            if elapsed > front.ms * OVERDUE + self.pass_ms() { 0.0 } else { (front.ms - elapsed).max(front.ms * 0.1) };
+        front_left + self.parts.iter().skip(1).map(|part| part.ms).sum::<f64>()
+    }
+
+    /// The shortest pause that anyone who writes here wants.
+    fn gap_ms(&self) -> f64 {
+        self.seats.values().map(|seat| seat.gap_ms).filter(|gap| *gap > 0.0).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Milliseconds of reading that fit in before someone who writes here waits too long.
+    fn room_ms(&self, now: Moment, policy: &Policy) -> f64 {
+        self.gap_ms() * policy.pause_share - self.pass_ms() - self.pending_ms(now)
+    }
+
+    fn free_memory(&self, policy: &Policy) -> u64 {
+        ((self.figures.memory as f64 * policy.memory_share) as u64).saturating_sub(self.context())
+    }
+
+    fn has_slot(&self, policy: &Policy) -> bool {
+        (self.seats.len() as f64) < f64::from(self.figures.slots) * policy.slot_share
+    }
+
+    fn add_part(&mut self, job: Id, ms: f64, now: Moment) {
+        if self.parts.is_empty() {
+            self.front_since = now;
+        }
+        self.parts.push_back(Part { job, ms });
+    }
+
+    fn drop_part(&mut self, job: Id, now: Moment) {
+        let was_front = self.parts.front().is_some_and(|part| part.job == job);
+        self.parts.retain(|part| part.job != job);
+        if was_front {
+            self.front_since = now;
+        }
+    }
+}
+
+/// The planner of one service.
+#[derive(Debug, Default)]
+pub struct Planner {
+    policy: Policy,
+    engines: BTreeMap<Name, Engine>,
+    waiting: BTreeMap<Id, Job>,
+    /// Engines that each granted job uses, its writer first.
+    granted: BTreeMap<Id, Vec<Name>>,
+}
+
+impl Planner {
+    /// A planner with a policy and no engines.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
+    /// Sets which engines take work. What runs on an engine that is left out is forgotten.
+    pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Name, Arc<Figures>)>) {
+        let mut old = std::mem::take(&mut self.engines);
+        for (name, figures) in engines {
+            let engine = match old.remove(&name) {
+                Some(mut engine) => {
+                    engine.figures = figures;
+                    engine
+                }
+                None => Engine::new(figures),
+            };
+            self.engines.insert(name, engine);
+        }
+    }
+
+    /// Whether jobs wait.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Jobs that wait and jobs that are granted, for logs.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.waiting.len(), self.granted.len())
+    }
+
+    /// Takes a job in; [`Planner::pump`] grants it.
+    pub fn submit(&mut self, id: Id, job: Job) {
+        self.waiting.insert(id, job);
+    }
+
+    /// Takes in a job that was granted elsewhere: its writer first, then its helpers.
+    pub fn adopt(&mut self, id: Id, job: &Job, engines: Vec<Name>, reading: bool, now: Moment) {
+        self.waiting.remove(&id);
+        let count = engines.len();
+        for (index, name) in engines.iter().enumerate() {
+            let Some(engine) = self.engines.get_mut(name) else { continue };
+            if reading {
+                let ms = engine.figures.part_ms(job.prompt, count);
+                engine.add_part(id, ms, now);
+            }
+            if index == 0 {
+                engine.seats.insert(id, Seat { tokens: job.prompt, gap_ms: job.gap_ms });
+            }
+        }
+        self.granted.insert(id, engines);
+    }
+
+    /// Notes that a job's first event came: its prompt is read.
+    pub fn first_event(&mut self, id: Id, now: Moment) {
+        for name in self.granted.get(&id).into_iter().flatten() {
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.drop_part(id, now);
+                engine.failures = 0;
+            }
+        }
+    }
+
+    /// Notes that a job is over, or no longer waits.
+    pub fn end(&mut self, id: Id, now: Moment) {
+        self.waiting.remove(&id);
+        for name in self.granted.remove(&id).unwrap_or_default() {
+            if let Some(engine) = self.engines.get_mut(&name) {
+                engine.drop_part(id, now);
+                engine.seats.remove(&id);
+            }
+        }
+    }
+
+    /// Forgets all jobs of an entry.
+    pub fn end_entry(&mut self, entry: u64, now: Moment) {
+        let of_entry = |id: &&Id| id.entry == entry;
+        let ids: Vec<Id> = self.waiting.keys().chain(self.granted.keys()).filter(of_entry).copied().collect();
+        for id in ids {
+            self.end(id, now);
+        }
+    }
+
+    /// Notes that an engine failed a job: it is left out for a growing while.
+    pub fn failed(&mut self, engine: &str, now: Moment) {
+        let Some(engine) = self.engines.get_mut(engine) else { return };
+        engine.failures = (engine.failures + 1).min(8);
+        engine.avoid_until = now + (FIRST_PENALTY * 2u32.pow(engine.failures - 1)).min(LONGEST_PENALTY);
+    }
+
+    /// Grants what may start now.
+    pub fn pump(&mut self, now: Moment) -> Vec<Grant> {
+        let mut order: Vec<(Id, Job)> = self.waiting.iter().map(|(id, job)| (*id, *job)).collect();
+        let rank = |job: &Job| self.cost_ms(job);
+        order.sort_by(|(_, a), (_, b)| {
+            self.order_key(a, now).cmp(&self.order_key(b, now)).then(rank(a).total_cmp(&rank(b)))
+        });
+        let mut grants = Vec::new();
+        for (id, job) in order {
+            if let Some(grant) = self.place(id, &job, now) {
+                let engines = std::iter::once(grant.engine.clone()).chain(grant.helpers.iter().cloned()).collect();
+                self.adopt(id, &job, engines, true, now);
+                grants.push(grant);
+            }
+        }
+        grants
+    }
+
+    /// Prompts that can still be in time go first; among them the more urgent rank, then the cheaper.
+    fn order_key(&self, job: &Job, now: Moment) -> (bool, u32) {
+        let least = millis(self.cost_ms(job) / self.policy.most_parts.min(self.engines.len().max(1)) as f64);
+        (now + least > job.aim, job.priority)
+    }
+
+    /// Engine time that reading a job takes, in milliseconds.
+    fn cost_ms(&self, job: &Job) -> f64 {
+        self.engines.values().next().map_or(job.prompt as f64, |engine| engine.figures.read_ms(job.prompt))
+    }
+
+    fn place(&self, id: Id, job: &Job, now: Moment) -> Option<Grant> {
+        let usable = |engine: &Engine| engine.avoid_until <= now;
+        let any = self.engines.values().any(usable);
+        let engines: Vec<(&Name, &Engine)> = self.engines.iter().filter(|(_, engine)| !any || usable(engine)).collect();
+        if engines.is_empty() {
+            return None;
+        }
+        let short = self.is_short(job);
+        let (engine, helpers) =
+            if short { self.place_short(job, &engines, now)? } else { self.place_long(job, &engines, now)? };
+        Some(Grant { id, engine, helpers })
+    }
+
+    /// Whether one engine can read the prompt without a pause that someone like its caller would mind.
+    fn is_short(&self, job: &Job) -> bool {
+        let Some(engine) = self.engines.values().next() else { return true };
+        let gap = if job.gap_ms > 0.0 { job.gap_ms } else { f64::INFINITY };
+        let figures = &engine.figures;
+        let full = figures.pass_ms((f64::from(figures.slots) * self.policy.slot_share) as u32, 0);
+        figures.read_ms(job.prompt) <= gap * self.policy.pause_share - full
+            && figures.read_ms(job.prompt) <= SHORT_READ_MS
+    }
+
+    /// Packs a short prompt onto an engine that has others like it, as long as all stay in time.
+    fn place_short(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<(Name, Vec<Name>)> {
+        let read = self.cost_ms(job);
+        let fits = |engine: &Engine| engine.has_slot(&self.policy) && self.fits_memory(engine, job);
+        let in_time =
+            |engine: &Engine| engine.room_ms(now, &self.policy) >= read && self.in_time(engine, read, job, now);
+        let like = |engine: &Engine| engine.gap_ms() <= job.gap_ms;
+        let packed = engines
+            .iter()
+            .filter(|(_, engine)| fits(engine) && like(engine) && in_time(engine))
+            .max_by_key(|(_, engine)| engine.seats.len());
+        if let Some((name, _)) = packed {
+            return Some(((*name).clone(), Vec::new()));
+        }
+        let opened = engines
+            .iter()
+            .filter(|(_, engine)| fits(engine) && !like(engine))
+            .min_by(|(_, a), (_, b)| self.opening_cost(a, now).total_cmp(&self.opening_cost(b, now)));
+        let all_like = engines.iter().filter(|(_, engine)| like(engine)).count();
+        let may_open = (all_like as f64) < engines.len() as f64 * (1.0 - self.policy.long_share);
+        if let (Some((name, _)), true) = (opened, may_open) {
+            return Some(((*name).clone(), Vec::new()));
+        }
+        engines
+            .iter()
+            .filter(|(_, engine)| (engine.seats.len() as u32) < engine.figures.slots && self.fits_memory(engine, job))
+            .min_by(|(_, a), (_, b)| self.wait_ms(a, now).total_cmp(&self.wait_ms(b, now)))
+            .map(|(name, _)| ((*name).clone(), Vec::new()))
+    }
+
+    /// What it costs to make an engine one of those that hold short answers.
+    fn opening_cost(&self, engine: &Engine, now: Moment) -> f64 {
+        self.wait_ms(engine, now) + engine.context() as f64 / 1e3
+    }
+
+    /// Milliseconds until an engine could begin to read something new.
+    fn wait_ms(&self, engine: &Engine, now: Moment) -> f64 {
+        engine.pending_ms(now) + engine.pass_ms()
+    }
+
+    fn in_time(&self, engine: &Engine, read: f64, job: &Job, now: Moment) -> bool {
+        now + millis(self.wait_ms(engine, now) + read + engine.pass_ms()) <= job.aim
+    }
+
+    fn fits_memory(&self, engine: &Engine, job: &Job) -> bool {
+        engine.free_memory(&self.policy) >= job.prompt + job.output.min(LIKELY_OUTPUT)
+    }
+
+    /// Splits a long prompt over as many engines as can read a part without making anyone wait.
+    fn place_long(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<(Name, Vec<Name>)> {
+        let read = self.cost_ms(job);
+        let most = ((read / self.policy.least_part_ms) as usize).clamp(1, self.policy.most_parts);
+        let mut open: Vec<(&Name, &Engine, f64)> = engines
+            .iter()
+            .map(|(name, engine)| (*name, *engine, engine.pending_ms(now)))
+            .filter(|(_, _, pending)| *pending <= self.policy.start_pending_ms)
+            .collect();
+        open.sort_by(|(_, a, a_pending), (_, b, b_pending)| {
+            (a_pending + a.pass_ms()).total_cmp(&(b_pending + b.pass_ms()))
+        });
+        for parts in (1..=most.min(open.len())).rev() {
+            let part = read / parts as f64;
+            let roomy: Vec<&(&Name, &Engine, f64)> =
+                open.iter().filter(|(_, engine, _)| engine.room_ms(now, &self.policy) >= part).collect();
+            if roomy.len() < parts {
+                continue;
+            }
+            let writer = roomy
+                .iter()
+                .filter(|(_, engine, _)| engine.has_slot(&self.policy) && self.fits_memory(engine, job))
+                .min_by_key(|(_, engine, _)| self.writer_key(engine, job));
+            let Some((writer, _, _)) = writer else { continue };
+            let helpers = roomy.iter().map(|(name, _, _)| *name).filter(|name| *name != *writer);
+            return Some(((*writer).clone(), helpers.take(parts - 1).cloned().collect()));
+        }
+        None
+    }
+
+    /// Long answers are written where others are, away from short ones, so that most engines only read.
+    fn writer_key(&self, engine: &Engine, job: &Job) -> (bool, std::cmp::Reverse<usize>) {
+        (engine.gap_ms() < job.gap_ms, std::cmp::Reverse(engine.seats.len()))
+    }
+}
+
+/// A prompt that takes longer to read than this is long, in milliseconds: it would spend most of
+/// the 200 ms that the shortest wanted pause seen leaves beside a pass.
+const SHORT_READ_MS: f64 = 125.0;
--- a/coord/src/route.rs
+++ b/coord/src/route.rs
@@ -3,6 +3,7 @@
 //! A table is immutable; a new version replaces it whole.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::engine::Figures;
@@ -88,7 +89,7 @@
     /// Connections that one replica takes from all callers together.
     pub max_connections: u32,
     /// Sizes and speeds of its engines; none for a plain service.
-    pub engine: Option<Figures>,
+    pub engine: Option<Arc<Figures>>,
 }
 
 /// Who a key stands for.
@@ -186,6 +187,11 @@
         self.services.get(name)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Numbers for log lines: routes, services and keys.
     pub fn sizes(&self) -> (usize, usize, usize) {
         (self.hosts.values().map(Vec::len).sum(), self.services.len(), self.keys.len())
--- a/sorrelpass/src/gateway/call.rs
+++ b/sorrelpass/src/gateway/call.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use coord::invariant;
 use coord::name::{Name, Ran};
+use coord::planner;
 use coord::roster::Record;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
@@ -17,6 +18,7 @@
 
 use super::answer::{self, Answer};
 use super::attempt::{self, Connection, Failed, Outgoing};
+use super::desk::Lease;
 use super::now;
 use super::relay;
 use super::state::{Gateway, InFlight};
@@ -73,8 +75,8 @@
     pub response: Response<Incoming>,
     /// The connection that carries the rest.
     pub connection: Connection,
-    /// Counts the request there.
-    pub _outstanding: Outstanding,
+    /// Its place there.
+    pub place: Place,
 }
 
 /// What one send came to.
@@ -89,7 +91,24 @@
     Unsent,
 }
 
-/// Counts one request at one replica until it is over.
+/// A request's place at a replica until it is over.
+pub enum Place {
+    /// Counted at a plain replica.
+    Plain(Outstanding),
+    /// Granted an engine.
+    Engine(Lease),
+}
+
+impl Place {
+    /// Notes that a stream's first event came.
+    pub fn first_event(&self) {
+        if let Place::Engine(lease) = self {
+            lease.first_event();
+        }
+    }
+}
+
+/// Counts one request at one plain replica until it is over.
 pub struct Outstanding {
     gateway: Rc<Gateway>,
     replica: Name,
@@ -108,6 +127,14 @@
     }
 }
 
+/// Where a request goes next.
+struct Target {
+    record: Record,
+    /// Addresses of engines that read parts of the prompt.
+    helpers: Vec<Name>,
+    place: Place,
+}
+
 /// Takes a request to its answer.
 pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>, busy: Box<dyn Any>) -> Answer {
     let started = now();
@@ -226,16 +253,12 @@
     pub async fn open(&mut self, after_event: Option<u64>) -> Result<Opened, Failure> {
         let mut retry_after = None;
         loop {
-            let picked = {
-                let roster = self.gateway.roster.borrow();
-                self.gateway.placer.borrow().pick(&roster, &self.service, &self.tried)
-            };
-            let Some(record) = picked else { return Err(self.exhausted(retry_after)) };
+            let Some(target) = self.target().await else { return Err(self.exhausted(retry_after)) };
             if self.sends > 0 && !self.gateway.take_retry(&self.service) {
                 event!("retry-refused", request = %self.call.id, service = %self.service, reason = "budget");
                 return Err(self.exhausted(retry_after));
             }
-            match self.send(&record, after_event).await {
+            match self.send(target, after_event).await {
                 Sent::Opened(opened) => return Ok(opened),
                 Sent::NotRun(after) => retry_after = retry_after.max(after),
                 Sent::Lost if self.route.repeatable() && self.runs < self.route.max_attempts => {}
@@ -246,19 +269,58 @@
         }
     }
 
+    /// Chooses where the request goes next; a prompt waits here until it may start.
+    async fn target(&self) -> Option<Target> {
+        match self.call.prompt_tokens {
+            Some(tokens) if self.has_engines() => self.engine(tokens).await,
+            _ => self.plain(),
+        }
+    }
+
+    fn has_engines(&self) -> bool {
+        self.gateway.table().service(&self.service).is_some_and(|service| service.engine.is_some())
+    }
+
+    fn plain(&self) -> Option<Target> {
+        let roster = self.gateway.roster.borrow();
+        let record = self.gateway.placer.borrow().pick(&roster, &self.service, &self.tried)?;
+        let place = Place::Plain(Outstanding::begin(&self.gateway, &record.id));
+        Some(Target { record, helpers: Vec::new(), place })
+    }
+
+    async fn engine(&self, tokens: u64) -> Option<Target> {
+        let priority = self.workspace.as_ref().and_then(|workspace| workspace.priority).unwrap_or(self.route.priority);
+        let prompt = planner::Job {
+            prompt: tokens,
+            output: self.call.output_tokens,
+            aim: self.started + self.route.aim,
+            gap_ms: self.route.gap_aim.as_secs_f64() * 1e3,
+            deadline: self.deadline,
+            priority,
+        };
+        let lease = self.gateway.desk.place(&self.service, prompt).await?;
+        let roster = self.gateway.roster.borrow();
+        let usable =
+            |id: &Name| roster.get(id).filter(|replica| replica.takes_work()).map(|replica| replica.record.clone());
+        let record = usable(&lease.engine)?;
+        let helpers = lease.helpers.iter().filter_map(usable).map(|helper| helper.address).collect();
+        Some(Target { record, helpers, place: Place::Engine(lease) })
+    }
+
     /// One send to one replica.
-    async fn send(&mut self, record: &Record, after_event: Option<u64>) -> Sent {
+    async fn send(&mut self, target: Target, after_event: Option<u64>) -> Sent {
+        let Target { record, helpers, place } = target;
+        let record = &record;
         self.tried.push(record.id.clone());
-        let outstanding = Outstanding::begin(&self.gateway, &record.id);
         let head = dialect::Send {
             replica: record.id.clone(),
             left: self.left(),
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
-            helpers: Vec::new(),
+            helpers,
             after_event,
             priority: None,
         };
-        event!("send", request = %self.call.id, peer = %record.id, number = self.sends + 1, left_ms = head.left.as_millis(),
+        event!("send", request = %self.call.id, peer = %record.id, helpers = head.helpers.len(), number = self.sends + 1, left_ms = head.left.as_millis(),
             after_event = after_event.map_or(-1, |event| event as i64));
         let may_run = self.runs == 0 || self.route.repeatable();
         invariant!(may_run, "a request that may run once is not sent again after it may have run");
@@ -270,30 +332,26 @@
         }
         match sent {
             Err(Failed::Unsent(error)) => {
+                self.gateway.desk.failed(&self.service, &record.id);
                 event!("unreached", request = %self.call.id, peer = %record.id, error = %error);
                 Sent::Unsent
             }
             Err(Failed::Lost(error)) => {
                 self.sends += 1;
                 self.runs += 1;
+                self.gateway.desk.failed(&self.service, &record.id);
                 event!("lost", request = %self.call.id, peer = %record.id, error = %error);
                 Sent::Lost
             }
             Ok((response, connection)) => {
                 self.sends += 1;
-                self.judge(record, response, connection, outstanding)
+                self.judge(record, response, connection, place)
             }
         }
     }
 
     /// Whether an answer head is one to pass on.
-    fn judge(
-        &mut self,
-        record: &Record,
-        response: Response<Incoming>,
-        connection: Connection,
-        outstanding: Outstanding,
-    ) -> Sent {
+    fn judge(&mut self, record: &Record, response: Response<Incoming>, connection: Connection, place: Place) -> Sent {
         let answer = dialect::answer(response.status(), response.headers(), &self.call.id);
         if let Some(load) = answer.load {
             self.gateway.placer.borrow_mut().told(&record.id, load);
@@ -301,6 +359,7 @@
         let status = answer.status.as_u16();
         if answer.not_run {
             event!("not-run", request = %self.call.id, peer = %record.id, status, at_fault = answer.at_fault.as_deref().unwrap_or(""));
+            self.gateway.desk.failed(&self.service, &self.at_fault(record, &answer));
             return Sent::NotRun(answer.retry_after);
         }
         self.runs += 1;
@@ -311,7 +370,17 @@
             event!("lost", request = %self.call.id, peer = %record.id, status, ours = answer.ours, sealed = answer.sealed);
             return Sent::Lost;
         }
-        Sent::Opened(Opened { record: record.clone(), response, connection, _outstanding: outstanding })
+        Sent::Opened(Opened { record: record.clone(), response, connection, place })
+    }
+
+    /// The replica to blame for a refusal: the one that the answer names, else the one that answered.
+    fn at_fault(&self, record: &Record, answer: &dialect::Answer) -> Name {
+        let roster = self.gateway.roster.borrow();
+        let named = answer.at_fault.as_ref().and_then(|address| {
+            let of_address = |record: &&Record| record.address == *address || record.id == *address;
+            roster.usable(&self.service).find(of_address)
+        });
+        named.unwrap_or(record).id.clone()
     }
 
     /// Passes an answer on: a stream as it comes, anything else once it is whole.
@@ -354,8 +423,10 @@
 
     /// The time is over.
     fn timed_out(&self) -> Failure {
-        let ran = if self.sends == 0 { Ran::No } else { Ran::Unknown };
-        Failure::new(StatusCode::GATEWAY_TIMEOUT, "deadline", "the time allowed has run out").ran(ran)
+        if self.sends == 0 {
+            return Failure::busy("waited_out", "no replica became free in time", BUSY_RETRY);
+        }
+        Failure::new(StatusCode::GATEWAY_TIMEOUT, "deadline", "the time allowed has run out").ran(Ran::Unknown)
     }
 }
 
--- /dev/null
+++ b/sorrelpass/src/gateway/desk.rs
@@ -0,0 +1,314 @@
+//! Where prompts get their engines.
+//!
+//! Each entry has a planner for every service with engines. While another entry plans for all,
+//! prompts are submitted there, and the own planner only follows what was granted, so that it can
+//! take over at once when that entry is lost.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::engine::Figures;
+use coord::name::Name;
+use coord::planner::{Grant, Id, Job, Planner, Policy};
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use super::link::{Ask, Order, Report};
+use super::now;
+
+/// How often waiting prompts are looked at when nothing else happens: engines free up by the
+/// model's reckoning, which is good to some milliseconds.
+const TICK: Duration = Duration::from_millis(10);
+/// This process's own jobs carry this number in place of a connection's.
+const OWN: u64 = 0;
+
+/// A prompt that waits for its grant.
+struct Waiter {
+    service: Name,
+    job: Job,
+    grant: oneshot::Sender<(Name, Vec<Name>)>,
+}
+
+/// A prompt that was granted.
+struct Running {
+    service: Name,
+    job: Job,
+    /// Its engines, the writer first.
+    engines: Vec<Name>,
+    reading: bool,
+}
+
+/// Hands prompts to engines.
+pub struct Desk {
+    planners: RefCell<HashMap<Name, Planner>>,
+    waiting: RefCell<HashMap<u64, Waiter>>,
+    running: RefCell<HashMap<u64, Running>>,
+    /// The way to the entry that plans; none while this one plans for itself.
+    leader: RefCell<Option<mpsc::Sender<Report>>>,
+    /// Entries that this one plans for.
+    followers: RefCell<HashMap<u64, mpsc::Sender<Order>>>,
+    next_number: Cell<u64>,
+    next_entry: Cell<u64>,
+    woken: Notify,
+}
+
+/// A granted prompt; dropping it tells the planner that the prompt is over.
+pub struct Lease {
+    desk: Weak<Desk>,
+    number: u64,
+    /// The engine that gets the request.
+    pub engine: Name,
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<Name>,
+}
+
+impl Lease {
+    /// Notes that the first event came: the prompt is read.
+    pub fn first_event(&self) {
+        if let Some(desk) = self.desk.upgrade() {
+            desk.first_event(self.number);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(desk) = self.desk.upgrade() {
+            desk.over(self.number);
+        }
+    }
+}
+
+/// Withdraws a prompt that nobody waits for any more.
+struct Withdraw<'a>(&'a Desk, u64);
+
+impl Drop for Withdraw<'_> {
+    fn drop(&mut self) {
+        let Some(waiter) = self.0.waiting.borrow_mut().remove(&self.1) else { return };
+        self.0.end(&waiter.service, self.1);
+    }
+}
+
+impl Desk {
+    /// A desk that knows no engines.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            planners: RefCell::default(),
+            waiting: RefCell::default(),
+            running: RefCell::default(),
+            leader: RefCell::default(),
+            followers: RefCell::default(),
+            next_number: Cell::new(0),
+            next_entry: Cell::new(OWN + 1),
+            woken: Notify::new(),
+        })
+    }
+
+    /// Sets the engines of a service.
+    pub fn set_engines(&self, service: &Name, figures: &Arc<Figures>, engines: impl Iterator<Item = Name>) {
+        let engines: Vec<(Name, Arc<Figures>)> = engines.map(|name| (name, figures.clone())).collect();
+        let mut planners = self.planners.borrow_mut();
+        let planner = planners.entry(service.clone()).or_insert_with(|| Planner::new(Policy::default()));
+        planner.set_engines(engines);
+    }
+
+    /// Waits until a prompt may start. Dropping the future withdraws it.
+    pub async fn place(self: &Rc<Self>, service: &Name, job: Job) -> Option<Lease> {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let (grant, granted) = oneshot::channel();
+        let withdraw = Withdraw(self, number);
+        self.waiting.borrow_mut().insert(number, Waiter { service: service.clone(), job, grant });
+        let ask = Ask::of(&job, now());
+        if !self.report(Report::Submit { number, service: service.clone(), ask }) {
+            self.with(service, |planner| planner.submit(own(number), job));
+            self.pump();
+        }
+        let (engine, helpers) = granted.await.ok()?;
+        drop(withdraw);
+        Some(Lease { desk: Rc::downgrade(self), number, engine, helpers })
+    }
+
+    /// Notes that an engine failed a prompt.
+    pub fn failed(&self, service: &Name, engine: &Name) {
+        self.with(service, |planner| planner.failed(engine, now()));
+        self.report(Report::Failed { service: service.clone(), engine: engine.clone() });
+    }
+
+    /// The entry that plans granted one of our prompts.
+    pub fn granted(&self, number: u64, engine: Name, helpers: Vec<Name>) {
+        if self.start(number, engine, helpers, true) {
+            return;
+        }
+        // It was withdrawn, or granted here, while the grant was on its way.
+        crate::event!("grant-unwanted", number);
+    }
+
+    /// Another entry plans from now on: it gets to know what runs and what waits here.
+    pub fn link_up(&self, leader: mpsc::Sender<Report>) {
+        *self.leader.borrow_mut() = Some(leader);
+        let now = now();
+        for (number, running) in &*self.running.borrow() {
+            self.report(Report::Adopt {
+                number: *number,
+                service: running.service.clone(),
+                ask: Ask::of(&running.job, now),
+                engines: running.engines.clone(),
+                reading: running.reading,
+            });
+        }
+        for (number, waiter) in &*self.waiting.borrow() {
+            self.with(&waiter.service, |planner| planner.end(own(*number), now));
+            let ask = Ask::of(&waiter.job, now);
+            self.report(Report::Submit { number: *number, service: waiter.service.clone(), ask });
+        }
+    }
+
+    /// Nobody else plans for this entry any more.
+    pub fn link_down(&self) {
+        *self.leader.borrow_mut() = None;
+        for (number, waiter) in &*self.waiting.borrow() {
+            self.with(&waiter.service, |planner| planner.submit(own(*number), waiter.job));
+        }
+        self.pump();
+    }
+
+    /// Takes in an entry to plan for; returns its number here.
+    pub fn join(&self, orders: mpsc::Sender<Order>) -> u64 {
+        let entry = self.next_entry.get();
+        self.next_entry.set(entry + 1);
+        self.followers.borrow_mut().insert(entry, orders);
+        entry
+    }
+
+    /// Forgets an entry and its prompts.
+    pub fn leave(&self, entry: u64) {
+        self.followers.borrow_mut().remove(&entry);
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.end_entry(entry, now());
+        }
+        self.pump();
+    }
+
+    /// Takes a report from an entry.
+    pub fn hear(&self, entry: u64, report: Report) {
+        let now = now();
+        let id = |number| Id { entry, number };
+        match report {
+            Report::Submit { number, service, ask } => {
+                self.with(&service, |planner| planner.submit(id(number), ask.job(now)));
+            }
+            Report::Adopt { number, service, ask, engines, reading } => {
+                self.with(&service, |planner| planner.adopt(id(number), &ask.job(now), engines, reading, now));
+            }
+            Report::FirstEvent { number, service } => {
+                self.with(&service, |planner| planner.first_event(id(number), now));
+            }
+            Report::End { number, service } => self.with(&service, |planner| planner.end(id(number), now)),
+            Report::Failed { service, engine } => self.with(&service, |planner| planner.failed(&engine, now)),
+        }
+        self.pump();
+    }
+
+    /// Looks at waiting prompts again and again while there are any.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            self.woken.notified().await;
+            tokio::time::sleep(TICK).await;
+            self.pump();
+        }
+    }
+
+    fn first_event(&self, number: u64) {
+        let service = match self.running.borrow_mut().get_mut(&number) {
+            Some(running) => {
+                running.reading = false;
+                running.service.clone()
+            }
+            None => return,
+        };
+        self.with(&service, |planner| planner.first_event(own(number), now()));
+        self.report(Report::FirstEvent { number, service });
+        self.pump();
+    }
+
+    fn over(&self, number: u64) {
+        let Some(running) = self.running.borrow_mut().remove(&number) else { return };
+        self.end(&running.service, number);
+    }
+
+    fn end(&self, service: &Name, number: u64) {
+        self.with(service, |planner| planner.end(own(number), now()));
+        self.report(Report::End { number, service: service.clone() });
+        self.pump();
+    }
+
+    /// Tells the entry that plans; says whether there is one.
+    fn report(&self, report: Report) -> bool {
+        let mut leader = self.leader.borrow_mut();
+        let Some(sender) = &*leader else { return false };
+        if sender.try_send(report).is_err() {
+            // Too far behind: dropping the sender ends the link, which hands over what waits.
+            *leader = None;
+            return false;
+        }
+        true
+    }
+
+    fn with(&self, service: &Name, act: impl FnOnce(&mut Planner)) {
+        if let Some(planner) = self.planners.borrow_mut().get_mut(service) {
+            act(planner);
+        }
+    }
+
+    /// Hands one of our prompts its engines; says whether it was still waiting.
+    fn start(&self, number: u64, engine: Name, helpers: Vec<Name>, elsewhere: bool) -> bool {
+        let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return false };
+        let Waiter { service, job, grant } = waiter;
+        let engines: Vec<Name> = std::iter::once(engine.clone()).chain(helpers.iter().cloned()).collect();
+        if elsewhere {
+            self.with(&service, |planner| planner.adopt(own(number), &job, engines.clone(), true, now()));
+        }
+        self.running.borrow_mut().insert(number, Running { service, job, engines, reading: true });
+        if grant.send((engine, helpers)).is_err() {
+            self.over(number);
+        }
+        true
+    }
+
+    /// Grants what may start.
+    fn pump(&self) {
+        let mut grants = Vec::new();
+        let mut more = false;
+        for planner in self.planners.borrow_mut().values_mut() {
+            if planner.has_waiting() {
+                grants.extend(planner.pump(now()));
+                more |= planner.has_waiting();
+            }
+        }
+        for grant in grants {
+            self.deliver(grant);
+        }
+        if more {
+            self.woken.notify_one();
+        }
+    }
+
+    fn deliver(&self, grant: Grant) {
+        let Grant { id, engine, helpers } = grant;
+        if id.entry == OWN {
+            self.start(id.number, engine, helpers, false);
+            return;
+        }
+        let followers = self.followers.borrow();
+        let Some(orders) = followers.get(&id.entry) else { return };
+        // An entry that is too far behind loses its connection, and with it what was granted.
+        let _ = orders.try_send(Order::Grant { number: id.number, engine, helpers });
+    }
+}
+
+fn own(number: u64) -> Id {
+    Id { entry: OWN, number }
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/follow.rs
@@ -0,0 +1,144 @@
+//! Finding the entry that plans for all, and following it.
+//!
+//! Entries announce themselves in the store, each under its address. The one whose announcement
+//! is the oldest plans; a restarted entry announces itself anew and so comes last. Everyone knows
+//! all that are older than itself, for it reads the list after its own announcement. Two that plan
+//! at the same time, in a cut, grant less well and break nothing.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use platform::dialect;
+use platform::store::{self, Client};
+use tokio::sync::mpsc;
+
+use super::desk::Desk;
+use super::lead::BEAT;
+use super::link::{self, Link, Order, Report};
+use super::state::Gateway;
+use crate::{event, util, warn_event};
+
+/// Time for a connection to another entry: a few times the way across a region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// An entry that plans and is silent for so many beats is given up.
+const BEATS_MISSED: u32 = 3;
+/// How often older entries are tried again, for one that was cut off or frozen may be back.
+const RETRY: Duration = Duration::from_secs(3);
+/// Time for an answer of the store.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Pause after a failed announcement.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Follows the oldest entry that can be reached, for as long as the process lives.
+pub async fn run(gateway: Rc<Gateway>, own: SocketAddr) {
+    let mut client = Client::new(gateway.settings.store);
+    announce(&mut client, own).await;
+    let mut peers = Vec::new();
+    let mut stale = true;
+    loop {
+        if stale {
+            peers = list(&mut client, own).await.unwrap_or(peers);
+        }
+        let own_rank = peers.iter().position(|peer| *peer == own);
+        // An entry that is about to end looks to the younger ones too.
+        let rank = own_rank.filter(|_| !gateway.stopping()).unwrap_or(peers.len());
+        let Some((rank, link)) = reach(&peers[..rank], own).await else {
+            tokio::time::sleep(RETRY).await;
+            continue;
+        };
+        stale = follow(&gateway.desk, link, &peers, rank, own).await;
+    }
+}
+
+/// Announces this entry until the store has taken it.
+async fn announce(client: &mut Client, own: SocketAddr) {
+    let value = util::incarnation().to_string();
+    loop {
+        match client.put(store::PEERS, &own.to_string(), value.as_bytes(), PATIENCE).await {
+            Ok(()) => return event!("announced", address = %own),
+            Err(error) => warn_event!("announced", error = %format!("{error:#}")),
+        }
+        tokio::time::sleep(ANNOUNCE_PAUSE).await;
+    }
+}
+
+/// All announced entries, the oldest first.
+async fn list(client: &mut Client, own: SocketAddr) -> Option<Vec<SocketAddr>> {
+    match client.newest(store::PEERS, PATIENCE).await {
+        Ok(mut whole) => {
+            whole.records.sort_by_key(|record| record.offset);
+            let peers: Vec<SocketAddr> = whole.records.iter().filter_map(|record| record.key.parse().ok()).collect();
+            event!(
+                "peers",
+                known = peers.len(),
+                rank = peers.iter().position(|peer| *peer == own).unwrap_or(peers.len())
+            );
+            Some(peers)
+        }
+        Err(error) => {
+            warn_event!("peers", error = %format!("{error:#}"));
+            None
+        }
+    }
+}
+
+/// The first of `peers` that can be reached, with its rank.
+async fn reach(peers: &[SocketAddr], own: SocketAddr) -> Option<(usize, Link)> {
+    for (rank, peer) in peers.iter().enumerate().filter(|(_, peer)| **peer != own) {
+        if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, dialect::connect(*peer)).await {
+            return Some((rank, Link::new(stream)));
+        }
+    }
+    None
+}
+
+/// Follows one entry until it is lost or an older one can be reached; says whether it was lost.
+async fn follow(desk: &Rc<Desk>, link: Link, peers: &[SocketAddr], rank: usize, own: SocketAddr) -> bool {
+    let peer = peers[rank];
+    event!("following", peer = %peer, rank);
+    let (reports, waiting) = mpsc::channel(link::RING);
+    desk.link_up(reports);
+    let lost = tokio::select! {
+        outcome = exchange(desk, link, waiting) => {
+            let reason = outcome.err().unwrap_or_else(|| eyre!("ended"));
+            warn_event!("leader-lost", peer = %peer, reason = %format!("{reason:#}"));
+            true
+        }
+        older = older(&peers[..rank], own) => {
+            event!("leader-left", peer = %peer, reason = "an older entry is back", older);
+            false
+        }
+    };
+    desk.link_down();
+    lost
+}
+
+/// Waits until an older entry can be reached.
+async fn older(peers: &[SocketAddr], own: SocketAddr) -> usize {
+    loop {
+        tokio::time::sleep(RETRY).await;
+        if let Some((rank, _)) = reach(peers, own).await {
+            return rank;
+        }
+    }
+}
+
+async fn exchange(desk: &Rc<Desk>, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<()> {
+    let silence = BEAT * BEATS_MISSED;
+    loop {
+        tokio::select! {
+            order = tokio::time::timeout(silence, link.receive()) => {
+                match order.wrap_err("step=receive: no beat")?? {
+                    Order::Grant { number, engine, helpers } => desk.granted(number, engine, helpers),
+                    Order::Beat => {}
+                }
+            }
+            report = waiting.recv() => {
+                let report = report.ok_or_else(|| eyre!("step=send: too far behind"))?;
+                link.send_all(report, &mut waiting).await?;
+            }
+        }
+    }
+}
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -7,7 +7,11 @@
 mod answer;
 mod attempt;
 mod call;
+mod desk;
+mod follow;
 mod health;
+mod lead;
+mod link;
 mod place;
 mod relay;
 mod serve;
@@ -15,6 +19,7 @@
 mod stream;
 mod watch;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -43,8 +48,15 @@
     tokio::task::spawn_local(watch::configuration(gateway.clone()));
     tokio::task::spawn_local(watch::replicas(gateway.clone()));
     tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
+    tokio::task::spawn_local(gateway.desk.clone().run());
     tokio::task::spawn_local(reload(file));
     let (stop, stopping) = tokio::sync::watch::channel(serve::Phase::Serving);
+    if let Some(port) = gateway.settings.peer_port {
+        let own = SocketAddr::new(gateway.settings.listen.ip(), port);
+        let peers = http::listen(own)?;
+        tokio::task::spawn_local(lead::run(gateway.desk.clone(), peers, stopping.clone()));
+        tokio::task::spawn_local(follow::run(gateway.clone(), own));
+    }
     tokio::task::spawn_local(serve::run(gateway.clone(), listener, stopping));
 
     let mut terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::answer::{Answer, Broken};
-use super::call::{Job, Opened};
+use super::call::{Job, Opened, Place};
 use super::now;
 use super::stream::Splitter;
 use crate::{event, metric};
@@ -38,7 +38,7 @@
     headers.remove(hyper::header::CONTENT_LENGTH);
     let status = opened.response.status();
     let (pieces, receiver) = mpsc::channel::<Piece>(RING);
-    let relay = Relay { job, pieces, splitter: Splitter::default(), last: None, events: 0 };
+    let relay = Relay { job, pieces, splitter: Splitter::default(), last: None, events: 0, fresh: true };
     tokio::task::spawn_local(async move {
         let mut relay = relay;
         loop {
@@ -64,16 +64,18 @@
     /// Number of the last event passed on.
     last: Option<u64>,
     events: u64,
+    /// Whether the replica at hand has sent no event yet.
+    fresh: bool,
 }
 
 impl Relay {
     /// Passes on what one replica sends.
     async fn pass(&mut self, opened: &mut Opened) -> End {
+        self.fresh = true;
         let deadline = tokio::time::Instant::now() + self.job.left();
-        let body = opened.response.body_mut();
         loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
+                frame = opened.response.body_mut().frame() => frame,
                 () = self.pieces.closed() => return End::CallerGone,
                 () = tokio::time::sleep_until(deadline) => return End::Late,
             };
@@ -83,20 +85,24 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.splitter.push(&data);
-            if !self.drain().await {
+            if !self.drain(&opened.place).await {
                 return End::CallerGone;
             }
         }
     }
 
     /// Passes on the whole events that have come; says whether the caller is still there.
-    async fn drain(&mut self) -> bool {
+    async fn drain(&mut self, place: &Place) -> bool {
         while let Some(event) = self.splitter.next() {
             if self.events == 0 {
                 let after = now().since(self.job.started);
                 event!("first-event", request = %self.job.call.id, after_ms = after.as_millis());
                 metric::first_event(&self.job.route.name, after);
             }
+            if self.fresh {
+                self.fresh = false;
+                place.first_event();
+            }
             self.events += 1;
             self.last = event.id.or(self.last);
             if self.pieces.send(Ok(Frame::data(event.bytes))).await.is_err() {
--- a/sorrelpass/src/gateway/serve.rs
+++ b/sorrelpass/src/gateway/serve.rs
@@ -20,6 +20,8 @@
 pub enum Phase {
     /// Connections are taken.
     Serving,
+    /// The process was told to end; requests are still taken.
+    Stopping,
     /// Resting connections are closed.
     Closing,
 }
@@ -126,6 +128,7 @@
 /// Serves what still comes until the balancer has taken notice, lets requests finish, and closes what rests.
 pub async fn wind_down(gateway: &Gateway, grace: Duration, stop: &watch::Sender<Phase>) {
     let started = now();
+    let _ = stop.send(Phase::Stopping);
     let last = started + grace.mul_f64(GRACE_SHARE);
     loop {
         let now = now();
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use coord::route::Table;
 use coord::time::Moment;
 
+use super::desk::Desk;
 use super::now;
 use super::place::Placer;
 use crate::config;
@@ -32,8 +33,10 @@
     proven: Cell<Option<Moment>>,
     /// The replicas.
     pub roster: RefCell<Roster>,
-    /// Where requests go.
+    /// Where plain requests go.
     pub placer: RefCell<Placer>,
+    /// Where prompts go.
+    pub desk: Rc<Desk>,
     budgets: RefCell<HashMap<Name, Windowed>>,
     stopping: Cell<bool>,
     in_flight: Cell<usize>,
@@ -49,6 +52,7 @@
             proven: Cell::new(None),
             roster: RefCell::default(),
             placer: RefCell::new(placer),
+            desk: Desk::new(),
             budgets: RefCell::default(),
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
@@ -69,6 +73,16 @@
         newer
     }
 
+    /// Tells the desk which engines take work.
+    pub fn refresh_engines(&self) {
+        let roster = self.roster.borrow();
+        for service in self.table().services() {
+            let Some(figures) = &service.engine else { continue };
+            let engines = roster.usable(&service.name).map(|record| record.id.clone());
+            self.desk.set_engines(&service.name, figures, engines);
+        }
+    }
+
     /// Notes that a reading sent at `sent` showed the table in force to be the newest.
     pub fn prove(&self, sent: Moment) {
         invariant!(self.proven.get().is_none_or(|proven| proven <= sent), "a proof never gets older");
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -116,6 +116,7 @@
         Ok(table) => {
             let (version, (routes, services, keys)) = (table.version(), table.sizes());
             let taken = gateway.put_table(table);
+            gateway.refresh_engines();
             event!("configuration", version, routes, services, keys, offset = record.offset, taken);
             true
         }
@@ -136,7 +137,7 @@
             gateway.roster.borrow_mut().store_returned(now(), RETURN_GRACE);
         }
         let changes = gateway.roster.borrow_mut().expire(now());
-        tell(&changes);
+        tell(gateway.as_ref(), &changes);
         let pause = if outcome.is_ok() && follower.next.is_some() { period } else { RETRY_PAUSE };
         tokio::time::sleep(pause).await;
     }
@@ -153,7 +154,7 @@
         }
         note_return(gateway, follower);
         let changes = gateway.roster.borrow_mut().replace(whole.end, newest, now());
-        tell(&changes);
+        tell(gateway, &changes);
         follower.next = Some(whole.end);
         return Ok(());
     };
@@ -184,14 +185,15 @@
         match replica::decode(record) {
             Ok(news) => {
                 let change = gateway.roster.borrow_mut().hear(record.offset, news, at);
-                tell(change.as_slice());
+                tell(gateway, change.as_slice());
             }
             Err(error) => warn_event!("replica", offset = record.offset, error = %format!("{error:#}")),
         }
     }
 }
 
-fn tell(changes: &[Change]) {
+/// Logs changes of belief and passes them to those who choose engines.
+fn tell(gateway: &Gateway, changes: &[Change]) {
     for change in changes {
         let standing = match change.standing {
             Standing::Ready => "ready",
@@ -200,4 +202,7 @@
         };
         event!("replica", peer = %change.id, standing);
     }
+    if !changes.is_empty() {
+        gateway.refresh_engines();
+    }
 }
