Prompts beyond one engine are served; a stopping entry closes kept connections early

(1) Five audits over one engine's memory waited until their callers gave up. Now resting connections are closed once the balancer has taken notice, and what still comes is refused as not run.

--- a/coord/src/planner.rs
+++ b/coord/src/planner.rs
@@ -15,6 +15,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::engine::{Figures, millis};
 use crate::name::Name;
 use crate::time::Moment;
@@ -45,15 +47,38 @@
     pub priority: u32,
 }
 
+/// An engine that reads a part of a prompt for another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Helper {
+    /// The engine.
+    pub engine: Name,
+    /// Tokens of the prompt that it also holds until the answer is over; 0 if it only reads.
+    pub holds: u64,
+}
+
+/// The engines of one prompt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Team {
+    /// The engine that gets the request and writes the answer.
+    pub writer: Name,
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<Helper>,
+}
+
+impl Team {
+    /// All its engines, the writer first.
+    pub fn engines(&self) -> impl Iterator<Item = &Name> {
+        std::iter::once(&self.writer).chain(self.helpers.iter().map(|helper| &helper.engine))
+    }
+}
+
 /// A decision: who reads and who writes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
     /// The job.
     pub id: Id,
-    /// The engine that gets the request and writes the answer.
-    pub engine: Name,
-    /// Engines that read parts of the prompt.
-    pub helpers: Vec<Name>,
+    /// Its engines.
+    pub team: Team,
 }
 
 /// Settings of the policy. The values were found by measured rounds; see `docs/design/08-platform.md`.
@@ -89,6 +114,13 @@
     }
 }
 
+impl Job {
+    /// Memory that it takes, in tokens.
+    fn needs(&self) -> u64 {
+        self.prompt + self.output.min(LIKELY_OUTPUT)
+    }
+}
+
 /// How long an engine that failed is left out, at first; doubled with each failure in a row.
 const FIRST_PENALTY: Duration = Duration::from_millis(500);
 /// Longest such time.
@@ -187,14 +219,26 @@
     }
 }
 
+/// An engine that may read a part now.
+struct Open<'a> {
+    name: &'a Name,
+    engine: &'a Engine,
+    wait_ms: f64,
+}
+
+/// One engine that reads and writes all by itself.
+fn alone(name: &Name) -> Team {
+    Team { writer: name.clone(), helpers: Vec::new() }
+}
+
 /// The planner of one service.
 #[derive(Debug, Default)]
 pub struct Planner {
     policy: Policy,
     engines: BTreeMap<Name, Engine>,
     waiting: BTreeMap<Id, Job>,
-    /// Engines that each granted job uses, its writer first.
-    granted: BTreeMap<Id, Vec<Name>>,
+    /// Engines that each granted job uses.
+    granted: BTreeMap<Id, Team>,
 }
 
 impl Planner {
@@ -233,26 +277,34 @@
         self.waiting.insert(id, job);
     }
 
-    /// Takes in a job that was granted elsewhere: its writer first, then its helpers.
-    pub fn adopt(&mut self, id: Id, job: &Job, engines: Vec<Name>, reading: bool, now: Moment) {
+    /// Takes in a job that was granted elsewhere.
+    pub fn adopt(&mut self, id: Id, job: &Job, team: Team, reading: bool, now: Moment) {
         self.waiting.remove(&id);
-        let count = engines.len();
-        for (index, name) in engines.iter().enumerate() {
-            let Some(engine) = self.engines.get_mut(name) else { continue };
-            if reading {
-                let ms = engine.figures.part_ms(job.prompt, count);
+        let parts = 1 + team.helpers.len();
+        let held: u64 = team.helpers.iter().map(|helper| helper.holds).sum();
+        if reading {
+            for name in team.engines() {
+                let Some(engine) = self.engines.get_mut(name) else { continue };
+                let ms = engine.figures.part_ms(job.prompt, parts);
                 engine.add_part(id, ms, now);
             }
-            if index == 0 {
-                engine.seats.insert(id, Seat { tokens: job.prompt, gap_ms: job.gap_ms });
-            }
         }
-        self.granted.insert(id, engines);
+        self.seat(&team.writer, id, job.needs().saturating_sub(held), job.gap_ms);
+        for helper in team.helpers.iter().filter(|helper| helper.holds > 0) {
+            self.seat(&helper.engine, id, helper.holds, job.gap_ms);
+        }
+        self.granted.insert(id, team);
+    }
+
+    fn seat(&mut self, engine: &Name, id: Id, tokens: u64, gap_ms: f64) {
+        if let Some(engine) = self.engines.get_mut(engine) {
+            engine.seats.insert(id, Seat { tokens, gap_ms });
+        }
     }
 
     /// Notes that a job's first event came: its prompt is read.
     pub fn first_event(&mut self, id: Id, now: Moment) {
-        for name in self.granted.get(&id).into_iter().flatten() {
+        for name in self.granted.get(&id).iter().flat_map(|team| team.engines()) {
             if let Some(engine) = self.engines.get_mut(name) {
                 engine.drop_part(id, now);
                 engine.failures = 0;
@@ -263,8 +315,9 @@
     /// Notes that a job is over, or no longer waits.
     pub fn end(&mut self, id: Id, now: Moment) {
         self.waiting.remove(&id);
-        for name in self.granted.remove(&id).unwrap_or_default() {
-            if let Some(engine) = self.engines.get_mut(&name) {
+        let Some(team) = self.granted.remove(&id) else { return };
+        for name in team.engines() {
+            if let Some(engine) = self.engines.get_mut(name) {
                 engine.drop_part(id, now);
                 engine.seats.remove(&id);
             }
@@ -297,8 +350,7 @@
         let mut grants = Vec::new();
         for (id, job) in order {
             if let Some(grant) = self.place(id, &job, now) {
-                let engines = std::iter::once(grant.engine.clone()).chain(grant.helpers.iter().cloned()).collect();
-                self.adopt(id, &job, engines, true, now);
+                self.adopt(id, &job, grant.team.clone(), true, now);
                 grants.push(grant);
             }
         }
@@ -324,9 +376,8 @@
             return None;
         }
         let short = self.is_short(job);
-        let (engine, helpers) =
-            if short { self.place_short(job, &engines, now)? } else { self.place_long(job, &engines, now)? };
-        Some(Grant { id, engine, helpers })
+        let team = if short { self.place_short(job, &engines, now)? } else { self.place_long(job, &engines, now)? };
+        Some(Grant { id, team })
     }
 
     /// Whether one engine can read the prompt without a pause that someone like its caller would mind.
@@ -340,7 +391,7 @@
     }
 
     /// Packs a short prompt onto an engine that has others like it, as long as all stay in time.
-    fn place_short(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<(Name, Vec<Name>)> {
+    fn place_short(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<Team> {
         let read = self.cost_ms(job);
         let fits = |engine: &Engine| engine.has_slot(&self.policy) && self.fits_memory(engine, job);
         let in_time =
@@ -351,7 +402,7 @@
             .filter(|(_, engine)| fits(engine) && like(engine) && in_time(engine))
             .max_by_key(|(_, engine)| engine.seats.len());
         if let Some((name, _)) = packed {
-            return Some(((*name).clone(), Vec::new()));
+            return Some(alone(name));
         }
         let opened = engines
             .iter()
@@ -360,13 +411,13 @@
         let all_like = engines.iter().filter(|(_, engine)| like(engine)).count();
         let may_open = (all_like as f64) < engines.len() as f64 * (1.0 - self.policy.long_share);
         if let (Some((name, _)), true) = (opened, may_open) {
-            return Some(((*name).clone(), Vec::new()));
+            return Some(alone(name));
         }
         engines
             .iter()
             .filter(|(_, engine)| (engine.seats.len() as u32) < engine.figures.slots && self.fits_memory(engine, job))
             .min_by(|(_, a), (_, b)| self.wait_ms(a, now).total_cmp(&self.wait_ms(b, now)))
-            .map(|(name, _)| ((*name).clone(), Vec::new()))
+            .map(|(name, _)| alone(name))
     }
 
     /// What it costs to make an engine one of those that hold short answers.
@@ -384,39 +435,55 @@
     }
 
     fn fits_memory(&self, engine: &Engine, job: &Job) -> bool {
-        engine.free_memory(&self.policy) >= job.prompt + job.output.min(LIKELY_OUTPUT)
+        engine.free_memory(&self.policy) >= job.needs()
     }
 
     /// Splits a long prompt over as many engines as can read a part without making anyone wait.
-    fn place_long(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<(Name, Vec<Name>)> {
+    fn place_long(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<Team> {
         let read = self.cost_ms(job);
         let most = ((read / self.policy.least_part_ms) as usize).clamp(1, self.policy.most_parts);
-        let mut open: Vec<(&Name, &Engine, f64)> = engines
+        let mut open: Vec<Open> = engines
             .iter()
-            .map(|(name, engine)| (*name, *engine, engine.pending_ms(now)))
-            .filter(|(_, _, pending)| *pending <= self.policy.start_pending_ms)
+            .map(|(name, engine)| Open { name, engine, wait_ms: self.wait_ms(engine, now) })
+            .filter(|open| open.engine.pending_ms(now) <= self.policy.start_pending_ms)
             .collect();
-        open.sort_by(|(_, a, a_pending), (_, b, b_pending)| {
-            (a_pending + a.pass_ms()).total_cmp(&(b_pending + b.pass_ms()))
-        });
+        open.sort_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
         for parts in (1..=most.min(open.len())).rev() {
             let part = read / parts as f64;
-            let roomy: Vec<&(&Name, &Engine, f64)> =
-                open.iter().filter(|(_, engine, _)| engine.room_ms(now, &self.policy) >= part).collect();
+            let roomy: Vec<&Open> = open.iter().filter(|open| open.engine.room_ms(now, &self.policy) >= part).collect();
             if roomy.len() < parts {
                 continue;
             }
-            let writer = roomy
-                .iter()
-                .filter(|(_, engine, _)| engine.has_slot(&self.policy) && self.fits_memory(engine, job))
-                .min_by_key(|(_, engine, _)| self.writer_key(engine, job));
-            let Some((writer, _, _)) = writer else { continue };
-            let helpers = roomy.iter().map(|(name, _, _)| *name).filter(|name| *name != *writer);
-            return Some(((*writer).clone(), helpers.take(parts - 1).cloned().collect()));
+            if let Some(team) = self.team(job, &roomy, parts) {
+                return Some(team);
+            }
         }
         None
     }
 
+    /// Chooses the writer among engines that may read a part, and who holds what exceeds its memory.
+    fn team(&self, job: &Job, roomy: &[&Open], parts: usize) -> Option<Team> {
+        let with_slot = roomy.iter().filter(|open| open.engine.has_slot(&self.policy));
+        let fitting = with_slot.clone().filter(|open| self.fits_memory(open.engine, job));
+        if let Some(writer) = fitting.min_by_key(|open| self.writer_key(open.engine, job)) {
+            let others = roomy.iter().filter(|open| open.name != writer.name).take(parts - 1);
+            let helpers = others.map(|open| Helper { engine: open.name.clone(), holds: 0 }).collect();
+            return Some(Team { writer: writer.name.clone(), helpers });
+        }
+        let free = |open: &Open| open.engine.free_memory(&self.policy);
+        let writer = with_slot.max_by_key(|open| free(open))?;
+        let mut left = job.needs().saturating_sub(free(writer));
+        let mut others: Vec<&&Open> = roomy.iter().filter(|open| open.name != writer.name).collect();
+        others.sort_by_key(|open| std::cmp::Reverse(free(open)));
+        let mut helpers = Vec::new();
+        for open in others.into_iter().take(parts - 1) {
+            let holds = left.min(free(open));
+            left -= holds;
+            helpers.push(Helper { engine: open.name.clone(), holds });
+        }
+        (left == 0).then(|| Team { writer: writer.name.clone(), helpers })
+    }
+
     /// Long answers are written where others are, away from short ones, so that most engines only read.
     fn writer_key(&self, engine: &Engine, job: &Job) -> (bool, std::cmp::Reverse<usize>) {
         (engine.gap_ms() < job.gap_ms, std::cmp::Reverse(engine.seats.len()))
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -38,6 +38,22 @@
     pub retry_window: Duration,
     /// Retries that all entries may make in a window beyond that share.
     pub retry_allowance: f64,
+    /// Engine memory must be free this long after the last request that used it.
+    pub free: Duration,
+    /// Engine memory must not be held unused for this long.
+    pub idle: Duration,
+    /// Longest hold that engines grant.
+    pub hold_max: Duration,
+}
+
+/// Part of the time to free memory for which it is held at once: it ends by itself in time, with room for the way.
+const HOLD_SHARE: f64 = 0.75;
+
+impl Bounds {
+    /// For how long engine memory is held at once.
+    pub fn hold(&self) -> Duration {
+        self.free.min(self.idle).mul_f64(HOLD_SHARE).min(self.hold_max)
+    }
 }
 
 /// Longest grace and windows that settings may give, in seconds.
@@ -66,5 +82,8 @@
         retry_share: reader.number("bounds", "retry_share", 0.0..=1.0, 0.2),
         retry_window: seconds(reader, "retry_window_s", 10.0),
         retry_allowance: reader.number("bounds", "retry_allowance", 0.0..=1e9, 0.0),
+        free: reader.millis("bounds", "free_ms", 1..=DAY_MS, 4_000),
+        idle: reader.millis("bounds", "idle_max_ms", 1..=DAY_MS, 9_000),
+        hold_max: reader.millis("bounds", "hold_max_ms", 1..=DAY_MS, 20_000),
     }
 }
--- a/sorrelpass/src/gateway/attempt.rs
+++ b/sorrelpass/src/gateway/attempt.rs
@@ -5,7 +5,6 @@
 //! measurements in `docs/design/08-platform.md` put below 0.002 of what a day earns.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use coord::roster::Record;
@@ -14,12 +13,10 @@
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
+use platform::connection::{CONNECT_TIMEOUT, connect};
 use platform::dialect;
 use tokio::task::JoinHandle;
 
-/// Longest time for a connection to come up; in one region it takes a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// A request as it goes to replicas.
 pub struct Outgoing {
     /// Its method.
@@ -88,7 +85,7 @@
         .address
         .parse()
         .map_err(|error| eyre::eyre!("step=connect peer={peer} address={}: {error}", record.address))?;
-    match tokio::time::timeout(CONNECT_TIMEOUT, dialect::connect(address)).await {
+    match tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(error)) => Err(eyre::eyre!("step=connect peer={peer}: {error}")),
         Err(_) => Err(eyre::eyre!("step=connect peer={peer}: not up within {} ms", CONNECT_TIMEOUT.as_millis())),
--- a/sorrelpass/src/gateway/call.rs
+++ b/sorrelpass/src/gateway/call.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use coord::invariant;
 use coord::name::{Name, Ran};
-use coord::planner;
+use coord::planner::{self, Team};
 use coord::roster::Record;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
@@ -19,9 +19,10 @@
 use super::answer::{self, Answer};
 use super::attempt::{self, Connection, Failed, Outgoing};
 use super::desk::Lease;
+use super::hold::{self, Hold};
 use super::now;
 use super::relay;
-use super::state::{Gateway, InFlight};
+use super::state::{Gateway, InFlight, Phase};
 use crate::failure::Failure;
 use crate::{event, metric};
 
@@ -35,6 +36,10 @@
 const MOST_UNREACHED: u32 = 4;
 /// When a caller should come back to an entry that has no proof of its configuration.
 const UNPROVEN_RETRY: Duration = Duration::from_millis(500);
+/// Pause before a prompt whose memory could not be had is planned anew.
+const MEMORY_PAUSE: Duration = Duration::from_millis(50);
+/// When a caller should come back to another entry, this one being about to end.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// When a caller should come back if no replica takes its request.
 const BUSY_RETRY: Duration = Duration::from_millis(250);
 
@@ -95,14 +100,14 @@
 pub enum Place {
     /// Counted at a plain replica.
     Plain(Outstanding),
-    /// Granted an engine.
-    Engine(Lease),
+    /// Granted an engine, with memory at others if the prompt exceeds it.
+    Engine(Lease, Option<Hold>),
 }
 
 impl Place {
     /// Notes that a stream's first event came.
     pub fn first_event(&self) {
-        if let Place::Engine(lease) = self {
+        if let Place::Engine(lease, _) = self {
             lease.first_event();
         }
     }
@@ -130,8 +135,8 @@
 /// Where a request goes next.
 struct Target {
     record: Record,
-    /// Addresses of engines that read parts of the prompt.
-    helpers: Vec<Name>,
+    /// Engines that read parts of the prompt.
+    helpers: Vec<dialect::Helper>,
     place: Place,
 }
 
@@ -151,7 +156,7 @@
             answer::failure(failure, &id)
         }
     };
-    if gateway.stopping() {
+    if gateway.phase() != Phase::Serving {
         answer::close_after(&mut answer);
     }
     answer
@@ -164,6 +169,10 @@
     started: Moment,
     busy: Box<dyn Any>,
 ) -> Result<Answer, Failure> {
+    if gateway.phase() == Phase::Closing {
+        // It could not be finished before the process must end.
+        return Err(Failure::busy("stopping", "this entry is about to end", STOPPING_RETRY));
+    }
     let in_flight = gateway.begin_request();
     let (head, body) = request.into_parts();
     let allowed = call.allowed.unwrap_or(DEFAULT_ALLOWED);
@@ -298,13 +307,47 @@
             deadline: self.deadline,
             priority,
         };
-        let lease = self.gateway.desk.place(&self.service, prompt).await?;
+        loop {
+            let lease = self.gateway.desk.place(&self.service, prompt).await?;
+            let Some((record, mut helpers)) = self.locate(&lease.team) else { continue };
+            let wants: Vec<(Name, u64)> =
+                helpers.iter().map(|(helper, holds)| (helper.address.clone(), *holds)).collect();
+            let wants: Vec<(Name, u64)> = wants.into_iter().filter(|(_, holds)| *holds > 0).collect();
+            if wants.is_empty() {
+                let helpers = helpers.into_iter().map(|(helper, _)| helper).collect();
+                return Some(Target { record, helpers, place: Place::Engine(lease, None) });
+            }
+            let Some(hold) = hold::take(&self.call.id, wants, self.gateway.settings.bounds.hold()).await else {
+                drop(lease);
+                tokio::time::sleep(MEMORY_PAUSE).await;
+                continue;
+            };
+            for (helper, _) in &mut helpers {
+                helper.memory = hold.id(&helper.address);
+            }
+            // Memory that has a name is filled in the order of the list.
+            helpers.sort_by_key(|(helper, _)| helper.memory.is_none());
+            let helpers = helpers.into_iter().map(|(helper, _)| helper).collect();
+            return Some(Target { record, helpers, place: Place::Engine(lease, Some(hold)) });
+        }
+    }
+
+    /// The replicas of a team with what each helper holds; none if its writer or a holder takes no work any more.
+    fn locate(&self, team: &Team) -> Option<(Record, Vec<(dialect::Helper, u64)>)> {
         let roster = self.gateway.roster.borrow();
-        let usable =
-            |id: &Name| roster.get(id).filter(|replica| replica.takes_work()).map(|replica| replica.record.clone());
-        let record = usable(&lease.engine)?;
-        let helpers = lease.helpers.iter().filter_map(usable).map(|helper| helper.address).collect();
-        Some(Target { record, helpers, place: Place::Engine(lease) })
+        let usable = |id: &Name| roster.get(id).filter(|replica| replica.takes_work()).map(|replica| &replica.record);
+        let mut helpers = Vec::new();
+        for helper in &team.helpers {
+            match usable(&helper.engine) {
+                Some(record) => {
+                    let address = record.address.clone();
+                    helpers.push((dialect::Helper { address, memory: None }, helper.holds));
+                }
+                None if helper.holds > 0 => return None,
+                None => {}
+            }
+        }
+        Some((usable(&team.writer)?.clone(), helpers))
     }
 
     /// One send to one replica.
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -12,7 +12,7 @@
 
 use coord::engine::Figures;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy};
+use coord::planner::{Grant, Id, Job, Planner, Policy, Team};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::link::{Ask, Order, Report};
@@ -28,15 +28,14 @@
 struct Waiter {
     service: Name,
     job: Job,
-    grant: oneshot::Sender<(Name, Vec<Name>)>,
+    grant: oneshot::Sender<Team>,
 }
 
 /// A prompt that was granted.
 struct Running {
     service: Name,
     job: Job,
-    /// Its engines, the writer first.
-    engines: Vec<Name>,
+    team: Team,
     reading: bool,
 }
 
@@ -58,10 +57,8 @@
 pub struct Lease {
     desk: Weak<Desk>,
     number: u64,
-    /// The engine that gets the request.
-    pub engine: Name,
-    /// Engines that read parts of the prompt.
-    pub helpers: Vec<Name>,
+    /// Its engines.
+    pub team: Team,
 }
 
 impl Lease {
@@ -126,9 +123,9 @@
             self.with(service, |planner| planner.submit(own(number), job));
             self.pump();
         }
-        let (engine, helpers) = granted.await.ok()?;
+        let team = granted.await.ok()?;
         drop(withdraw);
-        Some(Lease { desk: Rc::downgrade(self), number, engine, helpers })
+        Some(Lease { desk: Rc::downgrade(self), number, team })
     }
 
     /// Notes that an engine failed a prompt.
@@ -138,8 +135,8 @@
     }
 
     /// The entry that plans granted one of our prompts.
-    pub fn granted(&self, number: u64, engine: Name, helpers: Vec<Name>) {
-        if self.start(number, engine, helpers, true) {
+    pub fn granted(&self, number: u64, team: Team) {
+        if self.start(number, team, true) {
             return;
         }
         // It was withdrawn, or granted here, while the grant was on its way.
@@ -155,7 +152,7 @@
                 number: *number,
                 service: running.service.clone(),
                 ask: Ask::of(&running.job, now),
-                engines: running.engines.clone(),
+                team: running.team.clone(),
                 reading: running.reading,
             });
         }
@@ -200,8 +197,8 @@
             Report::Submit { number, service, ask } => {
                 self.with(&service, |planner| planner.submit(id(number), ask.job(now)));
             }
-            Report::Adopt { number, service, ask, engines, reading } => {
-                self.with(&service, |planner| planner.adopt(id(number), &ask.job(now), engines, reading, now));
+            Report::Adopt { number, service, ask, team, reading } => {
+                self.with(&service, |planner| planner.adopt(id(number), &ask.job(now), team, reading, now));
             }
             Report::FirstEvent { number, service } => {
                 self.with(&service, |planner| planner.first_event(id(number), now));
@@ -264,15 +261,14 @@
     }
 
     /// Hands one of our prompts its engines; says whether it was still waiting.
-    fn start(&self, number: u64, engine: Name, helpers: Vec<Name>, elsewhere: bool) -> bool {
+    fn start(&self, number: u64, team: Team, elsewhere: bool) -> bool {
         let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return false };
         let Waiter { service, job, grant } = waiter;
-        let engines: Vec<Name> = std::iter::once(engine.clone()).chain(helpers.iter().cloned()).collect();
         if elsewhere {
-            self.with(&service, |planner| planner.adopt(own(number), &job, engines.clone(), true, now()));
+            self.with(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
         }
-        self.running.borrow_mut().insert(number, Running { service, job, engines, reading: true });
-        if grant.send((engine, helpers)).is_err() {
+        self.running.borrow_mut().insert(number, Running { service, job, team: team.clone(), reading: true });
+        if grant.send(team).is_err() {
             self.over(number);
         }
         true
@@ -297,15 +293,15 @@
     }
 
     fn deliver(&self, grant: Grant) {
-        let Grant { id, engine, helpers } = grant;
+        let Grant { id, team } = grant;
         if id.entry == OWN {
-            self.start(id.number, engine, helpers, false);
+            self.start(id.number, team, false);
             return;
         }
         let followers = self.followers.borrow();
         let Some(orders) = followers.get(&id.entry) else { return };
         // An entry that is too far behind loses its connection, and with it what was granted.
-        let _ = orders.try_send(Order::Grant { number: id.number, engine, helpers });
+        let _ = orders.try_send(Order::Grant { number: id.number, team });
     }
 }
 
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -10,14 +10,14 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, eyre};
-use platform::dialect;
+use platform::connection::connect;
 use platform::store::{self, Client};
 use tokio::sync::mpsc;
 
 use super::desk::Desk;
 use super::lead::BEAT;
 use super::link::{self, Link, Order, Report};
-use super::state::Gateway;
+use super::state::{Gateway, Phase};
 use crate::{event, util, warn_event};
 
 /// Time for a connection to another entry: a few times the way across a region.
@@ -43,7 +43,7 @@
         }
         let own_rank = peers.iter().position(|peer| *peer == own);
         // An entry that is about to end looks to the younger ones too.
-        let rank = own_rank.filter(|_| !gateway.stopping()).unwrap_or(peers.len());
+        let rank = own_rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(peers.len());
         let Some((rank, link)) = reach(&peers[..rank], own).await else {
             tokio::time::sleep(RETRY).await;
             continue;
@@ -87,7 +87,7 @@
 /// The first of `peers` that can be reached, with its rank.
 async fn reach(peers: &[SocketAddr], own: SocketAddr) -> Option<(usize, Link)> {
     for (rank, peer) in peers.iter().enumerate().filter(|(_, peer)| **peer != own) {
-        if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, dialect::connect(*peer)).await {
+        if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connect(*peer)).await {
             return Some((rank, Link::new(stream)));
         }
     }
@@ -131,7 +131,7 @@
         tokio::select! {
             order = tokio::time::timeout(silence, link.receive()) => {
                 match order.wrap_err("step=receive: no beat")?? {
-                    Order::Grant { number, engine, helpers } => desk.granted(number, engine, helpers),
+                    Order::Grant { number, team } => desk.granted(number, team),
                     Order::Beat => {}
                 }
             }
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -10,7 +10,7 @@
 
 use super::desk::Desk;
 use super::link::{self, Link, Order};
-use super::serve::Phase;
+use super::state::Phase;
 use crate::event;
 
 /// How often an entry that plans tells the others that it lives. They wait for a few of these.
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use coord::name::Name;
-use coord::planner;
+use coord::planner::{self, Team};
 use coord::time::Moment;
 use eyre::{Result, WrapErr, eyre};
 use futures_util::{SinkExt, StreamExt};
@@ -76,8 +76,8 @@
         service: Name,
         /// What it asks for.
         ask: Ask,
-        /// Its engines, the writer first.
-        engines: Vec<Name>,
+        /// Its engines.
+        team: Team,
         /// Whether it is still being read.
         reading: bool,
     },
@@ -111,10 +111,8 @@
     Grant {
         /// The entry's number for it.
         number: u64,
-        /// The engine that gets the request.
-        engine: Name,
-        /// Engines that read parts of it.
-        helpers: Vec<Name>,
+        /// Its engines.
+        team: Team,
     },
     /// The planner is alive.
     Beat,
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod desk;
 mod follow;
 mod health;
+mod hold;
 mod lead;
 mod link;
 mod place;
@@ -26,7 +27,7 @@
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
 
-use self::state::Gateway;
+use self::state::{Gateway, Phase};
 use crate::config::{self, Settings};
 use crate::{event, http, metric, timeline, util, warn_event};
 
@@ -50,7 +51,7 @@
     tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
     tokio::task::spawn_local(gateway.desk.clone().run());
     tokio::task::spawn_local(reload(file));
-    let (stop, stopping) = tokio::sync::watch::channel(serve::Phase::Serving);
+    let (stop, stopping) = tokio::sync::watch::channel(Phase::Serving);
     if let Some(port) = gateway.settings.peer_port {
         let own = SocketAddr::new(gateway.settings.listen.ip(), port);
         let peers = http::listen(own)?;
@@ -65,7 +66,6 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    gateway.begin_stop();
     event!("stop", reason = "signal", in_flight = gateway.in_flight());
     serve::wind_down(&gateway, grace, &stop).await;
     event!("stopped", in_flight = gateway.in_flight());
--- a/sorrelpass/src/gateway/serve.rs
+++ b/sorrelpass/src/gateway/serve.rs
@@ -12,20 +12,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::state::Gateway;
+use super::state::{Gateway, Phase};
 use super::{call, now};
 
-/// How far the process is on its way to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Connections are taken.
-    Serving,
-    /// The process was told to end; requests are still taken.
-    Stopping,
-    /// Resting connections are closed.
-    Closing,
-}
-
 /// Largest request head where the configuration names none, in bytes; also the least that hyper takes.
 const HEAD_BYTES: usize = 16 * 1_024;
 /// Longest rest of a kept connection before a configuration is known.
@@ -125,22 +114,21 @@
     }
 }
 
-/// Serves what still comes until the balancer has taken notice, lets requests finish, and closes what rests.
+/// Serves what still comes until the balancer has taken notice, then closes what rests, refuses what is
+/// new, and lets the requests in flight finish.
 pub async fn wind_down(gateway: &Gateway, grace: Duration, stop: &watch::Sender<Phase>) {
-    let started = now();
-    let _ = stop.send(Phase::Stopping);
-    let last = started + grace.mul_f64(GRACE_SHARE);
-    loop {
-        let now = now();
-        let noticed = now.since(started) >= LAME_DUCK;
-        if (noticed && gateway.in_flight() == 0) || now + CROSSING >= last {
-            break;
-        }
-        tokio::time::sleep(POLL).await;
-    }
-    let _ = stop.send(Phase::Closing);
+    let last = now() + grace.mul_f64(GRACE_SHARE);
+    enter(gateway, stop, Phase::Stopping);
+    tokio::time::sleep(LAME_DUCK.min(grace / 2)).await;
+    enter(gateway, stop, Phase::Closing);
     tokio::time::sleep(CROSSING).await;
     while gateway.in_flight() > 0 && now() < last {
         tokio::time::sleep(POLL).await;
     }
 }
+
+fn enter(gateway: &Gateway, stop: &watch::Sender<Phase>, phase: Phase) {
+    gateway.enter(phase);
+    let _ = stop.send(phase);
+    crate::event!("phase", phase = phase.as_str(), in_flight = gateway.in_flight());
+}
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -24,6 +24,28 @@
 /// Entries among which the common retry allowance is divided: more than any deployment seen has.
 const ENTRIES_AT_MOST: f64 = 32.0;
 
+/// How far the process is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Connections are taken.
+    Serving,
+    /// The process was told to end; requests are still taken.
+    Stopping,
+    /// Resting connections are closed, and new requests are refused.
+    Closing,
+}
+
+impl Phase {
+    /// The phase's name in log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Phase::Serving => "serving",
+            Phase::Stopping => "stopping",
+            Phase::Closing => "closing",
+        }
+    }
+}
+
 /// A gateway's shared state.
 pub struct Gateway {
     /// The settings.
@@ -38,7 +60,7 @@
     /// Where prompts go.
     pub desk: Rc<Desk>,
     budgets: RefCell<HashMap<Name, Windowed>>,
-    stopping: Cell<bool>,
+    phase: Cell<Phase>,
     in_flight: Cell<usize>,
 }
 
@@ -54,7 +76,7 @@
             placer: RefCell::new(placer),
             desk: Desk::new(),
             budgets: RefCell::default(),
-            stopping: Cell::new(false),
+            phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
         }
     }
@@ -102,17 +124,17 @@
 
     /// Whether this entry wants callers.
     pub fn ready(&self) -> bool {
-        !self.stopping.get() && self.proof_holds()
+        self.phase.get() == Phase::Serving && self.proof_holds()
     }
 
-    /// Notes that the process was told to end.
-    pub fn begin_stop(&self) {
-        self.stopping.set(true);
+    /// Notes how far the process is on its way to its end.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
     }
 
-    /// Whether the process was told to end.
-    pub fn stopping(&self) -> bool {
-        self.stopping.get()
+    /// How far the process is on its way to its end.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
     }
 
     /// Requests in flight.
