--- a/sorrelpass/src/gateway/call.rs
+++ b/sorrelpass/src/gateway/call.rs
@@ -367,10 +367,16 @@
             after_event = after_event.map_or(-1, |event| event as i64));
         let may_run = self.runs == 0 || self.route.repeatable();
         invariant!(may_run, "a request that may run once is not sent again after it may have run");
+        let first = self.sends == 0;
+        // Counted before the send: if the time runs out during it, the replica may have run the request.
+        self.sends += 1;
+        self.runs += 1;
         let sent = attempt::send(record, &self.outgoing, &head).await;
         if matches!(sent, Err(Failed::Unsent(_))) {
+            self.sends -= 1;
+            self.runs -= 1;
             self.unreached += 1;
-        } else if self.sends == 0 {
+        } else if first {
             self.gateway.note_first(&self.service);
         }
         match sent {
@@ -380,16 +386,11 @@
                 Sent::Unsent
             }
             Err(Failed::Lost(error)) => {
-                self.sends += 1;
-                self.runs += 1;
                 self.gateway.desk.failed(&self.service, &record.id);
                 event!("lost", request = %self.call.id, peer = %record.id, error = %error);
                 Sent::Lost
             }
-            Ok((response, connection)) => {
-                self.sends += 1;
-                self.judge(record, response, connection, place)
-            }
+            Ok((response, connection)) => self.judge(record, response, connection, place),
         }
     }
 
@@ -402,10 +403,10 @@
         let status = answer.status.as_u16();
         if answer.not_run {
             event!("not-run", request = %self.call.id, peer = %record.id, status, at_fault = answer.at_fault.as_deref().unwrap_or(""));
+            self.runs -= 1;
             self.gateway.desk.failed(&self.service, &self.at_fault(record, &answer));
             return Sent::NotRun(answer.retry_after);
         }
-        self.runs += 1;
         let usable = answer.ours && (answer.sealed || !answer.status.is_success()) && !promises_not_run(answer.status);
         let worth_another =
             answer.status.is_server_error() && self.route.repeatable() && self.runs < self.route.max_attempts;
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -36,11 +36,9 @@
     let mut client = Client::new(gateway.settings.store);
     announce(&mut client, own).await;
     let mut peers = Vec::new();
-    let mut stale = true;
     loop {
-        if stale {
-            peers = list(&mut client, own).await.unwrap_or(peers);
-        }
+        // Read anew each time: an entry that was older may have been restarted since, and is the youngest now.
+        peers = list(&mut client, own).await.unwrap_or(peers);
         let own_rank = peers.iter().position(|peer| *peer == own);
         // An entry that is about to end looks to the younger ones too.
         let rank = own_rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(peers.len());
@@ -48,7 +46,7 @@
             tokio::time::sleep(RETRY).await;
             continue;
         };
-        stale = follow(&gateway.desk, link, &peers, rank, own).await;
+        follow(&gateway.desk, link, &peers, rank, own).await;
     }
 }
 
@@ -94,25 +92,22 @@
     None
 }
 
-/// Follows one entry until it is lost or an older one can be reached; says whether it was lost.
-async fn follow(desk: &Rc<Desk>, link: Link, peers: &[SocketAddr], rank: usize, own: SocketAddr) -> bool {
+/// Follows one entry until it is lost or an older one can be reached.
+async fn follow(desk: &Rc<Desk>, link: Link, peers: &[SocketAddr], rank: usize, own: SocketAddr) {
     let peer = peers[rank];
     event!("following", peer = %peer, rank);
     let (reports, waiting) = mpsc::channel(link::RING);
     desk.link_up(reports);
-    let lost = tokio::select! {
+    tokio::select! {
         outcome = exchange(desk, link, waiting) => {
             let reason = outcome.err().unwrap_or_else(|| eyre!("ended"));
             warn_event!("leader-lost", peer = %peer, reason = %format!("{reason:#}"));
-            true
         }
         older = older(&peers[..rank], own) => {
             event!("leader-left", peer = %peer, reason = "an older entry is back", older);
-            false
         }
-    };
+    }
     desk.link_down();
-    lost
 }
 
 /// Waits until an older entry can be reached.
