An entry without proof of its configuration plans for nobody

Now it refuses followers, and drops them when its proof grows old; who follows waits for a first beat.

--- a/sorrelpass/src/gateway/call.rs
+++ b/sorrelpass/src/gateway/call.rs
@@ -308,6 +308,7 @@
             priority,
         };
         loop {
+            self.gateway.roster.borrow().usable(&self.service).next()?;
             let lease = self.gateway.desk.place(&self.service, prompt).await?;
             let Some((record, mut helpers)) = self.locate(&lease.team) else { continue };
             let wants: Vec<(Name, u64)> =
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -85,13 +85,20 @@
 /// The first of `peers` that can be reached, with its rank.
 async fn reach(peers: &[SocketAddr], own: SocketAddr) -> Option<(usize, Link)> {
     for (rank, peer) in peers.iter().enumerate().filter(|(_, peer)| **peer != own) {
-        if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connect(*peer)).await {
-            return Some((rank, Link::new(stream)));
+        if let Ok(Ok(link)) = tokio::time::timeout(CONNECT_TIMEOUT, greet(*peer)).await {
+            return Some((rank, link));
         }
     }
     None
 }
 
+/// Connects and waits for the first beat: an entry that cannot plan closes the connection instead.
+async fn greet(peer: SocketAddr) -> Result<Link> {
+    let mut link = Link::new(connect(peer).await?);
+    link.receive::<Order>().await?;
+    Ok(link)
+}
+
 /// Follows one entry until it is lost or an older one can be reached.
 async fn follow(desk: &Rc<Desk>, link: Link, peers: &[SocketAddr], rank: usize, own: SocketAddr) {
     let peer = peers[rank];
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -4,27 +4,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eyre::Result;
+use eyre::{Result, eyre};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
-use super::desk::Desk;
 use super::link::{self, Link, Order};
-use super::state::Phase;
+use super::state::{Gateway, Phase};
 use crate::event;
 
 /// How often an entry that plans tells the others that it lives. They wait for a few of these.
 pub const BEAT: Duration = Duration::from_millis(150);
 
 /// Takes other entries in until this one is told to stop; then they look for another.
-pub async fn run(desk: Rc<Desk>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
+///
+/// An entry without a recent proof of its configuration sends them away: it may not know the engines.
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => return,
         };
         match accepted {
-            Ok((stream, peer)) => drop(tokio::task::spawn_local(follower(desk.clone(), stream, peer, phase.clone()))),
+            Ok((stream, peer)) => {
+                drop(tokio::task::spawn_local(follower(gateway.clone(), stream, peer, phase.clone())))
+            }
             Err(error) => {
                 crate::warn_event!("accept-peer", error = %error);
                 tokio::time::sleep(BEAT).await;
@@ -33,14 +36,19 @@
     }
 }
 
-async fn follower(desk: Rc<Desk>, stream: TcpStream, peer: SocketAddr, mut phase: watch::Receiver<Phase>) {
+async fn follower(gateway: Rc<Gateway>, stream: TcpStream, peer: SocketAddr, mut phase: watch::Receiver<Phase>) {
+    if !gateway.ready() {
+        event!("peer-refused", peer = %peer, proof_age_ms = gateway.proof_age_ms().unwrap_or(0));
+        return;
+    }
     let _ = stream.set_nodelay(true);
+    let desk = &gateway.desk;
     let (orders, mut waiting) = mpsc::channel(link::RING);
     let entry = desk.join(orders);
     event!("peer-joined", peer = %peer, entry);
     let mut link = Link::new(stream);
     let outcome = tokio::select! {
-        outcome = exchange(&desk, entry, &mut link, &mut waiting) => outcome,
+        outcome = exchange(&gateway, entry, &mut link, &mut waiting) => outcome,
         _ = phase.wait_for(|phase| *phase != Phase::Serving) => Ok(()),
     };
     desk.leave(entry);
@@ -48,14 +56,19 @@
     event!("peer-left", peer = %peer, entry, reason);
 }
 
-async fn exchange(desk: &Rc<Desk>, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
+async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            report = link.receive() => desk.hear(entry, report?),
+            report = link.receive() => gateway.desk.hear(entry, report?),
             Some(order) = waiting.recv() => link.send_all(order, waiting).await?,
-            _ = beat.tick() => link.send_all(Order::Beat, waiting).await?,
+            _ = beat.tick() => {
+                if !gateway.ready() {
+                    return Err(eyre!("step=beat: no proof of the configuration"));
+                }
+                link.send_all(Order::Beat, waiting).await?;
+            }
         }
     }
 }
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -55,7 +55,7 @@
     if let Some(port) = gateway.settings.peer_port {
         let own = SocketAddr::new(gateway.settings.listen.ip(), port);
         let peers = http::listen(own)?;
-        tokio::task::spawn_local(lead::run(gateway.desk.clone(), peers, stopping.clone()));
+        tokio::task::spawn_local(lead::run(gateway.clone(), peers, stopping.clone()));
         tokio::task::spawn_local(follow::run(gateway.clone(), own));
     }
     tokio::task::spawn_local(serve::run(gateway.clone(), listener, stopping));
