--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -165,6 +165,14 @@
         changes
     }
 
+    /// Notes proof that another replica has this one's address: it is gone.
+    pub fn displaced(&mut self, id: &str) -> Option<Change> {
+        let known = self.replicas.get_mut(id)?;
+        let changed = known.standing != Standing::Gone;
+        known.standing = Standing::Gone;
+        changed.then(|| Change { id: known.record.id.clone(), standing: Standing::Gone })
+    }
+
     /// A replica by identity.
     pub fn get(&self, id: &str) -> Option<&Replica> {
         self.replicas.get(id)
--- a/sorrelpass/src/gateway/call.rs
+++ b/sorrelpass/src/gateway/call.rs
@@ -99,15 +99,23 @@
 /// A request's place at a replica until it is over.
 pub enum Place {
     /// Counted at a plain replica.
-    Plain(Outstanding),
-    /// Granted an engine, with memory at others if the prompt exceeds it.
-    Engine(Lease, Option<Hold>),
+    Plain {
+        /// Counts it.
+        _count: Outstanding,
+    },
+    /// Granted an engine.
+    Engine {
+        /// The grant.
+        lease: Lease,
+        /// Memory at other engines, if the prompt exceeds one.
+        _hold: Option<Hold>,
+    },
 }
 
 impl Place {
     /// Notes that a stream's first event came.
     pub fn first_event(&self) {
-        if let Place::Engine(lease, _) = self {
+        if let Place::Engine { lease, .. } = self {
             lease.first_event();
         }
     }
@@ -293,7 +301,7 @@
     fn plain(&self) -> Option<Target> {
         let roster = self.gateway.roster.borrow();
         let record = self.gateway.placer.borrow().pick(&roster, &self.service, &self.tried)?;
-        let place = Place::Plain(Outstanding::begin(&self.gateway, &record.id));
+        let place = Place::Plain { _count: Outstanding::begin(&self.gateway, &record.id) };
         Some(Target { record, helpers: Vec::new(), place })
     }
 
@@ -316,7 +324,7 @@
             let wants: Vec<(Name, u64)> = wants.into_iter().filter(|(_, holds)| *holds > 0).collect();
             if wants.is_empty() {
                 let helpers = helpers.into_iter().map(|(helper, _)| helper).collect();
-                return Some(Target { record, helpers, place: Place::Engine(lease, None) });
+                return Some(Target { record, helpers, place: Place::Engine { lease, _hold: None } });
             }
             let Some(hold) = hold::take(&self.call.id, wants, self.gateway.settings.bounds.hold()).await else {
                 drop(lease);
@@ -329,7 +337,7 @@
             // Memory that has a name is filled in the order of the list.
             helpers.sort_by_key(|(helper, _)| helper.memory.is_none());
             let helpers = helpers.into_iter().map(|(helper, _)| helper).collect();
-            return Some(Target { record, helpers, place: Place::Engine(lease, Some(hold)) });
+            return Some(Target { record, helpers, place: Place::Engine { lease, _hold: Some(hold) } });
         }
     }
 
@@ -405,7 +413,11 @@
         if answer.not_run {
             event!("not-run", request = %self.call.id, peer = %record.id, status, at_fault = answer.at_fault.as_deref().unwrap_or(""));
             self.runs -= 1;
-            self.gateway.desk.failed(&self.service, &self.at_fault(record, &answer));
+            let at_fault = self.at_fault(record, &answer);
+            self.gateway.desk.failed(&self.service, &at_fault);
+            if answer.displaced && at_fault == record.id {
+                self.gateway.displaced(&record.id);
+            }
             return Sent::NotRun(answer.retry_after);
         }
         let usable = answer.ours && (answer.sealed || !answer.status.is_success()) && !promises_not_run(answer.status);
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -129,9 +129,9 @@
     }
 
     /// Notes that an engine failed a prompt.
-    pub fn failed(&self, service: &Name, engine: &Name) {
+    pub fn failed(&self, service: &Name, engine: &str) {
         self.with(service, |planner| planner.failed(engine, now()));
-        self.report(Report::Failed { service: service.clone(), engine: engine.clone() });
+        self.report(Report::Failed { service: service.clone(), engine: engine.into() });
     }
 
     /// The entry that plans granted one of our prompts.
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -31,6 +31,14 @@
 /// Pause after a failed announcement.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
 
+/// An entry as it announced itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Peer {
+    address: SocketAddr,
+    /// The run of the process that made the announcement.
+    incarnation: String,
+}
+
 /// Follows the oldest entry that can be reached, for as long as the process lives.
 pub async fn run(gateway: Rc<Gateway>, own: SocketAddr) {
     let mut client = Client::new(gateway.settings.store);
@@ -39,7 +47,7 @@
     loop {
         // Read anew each time: an entry that was older may have been restarted since, and is the youngest now.
         peers = list(&mut client, own).await.unwrap_or(peers);
-        let own_rank = peers.iter().position(|peer| *peer == own);
+        let own_rank = peers.iter().position(|peer: &Peer| peer.address == own);
         // An entry that is about to end looks to the younger ones too.
         let rank = own_rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(peers.len());
         let Some((rank, link)) = reach(&peers[..rank], own).await else {
@@ -63,16 +71,13 @@
 }
 
 /// All announced entries, the oldest first.
-async fn list(client: &mut Client, own: SocketAddr) -> Option<Vec<SocketAddr>> {
+async fn list(client: &mut Client, own: SocketAddr) -> Option<Vec<Peer>> {
     match client.newest(store::PEERS, PATIENCE).await {
         Ok(mut whole) => {
             whole.records.sort_by_key(|record| record.offset);
-            let peers: Vec<SocketAddr> = whole.records.iter().filter_map(|record| record.key.parse().ok()).collect();
-            event!(
-                "peers",
-                known = peers.len(),
-                rank = peers.iter().position(|peer| *peer == own).unwrap_or(peers.len())
-            );
+            let peers: Vec<Peer> = whole.records.iter().filter_map(peer).collect();
+            let rank = peers.iter().position(|peer| peer.address == own).unwrap_or(peers.len());
+            event!("peers", known = peers.len(), rank);
             Some(peers)
         }
         Err(error) => {
@@ -82,26 +87,35 @@
     }
 }
 
+fn peer(record: &store::Keyed) -> Option<Peer> {
+    let value = record.value.as_ref()?;
+    Some(Peer { address: record.key.parse().ok()?, incarnation: String::from_utf8_lossy(value).into_owned() })
+}
+
 /// The first of `peers` that can be reached, with its rank.
-async fn reach(peers: &[SocketAddr], own: SocketAddr) -> Option<(usize, Link)> {
-    for (rank, peer) in peers.iter().enumerate().filter(|(_, peer)| **peer != own) {
-        if let Ok(Ok(link)) = tokio::time::timeout(CONNECT_TIMEOUT, greet(*peer)).await {
+async fn reach(peers: &[Peer], own: SocketAddr) -> Option<(usize, Link)> {
+    for (rank, peer) in peers.iter().enumerate().filter(|(_, peer)| peer.address != own) {
+        if let Ok(Ok(link)) = tokio::time::timeout(CONNECT_TIMEOUT, greet(peer)).await {
             return Some((rank, link));
         }
     }
     None
 }
 
-/// Connects and waits for the first beat: an entry that cannot plan closes the connection instead.
-async fn greet(peer: SocketAddr) -> Result<Link> {
-    let mut link = Link::new(connect(peer).await?);
-    link.receive::<Order>().await?;
-    Ok(link)
+/// Connects and waits for the first message: an entry that cannot plan closes the connection instead.
+///
+/// One that was restarted since it announced itself is not the one that was listed; it is the youngest now.
+async fn greet(peer: &Peer) -> Result<Link> {
+    let mut link = Link::new(connect(peer.address).await?);
+    match link.receive::<Order>().await? {
+        Order::Welcome { incarnation } if incarnation == peer.incarnation => Ok(link),
+        other => Err(eyre!("step=greet peer={}: {other:?}", peer.address)),
+    }
 }
 
 /// Follows one entry until it is lost or an older one can be reached.
-async fn follow(desk: &Rc<Desk>, link: Link, peers: &[SocketAddr], rank: usize, own: SocketAddr) {
-    let peer = peers[rank];
+async fn follow(desk: &Rc<Desk>, link: Link, peers: &[Peer], rank: usize, own: SocketAddr) {
+    let peer = peers[rank].address;
     event!("following", peer = %peer, rank);
     let (reports, waiting) = mpsc::channel(link::RING);
     desk.link_up(reports);
@@ -118,7 +132,7 @@
 }
 
 /// Waits until an older entry can be reached.
-async fn older(peers: &[SocketAddr], own: SocketAddr) -> usize {
+async fn older(peers: &[Peer], own: SocketAddr) -> usize {
     loop {
         tokio::time::sleep(RETRY).await;
         if let Some((rank, _)) = reach(peers, own).await {
@@ -134,7 +148,7 @@
             order = tokio::time::timeout(silence, link.receive()) => {
                 match order.wrap_err("step=receive: no beat")?? {
                     Order::Grant { number, team } => desk.granted(number, team),
-                    Order::Beat => {}
+                    Order::Beat | Order::Welcome { .. } => {}
                 }
             }
             report = waiting.recv() => {
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -10,7 +10,7 @@
 
 use super::link::{self, Link, Order};
 use super::state::{Gateway, Phase};
-use crate::event;
+use crate::{event, util};
 
 /// How often an entry that plans tells the others that it lives. They wait for a few of these.
 pub const BEAT: Duration = Duration::from_millis(150);
@@ -57,6 +57,8 @@
 }
 
 async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
+    let welcome = Order::Welcome { incarnation: util::incarnation().to_string() };
+    link.send_all(welcome, waiting).await?;
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -107,6 +107,11 @@
 /// From the entry that plans to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Order {
+    /// The first message: this entry plans.
+    Welcome {
+        /// The run of its process.
+        incarnation: String,
+    },
     /// A prompt may start.
     Grant {
         /// The entry's number for it.
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -141,6 +141,7 @@
             }
             End::Broke(error) => {
                 event!("broke", request = %id, peer, events = self.events, after_ms, error = %error);
+                self.job.gateway.desk.failed(&self.job.service, peer);
                 self.resume().await
             }
         }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -95,6 +95,14 @@
         newer
     }
 
+    /// Notes proof that another replica has the address of `id`.
+    pub fn displaced(&self, id: &str) {
+        if self.roster.borrow_mut().displaced(id).is_some() {
+            crate::event!("replica", peer = id, standing = "displaced");
+            self.refresh_engines();
+        }
+    }
+
     /// Tells the desk which engines take work.
     pub fn refresh_engines(&self) {
         let roster = self.roster.borrow();
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -6,6 +6,8 @@
 mod control;
 mod place;
 
+pub use place::binary;
+
 use std::collections::{BTreeMap, HashMap};
 use std::path::PathBuf;
 use std::process::Child;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod log;
 pub mod mix;
 pub mod overhead;
+pub mod platform;
 pub mod probe;
 pub mod report;
 pub mod run;
--- /dev/null
+++ b/standin/src/platform/replica.rs
@@ -0,0 +1,269 @@
+//! The replica stand-in: answers requests and streams, notes what ran, and misbehaves on demand.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::body::{Body, Bytes};
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use axum::{Json, Router};
+use futures_util::stream;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+/// What a replica does with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Act {
+    /// It runs it and answers.
+    #[default]
+    Serve,
+    /// It says that it did not run it.
+    Refuse,
+    /// It runs it and answers 500.
+    Fail,
+    /// It runs it and closes the connection without an answer.
+    LoseAnswer,
+    /// It answers under the id of another request.
+    ForeignId,
+    /// It answers 200 without its seal.
+    Unsealed,
+    /// It answers 503 without saying that the request was not run.
+    Unproven,
+    /// It breaks a stream off in the middle of the event after this many.
+    BreakAfter(u64),
+    /// It says nothing at all for this many milliseconds, then serves.
+    Stall(u64),
+}
+
+/// One request that reached a replica.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The caller's id.
+    pub id: String,
+    /// Its path and query.
+    pub path: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
+    /// Whether it was run.
+    pub ran: bool,
+}
+
+/// Events of a stream.
+const EVENTS: u64 = 8;
+
+struct Inner {
+    acts: VecDeque<Act>,
+    runs: Vec<Run>,
+    cancelled: Vec<(String, Instant)>,
+    memory: HashMap<String, u64>,
+    refuse_memory: bool,
+    orders: Vec<Value>,
+}
+
+/// A replica.
+pub struct Replica {
+    /// Its identity.
+    pub id: String,
+    /// Where it listens.
+    pub address: String,
+    takes: Duration,
+    inner: Mutex<Inner>,
+}
+
+impl Replica {
+    /// Starts a replica on loopback whose answers, and each event of whose streams, take `takes`.
+    pub async fn start(id: &str, takes: Duration) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let inner = Inner {
+            acts: VecDeque::new(),
+            runs: Vec::new(),
+            cancelled: Vec::new(),
+            memory: HashMap::new(),
+            refuse_memory: false,
+            orders: Vec::new(),
+        };
+        let address = listener.local_addr()?.to_string();
+        let replica = Arc::new(Self { id: id.to_owned(), address, takes, inner: Mutex::new(inner) });
+        let router = Router::new().route("/order", post(order)).fallback(call).with_state(replica.clone());
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(replica)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what it does with the next requests; then it serves.
+    pub fn next(&self, acts: impl IntoIterator<Item = Act>) {
+        self.lock().acts.extend(acts);
+    }
+
+    /// Requests that came, in order.
+    pub fn seen(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// How often it ran a request with this id.
+    pub fn ran(&self, id: &str) -> usize {
+        self.lock().runs.iter().filter(|run| run.ran && run.id == id).count()
+    }
+
+    /// When the caller of a request went away before its end.
+    pub fn cancelled(&self, id: &str) -> Option<Instant> {
+        self.lock().cancelled.iter().find(|(other, _)| other == id).map(|(_, at)| *at)
+    }
+
+    /// Memory that is set aside, in tokens.
+    pub fn memory(&self) -> u64 {
+        self.lock().memory.values().sum()
+    }
+
+    /// Orders that came, in order.
+    pub fn orders(&self) -> Vec<Value> {
+        self.lock().orders.clone()
+    }
+
+    /// Sets whether wishes for memory are refused.
+    pub fn refuse_memory(&self, refuse: bool) {
+        self.lock().refuse_memory = refuse;
+    }
+
+    /// Its record in the store.
+    pub fn record(&self, service: &str, state: &str) -> String {
+        let record = json!({
+            "service": service, "address": self.address, "zone": "here", "version": "v1", "slots": 16,
+            "state": state, "cold_remaining_ms": 0, "sequence": 1,
+        });
+        record.to_string()
+    }
+}
+
+/// Notes that a request was cancelled, unless it came to its end.
+struct Watch {
+    replica: Arc<Replica>,
+    id: String,
+    over: bool,
+}
+
+impl Watch {
+    /// Notes that the request came to its end.
+    fn close(mut self) {
+        self.over = true;
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.over {
+            self.replica.lock().cancelled.push((std::mem::take(&mut self.id), Instant::now()));
+        }
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+async fn order(State(replica): State<Arc<Replica>>, Json(order): Json<Value>) -> Response {
+    let mut inner = replica.lock();
+    inner.orders.push(order.clone());
+    let id = order["id"].as_str().unwrap_or_default().to_owned();
+    match order["op"].as_str() {
+        Some("reserve") if inner.refuse_memory => StatusCode::CONFLICT.into_response(),
+        Some("reserve") => {
+            inner.memory.insert(id, order["token_count"].as_u64().unwrap_or(0));
+            Json(json!({ "free": 0 })).into_response()
+        }
+        Some("release") => {
+            inner.memory.remove(&id);
+            Json(json!({ "free": 0 })).into_response()
+        }
+        _ => StatusCode::BAD_REQUEST.into_response(),
+    }
+}
+
+async fn call(State(replica): State<Arc<Replica>>, request: Request) -> Response {
+    let (head, body) = request.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, 64 << 20).await else { return StatusCode::BAD_REQUEST.into_response() };
+    let id = header(&head.headers, "request-id").to_owned();
+    let streaming = head.headers.contains_key("token-usage");
+    let after: u64 = header(&head.headers, "last-event-id").parse().unwrap_or(0);
+    let expected = header(&head.headers, "expect-replica");
+    let misdirected = !expected.is_empty() && expected != replica.id;
+    let act = if misdirected { Act::Refuse } else { replica.lock().acts.pop_front().unwrap_or_default() };
+    let path = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
+    let ran = act != Act::Refuse;
+    let run = Run { id: id.clone(), path, headers: head.headers, body, at: Instant::now(), ran };
+    replica.lock().runs.push(run);
+    if misdirected {
+        return (StatusCode::MISDIRECTED_REQUEST, [("replica-id", replica.id.clone())]).into_response();
+    }
+    let mut watch = Watch { replica: replica.clone(), id: id.clone(), over: false };
+    if let Act::Stall(millis) = act {
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+    }
+    if !streaming {
+        tokio::time::sleep(replica.takes).await;
+        watch.over = true;
+    }
+    let mut answer = match act {
+        Act::Refuse => (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response(),
+        Act::Fail => (StatusCode::INTERNAL_SERVER_ERROR, "failed").into_response(),
+        Act::Unproven => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Act::LoseAnswer => broken_body(),
+        _ if streaming => events(watch, replica.takes, after, act),
+        _ => format!("{} {id}", replica.id).into_response(),
+    };
+    let told = if act == Act::ForeignId { "another" } else { &id };
+    set(&mut answer, "request-id", told);
+    if act != Act::Unsealed {
+        set(&mut answer, "response-seal", &format!("seal-of-{}", replica.id));
+    }
+    set(&mut answer, "replica-load", "1,0,16");
+    answer
+}
+
+fn set(answer: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        answer.headers_mut().insert(name, value);
+    }
+}
+
+/// A body that ends with its connection before it is whole.
+fn broken_body() -> Response {
+    let pieces = stream::iter([Ok(Bytes::from_static(b"par")), Err(std::io::Error::other("broken off"))]);
+    Body::from_stream(pieces).into_response()
+}
+
+/// A stream that goes on behind event `after`.
+fn events(watch: Watch, takes: Duration, after: u64, act: Act) -> Response {
+    let last = match act {
+        Act::BreakAfter(events) => after + events + 1,
+        _ => EVENTS,
+    };
+    let breaks = matches!(act, Act::BreakAfter(_));
+    let pieces = stream::unfold((watch, after + 1), move |(watch, event)| async move {
+        if event > last {
+            watch.close();
+            return None;
+        }
+        tokio::time::sleep(takes).await;
+        let text = format!("id: {event}\ndata: piece {event} of {}\n\n", watch.id);
+        if breaks && event == last {
+            let half = Bytes::from(text[..text.len() / 2].to_owned());
+            return Some((vec![Ok(half), Err(std::io::Error::other("broken off"))], (watch, u64::MAX)));
+        }
+        Some((vec![Ok(Bytes::from(text))], (watch, event + 1)))
+    });
+    let pieces = futures_util::StreamExt::flat_map(pieces, stream::iter);
+    let mut answer = Body::from_stream(pieces).into_response();
+    set(&mut answer, "content-type", "text/event-stream");
+    answer
+}
--- /dev/null
+++ b/standin/src/platform/site.rs
@@ -0,0 +1,288 @@
+//! A small site: store, replicas, and real entries as processes of their own.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use super::client::{self, Ask, Seen};
+use super::replica::Replica;
+use super::store::{Door, Store};
+use crate::fleet::binary;
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Its name; also that of its folder.
+    pub name: String,
+    /// Entries.
+    pub entries: usize,
+    /// Engines of the service `advisor`.
+    pub engines: usize,
+    /// Replicas of the plain service `ledger`.
+    pub plain: usize,
+    /// Time that an answer or an event takes.
+    pub takes: Duration,
+    /// Settings of `[bounds]` besides the defaults.
+    pub bounds: String,
+}
+
+impl Spec {
+    /// Two entries, three engines, two plain replicas.
+    pub fn small(name: &str) -> Self {
+        let takes = Duration::from_millis(20);
+        Self { name: name.to_owned(), entries: 2, engines: 3, plain: 2, takes, bounds: String::new() }
+    }
+}
+
+/// A running site. Dropping it kills its processes.
+pub struct Site {
+    /// The store.
+    pub store: Arc<Store>,
+    /// Each entry's door to the store.
+    pub doors: Vec<Arc<Door>>,
+    /// Engines of the service `advisor`.
+    pub engines: Vec<Arc<Replica>>,
+    /// Replicas of the service `ledger`.
+    pub plain: Vec<Arc<Replica>>,
+    /// Where callers reach each entry.
+    pub addresses: Vec<String>,
+    /// Where the balancer asks each entry.
+    pub ready: Vec<String>,
+    dir: PathBuf,
+    entries: Vec<Option<Child>>,
+    version: std::cell::Cell<u64>,
+}
+
+/// The host of all routes.
+pub const HOST: &str = "site.example";
+/// The key that a new site knows.
+pub const KEY: &str = "key-of-workspace-0";
+/// How long a process may take to come up or to end.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+impl Site {
+    /// Starts a site and waits until all entries are ready.
+    pub async fn start(spec: Spec) -> Result<Self> {
+        let dir = std::env::temp_dir().join(format!("sorrelpass-site-{}-{}", spec.name, std::process::id()));
+        std::fs::create_dir_all(&dir).wrap_err("step=make-folder")?;
+        let store = Store::new();
+        let mut engines = Vec::new();
+        for index in 0..spec.engines {
+            engines.push(Replica::start(&format!("engine-{index}"), spec.takes).await?);
+        }
+        let mut plain = Vec::new();
+        for index in 0..spec.plain {
+            plain.push(Replica::start(&format!("plain-{index}"), spec.takes).await?);
+        }
+        let mut site = Self {
+            store,
+            doors: Vec::new(),
+            engines,
+            plain,
+            addresses: Vec::new(),
+            ready: Vec::new(),
+            dir,
+            entries: Vec::new(),
+            version: std::cell::Cell::new(0),
+        };
+        site.configure(&[KEY], |_| {});
+        site.announce_all();
+        for index in 0..spec.entries {
+            site.add_entry(index, &spec).await?;
+        }
+        for index in 0..spec.entries {
+            site.wait_ready(index, true).await?;
+        }
+        Ok(site)
+    }
+
+    async fn add_entry(&mut self, index: usize, spec: &Spec) -> Result<()> {
+        let door = self.store.door().await?;
+        let (listen, ready, peer) = (free_port()?, free_port()?, free_port()?);
+        let bounds = &spec.bounds;
+        let settings = format!(
+            "[process]\nname = entry-{index}\nfailure_domain = here\n\n[gateway]\nlisten = 127.0.0.1:{listen}\n\
+             ready_listen = 127.0.0.1:{ready}\nstore = {}\npeer_ports = {peer}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n",
+            door.address
+        );
+        std::fs::write(self.settings_file(index), settings).wrap_err("step=write-settings")?;
+        self.addresses.push(format!("127.0.0.1:{listen}"));
+        self.ready.push(format!("127.0.0.1:{ready}"));
+        self.doors.push(door);
+        self.entries.push(None);
+        self.launch(index)
+    }
+
+    fn launch(&mut self, index: usize) -> Result<()> {
+        let settings = self.settings_file(index);
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log_file(index))?;
+        let errors = log.try_clone()?;
+        let child = Command::new(binary("sorrelpass")?)
+            .arg("entry")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .wrap_err("step=start-entry")?;
+        self.entries[index] = Some(child);
+        Ok(())
+    }
+
+    /// Where an entry logs to.
+    pub fn log_file(&self, index: usize) -> PathBuf {
+        self.dir.join(format!("entry-{index}.log"))
+    }
+
+    /// What an entry has logged.
+    pub fn log(&self, index: usize) -> String {
+        std::fs::read_to_string(self.log_file(index)).unwrap_or_default()
+    }
+
+    /// Where an entry's settings lie.
+    pub fn settings_file(&self, index: usize) -> PathBuf {
+        self.dir.join(format!("entry-{index}.ini"))
+    }
+
+    /// Puts a new configuration in the store, with these keys, and changed by `change`; returns its version.
+    pub fn configure(&self, keys: &[&str], change: impl FnOnce(&mut Value)) -> u64 {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let mut config = configuration(version, keys);
+        change(&mut config);
+        self.store.put("keyed.op", "config", config.to_string());
+        version
+    }
+
+    /// Writes the record of every replica.
+    pub fn announce_all(&self) {
+        for (service, replicas) in [("advisor", &self.engines), ("ledger", &self.plain)] {
+            for replica in replicas {
+                self.store.put("keyed.servers", &replica.id, replica.record(service, "ready"));
+            }
+        }
+    }
+
+    /// Sends a request to an entry.
+    pub async fn send(&self, entry: usize, ask: &Ask) -> Seen {
+        client::send(&self.addresses[entry], HOST, ask).await.unwrap_or_default()
+    }
+
+    /// Whether an entry calls itself ready.
+    pub async fn is_ready(&self, entry: usize) -> bool {
+        let ask = Ask { headers: Vec::new(), ..Ask::new("GET", "/ready", "", "") };
+        client::send(&self.ready[entry], HOST, &ask).await.is_ok_and(|seen| seen.status == 200)
+    }
+
+    /// Waits until an entry calls itself ready, or not.
+    pub async fn wait_ready(&self, entry: usize, ready: bool) -> Result<()> {
+        let started = std::time::Instant::now();
+        while self.is_ready(entry).await != ready {
+            if started.elapsed() > PATIENCE {
+                return Err(eyre!("step=wait-ready entry={entry} wanted={ready}: {}", self.log(entry)));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    /// Sends an entry a signal.
+    pub fn signal(&self, entry: usize, signal: Signal) -> Result<()> {
+        let Some(running) = &self.entries[entry] else { return Err(eyre!("step=signal entry={entry}: not running")) };
+        let pid = i32::try_from(running.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| eyre!("step=signal entry={entry}: no process id"))?;
+        kill_process(pid, signal).wrap_err("step=signal")
+    }
+
+    /// Waits until an entry has ended; returns whether it ended well.
+    pub async fn wait_end(&mut self, entry: usize) -> Result<bool> {
+        let Some(mut running) = self.entries[entry].take() else { return Err(eyre!("step=wait entry={entry}")) };
+        let started = std::time::Instant::now();
+        loop {
+            if let Some(status) = running.try_wait()? {
+                return Ok(status.success());
+            }
+            if started.elapsed() > PATIENCE {
+                self.entries[entry] = Some(running);
+                return Err(eyre!("step=wait entry={entry}: it does not end"));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Kills an entry, if it runs, and starts it again.
+    pub async fn restart(&mut self, entry: usize) -> Result<()> {
+        if let Some(mut running) = self.entries[entry].take() {
+            running.kill()?;
+            running.wait()?;
+        }
+        self.launch(entry)
+    }
+
+    /// Ends all processes and removes the site's folder; an error names a breached invariant.
+    pub fn close(mut self) -> Result<()> {
+        self.kill_all();
+        let logs: Vec<String> = (0..self.entries.len()).map(|index| self.log(index)).collect();
+        let _ = std::fs::remove_dir_all(&self.dir);
+        match logs.iter().find_map(|log| log.lines().find(|line| line.contains("step=invariant"))) {
+            Some(line) => Err(eyre!("step=close: {line}")),
+            None => Ok(()),
+        }
+    }
+
+    fn kill_all(&mut self) {
+        for mut child in self.entries.iter_mut().filter_map(Option::take) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.kill_all();
+    }
+}
+
+fn free_port() -> Result<u16> {
+    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
+
+/// A configuration of three routes: prompts that may be resumed, calls that may run once, calls that may repeat.
+fn configuration(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, service: &str, extra: BTreeMap<&str, Value>| {
+        let mut route = json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 3000,
+            "target_latency_ms": 300, "priority": 1, "service": service, "max_attempts": 2, "public": false,
+        });
+        for (key, value) in extra {
+            route[key] = value;
+        }
+        route
+    };
+    let stream = BTreeMap::from([("stream_resume", json!(true)), ("gap_aim_ms", json!(200))]);
+    let once = BTreeMap::from([("max_attempts", json!(1))]);
+    json!({
+        "version": version,
+        "routes": [
+            route("prompt", "streaming", "advisor", stream),
+            route("pay", "unsafe", "ledger", once),
+            route("look", "safe", "ledger", BTreeMap::new()),
+        ],
+        "services": [
+            { "name": "advisor", "health_path": "/health", "max_connections": 100, "engine": {
+                "slots": 16, "kv_cache_tokens": 450_000, "stride": 46, "step_ms": 0.925, "per_seq_ms": 0.00483,
+                "context_per_k": 0.00254, "read_per_s": 256_000.0, "pairs_per_m": 0.0917, "chunk": 2048, "hop_ms": 0.1,
+            } },
+            { "name": "ledger", "health_path": "/health", "max_connections": 100 },
+        ],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3000, "idle_timeout_ms": 1000 },
+        "tenants": [{ "name": "workspace-0", "api_keys": keys, "priority": 1 }],
+    })
+}
--- /dev/null
+++ b/standin/src/platform/store.rs
@@ -0,0 +1,251 @@
+//! The store stand-in: a log of partitions, some of which keep the newest record of each key.
+//!
+//! Callers reach it through doors. Each door has a fault of its own, so that some callers are
+//! turned away while others are served.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::{Body, Bytes};
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// What is wrong with a door.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers 503.
+    Unavailable,
+    /// It answers 429.
+    TooMany,
+    /// It takes calls and never answers.
+    Silent,
+    /// Appends are done, and their answers are lost.
+    LostAnswers,
+}
+
+/// One record; a key without a value was removed.
+#[derive(Clone, Debug)]
+struct Record {
+    key: String,
+    value: Bytes,
+}
+
+#[derive(Default)]
+struct Topic {
+    /// Offset of the first record that can be read.
+    first: u64,
+    records: Vec<Record>,
+    /// Newest records of keys from before that, with their offsets.
+    compacted: BTreeMap<String, (u64, Bytes)>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Store {
+    topics: Mutex<HashMap<String, Topic>>,
+    changed: Notify,
+}
+
+/// A way into the store with a fault of its own.
+pub struct Door {
+    /// Address, `ip:port`.
+    pub address: String,
+    fault: Mutex<Fault>,
+    calls: Mutex<u64>,
+    store: Arc<Store>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Store {
+    /// An empty store.
+    pub fn new() -> Arc<Self> {
+        Arc::default()
+    }
+
+    /// Opens a door on loopback.
+    pub async fn door(self: &Arc<Self>) -> std::io::Result<Arc<Door>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?.to_string();
+        let door = Arc::new(Door { address, fault: Mutex::default(), calls: Mutex::default(), store: self.clone() });
+        let router = Router::new()
+            .route("/log-append", post(append))
+            .route("/log-read", get(read))
+            .route("/log-newest", get(newest))
+            .with_state(door.clone());
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(door)
+    }
+
+    /// Writes the newest record of a key; an empty value removes it.
+    pub fn put(&self, topic: &str, key: &str, value: impl Into<Bytes>) -> u64 {
+        let mut topics = lock(&self.topics);
+        let topic = topics.entry(topic.to_owned()).or_default();
+        topic.records.push(Record { key: key.to_owned(), value: value.into() });
+        let end = topic.end();
+        drop(topics);
+        self.changed.notify_waiters();
+        end
+    }
+
+    /// Forgets all records of a topic but the newest of each key, which only `newest` shows.
+    pub fn compact(&self, topic: &str) {
+        let mut topics = lock(&self.topics);
+        let Some(topic) = topics.get_mut(topic) else { return };
+        topic.compacted = topic.newest();
+        topic.first = topic.end();
+        topic.records.clear();
+    }
+}
+
+impl Topic {
+    fn newest(&self) -> BTreeMap<String, (u64, Bytes)> {
+        let mut newest = self.compacted.clone();
+        for (index, record) in self.records.iter().enumerate() {
+            if record.value.is_empty() {
+                newest.remove(&record.key);
+            } else {
+                newest.insert(record.key.clone(), (self.first + index as u64, record.value.clone()));
+            }
+        }
+        newest
+    }
+}
+
+impl Door {
+    /// Sets what is wrong with this door.
+    pub fn set(&self, fault: Fault) {
+        *lock(&self.fault) = fault;
+    }
+
+    /// Calls that came through it.
+    pub fn calls(&self) -> u64 {
+        *lock(&self.calls)
+    }
+
+    /// Counts a call and does what the fault says before the call is done.
+    async fn enter(&self) -> Result<Fault, Response> {
+        *lock(&self.calls) += 1;
+        let fault = *lock(&self.fault);
+        match fault {
+            Fault::Unavailable => Err(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+            Fault::TooMany => Err(StatusCode::TOO_MANY_REQUESTS.into_response()),
+            Fault::Silent => {
+                std::future::pending::<()>().await;
+                Ok(fault)
+            }
+            Fault::None | Fault::LostAnswers => Ok(fault),
+        }
+    }
+}
+
+type Params = Query<HashMap<String, String>>;
+
+fn number(params: &Params, name: &str) -> u64 {
+    params.get(name).and_then(|raw| raw.parse().ok()).unwrap_or(0)
+}
+
+fn topic(params: &Params) -> String {
+    params.get("topic").cloned().unwrap_or_default()
+}
+
+async fn append(State(door): State<Arc<Door>>, params: Params, body: Bytes) -> Response {
+    let fault = match door.enter().await {
+        Ok(fault) => fault,
+        Err(refusal) => return refusal,
+    };
+    if topic(&params) == "keyed.servers" {
+        return StatusCode::FORBIDDEN.into_response();
+    }
+    let Some((key, value)) = decode(&body) else { return StatusCode::BAD_REQUEST.into_response() };
+    let end = door.store.put(&topic(&params), &key, value);
+    if fault == Fault::LostAnswers {
+        std::future::pending::<()>().await;
+    }
+    axum::Json(json!({ "offset": end - 1, "end": end })).into_response()
+}
+
+/// The key and value of a body that holds one record.
+fn decode(body: &Bytes) -> Option<(String, Bytes)> {
+    let key_len = usize::from(*body.get(4)?);
+    let key = body.get(5..5 + key_len)?;
+    Some((String::from_utf8(key.to_vec()).ok()?, body.slice(5 + key_len..)))
+}
+
+async fn read(State(door): State<Arc<Door>>, params: Params) -> Response {
+    if let Err(refusal) = door.enter().await {
+        return refusal;
+    }
+    let (topic, from) = (topic(&params), number(&params, "from"));
+    let wait = Duration::from_millis(number(&params, "wait_ms"));
+    let deadline = tokio::time::Instant::now() + wait;
+    loop {
+        let changed = door.store.changed.notified();
+        if let Some(answer) = records(&door.store, &topic, from, tokio::time::Instant::now() >= deadline) {
+            return answer;
+        }
+        let _ = tokio::time::timeout_at(deadline, changed).await;
+    }
+}
+
+/// Records from an offset; none if there are none yet and the reader still waits.
+fn records(store: &Store, topic: &str, from: u64, over: bool) -> Option<Response> {
+    let topics = lock(&store.topics);
+    let empty = Topic::default();
+    let topic = topics.get(topic).unwrap_or(&empty);
+    if from < topic.first {
+        let gone = axum::Json(json!({ "first": topic.first }));
+        return Some((StatusCode::GONE, gone).into_response());
+    }
+    let skipped = usize::try_from(from - topic.first).unwrap_or(usize::MAX);
+    let found = topic.records.get(skipped..).unwrap_or_default();
+    if found.is_empty() && !over {
+        return None;
+    }
+    let mut out = Vec::new();
+    out.extend_from_slice(&topic.end().to_be_bytes());
+    out.extend_from_slice(&topic.first.to_be_bytes());
+    for record in found {
+        let len = 1 + record.key.len() + record.value.len();
+        out.extend_from_slice(&u32::try_from(len).unwrap_or(u32::MAX).to_be_bytes());
+        out.push(u8::try_from(record.key.len()).unwrap_or(u8::MAX));
+        out.extend_from_slice(record.key.as_bytes());
+        out.extend_from_slice(&record.value);
+    }
+    Some(Body::from(out).into_response())
+}
+
+async fn newest(State(door): State<Arc<Door>>, params: Params) -> Response {
+    if let Err(refusal) = door.enter().await {
+        return refusal;
+    }
+    let topics = lock(&door.store.topics);
+    let empty = Topic::default();
+    let topic = topics.get(&topic(&params)).unwrap_or(&empty);
+    let items: Vec<_> = topic
+        .newest()
+        .into_iter()
+        .map(|(key, (offset, value))| json!({ "tls_key": key, "value": STANDARD.encode(value), "offset": offset }))
+        .collect();
+    axum::Json(json!({ "items": items, "more": false, "end": topic.end() })).into_response()
+}
--- /dev/null
+++ b/standin/tests/platform_beliefs.rs
@@ -0,0 +1,108 @@
+//! What entries believe: the configuration, keys and replicas, through outages of the store.
+
+use std::time::Duration;
+
+use serde_json::json;
+use standin::platform::{Ask, Fault, KEY, Site, Spec};
+
+fn look(id: &str, key: &str) -> Ask {
+    Ask::new("GET", "/look/1", id, key).with("deadline-ms", "800")
+}
+
+async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+async fn site(name: &str, bounds: &str) -> Site {
+    Site::start(Spec { bounds: bounds.to_owned(), ..Spec::small(name) }).await.expect("the site starts")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_configuration_is_in_force_at_once_and_an_older_one_never_again() {
+    let site = site("beliefs-new", "").await;
+    site.configure(&["another"], |_| {});
+    pause(300).await;
+    let statuses = [site.send(0, &look("a1", KEY)).await, site.send(1, &look("a2", "another")).await];
+    assert_eq!(statuses.map(|seen| seen.status), [401, 200]);
+    site.configure(&[KEY], |config| config["version"] = json!(1));
+    site.store.put("keyed.op", "config", "not a configuration");
+    pause(300).await;
+    let statuses = [site.send(0, &look("a3", KEY)).await, site.send(1, &look("a4", "another")).await];
+    assert_eq!(statuses.map(|seen| seen.status), [401, 200]);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_recent_proof_no_key_is_trusted_and_the_entry_is_not_ready() {
+    for fault in [Fault::Silent, Fault::Unavailable, Fault::TooMany] {
+        let site = site("beliefs-proof", "revoke_ms = 3000").await;
+        site.doors[0].set(fault);
+        // The key is taken away while the entry hears nothing.
+        site.configure(&["another"], |_| {});
+        pause(3_200).await;
+        let seen = site.send(0, &look("b1", KEY)).await;
+        assert_eq!(seen.status, 503, "{fault:?}: {seen:?}");
+        assert!(!seen.header("retry-after").is_empty());
+        assert!(!site.is_ready(0).await, "{fault:?}");
+        assert_eq!(site.send(1, &look("b2", "another")).await.status, 200, "{fault:?}");
+        site.doors[0].set(Fault::None);
+        site.wait_ready(0, true).await.expect("it comes back");
+        assert_eq!(site.send(0, &look("b3", KEY)).await.status, 401, "{fault:?}");
+        site.close().expect("no invariant was breached");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_announces_its_end_or_vanishes_gets_nothing_more() {
+    let site = site("beliefs-leave", "drain_ms = 600").await;
+    site.store.put("keyed.servers", "plain-0", site.plain[0].record("ledger", "draining"));
+    pause(600).await;
+    for number in 0..6 {
+        assert_eq!(site.send(number % 2, &look(&format!("c{number}"), KEY)).await.status, 200);
+    }
+    assert_eq!(site.plain[0].seen().len(), 0);
+    // Its end is final, whatever its record says later.
+    site.store.put("keyed.servers", "plain-0", site.plain[0].record("ledger", "ready"));
+    site.store.put("keyed.servers", "plain-1", "");
+    pause(600).await;
+    assert_eq!(site.send(0, &look("c9", KEY)).await.status, 503);
+    assert_eq!(site.plain[0].seen().len(), 0);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn records_that_lapsed_in_an_outage_are_waited_for_and_then_taken_as_gone() {
+    let site = site("beliefs-lapse", "drain_ms = 400").await;
+    site.doors.iter().for_each(|door| door.set(Fault::Unavailable));
+    pause(700).await;
+    site.store.put("keyed.servers", "plain-0", "");
+    site.store.put("keyed.servers", "plain-1", "");
+    site.doors.iter().for_each(|door| door.set(Fault::None));
+    pause(900).await;
+    assert_eq!(site.send(0, &look("d1", KEY)).await.status, 200, "lapsed is not gone");
+    site.store.put("keyed.servers", "plain-0", site.plain[0].record("ledger", "ready"));
+    pause(2_600).await;
+    let before = site.plain[1].seen().len();
+    for number in 0..6 {
+        assert_eq!(site.send(0, &look(&format!("e{number}"), KEY)).await.status, 200);
+    }
+    assert_eq!(site.plain[1].seen().len(), before, "one that is still missing is gone");
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_forgets_its_history_changes_no_belief() {
+    let site = site("beliefs-compact", "drain_ms = 400").await;
+    site.store.put("keyed.servers", "plain-1", "");
+    site.store.compact("keyed.servers");
+    site.store.compact("keyed.op");
+    pause(1_000).await;
+    for number in 0..4 {
+        assert_eq!(site.send(0, &look(&format!("f{number}"), KEY)).await.status, 200);
+    }
+    assert_eq!(site.plain[1].seen().len(), 0, "what was removed in between is gone");
+    site.configure(&["another"], |_| {});
+    pause(500).await;
+    assert_eq!(site.send(0, &look("f9", "another")).await.status, 200);
+    site.close().expect("no invariant was breached");
+}
--- /dev/null
+++ b/standin/tests/platform_once.rs
@@ -0,0 +1,96 @@
+//! Calls that may run once run at most once, and "not run" is said only when it is proven.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use standin::platform::{Act, Ask, KEY, Site, Spec};
+
+fn pay(id: &str) -> Ask {
+    Ask { body: Bytes::from("levy 500"), ..Ask::new("POST", "/pay/1", id, KEY) }.with("deadline-ms", "1000")
+}
+
+fn look(id: &str) -> Ask {
+    Ask::new("GET", "/look/1", id, KEY).with("deadline-ms", "1000")
+}
+
+async fn site(name: &str) -> Site {
+    Site::start(Spec::small(name)).await.expect("the site starts")
+}
+
+fn ran(site: &Site, id: &str) -> usize {
+    site.plain.iter().map(|replica| replica.ran(id)).sum()
+}
+
+/// All replicas do the same with their next request.
+fn all(site: &Site, acts: &[Act]) {
+    site.plain.iter().for_each(|replica| replica.next(acts.iter().copied()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_lost_is_not_called_not_run() {
+    let site = site("once-lost").await;
+    for (id, act) in [("a1", Act::LoseAnswer), ("a2", Act::ForeignId), ("a3", Act::Unsealed), ("a4", Act::Unproven)] {
+        all(&site, &[act]);
+        let seen = site.send(0, &pay(id)).await;
+        assert_eq!(seen.status, 502, "{act:?}: {seen:?}");
+        assert_eq!(ran(&site, id), 1, "{act:?}");
+        // The other replica's act is spent, so that the next case starts afresh.
+        while site.send(0, &pay("spend")).await.status != 200 {}
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_time_runs_out_during_its_send_is_not_called_not_run() {
+    let site = site("once-stall").await;
+    all(&site, &[Act::Stall(2_500)]);
+    let seen = site.send(0, &pay("b1")).await;
+    assert_eq!(seen.status, 504, "it may have run: {seen:?}");
+    assert_eq!(ran(&site, "b1"), 1);
+    assert!(seen.took < Duration::from_millis(1_500), "the final answer comes in time: {:?}", seen.took);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_proven_refusal_goes_to_another_replica_or_back_with_a_time() {
+    let site = site("once-refuse").await;
+    site.plain[0].next([Act::Refuse]);
+    site.plain[1].next([Act::Refuse]);
+    let seen = site.send(0, &pay("c1")).await;
+    assert_eq!((seen.status, ran(&site, "c1")), (503, 0), "{seen:?}");
+    assert!(!seen.header("retry-after").is_empty());
+    site.plain[0].next([Act::Refuse]);
+    let seen = site.send(0, &pay("c2")).await;
+    assert_eq!((seen.status, ran(&site, "c2")), (200, 1), "{seen:?}");
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_may_repeat_is_tried_at_another_replica_within_its_attempts() {
+    let site = site("once-safe").await;
+    all(&site, &[Act::Fail]);
+    let seen = site.send(0, &look("d1")).await;
+    assert_eq!((seen.status, ran(&site, "d1")), (500, 2), "two attempts, both fail: {seen:?}");
+    assert!(seen.header("response-seal").starts_with("seal-of-"), "the replica's own failure comes back: {seen:?}");
+    site.plain[0].next([Act::LoseAnswer]);
+    site.plain[1].next([Act::Serve]);
+    let seen = site.send(0, &look("d2")).await;
+    assert_eq!((seen.status, seen.whole), (200, true), "{seen:?}");
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_with_another_replica_behind_it_runs_nothing() {
+    let site = site("once-reuse").await;
+    // The record still names plain-0, but plain-1 listens there now.
+    let record = site.plain[1].record("ledger", "ready");
+    site.store.put("keyed.servers", "plain-0", record);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for number in 0..6 {
+        let id = format!("e{number}");
+        let seen = site.send(0, &pay(&id)).await;
+        assert_eq!((seen.status, ran(&site, &id)), (200, 1), "{seen:?}");
+    }
+    assert_eq!(site.plain[0].seen().len(), 0);
+    site.close().expect("no invariant was breached");
+}
--- /dev/null
+++ b/standin/tests/platform_path.rs
@@ -0,0 +1,133 @@
+//! The whole path on the users' platform: what replicas get, and what callers get back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde_json::json;
+use standin::platform::{Act, Ask, HOST, KEY, Site, Spec};
+
+fn prompt(id: &str, tokens: u64) -> Ask {
+    Ask { body: Bytes::from("a question"), ..Ask::new("POST", "/prompt/x?y=1", id, KEY) }
+        .with("model", "m")
+        .with("token-usage", &format!("{tokens},400"))
+        .with("prompt-prefix", &format!("a1:40,{id}:{tokens}"))
+        .with("deadline-ms", "2000")
+}
+
+fn whole_stream(id: &str) -> String {
+    (1..=8).map(|event| format!("id: {event}\ndata: piece {event} of {id}\n\n")).collect()
+}
+
+async fn site(name: &str) -> Site {
+    Site::start(Spec::small(name)).await.expect("the site starts")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_is_streamed_and_its_head_is_passed_on_as_it_should_be() {
+    let site = site("path-prompt").await;
+    let seen = site.send(0, &prompt("aa01", 500)).await;
+    assert_eq!((seen.status, seen.whole), (200, true), "{seen:?}");
+    assert_eq!(seen.body, whole_stream("aa01"));
+    assert_eq!(seen.header("request-id"), "aa01");
+    assert!(seen.header("response-seal").starts_with("seal-of-engine"), "{seen:?}");
+    let runs: Vec<_> = site.engines.iter().flat_map(|engine| engine.seen()).collect();
+    assert_eq!(runs.len(), 1);
+    let header = |name: &str| runs[0].headers.get(name).map(|value| value.to_str().unwrap_or("").to_owned());
+    assert_eq!(runs[0].path, "/prompt/x?y=1");
+    assert_eq!(&runs[0].body[..], b"a question");
+    assert_eq!(header("host").as_deref(), Some(HOST));
+    assert_eq!(header("tenant-id").as_deref(), Some("workspace-0"));
+    assert_eq!(header("authorization"), None);
+    assert_eq!(header("token-usage").as_deref(), Some("500,400"));
+    assert_eq!(header("prompt-prefix").as_deref(), Some("a1:40,aa01:500"));
+    assert!(header("expect-replica").is_some_and(|id| id.starts_with("engine-")));
+    let left: u64 = header("deadline-ms").and_then(|raw| raw.parse().ok()).expect("a deadline is sent");
+    assert!((1_000..=2_000).contains(&left), "{left}");
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_prompt_is_read_by_several_engines_and_one_beyond_an_engine_holds_memory_until_its_end() {
+    let site = site("path-long").await;
+    let seen = site.send(1, &prompt("bb01", 300_000)).await;
+    assert_eq!(seen.body, whole_stream("bb01"), "{seen:?}");
+    let run = site.engines.iter().flat_map(|engine| engine.seen()).next().expect("it ran");
+    let helpers = run.headers.get("helpers").and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+    assert_eq!(helpers.split(',').count(), 2, "{helpers}");
+    assert!(!helpers.contains('/'), "no memory is needed: {helpers}");
+
+    let seen = site.send(1, &prompt("bb02", 700_000)).await;
+    assert_eq!(seen.body, whole_stream("bb02"), "{seen:?}");
+    let runs: Vec<_> = site.engines.iter().flat_map(|engine| engine.seen()).filter(|run| run.id == "bb02").collect();
+    let helpers = runs[0].headers.get("helpers").and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+    assert!(helpers.contains('/'), "memory has a name: {helpers}");
+    let held: u64 = site
+        .engines
+        .iter()
+        .flat_map(|engine| engine.orders())
+        .filter(|order| order["op"] == "reserve")
+        .map(|order| order["token_count"].as_u64().unwrap_or(0))
+        .sum();
+    assert!(held >= 700_000 - 450_000, "{held}");
+    for _ in 0..100 {
+        if site.engines.iter().all(|engine| engine.memory() == 0) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(site.engines.iter().map(|engine| engine.memory()).sum::<u64>(), 0);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_that_cannot_be_had_everywhere_is_given_back_everywhere() {
+    let site = site("path-memory").await;
+    site.engines[0].refuse_memory(true);
+    let seen = site.send(0, &prompt("cc01", 1_200_000)).await;
+    assert_eq!(seen.status, 503, "three engines are needed, one refuses: {seen:?}");
+    let ran = site.engines.iter().map(|engine| engine.ran("cc01")).sum::<usize>();
+    assert_eq!(ran, 0);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(site.engines.iter().map(|engine| engine.memory()).sum::<u64>(), 0);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_cannot_be_routed_or_read_gets_the_right_status_and_reaches_no_replica() {
+    let site = site("path-bad").await;
+    let look = |id: &str| Ask::new("GET", "/look/1", id, KEY);
+    let no_route = site.send(0, &Ask::new("GET", "/nowhere/1", "d1", KEY)).await;
+    let no_key = site.send(0, &Ask { headers: vec![("request-id", "d2".into())], ..look("d2") }).await;
+    let wrong_key = site.send(0, &Ask::new("GET", "/look/1", "d3", "nobody")).await;
+    let deadline = site.send(0, &look("d4").with("deadline-ms", "soon")).await;
+    let large = site.send(0, &Ask { method: "POST", body: Bytes::from(vec![b'x'; 70_000]), ..look("d5") }).await;
+    let head = site.send(0, &look("d6").with("x-long", &"y".repeat(40_000))).await;
+    let statuses = [no_route, no_key, wrong_key, deadline, large, head].map(|seen| seen.status);
+    assert_eq!(statuses, [404, 401, 401, 400, 413, 431]);
+    assert!(site.plain.iter().all(|replica| replica.seen().is_empty()));
+    let good = site.send(0, &look("d7")).await;
+    assert_eq!((good.status, good.whole), (200, true));
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_tell_what_happened() {
+    let site = site("path-metrics").await;
+    site.engines.iter().for_each(|engine| engine.next([Act::Serve]));
+    site.send(0, &prompt("ee01", 500)).await;
+    let ask = Ask { headers: Vec::new(), ..Ask::new("GET", "/metrics", "", "") };
+    let seen = standin::platform::send(&site.ready[0], HOST, &ask).await.expect("metrics are served");
+    assert!(seen.body.contains("sorrelpass_first_event_seconds_count"), "{}", seen.body);
+    assert!(seen.body.contains("sorrelpass_requests_total{outcome=\"ok\""), "{}", seen.body);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_without_keys_is_open_only_if_the_configuration_says_so() {
+    let site = site("path-public").await;
+    site.configure(&[KEY], |config| config["routes"][2]["public"] = json!(true));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let ask = Ask { headers: vec![("request-id", "f1".into())], ..Ask::new("GET", "/look/1", "", "") };
+    assert_eq!(site.send(0, &ask).await.status, 200);
+    site.close().expect("no invariant was breached");
+}
--- /dev/null
+++ b/standin/tests/platform_processes.rs
@@ -0,0 +1,184 @@
+//! Entries end, die, come back and are cut off; prompts are granted engines all the while.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use standin::platform::{Act, Ask, Fault, HOST, KEY, Site, Spec};
+
+fn prompt(id: &str) -> Ask {
+    Ask::new("POST", "/prompt/1", id, KEY).with("token-usage", "500,400").with("deadline-ms", "2500")
+}
+
+fn pay(id: &str) -> Ask {
+    Ask::new("POST", "/pay/1", id, KEY).with("deadline-ms", "2000")
+}
+
+async fn site(name: &str, entries: usize, bounds: &str) -> Site {
+    let spec = Spec { entries, bounds: bounds.to_owned(), ..Spec::small(name) };
+    Site::start(spec).await.expect("the site starts")
+}
+
+/// Waits until an entry has logged a text this often.
+async fn logged(site: &Site, entry: usize, text: &str, times: usize) {
+    let started = Instant::now();
+    while site.log(entry).matches(text).count() < times {
+        assert!(started.elapsed() < Duration::from_secs(12), "entry {entry} never logged {text}: {}", site.log(entry));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// The entry that plans for the others: the only one that follows nobody.
+async fn leader(site: &Site, entries: usize) -> usize {
+    let follows = |entry: &usize| site.log(*entry).contains("step=following");
+    let started = Instant::now();
+    loop {
+        let leaders: Vec<usize> = (0..entries).filter(|entry| !follows(entry)).collect();
+        if let [leader] = leaders[..] {
+            return leader;
+        }
+        assert!(started.elapsed() < Duration::from_secs(12), "leaders: {leaders:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn served_by_all(site: &Site, entries: usize, round: &str) {
+    for entry in 0..entries {
+        let id = format!("{round}{entry}");
+        let seen = site.send(entry, &prompt(&id)).await;
+        assert_eq!((seen.status, seen.whole), (200, true), "entry {entry}: {seen:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_end_finishes_what_runs_and_refuses_what_it_cannot_finish() {
+    let mut site = site("processes-end", 2, "grace_s = 6").await;
+    site.plain.iter().for_each(|replica| replica.next([Act::Stall(1_000)]));
+    // A kept connection that a caller goes on using until it is closed.
+    let mut kept = TcpStream::connect(&site.addresses[0]).expect("it connects");
+    let call = |id: &str| {
+        format!("GET /look/1 HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nrequest-id: {id}\r\n\r\n")
+    };
+    let ask = pay("a1");
+    let running = site.send(0, &ask);
+    let ending = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        site.signal(0, Signal::TERM).expect("it is told");
+        site.wait_ready(0, false).await.expect("it is not ready at once");
+    };
+    let (seen, ()) = tokio::join!(running, ending);
+    assert_eq!((seen.status, seen.whole), (200, true), "{seen:?}");
+    kept.write_all(call("a2").as_bytes()).expect("it is sent");
+    let mut answer = [0; 512];
+    let read = kept.read(&mut answer).expect("it is answered");
+    let text = String::from_utf8_lossy(&answer[..read]).to_lowercase();
+    assert!(text.starts_with("http/1.1 200") && text.contains("connection: close"), "{text}");
+    let rested = TcpStream::connect(&site.addresses[0]).expect("it still takes connections");
+    let closed = tokio::task::spawn_blocking(move || {
+        let mut rested = rested;
+        rested.set_read_timeout(Some(Duration::from_secs(10))).expect("a limit is set");
+        rested.read(&mut [0; 16])
+    });
+    assert_eq!(closed.await.expect("the reader ends").expect("it is closed, not cut"), 0);
+    assert!(site.wait_end(0).await.expect("it ends"), "it ends well");
+    assert!(site.log(0).contains("step=stopped in_flight=0"));
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_comes_too_late_before_the_end_is_refused_as_not_run() {
+    let site = site("processes-late", 1, "grace_s = 6").await;
+    // Something that runs to the end keeps the process up.
+    site.plain.iter().for_each(|replica| replica.next([Act::Stall(1_900)]));
+    let long = async {
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        site.send(0, &pay("b1")).await
+    };
+    let late = async {
+        site.signal(0, Signal::TERM).expect("it is told");
+        tokio::time::sleep(Duration::from_millis(2_900)).await;
+        site.send(0, &pay("b2")).await
+    };
+    let (long, late) = tokio::join!(long, late);
+    assert_eq!(long.status, 200, "{long:?}");
+    assert!(late.status == 503 || late.status == 0, "{late:?}");
+    assert_eq!(site.plain.iter().map(|replica| replica.ran("b2")).sum::<usize>(), 0);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_faulty_settings_file_is_refused_at_a_reload_and_no_request_is_cut() {
+    let site = site("processes-reload", 1, "").await;
+    site.plain.iter().for_each(|replica| replica.next([Act::Stall(500)]));
+    let file = site.settings_file(0);
+    let good = std::fs::read_to_string(&file).expect("it can be read");
+    std::fs::write(&file, good.replace("store = ", "colour = red\nstore = ")).expect("it can be written");
+    let reload = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        site.signal(0, Signal::HUP).expect("it is told");
+    };
+    let ask = pay("c1");
+    let (seen, ()) = tokio::join!(site.send(0, &ask), reload);
+    assert_eq!(seen.status, 200, "{seen:?}");
+    logged(&site, 0, "step=reload outcome=refused", 1).await;
+    assert!(site.log(0).contains("gateway.colour"), "{}", site.log(0));
+    std::fs::write(&file, good).expect("it can be written");
+    site.signal(0, Signal::HUP).expect("it is told");
+    logged(&site, 0, "step=reload outcome=\"checked", 1).await;
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_are_served_when_the_entry_that_plans_is_killed_and_when_it_freezes() {
+    let mut site = site("processes-kill", 3, "").await;
+    let first = leader(&site, 3).await;
+    served_by_all(&site, 3, "d").await;
+    site.signal(first, Signal::STOP).expect("it freezes");
+    let others: Vec<usize> = (0..3).filter(|entry| *entry != first).collect();
+    for entry in &others {
+        let seen = site.send(*entry, &prompt(&format!("e{entry}"))).await;
+        assert_eq!((seen.status, seen.whole), (200, true), "{seen:?}");
+        assert!(seen.took < Duration::from_secs(2), "{:?}", seen.took);
+    }
+    site.signal(first, Signal::CONT).expect("it wakes");
+    site.restart(first).await.expect("it restarts");
+    site.wait_ready(first, true).await.expect("it is ready");
+    served_by_all(&site, 3, "f").await;
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_entry_is_the_youngest_for_everyone() {
+    let mut site = site("processes-youngest", 3, "").await;
+    let first = leader(&site, 3).await;
+    site.restart(first).await.expect("it restarts");
+    site.wait_ready(first, true).await.expect("it is ready");
+    logged(&site, first, "step=following", 1).await;
+    // Long enough for everyone to look for older entries once more.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let log = site.log(first);
+    let since_restart = log.rsplit("step=start").next().unwrap_or("");
+    // An entry that knew the earlier run may try it, and leaves when it meets another one.
+    let followers = since_restart.matches("step=peer-joined").count() - since_restart.matches("step=peer-left").count();
+    assert_eq!(followers, 0, "nobody follows it: {log}");
+    served_by_all(&site, 3, "g").await;
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_the_store_turns_away_plans_for_nobody() {
+    let mut site = site("processes-turned-away", 3, "").await;
+    let first = leader(&site, 3).await;
+    site.doors[first].set(Fault::TooMany);
+    site.restart(first).await.expect("it restarts");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for entry in (0..3).filter(|entry| *entry != first) {
+        let seen = site.send(entry, &prompt(&format!("h{entry}"))).await;
+        assert_eq!((seen.status, seen.whole), (200, true), "entry {entry}: {seen:?}");
+        assert!(seen.took < Duration::from_secs(1), "{:?}", seen.took);
+    }
+    let refused = site.send(first, &prompt("h9")).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    site.close().expect("no invariant was breached");
+}
--- /dev/null
+++ b/standin/tests/platform_streams.rs
@@ -0,0 +1,81 @@
+//! Streams are whole or visibly broken, go on elsewhere, and end with their caller.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standin::platform::{Act, Ask, KEY, Site, Spec};
+
+fn prompt(id: &str) -> Ask {
+    Ask::new("POST", "/prompt/1", id, KEY).with("token-usage", "500,400").with("deadline-ms", "2500")
+}
+
+fn whole_stream(id: &str) -> String {
+    (1..=8).map(|event| format!("id: {event}\ndata: piece {event} of {id}\n\n")).collect()
+}
+
+async fn site(name: &str) -> Site {
+    Site::start(Spec::small(name)).await.expect("the site starts")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_mid_event_goes_on_at_another_engine_behind_the_last_whole_event() {
+    let site = site("streams-resume").await;
+    site.engines.iter().for_each(|engine| engine.next([Act::BreakAfter(3)]));
+    let seen = site.send(0, &prompt("a1")).await;
+    // The second engine breaks off too: two attempts are allowed.
+    assert!(!seen.whole, "{seen:?}");
+    assert_eq!(seen.body, whole_stream("a1").split_inclusive("\n\n").take(6).collect::<String>());
+    while site.send(0, &prompt("spend")).await.body != whole_stream("spend") {}
+    let writer = site.engines.iter().position(|engine| !engine.seen().is_empty()).expect("one wrote");
+    site.engines[writer].next([Act::BreakAfter(3)]);
+    let mut resumed = None;
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let seen = site.send(0, &prompt(&id)).await;
+        assert_eq!(seen.body, whole_stream(&id), "{seen:?}");
+        let runs: Vec<_> = site.engines.iter().flat_map(|engine| engine.seen()).filter(|run| run.id == id).collect();
+        if runs.len() == 2 {
+            resumed = runs.into_iter().find_map(|run| run.headers.get("last-event-id").cloned());
+            break;
+        }
+    }
+    assert_eq!(resumed.as_ref().and_then(|id| id.to_str().ok()), Some("3"));
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_may_not_be_resumed_breaks_visibly_and_runs_once() {
+    let site = site("streams-once").await;
+    site.configure(&[KEY], |config| config["routes"][0]["stream_resume"] = json!(false));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.engines.iter().for_each(|engine| engine.next([Act::BreakAfter(3)]));
+    let seen = site.send(0, &prompt("b1")).await;
+    assert_eq!((seen.status, seen.whole), (200, false), "{seen:?}");
+    assert_eq!(site.engines.iter().map(|engine| engine.ran("b1")).sum::<usize>(), 1);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_ends_the_work_before_and_after_the_first_event() {
+    let site = site("streams-cancel").await;
+    for (id, act, leave) in [("c1", Act::Stall(5_000), 150), ("c2", Act::Serve, 70)] {
+        site.engines.iter().for_each(|engine| engine.next([act]));
+        let left = Instant::now() + Duration::from_millis(leave);
+        site.send(0, &Ask { leave_after: Some(Duration::from_millis(leave)), ..prompt(id) }).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let cancelled = site.engines.iter().find_map(|engine| engine.cancelled(id));
+        let after = cancelled.expect("the engine was told").saturating_duration_since(left);
+        assert!(after < Duration::from_millis(500), "{id}: {after:?}");
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_not_over_in_its_time_is_broken_off() {
+    let site = site("streams-late").await;
+    site.engines.iter().for_each(|engine| engine.next([Act::Stall(5_000)]));
+    let seen = site.send(0, &prompt("d1").with("x-note", "late")).await;
+    assert_eq!(seen.status, 504, "{seen:?}");
+    assert!(seen.took < Duration::from_millis(3_000), "{:?}", seen.took);
+    site.close().expect("no invariant was breached");
+}
