--- a/coord/src/planner.rs
+++ b/coord/src/planner.rs
@@ -98,6 +98,11 @@
     pub memory_share: f64,
     /// Part of the engines that short prompts leave to long ones.
     pub long_share: f64,
+    /// Part of the engines that could read a part, which must be free before a long prompt starts:
+    /// many prompts that each read slowly on few engines would all be late.
+    pub team_share: f64,
+    /// Part of the time to its aim that a prompt may be read for by a single engine.
+    pub slack_share: f64,
 }
 
 impl Default for Policy {
@@ -110,6 +115,8 @@
             slot_share: 0.85,
             memory_share: 0.97,
             long_share: 0.1,
+            team_share: 0.6,
+            slack_share: 0.25,
         }
     }
 }
@@ -348,8 +355,16 @@
             self.order_key(a, now).cmp(&self.order_key(b, now)).then(rank(a).total_cmp(&rank(b)))
         });
         let mut grants = Vec::new();
+        let mut held_back = false;
         for (id, job) in order {
-            if let Some(grant) = self.place(id, &job, now) {
+            let late = self.is_late(&job, now);
+            // What is late anyway must not take the engines that one in time waits for.
+            if late && held_back {
+                break;
+            }
+            let placed = self.place(id, &job, now);
+            held_back |= placed.is_none();
+            if let Some(grant) = placed {
                 self.adopt(id, &job, grant.team.clone(), true, now);
                 grants.push(grant);
             }
@@ -359,8 +374,13 @@
 
     /// Prompts that can still be in time go first; among them the more urgent rank, then the cheaper.
     fn order_key(&self, job: &Job, now: Moment) -> (bool, u32) {
-        let least = millis(self.cost_ms(job) / self.policy.most_parts.min(self.engines.len().max(1)) as f64);
-        (now + least > job.aim, job.priority)
+        (self.is_late(job, now), job.priority)
+    }
+
+    /// Whether a prompt would be late even if all engines read it from now on.
+    fn is_late(&self, job: &Job, now: Moment) -> bool {
+        let engines = self.policy.most_parts.min(self.engines.len().max(1));
+        now + millis(self.cost_ms(job) / engines as f64) > job.aim
     }
 
     /// Engine time that reading a job takes, in milliseconds.
@@ -448,7 +468,11 @@
             .filter(|open| open.engine.pending_ms(now) <= self.policy.start_pending_ms)
             .collect();
         open.sort_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
-        for parts in (1..=most.min(open.len())).rev() {
+        // What is late anyway, or has time to spare, takes what there is.
+        let slack = job.aim.since(now).as_secs_f64() * 1e3;
+        let patient = self.is_late(job, now) || read <= slack * self.policy.slack_share;
+        let least = if patient { 1 } else { self.least_parts(read, most, engines) };
+        for parts in (least..=most.min(open.len())).rev() {
             let part = read / parts as f64;
             let roomy: Vec<&Open> = open.iter().filter(|open| open.engine.room_ms(now, &self.policy) >= part).collect();
             if roomy.len() < parts {
@@ -461,6 +485,14 @@
         None
     }
 
+    /// Fewest engines that may read a prompt: a share of those that could if they had nothing left to read.
+    fn least_parts(&self, read: f64, most: usize, engines: &[(&Name, &Engine)]) -> usize {
+        let part = read / most as f64;
+        let could = |engine: &Engine| engine.gap_ms() * self.policy.pause_share - engine.pass_ms() >= part;
+        let able = engines.iter().filter(|(_, engine)| could(engine)).count();
+        ((most.min(able) as f64 * self.policy.team_share).ceil() as usize).max(1)
+    }
+
     /// Chooses the writer among engines that may read a part, and who holds what exceeds its memory.
     fn team(&self, job: &Job, roomy: &[&Open], parts: usize) -> Option<Team> {
         let with_slot = roomy.iter().filter(|open| open.engine.has_slot(&self.policy));
