--- a/coord/src/planner.rs
+++ b/coord/src/planner.rs
@@ -112,7 +112,7 @@
             least_part_ms: 40.0,
             most_parts: 17,
             start_pending_ms: 40.0,
-            slot_share: 1.0,
+            slot_share: 0.88,
             memory_share: 0.97,
             long_share: 0.06,
             team_share: 0.6,
@@ -438,7 +438,7 @@
         }
         engines
             .iter()
-            .filter(|(_, engine)| (engine.seats.len() as u32) < engine.figures.slots && self.fits_memory(engine, job))
+            .filter(|(_, engine)| fits(engine) && engine.room_ms(now, &self.policy) >= read)
             .min_by(|(_, a), (_, b)| self.wait_ms(a, now).total_cmp(&self.wait_ms(b, now)))
             .map(|(name, _)| alone(name))
     }
