Prompts are refused after 0.45 of their caller's patience

Cause: what is refused after more than half of its time is of no use to its caller, and the caller may come back.

--- a/sorrelpass/src/gateway/call.rs
+++ b/sorrelpass/src/gateway/call.rs
@@ -38,9 +38,9 @@
 const UNPROVEN_RETRY: Duration = Duration::from_millis(500);
 /// Pause before a prompt whose memory could not be had is planned anew.
 const MEMORY_PAUSE: Duration = Duration::from_millis(50);
-/// Part of its caller's patience for which a prompt waits for an engine; then it is refused, as long as
-/// the caller can still use the answer and come back.
-const PATIENCE_SHARE: f64 = 0.75;
+/// Part of its caller's patience for which a prompt waits for an engine; then it is refused while
+/// more than half of the time is left for the caller to come back in.
+const PATIENCE_SHARE: f64 = 0.45;
 /// When a caller should come back to another entry, this one being about to end.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// When a caller should come back if no replica takes its request.
