--- a/coord/src/planner.rs
+++ b/coord/src/planner.rs
@@ -103,6 +103,8 @@
     pub team_share: f64,
     /// Part of the time to its aim that a prompt may be read for by a single engine.
     pub slack_share: f64,
+    /// Part of the time that its caller still waits for which a late prompt may be read.
+    pub late_share: f64,
 }
 
 impl Default for Policy {
@@ -117,6 +119,7 @@
             long_share: 0.06,
             team_share: 0.6,
             slack_share: 0.25,
+            late_share: 0.5,
         }
     }
 }
@@ -471,10 +474,7 @@
             .filter(|open| open.engine.pending_ms(now) <= self.policy.start_pending_ms)
             .collect();
         open.sort_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
-        // What is late anyway, or has time to spare, takes what there is.
-        let slack = job.aim.since(now).as_secs_f64() * 1e3;
-        let patient = self.is_late(job, now) || read <= slack * self.policy.slack_share;
-        let least = if patient { 1 } else { self.least_parts(read, most, engines) };
+        let least = self.fewest(job, read, most, engines, now);
         for parts in (least..=most.min(open.len())).rev() {
             let part = read / parts as f64;
             let roomy: Vec<&Open> = open.iter().filter(|open| open.engine.room_ms(now, &self.policy) >= part).collect();
@@ -488,8 +488,22 @@
         None
     }
 
-    /// Fewest engines that may read a prompt: a share of those that could if they had nothing left to read.
-    fn least_parts(&self, read: f64, most: usize, engines: &[(&Name, &Engine)]) -> usize {
+    /// Fewest engines that may read a prompt now.
+    fn fewest(&self, job: &Job, read: f64, most: usize, engines: &[(&Name, &Engine)], now: Moment) -> usize {
+        if self.is_late(job, now) {
+            // It takes what there is, if that is enough for its caller to see the first event at all.
+            let left = job.deadline.since(now).as_secs_f64() * 1e3 * self.policy.late_share;
+            return ((read / left.max(1.0)).ceil() as usize).max(1);
+        }
+        let slack = job.aim.since(now).as_secs_f64() * 1e3;
+        if read <= slack * self.policy.slack_share {
+            return 1;
+        }
+        self.team_size(read, most, engines)
+    }
+
+    /// A share of the engines that could read a prompt if they had nothing left to read.
+    fn team_size(&self, read: f64, most: usize, engines: &[(&Name, &Engine)]) -> usize {
         let part = read / most as f64;
         let could = |engine: &Engine| engine.gap_ms() * self.policy.pause_share - engine.pass_ms() >= part;
         let able = engines.iter().filter(|(_, engine)| could(engine)).count();
--- a/sorrelpass/src/gateway/call.rs
+++ b/sorrelpass/src/gateway/call.rs
@@ -315,7 +315,7 @@
             output: self.call.output_tokens,
             aim: self.started + self.route.aim,
             gap_ms: self.route.gap_aim.as_secs_f64() * 1e3,
-            deadline: self.deadline,
+            deadline: self.deadline.min(self.started + self.route.patience()),
             priority,
         };
         loop {
