Failed engines are left out only as long as most remain

Cause: a fault that loses many answers put most engines aside for up to 8 s in the middle of a burst.

--- a/coord/src/planner.rs
+++ b/coord/src/planner.rs
@@ -105,6 +105,8 @@
     pub slack_share: f64,
     /// Part of the time that its caller still waits for which a late prompt may be read.
     pub late_share: f64,
+    /// Part of the engines that is left when those that failed are left out; with fewer, none is.
+    pub least_usable: f64,
 }
 
 impl Default for Policy {
@@ -120,6 +122,7 @@
             team_share: 0.6,
             slack_share: 0.25,
             late_share: 0.5,
+            least_usable: 0.6,
         }
     }
 }
@@ -394,10 +397,16 @@
         self.engines.values().next().map_or(job.prompt as f64, |engine| engine.figures.read_ms(job.prompt))
     }
 
+    /// Engines that may be chosen: those that failed of late are left out, as long as that leaves most
+    /// of them; what strikes many at once is no fault of theirs.
+    fn candidates(&self, now: Moment) -> Vec<(&Name, &Engine)> {
+        let usable = self.engines.values().filter(|engine| engine.avoid_until <= now).count();
+        let all = usable as f64 <= self.engines.len() as f64 * self.policy.least_usable;
+        self.engines.iter().filter(|(_, engine)| all || engine.avoid_until <= now).collect()
+    }
+
     fn place(&self, id: Id, job: &Job, now: Moment) -> Option<Grant> {
-        let usable = |engine: &Engine| engine.avoid_until <= now;
-        let any = self.engines.values().any(usable);
-        let engines: Vec<(&Name, &Engine)> = self.engines.iter().filter(|(_, engine)| !any || usable(engine)).collect();
+        let engines = self.candidates(now);
         if engines.is_empty() {
             return None;
         }
