gateway: the course of a call is split by duty

Hard to read: call.rs had 515 lines, in which intake, the choice of a target, one send with the judging of its answer, and the tries around them were mixed; three places spelled out whether a request may run again, two the wait with its timeout.

--- /dev/null
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -0,0 +1,145 @@
+//! Taking a request in: its head, its body, its route and the workspace that it is from.
+
+use std::any::Any;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coord::name::Name;
+use coord::route::{Route, Workspace};
+use coord::time::Moment;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use platform::dialect;
+
+use super::super::answer::{self, Answer};
+use super::super::attempt::Outgoing;
+use super::super::now;
+use super::super::state::{Gateway, Phase};
+use super::{BUSY_RETRY, Job};
+use crate::failure::Failure;
+use crate::{event, metric};
+
+/// Time for which a request may be held where neither caller nor route names one.
+const DEFAULT_ALLOWED: Duration = Duration::from_secs(30);
+/// Largest body where the configuration names none, in bytes.
+const DEFAULT_BODY_BYTES: usize = 4 << 20;
+/// When a caller should come back to an entry that has no proof of its configuration.
+const UNPROVEN_RETRY: Duration = Duration::from_millis(500);
+/// When a caller should come back to another entry, this one being about to end.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
+/// Takes a request to its answer. `busy` is dropped once the request is over.
+pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>, busy: Box<dyn Any>) -> Answer {
+    let started = now();
+    let (id, outcome) = match dialect::decode(request.headers()) {
+        Err(malformed) => (Name::default(), Err(Failure::bad_request("malformed", malformed.0))),
+        Ok(call) => (call.id.clone(), serve(&gateway, call, request, started, busy).await),
+    };
+    let mut answer = match outcome {
+        Ok(answer) => answer,
+        Err(failure) => give_up(failure, &id, started),
+    };
+    if gateway.phase() != Phase::Serving {
+        answer::close_after(&mut answer);
+    }
+    answer
+}
+
+/// Notes a failure and turns it into the caller's answer.
+fn give_up(failure: Failure, id: &str, started: Moment) -> Answer {
+    event!("give-up", request = %id, code = failure.code, status = failure.status.as_u16(),
+        ran = failure.ran.as_str(), reason = %failure.message, after_ms = now().since(started).as_millis());
+    metric::request(failure.code);
+    answer::failure(failure, id)
+}
+
+async fn serve(
+    gateway: &Rc<Gateway>,
+    call: dialect::Call,
+    request: Request<Incoming>,
+    started: Moment,
+    busy: Box<dyn Any>,
+) -> Result<Answer, Failure> {
+    if gateway.phase() == Phase::Closing {
+        // It could not be finished before the process must end.
+        return Err(Failure::busy("stopping", "this entry is about to end", STOPPING_RETRY));
+    }
+    let mut job = job(gateway, call, request, started, busy).await?;
+    let opened = job.open_in_time().await?;
+    job.pass_on(opened).await
+}
+
+/// Reads and admits a request.
+async fn job(
+    gateway: &Rc<Gateway>,
+    call: dialect::Call,
+    request: Request<Incoming>,
+    started: Moment,
+    busy: Box<dyn Any>,
+) -> Result<Job, Failure> {
+    let in_flight = gateway.begin_request();
+    let (head, body) = request.into_parts();
+    let allowed = call.allowed.unwrap_or(DEFAULT_ALLOWED);
+    let body = read_body(gateway, body, allowed).await?;
+    let (route, workspace) = admit(gateway, &call, head.uri.path())?;
+    let service = route.pick(rand::random()).cloned().ok_or_else(no_service)?;
+    let deadline = started + allowed.min(route.timeout);
+    event!("request", request = %call.id, route = %route.name, service = %service, prompt_tokens = call.prompt_tokens.unwrap_or(0),
+        version = gateway.table().version(), proof_age_ms = gateway.proof_age_ms().unwrap_or(0), allowed_ms = allowed.as_millis());
+    Ok(Job {
+        gateway: gateway.clone(),
+        call,
+        route,
+        workspace,
+        service,
+        outgoing: Outgoing { method: head.method, uri: head.uri, headers: head.headers, body },
+        started,
+        deadline,
+        tried: Vec::new(),
+        sends: 0,
+        runs: 0,
+        unreached: 0,
+        _in_flight: in_flight,
+        _busy: busy,
+    })
+}
+
+/// Reads the whole body, so that it can be sent again and a broken one reaches no replica.
+async fn read_body(gateway: &Gateway, body: Incoming, allowed: Duration) -> Result<Bytes, Failure> {
+    let most = gateway.table().limits().map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
+    match tokio::time::timeout(allowed, Limited::new(body, most).collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", format!("a body may have {most} bytes")))
+        }
+        Ok(Err(error)) => Err(Failure::bad_request("broken_body", error.to_string())),
+        Err(_) => Err(Failure::new(StatusCode::REQUEST_TIMEOUT, "slow_body", "the body did not come in time")),
+    }
+}
+
+/// Finds the route and the workspace. Without a recent proof of the configuration no key is trusted.
+fn admit(gateway: &Gateway, call: &dialect::Call, path: &str) -> Result<(Route, Option<Workspace>), Failure> {
+    let table = gateway.table();
+    if table.version() == 0 {
+        return Err(Failure::busy("no_configuration", "no configuration is known yet", UNPROVEN_RETRY));
+    }
+    let found = table.route(&call.host, path);
+    let keyed = found.is_ok_and(|route| table.needs_key(route));
+    if (keyed || found.is_err()) && !gateway.proof_holds() {
+        return Err(Failure::busy("unproven", "the configuration may have changed", UNPROVEN_RETRY));
+    }
+    let route = found.map_err(|_| Failure::new(StatusCode::NOT_FOUND, "no_route", "no route begins this path"))?;
+    if !keyed {
+        return Ok((route.clone(), None));
+    }
+    let workspace = table
+        .workspace(call.key.as_deref())
+        .map_err(|_| Failure::new(StatusCode::UNAUTHORIZED, "unknown_key", "the key stands for nobody"))?;
+    Ok((route.clone(), Some(workspace.clone())))
+}
+
+fn no_service() -> Failure {
+    Failure::busy("no_replica", "the route has no service", BUSY_RETRY)
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -0,0 +1,132 @@
+//! Sending a request to one replica once, and judging what came back.
+
+use std::time::Duration;
+
+use coord::invariant;
+use coord::name::Name;
+use coord::roster::Record;
+use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
+use platform::dialect;
+
+use super::super::attempt::{self, Connection, Failed};
+use super::target::{Place, Target};
+use super::{Job, Opened};
+use crate::event;
+
+/// What one send came to.
+pub(super) enum Sent {
+    /// An answer that is worth passing on.
+    Opened(Box<Opened>),
+    /// The replica proved that it did not run the request; it may say when to come back.
+    NotRun(Option<Duration>),
+    /// The replica may have run it, and nothing usable came back.
+    Lost,
+    /// The replica never saw it.
+    Unsent,
+}
+
+impl Job {
+    /// One send to one replica.
+    pub(super) async fn send(&mut self, target: Target, after_event: Option<u64>) -> Sent {
+        let Target { record, helpers, place } = target;
+        self.tried.push(record.id.clone());
+        let head = self.head(&record, helpers, after_event);
+        event!("send", request = %self.call.id, peer = %record.id, helpers = head.helpers.len(), number = self.sends + 1, left_ms = head.left.as_millis(),
+            after_event = after_event.map_or(-1, |event| event as i64));
+        let may_run = self.runs == 0 || self.route.repeatable();
+        invariant!(may_run, "a request that may run once is not sent again after it may have run");
+        let first = self.sends == 0;
+        // Counted before the send: if the time runs out during it, the replica may have run the request.
+        self.sends += 1;
+        self.runs += 1;
+        let sent = attempt::send(&record, &self.outgoing, &head).await;
+        if first && !matches!(sent, Err(Failed::Unsent(_))) {
+            self.gateway.note_first(&self.service);
+        }
+        match sent {
+            Ok((response, connection)) => self.judge(record, response, connection, place),
+            Err(Failed::Lost(error)) => {
+                self.gateway.desk.failed(&self.service, &record.id);
+                event!("lost", request = %self.call.id, peer = %record.id, error = %error);
+                Sent::Lost
+            }
+            Err(Failed::Unsent(error)) => {
+                self.sends -= 1;
+                self.runs -= 1;
+                self.unreached += 1;
+                self.gateway.desk.failed(&self.service, &record.id);
+                event!("unreached", request = %self.call.id, peer = %record.id, error = %error);
+                Sent::Unsent
+            }
+        }
+    }
+
+    /// What this send adds to the caller's head.
+    fn head(&self, record: &Record, helpers: Vec<dialect::Helper>, after_event: Option<u64>) -> dialect::Send {
+        dialect::Send {
+            replica: record.id.clone(),
+            left: self.left(),
+            workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
+            helpers,
+            after_event,
+            priority: None,
+        }
+    }
+
+    /// Whether an answer head is one to pass on.
+    fn judge(&mut self, record: Record, response: Response<Incoming>, connection: Connection, place: Place) -> Sent {
+        let answer = dialect::answer(response.status(), response.headers(), &self.call.id);
+        if let Some(load) = answer.load {
+            self.gateway.placer.borrow_mut().told(&record.id, load);
+        }
+        if answer.not_run {
+            return self.refused(&record, &answer);
+        }
+        let worth_another = answer.status.is_server_error() && self.may_repeat();
+        if !is_usable(&answer) || worth_another {
+            event!("lost", request = %self.call.id, peer = %record.id, status = answer.status.as_u16(), ours = answer.ours, sealed = answer.sealed);
+            return Sent::Lost;
+        }
+        Sent::Opened(Box::new(Opened { record, response, connection, place }))
+    }
+
+    /// Notes that a replica proved that it did not run the request, and who is to blame.
+    fn refused(&mut self, record: &Record, answer: &dialect::Answer) -> Sent {
+        event!("not-run", request = %self.call.id, peer = %record.id, status = answer.status.as_u16(), at_fault = answer.at_fault.as_deref().unwrap_or(""));
+        self.runs -= 1;
+        let at_fault = self.at_fault(record, answer);
+        self.gateway.desk.failed(&self.service, &at_fault);
+        if answer.displaced && at_fault == record.id {
+            self.gateway.displaced(&record.id);
+        }
+        Sent::NotRun(answer.retry_after)
+    }
+
+    /// The replica to blame for a refusal: the one that the answer names, else the one that answered.
+    fn at_fault(&self, record: &Record, answer: &dialect::Answer) -> Name {
+        let roster = self.gateway.roster.borrow();
+        let named = answer.at_fault.as_ref().and_then(|address| {
+            let of_address = |record: &&Record| record.address == *address || record.id == *address;
+            roster.usable(&self.service).find(of_address)
+        });
+        named.unwrap_or(record).id.clone()
+    }
+}
+
+/// Whether an answer is to this request, is vouched for if it says that all went well, and promises nothing unproven.
+fn is_usable(answer: &dialect::Answer) -> bool {
+    let vouched = answer.sealed || !answer.status.is_success();
+    answer.ours && vouched && !promises_not_run(answer.status)
+}
+
+/// Statuses that promise callers that the request did not run; only proof lets them through.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- /dev/null
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -0,0 +1,168 @@
+//! Choosing where a request goes next: a plain replica, or for a prompt a team of engines.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coord::name::Name;
+use coord::planner::{self, Team};
+use coord::roster::Record;
+use platform::dialect;
+
+use super::super::desk::Lease;
+use super::super::hold::{self, Hold};
+use super::super::now;
+use super::super::state::Gateway;
+use super::Job;
+
+/// Pause before a prompt whose memory could not be had is planned anew.
+const MEMORY_PAUSE: Duration = Duration::from_millis(50);
+/// Part of its caller's patience for which a prompt waits for an engine; then it is refused while
+/// more than half of the time is left for the caller to come back in.
+const PATIENCE_SHARE: f64 = 0.45;
+
+/// Where a request goes next.
+pub(super) struct Target {
+    /// The replica that gets it.
+    pub record: Record,
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<dialect::Helper>,
+    /// Its place there.
+    pub place: Place,
+}
+
+/// A request's place at a replica until it is over.
+pub enum Place {
+    /// Counted at a plain replica.
+    Plain {
+        /// Counts it.
+        _count: Outstanding,
+    },
+    /// Granted an engine.
+    Engine {
+        /// The grant.
+        lease: Lease,
+        /// Memory at other engines, if the prompt exceeds one.
+        _hold: Option<Hold>,
+    },
+}
+
+impl Place {
+    /// Notes that a stream's first event came.
+    pub fn first_event(&self) {
+        if let Place::Engine { lease, .. } = self {
+            lease.first_event();
+        }
+    }
+}
+
+/// Counts one request at one plain replica until it is over.
+pub struct Outstanding {
+    gateway: Rc<Gateway>,
+    replica: Name,
+}
+
+impl Outstanding {
+    fn begin(gateway: &Rc<Gateway>, replica: &Name) -> Self {
+        gateway.placer.borrow_mut().begin(replica);
+        Self { gateway: gateway.clone(), replica: replica.clone() }
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.gateway.placer.borrow_mut().end(&self.replica);
+    }
+}
+
+/// A helper that was found, with the tokens that it holds until the answer is over; 0 if it only reads.
+struct Found {
+    helper: dialect::Helper,
+    holds: u64,
+}
+
+impl Job {
+    /// Chooses where the request goes next; a prompt waits here until it may start.
+    pub(super) async fn target(&self) -> Option<Target> {
+        match self.call.prompt_tokens {
+            Some(tokens) if self.has_engines() => self.engine(tokens).await,
+            _ => self.plain(),
+        }
+    }
+
+    fn has_engines(&self) -> bool {
+        self.gateway.table().service(&self.service).is_some_and(|service| service.engine.is_some())
+    }
+
+    fn plain(&self) -> Option<Target> {
+        let roster = self.gateway.roster.borrow();
+        let record = self.gateway.placer.borrow().pick(&roster, &self.service, &self.tried)?;
+        let place = Place::Plain { _count: Outstanding::begin(&self.gateway, &record.id) };
+        Some(Target { record, helpers: Vec::new(), place })
+    }
+
+    /// Waits for engines; none if the caller has waited long enough, or no engine takes work.
+    async fn engine(&self, tokens: u64) -> Option<Target> {
+        let prompt = self.prompt(tokens);
+        loop {
+            self.gateway.roster.borrow().usable(&self.service).next()?;
+            let left = (self.started + self.route.patience().mul_f64(PATIENCE_SHARE)).since(now());
+            let placed = tokio::time::timeout(left, self.gateway.desk.place(&self.service, prompt)).await;
+            let lease = placed.ok().flatten()?;
+            let Some((record, found)) = self.locate(&lease.team) else { continue };
+            let Some((helpers, _hold)) = self.hold(found).await else {
+                drop(lease);
+                tokio::time::sleep(MEMORY_PAUSE).await;
+                continue;
+            };
+            return Some(Target { record, helpers, place: Place::Engine { lease, _hold } });
+        }
+    }
+
+    /// What the planner gets to know of the prompt.
+    fn prompt(&self, tokens: u64) -> planner::Job {
+        let own_priority = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        planner::Job {
+            prompt: tokens,
+            output: self.call.output_tokens,
+            aim: self.started + self.route.aim,
+            gap_ms: self.route.gap_aim.as_secs_f64() * 1e3,
+            deadline: self.deadline.min(self.started + self.route.patience()),
+            priority: own_priority.unwrap_or(self.route.priority),
+        }
+    }
+
+    /// The replicas of a team: its writer and its helpers; none if its writer or a holder takes no work any more.
+    fn locate(&self, team: &Team) -> Option<(Record, Vec<Found>)> {
+        let roster = self.gateway.roster.borrow();
+        let usable = |id: &Name| roster.get(id).filter(|replica| replica.takes_work()).map(|replica| &replica.record);
+        let mut found = Vec::new();
+        for helper in &team.helpers {
+            match usable(&helper.engine) {
+                Some(record) => {
+                    let address = record.address.clone();
+                    found.push(Found { helper: dialect::Helper { address, memory: None }, holds: helper.holds });
+                }
+                None if helper.holds > 0 => return None,
+                None => {}
+            }
+        }
+        Some((usable(&team.writer)?.clone(), found))
+    }
+
+    /// Has the helpers hold what they are to hold, all of it or none; the hold is absent if there is nothing to hold.
+    async fn hold(&self, found: Vec<Found>) -> Option<(Vec<dialect::Helper>, Option<Hold>)> {
+        let holders = found.iter().filter(|found| found.holds > 0);
+        let wants: Vec<(Name, u64)> = holders.map(|found| (found.helper.address.clone(), found.holds)).collect();
+        let mut helpers: Vec<dialect::Helper> = found.into_iter().map(|found| found.helper).collect();
+        if wants.is_empty() {
+            return Some((helpers, None));
+        }
+        let hold = hold::take(&self.call.id, wants, self.gateway.settings.bounds.hold()).await?;
+        for helper in &mut helpers {
+            helper.memory = hold.id(&helper.address);
+        }
+        // Memory that has a name is filled in the order of the list.
+        helpers.sort_by_key(|helper| helper.memory.is_none());
+        Some((helpers, Some(hold)))
+    }
+}
