--- a/coord/src/planner.rs
+++ b/coord/src/planner/mod.rs
@@ -11,76 +11,19 @@
 //! The same picture serves a process that decides for all entries and one that decides for
 //! itself alone; nothing that must hold depends on how complete it is.
 
-use std::collections::{BTreeMap, VecDeque};
+mod engine;
+mod job;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
+use self::engine::{Engine, Seat};
+pub use self::job::{Grant, Helper, Id, Job, Team};
 use crate::engine::{Figures, millis};
 use crate::name::Name;
 use crate::time::Moment;
 
-/// Identity of a job: the entry that has it, and the entry's number for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Id {
-    /// Who has the job: 0 for the planner's own process, else a connection.
-    pub entry: u64,
-    /// The entry's number for it.
-    pub number: u64,
-}
-
-/// What a prompt asks for.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Job {
-    /// Prompt tokens.
-    pub prompt: u64,
-    /// Most output tokens.
-    pub output: u64,
-    /// When its first event is wanted.
-    pub aim: Moment,
-    /// Longest pause that its caller wants between events, in milliseconds; 0 if none is told.
-    pub gap_ms: f64,
-    /// When its caller gives up.
-    pub deadline: Moment,
-    /// Rank; 0 is the most urgent.
-    pub priority: u32,
-}
-
-/// An engine that reads a part of a prompt for another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Helper {
-    /// The engine.
-    pub engine: Name,
-    /// Tokens of the prompt that it also holds until the answer is over; 0 if it only reads.
-    pub holds: u64,
-}
-
-/// The engines of one prompt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Team {
-    /// The engine that gets the request and writes the answer.
-    pub writer: Name,
-    /// Engines that read parts of the prompt.
-    pub helpers: Vec<Helper>,
-}
-
-impl Team {
-    /// All its engines, the writer first.
-    pub fn engines(&self) -> impl Iterator<Item = &Name> {
-        std::iter::once(&self.writer).chain(self.helpers.iter().map(|helper| &helper.engine))
-    }
-}
-
-/// A decision: who reads and who writes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// The job.
-    pub id: Id,
-    /// Its engines.
-    pub team: Team,
-}
-
 /// Settings of the policy. The values were found by measured rounds; see `docs/design/08-platform.md`.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
@@ -124,13 +67,6 @@
     }
 }
 
-impl Job {
-    /// Memory that it takes, in tokens.
-    fn needs(&self) -> u64 {
-        self.prompt + self.output.min(LIKELY_OUTPUT)
-    }
-}
-
 /// How long an engine that failed is left out, at first; doubled with each failure in a row.
 const FIRST_PENALTY: Duration = Duration::from_millis(500);
 /// Longest such time.
@@ -140,95 +76,6 @@
 /// Output tokens that a job is expected to write at most, for memory.
 const LIKELY_OUTPUT: u64 = 4_096;
 
-/// A part of a prompt that an engine has still to read.
-#[derive(Clone, Copy, Debug)]
-struct Part {
-    job: Id,
-    ms: f64,
-}
-
-/// An answer that an engine writes, or will write once its prompt is read.
-#[derive(Clone, Copy, Debug)]
-struct Seat {
-    tokens: u64,
-    gap_ms: f64,
-}
-
-#[derive(Debug)]
-struct Engine {
-    figures: Arc<Figures>,
-    parts: VecDeque<Part>,
-    /// When the first part began to be read.
-    front_since: Moment,
-    seats: BTreeMap<Id, Seat>,
-    failures: u32,
-    avoid_until: Moment,
-}
-
-impl Engine {
-    fn new(figures: Arc<Figures>) -> Self {
-        Self {
-            figures,
-            parts: VecDeque::new(),
-            front_since: Moment::ZERO,
-            seats: BTreeMap::new(),
-            failures: 0,
-            avoid_until: Moment::ZERO,
-        }
-    }
-
-    fn context(&self) -> u64 {
-        self.seats.values().map(|seat| seat.tokens).sum()
-    }
-
-    /// Milliseconds of a pass in which nothing is read.
-    fn pass_ms(&self) -> f64 {
-        if self.seats.is_empty() { 0.0 } else { self.figures.pass_ms(self.seats.len() as u32, self.context()) }
-    }
-
-    /// Milliseconds of reading that are left.
-    fn pending_ms(&self, now: Moment) -> f64 {
-        let Some(front) = self.parts.front() else { return 0.0 };
-        let elapsed = now.since(self.front_since).as_secs_f64() * 1e3;
-        let front_left =
-            if elapsed > front.ms * OVERDUE + self.pass_ms() { 0.0 } else { (front.ms - elapsed).max(front.ms * 0.1) };
-        front_left + self.parts.iter().skip(1).map(|part| part.ms).sum::<f64>()
-    }
-
-    /// The shortest pause that anyone who writes here wants.
-    fn gap_ms(&self) -> f64 {
-        self.seats.values().map(|seat| seat.gap_ms).filter(|gap| *gap > 0.0).fold(f64::INFINITY, f64::min)
-    }
-
-    /// Milliseconds of reading that fit in before someone who writes here waits too long.
-    fn room_ms(&self, now: Moment, policy: &Policy) -> f64 {
-        self.gap_ms() * policy.pause_share - self.pass_ms() - self.pending_ms(now)
-    }
-
-    fn free_memory(&self, policy: &Policy) -> u64 {
-        ((self.figures.memory as f64 * policy.memory_share) as u64).saturating_sub(self.context())
-    }
-
-    fn has_slot(&self, policy: &Policy) -> bool {
-        (self.seats.len() as f64) < f64::from(self.figures.slots) * policy.slot_share
-    }
-
-    fn add_part(&mut self, job: Id, ms: f64, now: Moment) {
-        if self.parts.is_empty() {
-            self.front_since = now;
-        }
-        self.parts.push_back(Part { job, ms });
-    }
-
-    fn drop_part(&mut self, job: Id, now: Moment) {
-        let was_front = self.parts.front().is_some_and(|part| part.job == job);
-        self.parts.retain(|part| part.job != job);
-        if was_front {
-            self.front_since = now;
-        }
-    }
-}
-
 /// An engine that may read a part now.
 struct Open<'a> {
     name: &'a Name,
