--- a/coord/src/engine.rs
+++ b/coord/src/engine.rs
@@ -32,11 +32,6 @@
 }
 
 impl Figures {
-    /// Time that an engine needs to read a prompt of `tokens` tokens, steps left out.
-    pub fn read(&self, tokens: u64) -> Duration {
-        millis(self.read_ms(tokens))
-    }
-
     /// Milliseconds that an engine needs to read a prompt of `tokens` tokens, steps left out.
     pub fn read_ms(&self, tokens: u64) -> f64 {
         tokens as f64 / self.read_per_ms + self.pair_ms(tokens)
@@ -58,11 +53,6 @@
         let step = self.step_ms + self.per_writer_ms * f64::from(writers) + self.per_context_ms * context as f64 / 1e3;
         step * f64::from(self.stride.max(1))
     }
-
-    /// Milliseconds of the bare steps that reading a part of `tokens` tokens takes without writers.
-    pub fn steps_ms(&self, tokens: u64) -> f64 {
-        tokens.div_ceil(self.chunk.max(1)) as f64 * self.step_ms
-    }
 }
 
 /// A duration of `ms` milliseconds; anything below zero is none.
--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -100,25 +100,16 @@
 
     fn here(&mut self, offset: u64, record: Record) -> Option<Change> {
         let id = record.id.clone();
-        let mut standing = if record.leaving { Standing::Gone } else { Standing::Ready };
-        if let Some(known) = self.replicas.get(&id) {
-            if offset < known.offset {
-                return None;
-            }
-            // An announced end is final; a vanished record may come back with its replica.
-            if known.record.leaving {
-                standing = Standing::Gone;
-            }
-            if known.standing == standing {
-                let known = self.replicas.get_mut(&id)?;
-                known.offset = offset;
-                known.record = Record { leaving: record.leaving || known.record.leaving, ..record };
-                return None;
-            }
+        let known = self.replicas.get(&id);
+        if known.is_some_and(|known| offset < known.offset) {
+            return None;
         }
-        let leaving = record.leaving || self.replicas.get(&id).is_some_and(|known| known.record.leaving);
+        // An announced end is final; a vanished record may come back with its replica.
+        let leaving = record.leaving || known.is_some_and(|known| known.record.leaving);
+        let standing = if leaving { Standing::Gone } else { Standing::Ready };
+        let changed = known.is_none_or(|known| known.standing != standing);
         self.replicas.insert(id.clone(), Replica { record: Record { leaving, ..record }, standing, offset });
-        Some(Change { id, standing })
+        changed.then_some(Change { id, standing })
     }
 
     fn removed(&mut self, offset: u64, id: &Name, now: Moment) -> Option<Change> {
@@ -178,11 +169,6 @@
         self.replicas.get(id)
     }
 
-    /// All replicas, by identity.
-    pub fn iter(&self) -> impl Iterator<Item = &Replica> {
-        self.replicas.values()
-    }
-
     /// Replicas of `service` that take new work.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Record> {
         let fits = move |replica: &&Replica| replica.takes_work() && *replica.record.service == *service;
--- a/sorrelpass/src/cmd/entry.rs
+++ b/sorrelpass/src/cmd/entry.rs
@@ -5,8 +5,8 @@
 //! FILE is an INI settings file with the sections `[process]`, `[entry]` and
 //! `[platform]`, or `[process]`, `[gateway]` and `[bounds]` where replicas are
 //! served directly, without sidecars. Without FILE, the environment variable
-//! that the users' platform sets names it. The process logs to standard output, one logfmt line per event,
-//! and ends on SIGTERM once no request is in flight.
+//! that the users' platform sets names it. The process logs to standard output,
+//! one logfmt line per event, and ends on SIGTERM once no request is in flight.
 
 use std::path::PathBuf;
 
@@ -34,6 +34,7 @@
     }
 }
 
+/// The settings file that the command line names, else the environment.
 fn file(args: &Args) -> Result<PathBuf> {
     let variable = ::platform::SETTINGS_VARIABLE;
     let named = || std::env::var_os(variable).map(PathBuf::from);
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -6,6 +6,11 @@
 use super::reader::Reader;
 use super::{DAY_MS, Process, address, process};
 
+/// Part of the time to free memory for which it is held at once: it ends by itself in time, with room for the way.
+const HOLD_SHARE: f64 = 0.75;
+/// Longest grace and windows that settings may give, in seconds.
+const HOUR_S: f64 = 3_600.0;
+
 /// Settings of such an entry.
 #[derive(Clone, Debug)]
 pub struct Gateway {
@@ -17,7 +22,8 @@
     pub ready_listen: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
-    /// Ports for what processes of the system say to each other: the first of the range.
+    /// Port for what entries say to each other, the first of those that the settings list; without one, this
+    /// entry plans for itself alone.
     pub peer_port: Option<u16>,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
@@ -46,9 +52,6 @@
     pub hold_max: Duration,
 }
 
-/// Part of the time to free memory for which it is held at once: it ends by itself in time, with room for the way.
-const HOLD_SHARE: f64 = 0.75;
-
 impl Bounds {
     /// For how long engine memory is held at once.
     pub fn hold(&self) -> Duration {
@@ -56,16 +59,13 @@
     }
 }
 
-/// Longest grace and windows that settings may give, in seconds.
-const HOUR_S: f64 = 3_600.0;
-
 /// Reads the sections `[gateway]` and `[bounds]`.
 pub(super) fn gateway(reader: &mut Reader) -> Option<Gateway> {
     let process = process(reader);
     let listen = address(reader, "gateway", "listen");
     let ready_listen = address(reader, "gateway", "ready_listen");
     let store = address(reader, "gateway", "store");
-    let peer_port = reader.numbers("gateway", "peer_ports").first().copied();
+    let peer_port = reader.ports("gateway", "peer_ports").first().copied();
     let bounds = bounds(reader);
     Some(Gateway { process: process?, listen: listen?, ready_listen: ready_listen?, store: store?, peer_port, bounds })
 }
--- a/sorrelpass/src/config/mod.rs
+++ b/sorrelpass/src/config/mod.rs
@@ -155,7 +155,7 @@
         let roles = ["entry", "gateway", "sidecar"].map(|section| reader.has(section));
         let settings = match roles {
             [true, false, false] => entry(&mut reader).map(|entry| Settings::Entry(Box::new(entry))),
-            [false, true, false] => gateway::gateway(&mut reader).map(|entry| Settings::Gateway(Box::new(entry))),
+            [false, true, false] => gateway::gateway(&mut reader).map(|gateway| Settings::Gateway(Box::new(gateway))),
             [false, false, true] => sidecar(&mut reader).map(|sidecar| Settings::Sidecar(Box::new(sidecar))),
             _ => {
                 let reason = "the file must have exactly one of the sections [entry], [gateway] and [sidecar]";
--- a/sorrelpass/src/config/reader.rs
+++ b/sorrelpass/src/config/reader.rs
@@ -179,25 +179,23 @@
 
     /// A list of addresses, separated by commas.
     pub fn addresses(&mut self, section: &str, key: &str) -> Vec<Name> {
-        let Some(raw) = self.raw(section, key) else { return Vec::new() };
-        let mut found = Vec::new();
-        for part in raw.split(',').map(str::trim).filter(|part| !part.is_empty()) {
-            match part.parse::<SocketAddr>() {
-                Ok(_) => found.push(Name::from(part)),
-                Err(_) => self.fault(section, key, format!("{part:?} is not an address ip:port")),
-            }
-        }
-        found
+        let address = |part: &str| part.parse::<SocketAddr>().is_ok().then(|| Name::from(part));
+        self.list(section, key, "an address ip:port", address)
     }
 
     /// A list of port numbers, separated by commas.
-    pub fn numbers(&mut self, section: &str, key: &str) -> Vec<u16> {
+    pub fn ports(&mut self, section: &str, key: &str) -> Vec<u16> {
+        self.list(section, key, "a port", |part| part.parse().ok())
+    }
+
+    /// The parts of a list that is separated by commas, as far as `read` takes them.
+    fn list<T>(&mut self, section: &str, key: &str, what: &str, read: impl Fn(&str) -> Option<T>) -> Vec<T> {
         let Some(raw) = self.raw(section, key) else { return Vec::new() };
         let mut found = Vec::new();
         for part in raw.split(',').map(str::trim).filter(|part| !part.is_empty()) {
-            match part.parse() {
-                Ok(port) => found.push(port),
-                Err(_) => self.fault(section, key, format!("{part:?} is not a port")),
+            match read(part) {
+                Some(value) => found.push(value),
+                None => self.fault(section, key, format!("{part:?} is not {what}")),
             }
         }
         found
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -9,7 +9,6 @@
 mod callers;
 mod claims;
 mod controller;
-
 mod gang;
 mod kernel;
 mod limits;
--- a/sorrelpass/src/timeline.rs
+++ b/sorrelpass/src/timeline.rs
@@ -6,7 +6,6 @@
 use std::sync::{Mutex, OnceLock, PoisonError};
 
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
-
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 use uhlc::{HLC, HLCBuilder, Timestamp};
@@ -16,6 +15,7 @@
 
 static CLOCK: OnceLock<HLC> = OnceLock::new();
 static PROCESS: OnceLock<String> = OnceLock::new();
+/// Writes out what waits when it is dropped.
 static WRITER: Mutex<Option<WorkerGuard>> = Mutex::new(None);
 
 /// Lines that may wait for standard output; more are dropped and counted, so that no duty waits for a reader.
