gateway: one step a line in serve, watch and relay; what is kept says what it is

Hard to read: watch.rs handled a trimmed log and an older answer of the store twice, in functions of forty lines; serve.rs kept a flag in a RefCell so that two arms of a select could run the same two lines; relay.rs ran its loop inside a closure; Desk::with did not say with what; fields and private functions had no comments. Changed: Follower::read_on and Page, read_all_replicas, Relay::run, Desk::planner, attempt::request; the select of a connection ends in one close; each discarded result has its reason beside it.

--- a/sorrelpass/src/gateway/attempt.rs
+++ b/sorrelpass/src/gateway/attempt.rs
@@ -54,11 +54,11 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer.
+/// Sends a request, with `head` added to the caller's, and waits for the head of the answer.
 pub async fn send(
     record: &Record,
     outgoing: &Outgoing,
-    send: &dialect::Send,
+    head: &dialect::Send,
 ) -> Result<(Response<Incoming>, Connection), Failed> {
     let stream = reach(record).await.map_err(Failed::Unsent)?;
     let peer = &record.id;
@@ -69,16 +69,21 @@
         // The request under way reports what went wrong.
         let _ = driver.await;
     }));
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    *request.headers_mut() = dialect::forward(&outgoing.headers, send);
-    match sender.send_request(request).await {
+    match sender.send_request(request(outgoing, head)).await {
         Ok(response) => Ok((response, connection)),
         Err(error) => Err(Failed::Lost(eyre::eyre!("step=send peer={peer}: {error}"))),
     }
 }
 
+fn request(outgoing: &Outgoing, head: &dialect::Send) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    *request.headers_mut() = dialect::forward(&outgoing.headers, head);
+    request
+}
+
+/// Connects to a replica.
 async fn reach(record: &Record) -> eyre::Result<tokio::net::TcpStream> {
     let peer = &record.id;
     let address: SocketAddr = record
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -36,20 +36,25 @@
     service: Name,
     job: Job,
     team: Team,
+    /// Whether its first event has yet to come.
     reading: bool,
 }
 
 /// Hands prompts to engines.
 pub struct Desk {
+    /// By service.
     planners: RefCell<HashMap<Name, Planner>>,
+    /// This process's prompts that wait, by number.
     waiting: RefCell<HashMap<u64, Waiter>>,
+    /// This process's prompts that were granted, by number.
     running: RefCell<HashMap<u64, Running>>,
     /// The way to the entry that plans; none while this one plans for itself.
     leader: RefCell<Option<mpsc::Sender<Report>>>,
-    /// Entries that this one plans for.
+    /// Entries that this one plans for, by their number here.
     followers: RefCell<HashMap<u64, mpsc::Sender<Order>>>,
     next_number: Cell<u64>,
     next_entry: Cell<u64>,
+    /// Told when prompts are left waiting.
     woken: Notify,
 }
 
@@ -111,7 +116,7 @@
         planner.set_engines(engines);
     }
 
-    /// Waits until a prompt may start. Dropping the future withdraws it.
+    /// Waits until a prompt may start; none if it is no longer among those that wait. Dropping the future withdraws it.
     pub async fn place(self: &Rc<Self>, service: &Name, job: Job) -> Option<Lease> {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -120,7 +125,7 @@
         self.waiting.borrow_mut().insert(number, Waiter { service: service.clone(), job, grant });
         let ask = Ask::of(&job, now());
         if !self.report(Report::Submit { number, service: service.clone(), ask }) {
-            self.with(service, |planner| planner.submit(own(number), job));
+            self.planner(service, |planner| planner.submit(own(number), job));
             self.pump();
         }
         let team = granted.await.ok()?;
@@ -130,7 +135,7 @@
 
     /// Notes that an engine failed a prompt.
     pub fn failed(&self, service: &Name, engine: &str) {
-        self.with(service, |planner| planner.failed(engine, now()));
+        self.planner(service, |planner| planner.failed(engine, now()));
         self.report(Report::Failed { service: service.clone(), engine: engine.into() });
     }
 
@@ -157,7 +162,7 @@
             });
         }
         for (number, waiter) in &*self.waiting.borrow() {
-            self.with(&waiter.service, |planner| planner.end(own(*number), now));
+            self.planner(&waiter.service, |planner| planner.end(own(*number), now));
             let ask = Ask::of(&waiter.job, now);
             self.report(Report::Submit { number: *number, service: waiter.service.clone(), ask });
         }
@@ -167,7 +172,7 @@
     pub fn link_down(&self) {
         *self.leader.borrow_mut() = None;
         for (number, waiter) in &*self.waiting.borrow() {
-            self.with(&waiter.service, |planner| planner.submit(own(*number), waiter.job));
+            self.planner(&waiter.service, |planner| planner.submit(own(*number), waiter.job));
         }
         self.pump();
     }
@@ -195,16 +200,16 @@
         let id = |number| Id { entry, number };
         match report {
             Report::Submit { number, service, ask } => {
-                self.with(&service, |planner| planner.submit(id(number), ask.job(now)));
+                self.planner(&service, |planner| planner.submit(id(number), ask.job(now)));
             }
             Report::Adopt { number, service, ask, team, reading } => {
-                self.with(&service, |planner| planner.adopt(id(number), &ask.job(now), team, reading, now));
+                self.planner(&service, |planner| planner.adopt(id(number), &ask.job(now), team, reading, now));
             }
             Report::FirstEvent { number, service } => {
-                self.with(&service, |planner| planner.first_event(id(number), now));
+                self.planner(&service, |planner| planner.first_event(id(number), now));
             }
-            Report::End { number, service } => self.with(&service, |planner| planner.end(id(number), now)),
-            Report::Failed { service, engine } => self.with(&service, |planner| planner.failed(&engine, now)),
+            Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
+            Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(&engine, now)),
         }
         self.pump();
     }
@@ -218,6 +223,7 @@
         }
     }
 
+    /// One of our granted prompts is read.
     fn first_event(&self, number: u64) {
         let service = match self.running.borrow_mut().get_mut(&number) {
             Some(running) => {
@@ -226,18 +232,20 @@
             }
             None => return,
         };
-        self.with(&service, |planner| planner.first_event(own(number), now()));
+        self.planner(&service, |planner| planner.first_event(own(number), now()));
         self.report(Report::FirstEvent { number, service });
         self.pump();
     }
 
+    /// One of our granted prompts is over.
     fn over(&self, number: u64) {
         let Some(running) = self.running.borrow_mut().remove(&number) else { return };
         self.end(&running.service, number);
     }
 
+    /// One of our prompts is over or withdrawn.
     fn end(&self, service: &Name, number: u64) {
-        self.with(service, |planner| planner.end(own(number), now()));
+        self.planner(service, |planner| planner.end(own(number), now()));
         self.report(Report::End { number, service: service.clone() });
         self.pump();
     }
@@ -254,18 +262,20 @@
         true
     }
 
-    fn with(&self, service: &Name, act: impl FnOnce(&mut Planner)) {
+    /// Lets the planner of a service act, if the service has engines.
+    fn planner(&self, service: &Name, act: impl FnOnce(&mut Planner)) {
         if let Some(planner) = self.planners.borrow_mut().get_mut(service) {
             act(planner);
         }
     }
 
-    /// Hands one of our prompts its engines; says whether it was still waiting.
+    /// Hands one of our prompts its engines; says whether it was still waiting. One that was granted
+    /// `elsewhere` is not known to the planner here.
     fn start(&self, number: u64, team: Team, elsewhere: bool) -> bool {
         let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return false };
         let Waiter { service, job, grant } = waiter;
         if elsewhere {
-            self.with(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
+            self.planner(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
         }
         self.running.borrow_mut().insert(number, Running { service, job, team: team.clone(), reading: true });
         if grant.send(team).is_err() {
@@ -292,6 +302,7 @@
         }
     }
 
+    /// Takes a grant to the entry that has the prompt.
     fn deliver(&self, grant: Grant) {
         let Grant { id, team } = grant;
         if id.entry == OWN {
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -86,6 +86,7 @@
     }
 }
 
+/// Decodes an announcement; one that cannot be read is nobody's.
 fn peer(record: &store::Keyed) -> Option<Peer> {
     let value = record.value.as_ref()?;
     Some(Peer { address: record.key.parse().ok()?, incarnation: String::from_utf8_lossy(value).into_owned() })
@@ -140,6 +141,7 @@
     }
 }
 
+/// Sends reports and takes orders; ends with an error, at the latest when beats are missed.
 async fn exchange(desk: &Rc<Desk>, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<()> {
     let silence = BEAT * BEATS_MISSED;
     let mut heard = Instant::now();
--- a/sorrelpass/src/gateway/health.rs
+++ b/sorrelpass/src/gateway/health.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -14,11 +15,14 @@
 use super::state::Gateway;
 use crate::metric;
 
+/// Pause after a connection that could not be accepted: out of descriptors, most likely.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Answers `/ready` and `/metrics`.
 pub async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let gateway = gateway.clone();
--- a/sorrelpass/src/gateway/hold.rs
+++ b/sorrelpass/src/gateway/hold.rs
@@ -27,6 +27,7 @@
 const LATE_PAUSE: Duration = Duration::from_secs(2);
 
 thread_local! {
+    /// Number of the next piece of this process.
     static NEXT: Cell<u64> = const { Cell::new(0) };
 }
 
@@ -41,6 +42,7 @@
 
 /// Memory at several engines; dropping it releases all.
 pub struct Hold {
+    /// One at each engine.
     pieces: Vec<Rc<Piece>>,
     renewals: Vec<JoinHandle<()>>,
 }
@@ -89,6 +91,7 @@
 }
 
 impl Piece {
+    /// Orders the memory, or renews it; says whether it is held.
     async fn reserve(&self, span: Duration) -> bool {
         match memory::reserve(&self.engine, &self.id, self.tokens, span, PATIENCE).await {
             Ok(Outcome::Held) => true,
@@ -101,6 +104,7 @@
         }
     }
 
+    /// Renews for ever; a renewal that fails leaves what is held until its time is over.
     async fn renew(self: Rc<Self>, span: Duration) {
         loop {
             tokio::time::sleep(span / RENEWALS).await;
@@ -108,6 +112,7 @@
         }
     }
 
+    /// Releases the memory, and again for as long as an order without an answer may still be carried out.
     async fn release(self: Rc<Self>) {
         let started = util::now();
         loop {
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -38,11 +38,13 @@
     }
 }
 
+/// Plans for one entry until it is lost or this one is told to stop.
 async fn follower(gateway: Rc<Gateway>, stream: TcpStream, peer: SocketAddr, mut phase: watch::Receiver<Phase>) {
     if !gateway.ready() {
         event!("peer-refused", peer = %peer, proof_age_ms = gateway.proof_age_ms().unwrap_or(0));
         return;
     }
+    // Without it the link is slower and no less right.
     let _ = stream.set_nodelay(true);
     let desk = &gateway.desk;
     let (orders, mut waiting) = mpsc::channel(link::RING);
@@ -58,6 +60,7 @@
     event!("peer-left", peer = %peer, entry, reason);
 }
 
+/// Takes the entry's reports and sends it orders and beats; ends with an error.
 async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
     let welcome = Order::Welcome { incarnation: util::incarnation().to_string() };
     send(link, welcome, waiting).await?;
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 /// Events that may wait for a caller that reads slowly; then the replica is held up.
 const RING: usize = 16;
 
+/// A part of the caller's answer; an error breaks its connection.
 type Piece = Result<Frame<Bytes>, Broken>;
 
 /// How one replica's part of a stream ended.
@@ -32,24 +33,14 @@
 }
 
 /// Starts a stream to the caller: the head now, the events as they come.
-pub fn start(job: Job, mut opened: Opened) -> Answer {
+pub fn start(job: Job, opened: Opened) -> Answer {
     let mut headers = dialect::end_to_end(opened.response.headers());
     // A stream that goes on elsewhere may differ in length; chunks tell its end.
     headers.remove(hyper::header::CONTENT_LENGTH);
     let status = opened.response.status();
     let (pieces, receiver) = mpsc::channel::<Piece>(RING);
     let relay = Relay { job, pieces, splitter: Splitter::default(), last: None, events: 0, fresh: true };
-    tokio::task::spawn_local(async move {
-        let mut relay = relay;
-        loop {
-            let end = relay.pass(&mut opened).await;
-            opened.connection.close();
-            match relay.settle(end, &opened.record.id).await {
-                Some(next) => opened = next,
-                None => break,
-            }
-        }
-    });
+    tokio::task::spawn_local(relay.run(opened));
     let body = stream::unfold(receiver, |mut receiver| async { Some((receiver.recv().await?, receiver)) });
     let mut answer = Response::new(StreamBody::new(body).boxed_unsync());
     *answer.status_mut() = status;
@@ -57,18 +48,33 @@
     answer
 }
 
+/// A stream on its way from one replica after another to its caller.
 struct Relay {
     job: Job,
+    /// To the caller.
     pieces: mpsc::Sender<Piece>,
     splitter: Splitter,
     /// Number of the last event passed on.
     last: Option<u64>,
+    /// Events passed on.
     events: u64,
     /// Whether the replica at hand has sent no event yet.
     fresh: bool,
 }
 
 impl Relay {
+    /// Passes the stream on to its end, from each replica that goes on with it.
+    async fn run(mut self, mut opened: Opened) {
+        loop {
+            let end = self.pass(&mut opened).await;
+            opened.connection.close();
+            match self.settle(end, &opened.record.id).await {
+                Some(next) => opened = next,
+                None => break,
+            }
+        }
+    }
+
     /// Passes on what one replica sends.
     async fn pass(&mut self, opened: &mut Opened) -> End {
         self.fresh = true;
@@ -112,6 +118,7 @@
         true
     }
 
+    /// Passes on what is left behind the last event of a whole stream.
     async fn finish(&mut self) -> End {
         let rest = self.splitter.rest();
         if !rest.is_empty() && self.pieces.send(Ok(Frame::data(rest))).await.is_err() {
@@ -147,6 +154,7 @@
         }
     }
 
+    /// Opens the rest of a broken stream at another replica, or breaks the stream off.
     async fn resume(&mut self) -> Option<Opened> {
         self.splitter.clear();
         if !self.job.may_resume() {
@@ -168,6 +176,7 @@
     async fn break_off(&mut self, code: &'static str) -> Option<Opened> {
         event!("give-up", request = %self.job.call.id, code, ran = "partial", events = self.events);
         metric::request(code);
+        // Fails only if the caller is gone.
         let _ = self.pieces.send(Err(Broken)).await;
         None
     }
--- a/sorrelpass/src/gateway/serve.rs
+++ b/sorrelpass/src/gateway/serve.rs
@@ -1,6 +1,6 @@
 //! Callers' connections: accepting them, resting ones, and the way to the end of the process.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,13 +47,17 @@
     }
 }
 
-/// What a connection's watchdog looks at.
+/// What tells for how long a connection has rested.
 struct Rest {
+    /// Requests whose answers are not over.
     requests: Cell<u32>,
+    /// When the last one was over, or the connection came up.
     since: Cell<Moment>,
 }
 
+/// Serves one connection until either side closes it.
 async fn connection(gateway: Rc<Gateway>, stream: TcpStream, mut stop: watch::Receiver<Phase>) {
+    // Without it the connection is slower and no less right.
     let _ = stream.set_nodelay(true);
     let rest = Rc::new(Rest { requests: Cell::new(0), since: Cell::new(now()) });
     let limits = gateway.table().limits();
@@ -73,21 +77,15 @@
     builder.max_buf_size(limits.map_or(HEAD_BYTES, |limits| limits.header_bytes.max(HEAD_BYTES)));
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     let mut serving = std::pin::pin!(serving);
-    let closing = RefCell::new(false);
-    loop {
-        tokio::select! {
-            // A caller that goes away mid-request is no fault of ours.
-            _ = serving.as_mut() => return,
-            _ = stop.wait_for(|phase| *phase == Phase::Closing), if !*closing.borrow() => {
-                *closing.borrow_mut() = true;
-                serving.as_mut().graceful_shutdown();
-            }
-            () = rested(&gateway, &rest), if !*closing.borrow() => {
-                *closing.borrow_mut() = true;
-                serving.as_mut().graceful_shutdown();
-            }
-        }
+    tokio::select! {
+        // A caller that goes away mid-request is no fault of ours.
+        _ = serving.as_mut() => return,
+        _ = stop.wait_for(|phase| *phase == Phase::Closing) => {}
+        () = rested(&gateway, &rest) => {}
     }
+    serving.as_mut().graceful_shutdown();
+    // As above: nobody is left to hear of an error.
+    let _ = serving.await;
 }
 
 /// Ends once the connection has rested for longer than callers may let it.
@@ -127,8 +125,10 @@
     }
 }
 
+/// Enters a phase and tells all connections.
 fn enter(gateway: &Gateway, stop: &watch::Sender<Phase>, phase: Phase) {
     gateway.enter(phase);
+    // Fails only if nobody listens any more.
     let _ = stop.send(phase);
     crate::event!("phase", phase = phase.as_str(), in_flight = gateway.in_flight());
 }
--- a/sorrelpass/src/gateway/stream.rs
+++ b/sorrelpass/src/gateway/stream.rs
@@ -62,6 +62,7 @@
     }
 }
 
+/// The number in an event's `id:` line.
 fn id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     text.lines().find_map(|line| line.strip_prefix("id:")).and_then(|value| value.trim().parse().ok())
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coord::roster::{Change, Standing};
+use coord::roster::{Change, News, Standing};
 use coord::time::Moment;
 use eyre::Result;
 use platform::store::{Client, Keyed, Read};
@@ -25,6 +25,12 @@
 /// Reads of the replicas' records in the time in which a leaving replica must be left alone.
 const READS_PER_DRAIN: u32 = 2;
 
+/// Records of a topic, and the offset to go on from.
+struct Page {
+    records: Vec<Keyed>,
+    next: u64,
+}
+
 /// Follows one topic of the store and tells once when it is lost and once when it is back.
 struct Follower {
     topic: &'static str,
@@ -58,6 +64,23 @@
             }
         }
     }
+
+    /// Reads on from offset `from`; none if the store no longer keeps that, or answers with an older state.
+    async fn read_on(&mut self, from: u64, wait: Duration) -> Result<Option<Page>> {
+        match self.client.read(self.topic, from, wait, PATIENCE).await? {
+            Read::Trimmed => {
+                event!("store-trimmed", topic = self.topic, from);
+                self.next = None;
+                Ok(None)
+            }
+            Read::Records { end, .. } if end < from => {
+                // An answer from before what was already read proves nothing.
+                warn_event!("store-stale", topic = self.topic, from, end);
+                Ok(None)
+            }
+            Read::Records { records, next, .. } => Ok(Some(Page { records, next })),
+        }
+    }
 }
 
 /// Keeps the routing table the newest.
@@ -74,32 +97,21 @@
 
 async fn read_configuration(gateway: &Gateway, follower: &mut Follower) -> Result<()> {
     let sent = now();
-    let (records, next) = match follower.next {
+    let page = match follower.next {
         None => {
             let whole = follower.client.newest(follower.topic, PATIENCE).await?;
-            (whole.records, whole.end)
+            Page { records: whole.records, next: whole.end }
         }
-        Some(from) => match follower.client.read(follower.topic, from, LONG_READ, PATIENCE).await? {
-            Read::Trimmed => {
-                event!("store-trimmed", topic = follower.topic, from);
-                follower.next = None;
-                return Ok(());
-            }
-            Read::Records { records, next, end } => {
-                if end < from {
-                    // An answer from before what was already read proves nothing.
-                    warn_event!("store-stale", topic = follower.topic, from, end);
-                    return Ok(());
-                }
-                (records, next)
-            }
+        Some(from) => match follower.read_on(from, LONG_READ).await? {
+            Some(page) => page,
+            None => return Ok(()),
         },
     };
     let mut sound = true;
-    for record in records.iter().filter(|record| &*record.key == table::KEY) {
+    for record in page.records.iter().filter(|record| &*record.key == table::KEY) {
         sound &= apply(gateway, record);
     }
-    follower.next = Some(next);
+    follower.next = Some(page.next);
     if sound && gateway.table().version() > 0 {
         gateway.prove(sent);
     }
@@ -144,32 +156,27 @@
 }
 
 async fn read_replicas(gateway: &Gateway, follower: &mut Follower) -> Result<()> {
-    let Some(from) = follower.next else {
-        let whole = follower.client.newest(follower.topic, PATIENCE).await?;
-        let mut newest = Vec::new();
-        for record in &whole.records {
-            if let coord::roster::News::Here(found) = replica::decode(record)? {
-                newest.push((record.offset, found));
-            }
-        }
-        note_return(gateway, follower);
-        let changes = gateway.roster.borrow_mut().replace(whole.end, newest, now());
-        tell(gateway, &changes);
-        follower.next = Some(whole.end);
-        return Ok(());
-    };
-    match follower.client.read(follower.topic, from, Duration::ZERO, PATIENCE).await? {
-        Read::Trimmed => {
-            event!("store-trimmed", topic = follower.topic, from);
-            follower.next = None;
-        }
-        Read::Records { end, .. } if end < from => warn_event!("store-stale", topic = follower.topic, from, end),
-        Read::Records { records, next, .. } => {
-            note_return(gateway, follower);
-            hear(gateway, &records, now());
-            follower.next = Some(next);
+    let Some(from) = follower.next else { return read_all_replicas(gateway, follower).await };
+    let Some(page) = follower.read_on(from, Duration::ZERO).await? else { return Ok(()) };
+    note_return(gateway, follower);
+    hear(gateway, &page.records, now());
+    follower.next = Some(page.next);
+    Ok(())
+}
+
+/// Takes in the whole picture, where the log is not known up to its end.
+async fn read_all_replicas(gateway: &Gateway, follower: &mut Follower) -> Result<()> {
+    let whole = follower.client.newest(follower.topic, PATIENCE).await?;
+    let mut newest = Vec::new();
+    for record in &whole.records {
+        if let News::Here(found) = replica::decode(record)? {
+            newest.push((record.offset, found));
         }
     }
+    note_return(gateway, follower);
+    let changes = gateway.roster.borrow_mut().replace(whole.end, newest, now());
+    tell(gateway, &changes);
+    follower.next = Some(whole.end);
     Ok(())
 }
 
@@ -180,6 +187,7 @@
     }
 }
 
+/// Takes in what the log says; a record that cannot be decoded changes nothing.
 fn hear(gateway: &Gateway, records: &[Keyed], at: Moment) {
     for record in records {
         match replica::decode(record) {
