standin platform: the replica's call is split, the site's constants stand on top

Hard to read: a replica's answer was one function of forty-five lines; the store's Topic had two impl blocks far apart; a poll pause and a body bound were bare numbers; fields had no comments. Changed: Replica::note (what came, and what to do with it), signed (what a replica says of itself), one impl of Topic, POLL and MOST_BODY_BYTES. Behaviour unchanged.

--- a/standin/src/platform/client.rs
+++ b/standin/src/platform/client.rs
@@ -74,6 +74,7 @@
     Ok(seen)
 }
 
+/// Sends a request and notes what comes of it, as far as it comes.
 async fn exchange(address: &str, host: &str, ask: &Ask, seen: &mut Seen) -> Result<()> {
     let stream = TcpStream::connect(address).await.wrap_err_with(|| format!("step=connect peer={address}"))?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -100,6 +101,7 @@
     Ok(())
 }
 
+/// Ends a connection's task with its request.
 struct AbortOnDrop<T>(tokio::task::JoinHandle<T>);
 
 impl<T> Drop for AbortOnDrop<T> {
--- a/standin/src/platform/replica.rs
+++ b/standin/src/platform/replica.rs
@@ -6,6 +6,7 @@
 
 use axum::body::{Body, Bytes};
 use axum::extract::{Request, State};
+use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
@@ -57,11 +58,18 @@
 
 /// Events of a stream.
 const EVENTS: u64 = 8;
+/// Largest body that is read, in bytes: far more than any test sends.
+const MOST_BODY_BYTES: usize = 64 << 20;
 
+/// What a replica is told to do, and what it has noted.
+#[derive(Default)]
 struct Inner {
+    /// What it does with the next requests.
     acts: VecDeque<Act>,
     runs: Vec<Run>,
+    /// Ids of requests whose callers went away, and when.
     cancelled: Vec<(String, Instant)>,
+    /// Tokens set aside, by the hold's name.
     memory: HashMap<String, u64>,
     refuse_memory: bool,
     orders: Vec<Value>,
@@ -73,6 +81,7 @@
     pub id: String,
     /// Where it listens.
     pub address: String,
+    /// Time that an answer, or an event of a stream, takes.
     takes: Duration,
     inner: Mutex<Inner>,
 }
@@ -81,16 +90,8 @@
     /// Starts a replica on loopback whose answers, and each event of whose streams, take `takes`.
     pub async fn start(id: &str, takes: Duration) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let inner = Inner {
-            acts: VecDeque::new(),
-            runs: Vec::new(),
-            cancelled: Vec::new(),
-            memory: HashMap::new(),
-            refuse_memory: false,
-            orders: Vec::new(),
-        };
         let address = listener.local_addr()?.to_string();
-        let replica = Arc::new(Self { id: id.to_owned(), address, takes, inner: Mutex::new(inner) });
+        let replica = Arc::new(Self { id: id.to_owned(), address, takes, inner: Mutex::default() });
         let router = Router::new().route("/order", post(order)).fallback(call).with_state(replica.clone());
         tokio::spawn(async move { axum::serve(listener, router).await });
         Ok(replica)
@@ -135,6 +136,18 @@
         self.lock().refuse_memory = refuse;
     }
 
+    /// Notes a request and says what to do with it; none if it was meant for another replica.
+    fn note(&self, id: &str, head: Parts, body: Bytes) -> Option<Act> {
+        let expected = header(&head.headers, "expect-replica");
+        let misdirected = !expected.is_empty() && expected != self.id;
+        let path = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
+        let mut inner = self.lock();
+        let act = if misdirected { Act::Refuse } else { inner.acts.pop_front().unwrap_or_default() };
+        let ran = act != Act::Refuse;
+        inner.runs.push(Run { id: id.to_owned(), path, headers: head.headers, body, at: Instant::now(), ran });
+        (!misdirected).then_some(act)
+    }
+
     /// Its record in the store.
     pub fn record(&self, service: &str, state: &str) -> String {
         let record = json!({
@@ -148,7 +161,9 @@
 /// Notes that a request was cancelled, unless it came to its end.
 struct Watch {
     replica: Arc<Replica>,
+    /// The request's id.
     id: String,
+    /// Whether it came to its end.
     over: bool,
 }
 
@@ -171,6 +186,7 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
 
+/// Carries out an order about memory.
 async fn order(State(replica): State<Arc<Replica>>, Json(order): Json<Value>) -> Response {
     let mut inner = replica.lock();
     inner.orders.push(order.clone());
@@ -189,22 +205,18 @@
     }
 }
 
+/// Answers a request as it was told to.
 async fn call(State(replica): State<Arc<Replica>>, request: Request) -> Response {
     let (head, body) = request.into_parts();
-    let Ok(body) = axum::body::to_bytes(body, 64 << 20).await else { return StatusCode::BAD_REQUEST.into_response() };
+    let Ok(body) = axum::body::to_bytes(body, MOST_BODY_BYTES).await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
     let id = header(&head.headers, "request-id").to_owned();
     let streaming = head.headers.contains_key("token-usage");
     let after: u64 = header(&head.headers, "last-event-id").parse().unwrap_or(0);
-    let expected = header(&head.headers, "expect-replica");
-    let misdirected = !expected.is_empty() && expected != replica.id;
-    let act = if misdirected { Act::Refuse } else { replica.lock().acts.pop_front().unwrap_or_default() };
-    let path = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
-    let ran = act != Act::Refuse;
-    let run = Run { id: id.clone(), path, headers: head.headers, body, at: Instant::now(), ran };
-    replica.lock().runs.push(run);
-    if misdirected {
+    let Some(act) = replica.note(&id, head, body) else {
         return (StatusCode::MISDIRECTED_REQUEST, [("replica-id", replica.id.clone())]).into_response();
-    }
+    };
     let mut watch = Watch { replica: replica.clone(), id: id.clone(), over: false };
     if let Act::Stall(millis) = act {
         tokio::time::sleep(Duration::from_millis(millis)).await;
@@ -213,7 +225,7 @@
         tokio::time::sleep(replica.takes).await;
         watch.over = true;
     }
-    let mut answer = match act {
+    let answer = match act {
         Act::Refuse => (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response(),
         Act::Fail => (StatusCode::INTERNAL_SERVER_ERROR, "failed").into_response(),
         Act::Unproven => StatusCode::SERVICE_UNAVAILABLE.into_response(),
@@ -221,7 +233,12 @@
         _ if streaming => events(watch, replica.takes, after, act),
         _ => format!("{} {id}", replica.id).into_response(),
     };
-    let told = if act == Act::ForeignId { "another" } else { &id };
+    signed(answer, &replica, act, &id)
+}
+
+/// An answer with what a replica says of itself and of the request.
+fn signed(mut answer: Response, replica: &Replica, act: Act, id: &str) -> Response {
+    let told = if act == Act::ForeignId { "another" } else { id };
     set(&mut answer, "request-id", told);
     if act != Act::Unsealed {
         set(&mut answer, "response-seal", &format!("seal-of-{}", replica.id));
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -1,10 +1,11 @@
 //! A small site: store, replicas, and real entries as processes of their own.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr, eyre};
 use rustix::process::{Pid, Signal, kill_process};
@@ -15,6 +16,15 @@
 use super::store::{Door, Store};
 use crate::fleet::binary;
 
+/// The host of all routes.
+pub const HOST: &str = "site.example";
+/// The key that a new site knows.
+pub const KEY: &str = "key-of-workspace-0";
+/// How long a process may take to come up or to end.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// How often a process is looked at meanwhile.
+const POLL: Duration = Duration::from_millis(20);
+
 /// What a site is made of.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -54,18 +64,14 @@
     pub addresses: Vec<String>,
     /// Where the balancer asks each entry.
     pub ready: Vec<String>,
+    /// Holds settings and logs.
     dir: PathBuf,
+    /// The entries' processes; none where one has ended.
     entries: Vec<Option<Child>>,
-    version: std::cell::Cell<u64>,
+    /// Version of the newest configuration.
+    version: Cell<u64>,
 }
 
-/// The host of all routes.
-pub const HOST: &str = "site.example";
-/// The key that a new site knows.
-pub const KEY: &str = "key-of-workspace-0";
-/// How long a process may take to come up or to end.
-const PATIENCE: Duration = Duration::from_secs(15);
-
 impl Site {
     /// Starts a site and waits until all entries are ready.
     pub async fn start(spec: Spec) -> Result<Self> {
@@ -89,7 +95,7 @@
             ready: Vec::new(),
             dir,
             entries: Vec::new(),
-            version: std::cell::Cell::new(0),
+            version: Cell::new(0),
         };
         site.configure(&[KEY], |_| {});
         site.announce_all();
@@ -102,6 +108,7 @@
         Ok(site)
     }
 
+    /// Writes the settings of one more entry and starts it, with a door of its own.
     async fn add_entry(&mut self, index: usize, spec: &Spec) -> Result<()> {
         let door = self.store.door().await?;
         let (listen, ready, peer) = (free_port()?, free_port()?, free_port()?);
@@ -119,6 +126,7 @@
         self.launch(index)
     }
 
+    /// Starts the process of an entry whose settings are written.
     fn launch(&mut self, index: usize) -> Result<()> {
         let settings = self.settings_file(index);
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log_file(index))?;
@@ -182,12 +190,12 @@
 
     /// Waits until an entry calls itself ready, or not.
     pub async fn wait_ready(&self, entry: usize, ready: bool) -> Result<()> {
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         while self.is_ready(entry).await != ready {
             if started.elapsed() > PATIENCE {
                 return Err(eyre!("step=wait-ready entry={entry} wanted={ready}: {}", self.log(entry)));
             }
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(POLL).await;
         }
         Ok(())
     }
@@ -203,7 +211,7 @@
     /// Waits until an entry has ended; returns whether it ended well.
     pub async fn wait_end(&mut self, entry: usize) -> Result<bool> {
         let Some(mut running) = self.entries[entry].take() else { return Err(eyre!("step=wait entry={entry}")) };
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         loop {
             if let Some(status) = running.try_wait()? {
                 return Ok(status.success());
@@ -212,7 +220,7 @@
                 self.entries[entry] = Some(running);
                 return Err(eyre!("step=wait entry={entry}: it does not end"));
             }
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(POLL).await;
         }
     }
 
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -42,6 +42,7 @@
     value: Bytes,
 }
 
+/// The only partition of a topic.
 #[derive(Default)]
 struct Topic {
     /// Offset of the first record that can be read.
@@ -52,9 +53,23 @@
 }
 
 impl Topic {
+    /// The offset behind the newest record.
     fn end(&self) -> u64 {
         self.first + self.records.len() as u64
     }
+
+    /// The newest record of each key, with its offset.
+    fn newest(&self) -> BTreeMap<String, (u64, Bytes)> {
+        let mut newest = self.compacted.clone();
+        for (index, record) in self.records.iter().enumerate() {
+            if record.value.is_empty() {
+                newest.remove(&record.key);
+            } else {
+                newest.insert(record.key.clone(), (self.first + index as u64, record.value.clone()));
+            }
+        }
+        newest
+    }
 }
 
 /// The store.
@@ -118,20 +133,6 @@
     }
 }
 
-impl Topic {
-    fn newest(&self) -> BTreeMap<String, (u64, Bytes)> {
-        let mut newest = self.compacted.clone();
-        for (index, record) in self.records.iter().enumerate() {
-            if record.value.is_empty() {
-                newest.remove(&record.key);
-            } else {
-                newest.insert(record.key.clone(), (self.first + index as u64, record.value.clone()));
-            }
-        }
-        newest
-    }
-}
-
 impl Door {
     /// Sets what is wrong with this door.
     pub fn set(&self, fault: Fault) {
@@ -169,6 +170,7 @@
     params.get("topic").cloned().unwrap_or_default()
 }
 
+/// Appends one record.
 async fn append(State(door): State<Arc<Door>>, params: Params, body: Bytes) -> Response {
     let fault = match door.enter().await {
         Ok(fault) => fault,
@@ -192,6 +194,7 @@
     Some((String::from_utf8(key.to_vec()).ok()?, body.slice(5 + key_len..)))
 }
 
+/// Reads from an offset on, and waits for a record if there is none yet.
 async fn read(State(door): State<Arc<Door>>, params: Params) -> Response {
     if let Err(refusal) = door.enter().await {
         return refusal;
@@ -235,6 +238,7 @@
     Some(Body::from(out).into_response())
 }
 
+/// Reads the newest record of each key, in one page.
 async fn newest(State(door): State<Arc<Door>>, params: Params) -> Response {
     if let Err(refusal) = door.enter().await {
         return refusal;
