--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -86,6 +86,7 @@
     }
 }
 
+/// Decodes an announcement; one that cannot be read is nobody's.
 fn peer(record: &store::Keyed) -> Option<Peer> {
     let value = record.value.as_ref()?;
     Some(Peer { address: record.key.parse().ok()?, incarnation: String::from_utf8_lossy(value).into_owned() })
@@ -94,8 +95,10 @@
 /// The first of `peers` that can be reached, with its rank.
 async fn reach(peers: &[Peer], own: SocketAddr) -> Option<(usize, Link)> {
     for (rank, peer) in peers.iter().enumerate().filter(|(_, peer)| peer.address != own) {
-        if let Ok(Ok(link)) = tokio::time::timeout(CONNECT_TIMEOUT, greet(peer)).await {
-            return Some((rank, link));
+        match tokio::time::timeout(CONNECT_TIMEOUT, greet(peer)).await {
+            Ok(Ok(link)) => return Some((rank, link)),
+            Ok(Err(error)) => event!("peer-unreached", peer = %peer.address, error = %format!("{error:#}")),
+            Err(_) => event!("peer-unreached", peer = %peer.address, error = "no greeting in time"),
         }
     }
     None
@@ -140,6 +143,7 @@
     }
 }
 
+/// Sends reports and takes orders; ends with an error, at the latest when beats are missed.
 async fn exchange(desk: &Rc<Desk>, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<()> {
     let silence = BEAT * BEATS_MISSED;
     let mut heard = Instant::now();
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -6,7 +6,7 @@
 mod control;
 mod place;
 
-pub use place::binary;
+pub use place::{binary, free_address};
 
 use std::collections::{BTreeMap, HashMap};
 use std::path::PathBuf;
@@ -16,7 +16,6 @@
 use eyre::{Result, WrapErr, bail, eyre};
 use serde_json::{Value, json};
 
-use self::place::free_address;
 use crate::client::Client;
 use crate::engine::model::Sizes;
 use crate::mix::{Deployment, WORKSPACES};
