--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -92,6 +92,14 @@
     wait_ms: f64,
 }
 
+/// A job that waits, with what its turn depends on.
+struct Ranked {
+    id: Id,
+    job: Job,
+    late: bool,
+    cost_ms: f64,
+}
+
 /// One engine that reads and writes all by itself.
 fn alone(name: &Name) -> Team {
     Team { writer: name.clone(), helpers: Vec::new() }
@@ -133,11 +141,6 @@
         !self.waiting.is_empty()
     }
 
-    /// Jobs that wait and jobs that are granted, for logs.
-    pub fn sizes(&self) -> (usize, usize) {
-        (self.waiting.len(), self.granted.len())
-    }
-
     /// Takes a job in; [`Planner::pump`] grants it.
     pub fn submit(&mut self, id: Id, job: Job) {
         self.waiting.insert(id, job);
@@ -208,15 +211,9 @@
 
     /// Grants what may start now.
     pub fn pump(&mut self, now: Moment) -> Vec<Grant> {
-        let mut order: Vec<(Id, Job)> = self.waiting.iter().map(|(id, job)| (*id, *job)).collect();
-        let rank = |job: &Job| self.cost_ms(job);
-        order.sort_by(|(_, a), (_, b)| {
-            self.order_key(a, now).cmp(&self.order_key(b, now)).then(rank(a).total_cmp(&rank(b)))
-        });
         let mut grants = Vec::new();
         let mut held_back = false;
-        for (id, job) in order {
-            let late = self.is_late(&job, now);
+        for Ranked { id, job, late, .. } in self.ranked(now) {
             // What is late anyway must not take the engines that one in time waits for.
             if late && held_back {
                 break;
@@ -231,9 +228,19 @@
         grants
     }
 
-    /// Prompts that can still be in time go first; among them the more urgent rank, then the cheaper.
-    fn order_key(&self, job: &Job, now: Moment) -> (bool, u32) {
-        (self.is_late(job, now), job.priority)
+    /// What waits: prompts that can still be in time go first; among them the more urgent rank, then the cheaper.
+    fn ranked(&self, now: Moment) -> Vec<Ranked> {
+        let rank = |(id, job): (&Id, &Job)| Ranked {
+            id: *id,
+            job: *job,
+            late: self.is_late(job, now),
+            cost_ms: self.cost_ms(job),
+        };
+        let mut ranked: Vec<Ranked> = self.waiting.iter().map(rank).collect();
+        ranked.sort_by(|a, b| {
+            (a.late, a.job.priority).cmp(&(b.late, b.job.priority)).then(a.cost_ms.total_cmp(&b.cost_ms))
+        });
+        ranked
     }
 
     /// Whether a prompt would be late even if it started now: on one engine if short, else on all,
