A refusal is not overtaken by a reset

Cause: the server answers 431 or 413 while its caller still writes, and closes a socket with unread bytes; the kernel then resets, and a caller that meets a failed write never reads the answer. Ruled out: the answer itself (it is written each time); a shorter head (below the buffer it is read). Only behind a refusal: a request that crosses a planned close must stay unread, so that it may be repeated.

--- a/sorrelpass/src/gateway/serve.rs
+++ b/sorrelpass/src/gateway/serve.rs
@@ -14,6 +14,7 @@
 
 use super::state::{Gateway, Phase};
 use super::{call, now};
+use crate::linger::Linger;
 
 /// Largest request head where the configuration names none, in bytes; also the least that hyper takes.
 const HEAD_BYTES: usize = 16 * 1_024;
@@ -75,7 +76,7 @@
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(None);
     builder.max_buf_size(limits.map_or(HEAD_BYTES, |limits| limits.header_bytes.max(HEAD_BYTES)));
-    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    let serving = builder.serve_connection(TokioIo::new(Linger::new(stream)), service);
     let mut serving = std::pin::pin!(serving);
     tokio::select! {
         // A caller that goes away mid-request is no fault of ours.
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -19,6 +19,7 @@
 use tokio_io_timeout::TimeoutStream;
 use tower::ServiceExt;
 
+use crate::linger::Linger;
 use crate::timeline;
 
 /// A body that we send.
@@ -215,7 +216,7 @@
         .max_concurrent_streams(MOST_STREAMS)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT);
-    let connection = builder.serve_connection(TokioIo::new(Box::pin(stream)), service).into_owned();
+    let connection = builder.serve_connection(TokioIo::new(Linger::new(Box::pin(stream))), service).into_owned();
     // A caller that goes away mid-request is no fault of ours.
     let _ = watcher.watch(connection).await;
 }
--- a/sorrelpass/src/main.rs
+++ b/sorrelpass/src/main.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod gateway;
 mod http;
+mod linger;
 mod metric;
 mod platform;
 mod plugin;
--- a/standin/tests/bad_input.rs
+++ b/standin/tests/bad_input.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{call_headers, close, fleet, prompt, start, until};
+use common::{call_headers, close, fleet, prompt, start, status_line_of_an_endless_head, until};
 use serde_json::{Value, json};
 use standin::client::Seen;
 use standin::fleet::{Fleet, Spec, workspace_key};
@@ -67,6 +67,15 @@
     close(fleet).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_caller_that_still_writes_reads_its_refusal() {
+    let fleet = fleet("endless-head").await;
+    let address = fleet.entries[0].clone();
+    let line = tokio::task::spawn_blocking(move || status_line_of_an_endless_head(&address)).await.expect("it ran");
+    assert!(line.starts_with("HTTP/1.1 431"), "{line}");
+    close(fleet).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_paths_methods_and_services_are_named() {
     let fleet = fleet("bad-paths").await;
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What the fleet tests share: a small fleet, prompts and calls against it.
 #![allow(dead_code)]
 
+use std::io::{Read, Write};
 use std::process::Command;
 use std::time::Duration;
 
@@ -75,3 +76,23 @@
     }
     panic!("never came about: {what}");
 }
+
+/// Sends a request head that grows beyond any limit, goes on writing after it was refused, and returns the
+/// first line that comes back.
+pub fn status_line_of_an_endless_head(address: &str) -> String {
+    let mut stream = std::net::TcpStream::connect(address).expect("connected");
+    let piece = format!("x-more: {}\r\n", "h".repeat(10_000));
+    stream.write_all(b"GET /v1/models HTTP/1.1\r\nhost: x\r\n").expect("sent");
+    for _ in 0..2 {
+        // The second round meets a server that has long answered and closed its side.
+        for _ in 0..10 {
+            // Many clients give up at the first write that fails, and never read what came before it.
+            stream.write_all(piece.as_bytes()).expect("the connection is not reset under the caller");
+        }
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let mut line = [0; 64];
+    let read = stream.read(&mut line).expect("the refusal is there");
+    let text = String::from_utf8_lossy(&line[..read]).into_owned();
+    text.lines().next().unwrap_or_default().to_owned()
+}
--- a/standin/tests/platform_path.rs
+++ b/standin/tests/platform_path.rs
@@ -1,8 +1,11 @@
 //! The whole path on the users' platform: what replicas get, and what callers get back.
 
+mod common;
+
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::status_line_of_an_endless_head;
 use serde_json::json;
 use standin::platform::{Act, Ask, HOST, KEY, Site, Spec};
 
@@ -110,6 +113,15 @@
     site.close().expect("no invariant was breached");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_caller_that_still_writes_reads_its_refusal() {
+    let site = site("path-endless-head").await;
+    let address = site.addresses[0].clone();
+    let line = tokio::task::spawn_blocking(move || status_line_of_an_endless_head(&address)).await.expect("it ran");
+    assert!(line.starts_with("HTTP/1.1 431"), "{line}");
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics_tell_what_happened() {
     let site = site("path-metrics").await;
