--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -9,11 +9,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::Name;
 use crate::time::Moment;
 
 /// A replica as its record tells.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Identity of this run of the replica; never used twice.
     pub id: Name,
@@ -30,7 +32,7 @@
 }
 
 /// What the store says of a replica at one offset.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum News {
     /// The replica's record.
     Here(Record),
@@ -38,6 +40,15 @@
     Removed(Name),
 }
 
+/// News with the offset at which the store has them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The offset.
+    pub offset: u64,
+    /// What stands there.
+    pub news: News,
+}
+
 /// How far a replica may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -58,6 +69,10 @@
     pub standing: Standing,
     /// Offset of the newest news of it.
     offset: u64,
+    /// Offset of the newest news that changed anything; heartbeats rewrite records as they are.
+    changed_at: u64,
+    /// Whether its record stands in the store.
+    listed: bool,
 }
 
 impl Replica {
@@ -65,6 +80,12 @@
     pub fn takes_work(&self) -> bool {
         self.standing != Standing::Gone
     }
+
+    /// The newest news of it that changed anything.
+    fn sighting(&self) -> Sighting {
+        let news = if self.listed { News::Here(self.record.clone()) } else { News::Removed(self.record.id.clone()) };
+        Sighting { offset: self.changed_at, news }
+    }
 }
 
 /// All replicas that this process knows of.
@@ -87,7 +108,17 @@
 impl Roster {
     /// Notes that the store answers again after an outage: what vanishes within `grace` may only have lapsed.
     pub fn store_returned(&mut self, now: Moment, grace: Duration) {
-        self.doubtful_until = now + grace;
+        self.doubtful_until = self.doubtful_until.max(now + grace);
+    }
+
+    /// For how long a vanished record still counts as lapsed.
+    pub fn doubt_left(&self, now: Moment) -> Duration {
+        self.doubtful_until.since(now)
+    }
+
+    /// What changed at offset `from` or later, one piece of news a replica.
+    pub fn since(&self, from: u64) -> Vec<Sighting> {
+        self.replicas.values().filter(|known| known.changed_at >= from).map(Replica::sighting).collect()
     }
 
     /// Takes one piece of news at its offset; older news than known is left out.
@@ -107,8 +138,11 @@
         // An announced end is final; a vanished record may come back with its replica.
         let leaving = record.leaving || known.is_some_and(|known| known.record.leaving);
         let standing = if leaving { Standing::Gone } else { Standing::Ready };
+        let record = Record { leaving, ..record };
         let changed = known.is_none_or(|known| known.standing != standing);
-        self.replicas.insert(id.clone(), Replica { record: Record { leaving, ..record }, standing, offset });
+        let same = known.filter(|known| known.listed && known.record == record && !changed);
+        let changed_at = same.map_or(offset, |known| known.changed_at);
+        self.replicas.insert(id.clone(), Replica { record, standing, offset, changed_at, listed: true });
         changed.then_some(Change { id, standing })
     }
 
@@ -119,6 +153,10 @@
             return None;
         }
         known.offset = offset;
+        if known.listed {
+            known.listed = false;
+            known.changed_at = offset;
+        }
         let standing = match known.standing {
             Standing::Ready if now < doubtful_until => Standing::Lapsed(doubtful_until),
             Standing::Lapsed(until) if now < until => return None,
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -177,6 +177,11 @@
         self.pump();
     }
 
+    /// Whether another entry plans for this one.
+    pub fn has_leader(&self) -> bool {
+        self.leader.borrow().is_some()
+    }
+
     /// Takes in an entry to plan for; returns its number here.
     pub fn join(&self, orders: mpsc::Sender<Order>) -> u64 {
         let entry = self.next_entry.get();
@@ -210,6 +215,8 @@
             }
             Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
             Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(&engine, now)),
+            // What is new in the store is no matter of planning.
+            Report::Sync { .. } => return,
         }
         self.pump();
     }
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -9,15 +9,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coord::time::Moment;
 use eyre::{Result, WrapErr, eyre};
 use platform::connection::connect;
 use platform::store::{self, Client};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
-use super::desk::Desk;
+use super::facts;
 use super::lead::{BEAT, BEATS_MISSED};
 use super::link::{self, Link, Order, Report};
+use super::now;
 use super::state::{Gateway, Phase};
 use crate::{event, util, warn_event};
 
@@ -25,6 +27,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How often older entries are tried again, for one that was cut off or frozen may be back.
 const RETRY: Duration = Duration::from_secs(3);
+/// How often an entry asks the one that it follows what is new in the store: a sixth of the shortest time seen
+/// within which a configuration must be in force, or a leaving replica be left alone.
+const SYNC: Duration = Duration::from_millis(300);
 /// Time for an answer of the store.
 const PATIENCE: Duration = Duration::from_millis(1_000);
 /// Pause after a failed announcement.
@@ -53,7 +58,7 @@
             tokio::time::sleep(RETRY).await;
             continue;
         };
-        follow(&gateway.desk, link, &peers, rank, own).await;
+        follow(&gateway, link, &peers, rank, own).await;
     }
 }
 
@@ -116,13 +121,14 @@
 }
 
 /// Follows one entry until it is lost or an older one can be reached.
-async fn follow(desk: &Rc<Desk>, link: Link, peers: &[Peer], rank: usize, own: SocketAddr) {
+async fn follow(gateway: &Gateway, link: Link, peers: &[Peer], rank: usize, own: SocketAddr) {
+    let desk = &gateway.desk;
     let peer = peers[rank].address;
     event!("following", peer = %peer, rank);
     let (reports, waiting) = mpsc::channel(link::RING);
     desk.link_up(reports);
     tokio::select! {
-        outcome = exchange(desk, link, waiting) => {
+        outcome = exchange(gateway, link, waiting) => {
             let reason = outcome.err().unwrap_or_else(|| eyre!("ended"));
             warn_event!("leader-lost", peer = %peer, reason = %format!("{reason:#}"));
         }
@@ -131,6 +137,8 @@
         }
     }
     desk.link_down();
+    // Nobody reads the store for this entry now.
+    gateway.facts.wake();
 }
 
 /// Waits until an older entry can be reached.
@@ -144,25 +152,54 @@
 }
 
 /// Sends reports and takes orders; ends with an error, at the latest when beats are missed.
-async fn exchange(desk: &Rc<Desk>, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<()> {
+async fn exchange(gateway: &Gateway, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<()> {
     let silence = BEAT * BEATS_MISSED;
     let mut heard = Instant::now();
+    let mut sync = tokio::time::interval(SYNC);
+    sync.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut question = Question::default();
     loop {
         tokio::select! {
             order = link.receive() => {
                 heard = Instant::now();
                 match order? {
-                    Order::Grant { number, team } => desk.granted(number, team),
-                    Order::Beat | Order::Welcome { .. } => {}
+                    Order::Grant { number, team } => gateway.desk.granted(number, team),
+                    Order::Update { number, update } if number == question.number => {
+                        facts::take_in(gateway, update, question.asked);
+                    }
+                    Order::Update { .. } | Order::Beat | Order::Welcome { .. } => {}
                 }
             }
             report = waiting.recv() => {
                 let report = report.ok_or_else(|| eyre!("step=send: too far behind"))?;
-                // A peer that does not read holds the writer up.
-                let sent = tokio::time::timeout(silence, link.send_all(report, &mut waiting)).await;
-                sent.wrap_err("step=send: not taken")??;
+                send(&mut link, report, &mut waiting).await?;
+            }
+            _ = sync.tick() => {
+                question = Question { number: question.number + 1, asked: now() };
+                send(&mut link, question.report(gateway), &mut waiting).await?;
             }
             () = tokio::time::sleep_until(heard + silence) => return Err(eyre!("step=receive: no beat")),
         }
     }
 }
+
+/// Sends a report and what waits behind it; a peer that does not read holds the writer up, and is given up.
+async fn send(link: &mut Link, report: Report, waiting: &mut mpsc::Receiver<Report>) -> Result<()> {
+    let sent = tokio::time::timeout(BEAT * BEATS_MISSED, link.send_all(report, waiting)).await;
+    sent.wrap_err("step=send: not taken")?
+}
+
+/// The last question about what is new in the store; an answer to an earlier one is too old to count.
+#[derive(Clone, Copy, Debug, Default)]
+struct Question {
+    number: u64,
+    asked: Moment,
+}
+
+impl Question {
+    fn report(&self, gateway: &Gateway) -> Report {
+        let facts = &gateway.facts;
+        let (configuration, replicas) = (facts.configuration.next(), facts.replicas.next());
+        Report::Sync { number: self.number, configuration, replicas }
+    }
+}
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -1,4 +1,5 @@
-//! Planning for other entries: each connection is an entry that asks and reports.
+//! Planning for other entries, and telling them what is new in the store: each connection is an entry that
+//! asks and reports.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,7 +9,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
-use super::link::{self, Link, Order};
+use super::facts;
+use super::link::{self, Link, Order, Report};
 use super::state::{Gateway, Phase};
 use crate::{event, util};
 
@@ -68,7 +70,13 @@
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            report = link.receive() => gateway.desk.hear(entry, report?),
+            report = link.receive() => match report? {
+                Report::Sync { number, configuration, replicas } => {
+                    let update = facts::update(gateway, configuration, replicas);
+                    send(link, Order::Update { number, update }, waiting).await?;
+                }
+                report => gateway.desk.hear(entry, report),
+            },
             Some(order) = waiting.recv() => send(link, order, waiting).await?,
             _ = beat.tick() => {
                 if !gateway.ready() {
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -1,10 +1,11 @@
-//! What entries say to each other about prompts: messages, and a connection that carries them.
+//! What entries say to each other about prompts and the store: messages, and a connection that carries them.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use coord::name::Name;
 use coord::planner::{self, Team};
+use coord::roster::Sighting;
 use coord::time::Moment;
 use eyre::{Result, WrapErr, eyre};
 use futures_util::{SinkExt, StreamExt};
@@ -14,8 +15,8 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Largest message, in bytes; a grant with all its helpers takes a few hundred.
-const MOST_MESSAGE_BYTES: usize = 16 * 1_024;
+/// Largest message, in bytes: room for an update about some thousands of replicas.
+const MOST_MESSAGE_BYTES: usize = 512 * 1_024;
 /// Messages that may wait to be sent; a peer that is so far behind is given up.
 pub const RING: usize = 1_024;
 
@@ -56,6 +57,41 @@
     }
 }
 
+/// How far a topic of the store is known, and as of when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The offset behind the newest record taken in.
+    pub next: u64,
+    /// Time since the reading was sent that showed this to be the newest, when the message was made.
+    pub age: Duration,
+}
+
+/// A configuration as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Its offset.
+    pub offset: u64,
+    /// Its bytes.
+    pub value: Bytes,
+}
+
+/// What one entry knows from the store that another does not, and how old it is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// How far the configuration is known, once it is proven.
+    pub configuration: Option<Known>,
+    /// The newest configuration, if the other has an older one and this is small enough to pass on.
+    pub document: Option<Document>,
+    /// Whether there is one that is too large for that.
+    pub too_large: bool,
+    /// How far the replicas' records are known.
+    pub replicas: Option<Known>,
+    /// What changed there.
+    pub sightings: Vec<Sighting>,
+    /// For how long a vanished record may only have lapsed.
+    pub doubt_left: Duration,
+}
+
 /// From an entry to the one that plans.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Report {
@@ -102,6 +138,15 @@
         /// The engine.
         engine: Name,
     },
+    /// The entry wants to know what is new in the store.
+    Sync {
+        /// The entry's number for the question.
+        number: u64,
+        /// How far it knows the configuration's topic.
+        configuration: Option<u64>,
+        /// How far it knows the replicas' topic.
+        replicas: Option<u64>,
+    },
 }
 
 /// From the entry that plans to another.
@@ -119,6 +164,13 @@
         /// Its engines.
         team: Team,
     },
+    /// What is new in the store.
+    Update {
+        /// The number of the question.
+        number: u64,
+        /// The answer.
+        update: Update,
+    },
     /// The planner is alive.
     Beat,
 }
@@ -130,7 +182,7 @@
     /// A link over an open connection.
     pub fn new(stream: TcpStream) -> Self {
         let codec =
-            LengthDelimitedCodec::builder().max_frame_length(MOST_MESSAGE_BYTES).length_field_length(2).new_codec();
+            LengthDelimitedCodec::builder().max_frame_length(MOST_MESSAGE_BYTES).length_field_length(4).new_codec();
         Self(Framed::new(stream, codec))
     }
 
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod desk;
+mod facts;
 mod follow;
 mod health;
 mod hold;
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -6,13 +6,12 @@
 use std::sync::Arc;
 
 use coord::budget::Windowed;
-use coord::invariant;
 use coord::name::Name;
 use coord::roster::Roster;
 use coord::route::Table;
-use coord::time::Moment;
 
 use super::desk::Desk;
+use super::facts::Facts;
 use super::now;
 use super::place::Placer;
 use crate::config;
@@ -51,8 +50,8 @@
     /// The settings.
     pub settings: config::Gateway,
     table: RefCell<Arc<Table>>,
-    /// When the reading was sent that last showed the table to be the newest.
-    proven: Cell<Option<Moment>>,
+    /// How far the store is known.
+    pub facts: Facts,
     /// The replicas.
     pub roster: RefCell<Roster>,
     /// Where plain requests go.
@@ -71,7 +70,7 @@
         Self {
             settings,
             table: RefCell::default(),
-            proven: Cell::new(None),
+            facts: Facts::default(),
             roster: RefCell::default(),
             placer: RefCell::new(placer),
             desk: Desk::new(),
@@ -113,21 +112,15 @@
         }
     }
 
-    /// Notes that a reading sent at `sent` showed the table in force to be the newest.
-    pub fn prove(&self, sent: Moment) {
-        invariant!(self.proven.get().is_none_or(|proven| proven <= sent), "a proof never gets older");
-        self.proven.set(Some(sent));
-    }
-
-    /// Age of the proof in milliseconds, if there is any.
+    /// Age of the proof that the table in force is the newest, in milliseconds, if there is any.
     pub fn proof_age_ms(&self) -> Option<u128> {
-        self.proven.get().map(|proven| now().since(proven).as_millis())
+        self.facts.configuration.age().map(|age| age.as_millis())
     }
 
     /// Whether keys may be trusted: the table was the newest a short while ago.
     pub fn proof_holds(&self) -> bool {
         let bound = self.settings.bounds.revoke.mul_f64(PROOF_SHARE);
-        self.proven.get().is_some_and(|proven| now().since(proven) < bound)
+        self.facts.configuration.age().is_some_and(|age| age < bound)
     }
 
     /// Whether this entry wants callers.
