--- a/coord/tests/roster_machine.rs
+++ b/coord/tests/roster_machine.rs
@@ -148,3 +148,57 @@
     assert_eq!(roster.usable("service").count(), 0);
     assert!(roster.displaced("replica-1").is_none(), "told once");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// One roster hears the log, the other only what the first one says has changed, now and then.
+    #[test]
+    fn who_is_told_what_changed_believes_the_same(steps in prop::collection::vec((step(), any::<bool>()), 1..60)) {
+        let (mut reader, mut told) = (Roster::default(), Roster::default());
+        let (mut offset, mut told_up_to) = (0, 0);
+        let mut ended = BTreeSet::new();
+        let now = Moment::from_millis(10_000);
+        for (step, pass_on) in steps {
+            match step {
+                Step::Announce(number) | Step::Drain(number) | Step::Repeat(number) => {
+                    let leaving = matches!(step, Step::Drain(_)) || ended.contains(&number);
+                    if leaving {
+                        ended.insert(number);
+                    }
+                    reader.hear(offset, News::Here(record(number, leaving)), now);
+                    offset += 1;
+                }
+                Step::Remove(number) => {
+                    reader.hear(offset, News::Removed(name(number)), now);
+                    offset += 1;
+                }
+                Step::Return | Step::Replace | Step::Wait(_) => {}
+            }
+            if pass_on {
+                for sighting in reader.since(told_up_to) {
+                    told.hear(sighting.offset, sighting.news, now);
+                }
+                told_up_to = offset;
+                for number in 0..5 {
+                    let standing = |roster: &Roster| roster.get(&name(number)).map(|known| known.standing);
+                    // Who came and went unheard is as good as gone.
+                    let told = standing(&told).unwrap_or(Standing::Gone);
+                    prop_assert_eq!(standing(&reader).unwrap_or(Standing::Gone), told);
+                }
+            }
+        }
+    }
+
+    /// Heartbeats that change nothing are not passed on.
+    #[test]
+    fn what_did_not_change_is_not_told(beats in 1..20u64) {
+        let mut roster = Roster::default();
+        let now = Moment::from_millis(10_000);
+        for offset in 0..beats {
+            roster.hear(offset, News::Here(record(1, false)), now);
+        }
+        prop_assert_eq!(roster.since(1), vec![]);
+        prop_assert_eq!(roster.since(0).len(), 1);
+    }
+}
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -25,6 +25,9 @@
 
 /// Time for a connection to another entry: a few times the way across a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Pause before an entry that reached no older one tries again, at first; doubled each time. Entries that start
+/// together turn each other away until they have read the configuration, some tens of milliseconds later.
+const FIRST_RETRY: Duration = Duration::from_millis(300);
 /// How often older entries are tried again, for one that was cut off or frozen may be back.
 const RETRY: Duration = Duration::from_secs(3);
 /// How often an entry asks the one that it follows what is new in the store: a sixth of the shortest time seen
@@ -48,6 +51,7 @@
     let mut client = Client::new(gateway.settings.store);
     announce(&mut client, own).await;
     let mut peers = Vec::new();
+    let mut pause = FIRST_RETRY;
     loop {
         // Read anew each time: an entry that was older may have been restarted since, and is the youngest now.
         peers = list(&mut client, own).await.unwrap_or(peers);
@@ -55,9 +59,15 @@
         // An entry that is about to end looks to the younger ones too.
         let rank = own_rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(peers.len());
         let Some((rank, link)) = reach(&peers[..rank], own).await else {
-            tokio::time::sleep(RETRY).await;
+            // None is older than the oldest, for as long as it serves.
+            while own_rank == Some(0) && gateway.phase() == Phase::Serving {
+                tokio::time::sleep(RETRY).await;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(RETRY);
             continue;
         };
+        pause = FIRST_RETRY;
         follow(&gateway, link, &peers, rank, own).await;
     }
 }
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -20,9 +20,9 @@
 /// Part of the bound on taken keys for which the store holds a read of the configuration if nothing changes:
 /// a proof is as old as its read when that is answered, and serves until the next one is.
 const LONG_READ_SHARE: f64 = 0.15;
-/// Part of that bound after which an entry that gets the configuration from another reads it itself: twice
-/// the time for which a read is held.
-const CONFIGURATION_SERVES: f64 = 0.3;
+/// Part of that bound after which an entry that gets the configuration from another reads it itself: three
+/// times that for which a read is held, since a proof is up to two holds old before the next one comes.
+const CONFIGURATION_SERVES: f64 = 3.0 * LONG_READ_SHARE;
 /// Time for an answer of the store, which takes a few milliseconds and on bad days 60 times that.
 const PATIENCE: Duration = Duration::from_millis(1_000);
 /// Pause after a failed call, at first; doubled with each failure in a row.
--- /dev/null
+++ b/standin/tests/platform_facts.rs
@@ -0,0 +1,148 @@
+//! What entries know of the store through each other: few calls, nothing that looks younger than it is.
+
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use serde_json::json;
+use standin::platform::{Ask, Fault, KEY, Site, Spec};
+
+const OTHER_KEY: &str = "another-key";
+
+fn look(id: &str, key: &str) -> Ask {
+    Ask::new("GET", "/look/1", id, key).with("deadline-ms", "2000")
+}
+
+async fn site(name: &str, bounds: &str) -> Site {
+    let spec = Spec { entries: 3, bounds: bounds.to_owned(), ..Spec::small(name) };
+    Site::start(spec).await.expect("the site starts")
+}
+
+/// The entry that reads the store for the others, once all follow it; then the others.
+async fn roles(site: &Site) -> (usize, Vec<usize>) {
+    let started = Instant::now();
+    loop {
+        let follows = |entry: &usize| site.log(*entry).contains("step=following");
+        let (others, leaders): (Vec<usize>, Vec<usize>) = (0..3).partition(follows);
+        if let [leader] = leaders[..] {
+            return (leader, others);
+        }
+        assert!(started.elapsed() < Duration::from_secs(12), "leaders: {leaders:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Asks an entry until it answers with this status.
+async fn answers(site: &Site, entry: usize, key: &str, status: u16, limit: Duration) {
+    let started = Instant::now();
+    for number in 0.. {
+        let seen = site.send(entry, &look(&format!("{entry}-{key}-{status}-{number}"), key)).await;
+        if seen.status == status {
+            return;
+        }
+        assert!(started.elapsed() < limit, "entry {entry} answers {} in place of {status}", seen.status);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_entry_reads_the_store_for_all() {
+    let site = site("facts-calls", "").await;
+    let (leader, others) = roles(&site).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before: Vec<u64> = site.doors.iter().map(|door| door.calls()).collect();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls: Vec<u64> = site.doors.iter().zip(before).map(|(door, before)| door.calls() - before).collect();
+    assert!(calls[leader] >= 8, "the one that reads, reads on: {calls:?}");
+    // Nothing grows too old on the way, on a machine that is not starved of processor time.
+    assert!(others.iter().all(|entry| calls[*entry] < calls[leader] / 2), "{calls:?}");
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_the_store_does_not_answer_learns_all_from_the_one_that_it_follows() {
+    let site = site("facts-cut-off", "").await;
+    let (_, others) = roles(&site).await;
+    let cut_off = others[0];
+    site.doors[cut_off].set(Fault::Silent);
+    // Longer than a proof of its own would serve.
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    assert_eq!(site.send(cut_off, &look("a1", KEY)).await.status, 200);
+    site.configure(&[OTHER_KEY], |_| {});
+    answers(&site, cut_off, KEY, 401, Duration::from_secs(2)).await;
+    answers(&site, cut_off, OTHER_KEY, 200, Duration::from_secs(2)).await;
+    let (leaving, staying) = (&site.plain[0], &site.plain[1]);
+    site.store.put("keyed.servers", &leaving.id, leaving.record("ledger", "draining"));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let before = leaving.seen().len();
+    for number in 0..10 {
+        assert_eq!(site.send(cut_off, &look(&format!("b{number}"), OTHER_KEY)).await.status, 200);
+    }
+    assert_eq!(leaving.seen().len(), before, "a leaving replica gets nothing");
+    assert!(staying.seen().len() >= 10);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_is_too_large_to_pass_on_is_in_force_all_the_same() {
+    let site = site("facts-large", "").await;
+    let (_, others) = roles(&site).await;
+    site.configure(&[KEY, OTHER_KEY], |config| {
+        let route = config["routes"][2].clone();
+        let routes = config["routes"].as_array_mut().expect("routes are a list");
+        for number in 0..400 {
+            let mut more = route.clone();
+            more["name"] = json!(format!("more-{number}"));
+            more["path_prefix"] = json!(format!("/more-{number}/"));
+            routes.push(more);
+        }
+    });
+    for entry in others {
+        answers(&site, entry, OTHER_KEY, 200, Duration::from_secs(2)).await;
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_refused_in_time_when_the_entry_that_reads_is_frozen_and_the_store_is_silent() {
+    let site = site("facts-frozen", "revoke_ms = 2500").await;
+    let (leader, others) = roles(&site).await;
+    for door in &site.doors {
+        door.set(Fault::Silent);
+    }
+    site.signal(leader, Signal::STOP).expect("it freezes");
+    site.configure(&[OTHER_KEY], |_| {});
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    // Only the reader wakes: what it says is no younger than its last reading.
+    site.signal(leader, Signal::CONT).expect("it wakes");
+    for entry in others.iter().chain([&leader]) {
+        let seen = site.send(*entry, &look(&format!("c{entry}"), KEY)).await;
+        assert_eq!(seen.status, 503, "entry {entry}: {seen:?}");
+    }
+    for door in &site.doors {
+        door.set(Fault::None);
+    }
+    for entry in 0..3 {
+        answers(&site, entry, OTHER_KEY, 200, Duration::from_secs(5)).await;
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_follower_trusts_no_key_when_it_wakes() {
+    let site = site("facts-woken", "revoke_ms = 2500").await;
+    let (_, others) = roles(&site).await;
+    let frozen = others[0];
+    site.signal(frozen, Signal::STOP).expect("it freezes");
+    site.configure(&[OTHER_KEY], |_| {});
+    tokio::time::sleep(Duration::from_millis(2_600)).await;
+    let late = look("d1", KEY);
+    let asked = site.send(frozen, &late);
+    let woken = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        site.signal(frozen, Signal::CONT).expect("it wakes");
+    };
+    let (seen, ()) = tokio::join!(asked, woken);
+    assert!(seen.status == 503 || seen.status == 401, "{seen:?}");
+    answers(&site, frozen, OTHER_KEY, 200, Duration::from_secs(3)).await;
+    site.close().expect("no invariant was breached");
+}
