--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -8,6 +8,7 @@
 //! What may not live here: transports, serialisation formats, logging, threads.
 
 pub mod answer;
+pub mod breaker;
 pub mod budget;
 pub mod claim;
 pub mod engine;
--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -36,23 +36,12 @@
     front_since: Moment,
     /// What it writes.
     pub seats: BTreeMap<Id, Seat>,
-    /// Failures in a row.
-    pub failures: u32,
-    /// It is left out until then, unless all are.
-    pub avoid_until: Moment,
 }
 
 impl Engine {
     /// An engine with nothing to do.
     pub fn new(figures: Arc<Figures>) -> Self {
-        Self {
-            figures,
-            parts: VecDeque::new(),
-            front_since: Moment::ZERO,
-            seats: BTreeMap::new(),
-            failures: 0,
-            avoid_until: Moment::ZERO,
-        }
+        Self { figures, parts: VecDeque::new(), front_since: Moment::ZERO, seats: BTreeMap::new() }
     }
 
     /// Tokens that its memory holds.
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -12,13 +12,14 @@
 //! itself alone; nothing that must hold depends on how complete it is.
 
 mod engine;
+mod evidence;
 mod job;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use self::engine::{Engine, Seat};
+use self::evidence::Evidence;
 pub use self::job::{Grant, Helper, Id, Job, Team};
 use crate::engine::{Figures, millis};
 use crate::name::Name;
@@ -76,10 +77,6 @@
     }
 }
 
-/// How long an engine that failed is left out, at first; doubled with each failure in a row.
-const FIRST_PENALTY: Duration = Duration::from_millis(500);
-/// Longest such time.
-const LONGEST_PENALTY: Duration = Duration::from_secs(8);
 /// A part that is overdue by this factor no longer counts as pending.
 const OVERDUE: f64 = 3.0;
 /// Output tokens that a job is expected to write at most, for memory.
@@ -110,6 +107,7 @@
 pub struct Planner {
     policy: Policy,
     engines: BTreeMap<Name, Engine>,
+    evidence: Evidence,
     waiting: BTreeMap<Id, Job>,
     /// Engines that each granted job uses.
     granted: BTreeMap<Id, Team>,
@@ -134,6 +132,7 @@
             };
             self.engines.insert(name, engine);
         }
+        self.evidence.keep(|name| self.engines.contains_key(name));
     }
 
     /// Whether jobs wait.
@@ -176,8 +175,8 @@
         for name in self.granted.get(&id).iter().flat_map(|team| team.engines()) {
             if let Some(engine) = self.engines.get_mut(name) {
                 engine.drop_part(id, now);
-                engine.failures = 0;
             }
+            self.evidence.succeeded(id.entry, name, now);
         }
     }
 
@@ -202,11 +201,11 @@
         }
     }
 
-    /// Notes that an engine failed a job: it is left out for a growing while.
-    pub fn failed(&mut self, engine: &str, now: Moment) {
-        let Some(engine) = self.engines.get_mut(engine) else { return };
-        engine.failures = (engine.failures + 1).min(8);
-        engine.avoid_until = now + (FIRST_PENALTY * 2u32.pow(engine.failures - 1)).min(LONGEST_PENALTY);
+    /// Notes that an engine failed a job of an entry: it is left out for a growing while.
+    pub fn failed(&mut self, entry: u64, engine: &Name, now: Moment) {
+        if self.engines.contains_key(engine) {
+            self.evidence.failed(entry, engine, now);
+        }
     }
 
     /// Grants what may start now.
@@ -222,6 +221,7 @@
             held_back |= placed.is_none();
             if let Some(grant) = placed {
                 self.adopt(id, &job, grant.team.clone(), true, now);
+                grant.team.engines().for_each(|engine| self.evidence.begin(engine, now));
                 grants.push(grant);
             }
         }
@@ -257,16 +257,19 @@
         self.engines.values().next().map_or(job.prompt as f64, |engine| engine.figures.read_ms(job.prompt))
     }
 
-    /// Engines that may be chosen: those that failed of late are left out, as long as that leaves most
-    /// of them; what strikes many at once is no fault of theirs.
-    fn candidates(&self, now: Moment) -> Vec<(&Name, &Engine)> {
-        let usable = self.engines.values().filter(|engine| engine.avoid_until <= now).count();
-        let all = usable as f64 <= self.engines.len() as f64 * self.policy.least_usable;
-        self.engines.iter().filter(|(_, engine)| all || engine.avoid_until <= now).collect()
+    /// Engines that may be chosen for a job of an entry: those that failed of late are left out, as long as that
+    /// leaves most of them; what strikes many at once is no fault of theirs.
+    fn candidates(&self, entry: u64, now: Moment) -> Vec<(&Name, &Engine)> {
+        let admitted: Vec<_> = self.engines.iter().filter(|(name, _)| self.evidence.admits(name, now)).collect();
+        let most = admitted.len() as f64 > self.engines.len() as f64 * self.policy.least_usable;
+        let usable = if most { admitted } else { self.engines.iter().collect() };
+        let reached = |(name, _): &(&Name, &Engine)| self.evidence.reaches(entry, name, now);
+        let reached: Vec<_> = usable.iter().copied().filter(reached).collect();
+        if reached.is_empty() { usable } else { reached }
     }
 
     fn place(&self, id: Id, job: &Job, now: Moment) -> Option<Grant> {
-        let engines = self.candidates(now);
+        let engines = self.candidates(id.entry, now);
         if engines.is_empty() {
             return None;
         }
@@ -292,6 +295,11 @@
         let in_time =
             |engine: &Engine| engine.room_ms(now, &self.policy) >= read && self.in_time(engine, read, job, now);
         let like = |engine: &Engine| engine.gap_ms() <= job.gap_ms;
+        let trial =
+            engines.iter().find(|(name, engine)| self.evidence.is_on_trial(name) && fits(engine) && in_time(engine));
+        if let Some((name, _)) = trial {
+            return Some(alone(name));
+        }
         let packed = engines
             .iter()
             .filter(|(_, engine)| fits(engine) && like(engine) && in_time(engine))
@@ -341,6 +349,8 @@
             .iter()
             .map(|(name, engine)| Open { name, engine, wait_ms: self.wait_ms(engine, now) })
             .filter(|open| open.engine.pending_ms(now) <= self.policy.start_pending_ms)
+            // One that fails holds up the whole team; short prompts try it.
+            .filter(|open| !self.evidence.is_on_trial(open.name))
             .collect();
         open.sort_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
         let least = self.fewest(job, read, most, engines, now);
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -132,7 +132,7 @@
                     granted.remove(&id);
                     planner.end(id, now);
                 }
-                Step::Fail(engine) => planner.failed(&format!("engine-{engine:02}"), now),
+                Step::Fail(engine) => planner.failed(0, &format!("engine-{engine:02}").into(), now),
                 Step::Lose(engine) if alive.len() > 4 => {
                     let name = Name::from(format!("engine-{engine:02}"));
                     alive.remove(&name);
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -86,8 +86,12 @@
         let worth_another = answer.status.is_server_error() && self.may_repeat();
         if !is_usable(&answer) || worth_another {
             event!("lost", request = %self.call.id, peer = %record.id, status = answer.status.as_u16(), ours = answer.ours, sealed = answer.sealed);
+            self.gateway.desk.failed(&self.service, &record.id);
             return Sent::Lost;
         }
+        if answer.status.is_server_error() {
+            self.gateway.desk.failed(&self.service, &record.id);
+        }
         Sent::Opened(Box::new(Opened { record, response, connection, place }))
     }
 
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -135,8 +135,9 @@
 
     /// Notes that an engine failed a prompt.
     pub fn failed(&self, service: &Name, engine: &str) {
-        self.planner(service, |planner| planner.failed(engine, now()));
-        self.report(Report::Failed { service: service.clone(), engine: engine.into() });
+        let engine = Name::from(engine);
+        self.planner(service, |planner| planner.failed(OWN, &engine, now()));
+        self.report(Report::Failed { service: service.clone(), engine });
     }
 
     /// The entry that plans granted one of our prompts.
@@ -214,7 +215,7 @@
                 self.planner(&service, |planner| planner.first_event(id(number), now));
             }
             Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
-            Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(&engine, now)),
+            Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
             // What is new in the store is no matter of planning.
             Report::Sync { .. } => return,
         }
