--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -17,6 +17,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use self::engine::{Engine, Seat};
 use self::evidence::Evidence;
@@ -77,6 +78,9 @@
     }
 }
 
+/// Time in which entries tell a planner that is new to them what they have at the engines. Those that meet a lost
+/// planner at the same moment were seen to take 0.1 s to find the next one.
+const SETTLING: Duration = Duration::from_millis(300);
 /// A part that is overdue by this factor no longer counts as pending.
 const OVERDUE: f64 = 3.0;
 /// Output tokens that a job is expected to write at most, for memory.
@@ -108,6 +112,8 @@
     policy: Policy,
     engines: BTreeMap<Name, Engine>,
     evidence: Evidence,
+    /// Long prompts wait until then: not all who have prompts at the engines have told yet.
+    settled_at: Moment,
     waiting: BTreeMap<Id, Job>,
     /// Engines that each granted job uses.
     granted: BTreeMap<Id, Team>,
@@ -135,6 +141,11 @@
         self.evidence.keep(|name| self.engines.contains_key(name));
     }
 
+    /// Notes that others are about to tell what they have at the engines.
+    pub fn unsettle(&mut self, now: Moment) {
+        self.settled_at = now + SETTLING;
+    }
+
     /// Whether jobs wait.
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
@@ -274,6 +285,9 @@
             return None;
         }
         let short = self.is_short(job);
+        if !short && now < self.settled_at {
+            return None;
+        }
         let team = if short { self.place_short(job, &engines, now)? } else { self.place_long(job, &engines, now)? };
         Some(Grant { id, team })
     }
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -276,3 +276,72 @@
     assert!(next.contains_key(&2), "{next:?}");
     assert_eq!(next[&2].team.helpers.len(), 5);
 }
+
+#[test]
+fn an_engine_that_fails_at_once_does_not_draw_prompts() {
+    let mut planner = planner(6);
+    let bad: Name = "engine-03".into();
+    let (mut at_bad, mut elsewhere) = (0, 0);
+    for number in 0..2_000 {
+        // Ten prompts a second; what goes well takes a second, and the bad engine answers an error in 1 ms.
+        let now = Moment::from_millis(10_000 + number * 100);
+        planner.submit(id(number), job(4_000, now));
+        for (number, grant) in pump(&mut planner, now) {
+            if grant.team.writer == bad {
+                at_bad += 1;
+                planner.failed(grant.id.entry, &bad, now + Duration::from_millis(1));
+                planner.end(grant.id, now + Duration::from_millis(1));
+            } else {
+                elsewhere += 1;
+                planner.first_event(grant.id, now + Duration::from_millis(60));
+            }
+            if let Some(over) = number.checked_sub(10) {
+                planner.end(id(over), now);
+            }
+        }
+    }
+    assert!(elsewhere > 1_900, "{elsewhere}");
+    assert!(at_bad <= 40, "200 seconds, one trial every 5 to 8 s: {at_bad}");
+}
+
+#[test]
+fn an_entry_that_is_cut_off_does_not_make_the_engines_look_bad_to_others() {
+    let mut planner = planner(6);
+    let now = Moment::from_millis(10_000);
+    for engine in 0..6 {
+        planner.failed(1, &format!("engine-{engine:02}").into(), now);
+    }
+    // Half of the engines would be left out if each report counted in full; the first two do.
+    let entry = |entry, number| Id { entry, number };
+    let mut used = BTreeSet::new();
+    for number in 0..60 {
+        planner.submit(entry(2, number), job(4_000, now));
+        used.extend(pump(&mut planner, now).into_values().map(|grant| grant.team.writer));
+    }
+    assert!(used.len() >= 4, "{used:?}");
+}
+
+#[test]
+fn an_entry_gets_no_grant_at_an_engine_that_it_could_not_reach() {
+    let mut planner = planner(6);
+    let now = Moment::from_millis(10_000);
+    planner.submit(Id { entry: 1, number: 0 }, job(4_000, now));
+    let first = pump(&mut planner, now).remove(&0).expect("it is granted");
+    planner.failed(1, &first.team.writer, now);
+    planner.end(first.id, now);
+    let later = now + Duration::from_millis(800);
+    planner.submit(Id { entry: 1, number: 1 }, job(4_000, later));
+    assert_ne!(pump(&mut planner, later)[&1].team.writer, first.team.writer);
+}
+
+#[test]
+fn a_planner_that_is_new_starts_no_long_prompt_before_it_knows_what_runs() {
+    let now = Moment::from_millis(10_000);
+    let mut planner = planner(18);
+    planner.unsettle(now);
+    planner.submit(id(1), job(250_000, now));
+    planner.submit(id(2), job(4_000, now));
+    let first = pump(&mut planner, now + Duration::from_millis(100));
+    assert!(first.contains_key(&2) && !first.contains_key(&1), "{first:?}");
+    assert!(pump(&mut planner, now + Duration::from_millis(310)).contains_key(&1));
+}
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -172,6 +172,7 @@
     /// Nobody else plans for this entry any more.
     pub fn link_down(&self) {
         *self.leader.borrow_mut() = None;
+        self.unsettle();
         for (number, waiter) in &*self.waiting.borrow() {
             self.planner(&waiter.service, |planner| planner.submit(own(*number), waiter.job));
         }
@@ -187,10 +188,18 @@
     pub fn join(&self, orders: mpsc::Sender<Order>) -> u64 {
         let entry = self.next_entry.get();
         self.next_entry.set(entry + 1);
+        if self.followers.borrow().is_empty() {
+            self.unsettle();
+        }
         self.followers.borrow_mut().insert(entry, orders);
         entry
     }
 
+    /// Notes that this entry plans for others from now on, whose prompts it does not know yet.
+    fn unsettle(&self) {
+        self.planners.borrow_mut().values_mut().for_each(|planner| planner.unsettle(now()));
+    }
+
     /// Forgets an entry and its prompts.
     pub fn leave(&self, entry: u64) {
         self.followers.borrow_mut().remove(&entry);
--- a/standin/tests/platform_streams.rs
+++ b/standin/tests/platform_streams.rs
@@ -79,3 +79,17 @@
     assert!(seen.took < Duration::from_millis(3_000), "{:?}", seen.took);
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_answers_errors_is_left_alone() {
+    let site = site("streams-errors").await;
+    let bad = &site.engines[0];
+    bad.next(std::iter::repeat_n(Act::Fail, 1_000));
+    for number in 0..60 {
+        let seen = site.send(number % 2, &prompt(&format!("f{number}"))).await;
+        assert_eq!((seen.status, seen.whole), (200, true), "{seen:?}");
+    }
+    // Sixty prompts take some ten seconds; those in a row would nearly all have gone to it.
+    assert!(bad.seen().len() <= 10, "{}", bad.seen().len());
+    site.close().expect("no invariant was breached");
+}
