--- a/coord/tests/breaker.rs
+++ b/coord/tests/breaker.rs
@@ -1,6 +1,5 @@
 //! The circuit breaker: it opens, tries with one request at a time, and remembers who fails by turns.
 
-
 use coord::breaker::Breaker;
 use coord::time::Moment;
 use proptest::prelude::*;
