--- a/coord/src/planner/job.rs
+++ b/coord/src/planner/job.rs
@@ -1,7 +1,5 @@
 //! Prompts as the planner sees them, and the engines that it grants them.
 
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 
 use super::LIKELY_OUTPUT;
@@ -32,8 +30,6 @@
     pub deadline: Moment,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
-    /// Until then its caller would rather be told to come back than be late; none if it came back already.
-    pub refuse_by: Option<Moment>,
 }
 
 impl Job {
@@ -68,15 +64,6 @@
     }
 }
 
-/// A decision: the prompt cannot be in time now, but may be when its caller comes back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// The job.
-    pub id: Id,
-    /// When the engines will be free enough.
-    pub retry_after: Duration,
-}
-
 /// A decision: who reads and who writes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -21,7 +21,7 @@
 
 use self::engine::{Engine, Seat};
 use self::evidence::Evidence;
-pub use self::job::{Grant, Helper, Id, Job, Refusal, Team};
+pub use self::job::{Grant, Helper, Id, Job, Team};
 use crate::engine::{Figures, millis};
 use crate::name::Name;
 use crate::time::Moment;
@@ -83,10 +83,6 @@
 const SETTLING: Duration = Duration::from_millis(300);
 /// A part that is overdue by this factor no longer counts as pending.
 const OVERDUE: f64 = 3.0;
-/// How long before a refusal would come too late it is decided: a few looks at what waits.
-const LAST_MOMENT: Duration = Duration::from_millis(60);
-/// Least time after which a caller is asked to come back.
-const LEAST_RETRY: Duration = Duration::from_millis(500);
 /// Output tokens that a job is expected to write at most, for memory.
 const LIKELY_OUTPUT: u64 = 4_096;
 
@@ -243,46 +239,6 @@
         grants
     }
 
-    /// Turns away long prompts that cannot be in time, while that still helps their callers.
-    pub fn refuse(&mut self, now: Moment) -> Vec<Refusal> {
-        let mut ahead_ms = 0.0;
-        let mut refusals = Vec::new();
-        for Ranked { id, job, late, cost_ms } in self.ranked(now) {
-            if self.is_short(&job) {
-                continue;
-            }
-            let due = job.refuse_by.is_some_and(|by| now <= by && by.since(now) <= LAST_MOMENT);
-            let start_ms = self.start_ms(ahead_ms, now);
-            if due && now + millis(start_ms + self.team_read_ms(cost_ms)) > job.aim {
-                let retry_after = millis(start_ms).max(LEAST_RETRY);
-                refusals.push(Refusal { id, retry_after });
-            } else if !late {
-                ahead_ms += cost_ms;
-            }
-        }
-        for refusal in &refusals {
-            self.waiting.remove(&refusal.id);
-        }
-        refusals
-    }
-
-    /// Milliseconds until engines have read what they are to read, and `ahead_ms` of what waits besides.
-    fn start_ms(&self, ahead_ms: f64, now: Moment) -> f64 {
-        let pending: f64 = self.engines.values().map(|engine| engine.pending_ms(now)).sum();
-        (pending + ahead_ms) / self.readers() as f64
-    }
-
-    /// Milliseconds that a team of all that may read together needs for a prompt.
-    fn team_read_ms(&self, cost_ms: f64) -> f64 {
-        cost_ms / self.policy.most_parts.min(self.readers()) as f64
-    }
-
-    /// Engines on which long prompts can be read: those that write no short answers, or all if there are none.
-    fn readers(&self) -> usize {
-        let readers = self.engines.values().filter(|engine| engine.gap_ms() > SHORT_READ_MS * 2.0).count();
-        if readers > 0 { readers } else { self.engines.len().max(1) }
-    }
-
     /// What waits: prompts that can still be in time go first; among them the more urgent rank, then the cheaper.
     fn ranked(&self, now: Moment) -> Vec<Ranked> {
         let rank = |(id, job): (&Id, &Job)| Ranked {
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -49,7 +49,6 @@
         gap_ms,
         deadline: now + Duration::from_millis(patience),
         priority: 1,
-        refuse_by: None,
     }
 }
 
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -8,7 +8,7 @@
 use coord::roster::Record;
 use platform::dialect;
 
-use super::super::desk::{Lease, Refused};
+use super::super::desk::Lease;
 use super::super::hold::{self, Hold};
 use super::super::now;
 use super::super::state::Gateway;
@@ -20,14 +20,6 @@
 /// more than half of the time is left for the caller to come back in.
 const PATIENCE_SHARE: f64 = 0.45;
 
-/// Part of the aim within which a prompt that cannot be in time is told to come back: a refusal within a quarter
-/// of it is worth more to callers than a late answer (the users' rules on payoff); the rest is for the way.
-const EARLY_SHARE: f64 = 0.2;
-/// Who has used up more of its time than this leaves has been turned away before, and is kept.
-const FRESH_SHARE: f64 = 0.98;
-/// There is no replica for the request, and nobody knows when there will be.
-const NO_TARGET: Refused = Refused { retry_after: None };
-
 /// Where a request goes next.
 pub(super) struct Target {
     /// The replica that gets it.
@@ -90,10 +82,10 @@
 
 impl Job {
     /// Chooses where the request goes next; a prompt waits here until it may start.
-    pub(super) async fn target(&self) -> Result<Target, Refused> {
+    pub(super) async fn target(&self) -> Option<Target> {
         match self.call.prompt_tokens {
             Some(tokens) if self.has_engines() => self.engine(tokens).await,
-            _ => self.plain().ok_or(NO_TARGET),
+            _ => self.plain(),
         }
     }
 
@@ -109,22 +101,20 @@
     }
 
     /// Waits for engines; none if the caller has waited long enough, or no engine takes work.
-    async fn engine(&self, tokens: u64) -> Result<Target, Refused> {
+    async fn engine(&self, tokens: u64) -> Option<Target> {
         let prompt = self.prompt(tokens);
         loop {
-            if self.gateway.roster.borrow().usable(&self.service).next().is_none() {
-                return Err(NO_TARGET);
-            }
+            self.gateway.roster.borrow().usable(&self.service).next()?;
             let left = (self.started + self.route.patience().mul_f64(PATIENCE_SHARE)).since(now());
             let placed = tokio::time::timeout(left, self.gateway.desk.place(&self.service, prompt)).await;
-            let lease = placed.map_err(|_| NO_TARGET)??;
+            let lease = placed.ok().flatten()?;
             let Some((record, found)) = self.locate(&lease.team) else { continue };
             let Some((helpers, _hold)) = self.hold(found).await else {
                 drop(lease);
                 tokio::time::sleep(MEMORY_PAUSE).await;
                 continue;
             };
-            return Ok(Target { record, helpers, place: Place::Engine { lease, _hold } });
+            return Some(Target { record, helpers, place: Place::Engine { lease, _hold } });
         }
     }
 
@@ -138,16 +128,9 @@
             gap_ms: self.route.gap_aim.as_secs_f64() * 1e3,
             deadline: self.deadline.min(self.started + self.route.patience()),
             priority: own_priority.unwrap_or(self.route.priority),
-            refuse_by: self.is_fresh().then(|| self.started + self.route.aim.mul_f64(EARLY_SHARE)),
         }
     }
 
-    /// Whether its caller asks for the first time, as far as its time tells, and nothing was sent yet.
-    fn is_fresh(&self) -> bool {
-        let allowed = self.call.allowed.unwrap_or(self.route.timeout);
-        self.sends == 0 && allowed >= self.route.timeout.mul_f64(FRESH_SHARE)
-    }
-
     /// The replicas of a team: its writer and its helpers; none if its writer or a holder takes no work any more.
     fn locate(&self, team: &Team) -> Option<(Record, Vec<Found>)> {
         let roster = self.gateway.roster.borrow();
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -12,7 +12,7 @@
 
 use coord::engine::Figures;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy, Refusal, Team};
+use coord::planner::{Grant, Id, Job, Planner, Policy, Team};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::link::{Ask, Order, Report};
@@ -28,22 +28,7 @@
 struct Waiter {
     service: Name,
     job: Job,
-    verdict: oneshot::Sender<Verdict>,
-}
-
-/// What the planner decided about a prompt.
-enum Verdict {
-    /// It has engines.
-    Granted(Team),
-    /// It should come back after this time.
-    Refused(Duration),
-}
-
-/// Why a prompt has no engines.
-#[derive(Clone, Copy, Debug)]
-pub struct Refused {
-    /// When its caller should come back, if the planner knows.
-    pub retry_after: Option<Duration>,
+    grant: oneshot::Sender<Team>,
 }
 
 /// A prompt that was granted.
@@ -131,26 +116,21 @@
         planner.set_engines(engines);
     }
 
-    /// Waits until a prompt may start, or is turned away. Dropping the future withdraws it.
-    pub async fn place(self: &Rc<Self>, service: &Name, job: Job) -> Result<Lease, Refused> {
+    /// Waits until a prompt may start; none if it is no longer among those that wait. Dropping the future withdraws it.
+    pub async fn place(self: &Rc<Self>, service: &Name, job: Job) -> Option<Lease> {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
-        let (verdict, decided) = oneshot::channel();
+        let (grant, granted) = oneshot::channel();
         let withdraw = Withdraw(self, number);
-        self.waiting.borrow_mut().insert(number, Waiter { service: service.clone(), job, verdict });
+        self.waiting.borrow_mut().insert(number, Waiter { service: service.clone(), job, grant });
         let ask = Ask::of(&job, now());
         if !self.report(Report::Submit { number, service: service.clone(), ask }) {
             self.planner(service, |planner| planner.submit(own(number), job));
             self.pump();
         }
-        let verdict = decided.await;
+        let team = granted.await.ok()?;
         drop(withdraw);
-        match verdict {
-            Ok(Verdict::Granted(team)) => Ok(Lease { desk: Rc::downgrade(self), number, team }),
-            Ok(Verdict::Refused(after)) => Err(Refused { retry_after: Some(after) }),
-            // It is no longer among those that wait.
-            Err(_) => Err(Refused { retry_after: None }),
-        }
+        Some(Lease { desk: Rc::downgrade(self), number, team })
     }
 
     /// Notes that an engine failed a prompt.
@@ -169,13 +149,6 @@
         crate::event!("grant-unwanted", number);
     }
 
-    /// The entry that plans turned one of our prompts away.
-    pub fn refused(&self, number: u64, retry_after: Duration) {
-        let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return };
-        // Fails only if nobody waits for it any more.
-        let _ = waiter.verdict.send(Verdict::Refused(retry_after));
-    }
-
     /// Another entry plans from now on: it gets to know what runs and what waits here.
     pub fn link_up(&self, leader: mpsc::Sender<Report>) {
         *self.leader.borrow_mut() = Some(leader);
@@ -317,12 +290,12 @@
     /// `elsewhere` is not known to the planner here.
     fn start(&self, number: u64, team: Team, elsewhere: bool) -> bool {
         let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return false };
-        let Waiter { service, job, verdict } = waiter;
+        let Waiter { service, job, grant } = waiter;
         if elsewhere {
             self.planner(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
         }
         self.running.borrow_mut().insert(number, Running { service, job, team: team.clone(), reading: true });
-        if verdict.send(Verdict::Granted(team)).is_err() {
+        if grant.send(team).is_err() {
             self.over(number);
         }
         true
@@ -331,21 +304,16 @@
     /// Grants what may start.
     fn pump(&self) {
         let mut grants = Vec::new();
-        let mut refusals = Vec::new();
         let mut more = false;
         for planner in self.planners.borrow_mut().values_mut() {
             if planner.has_waiting() {
                 grants.extend(planner.pump(now()));
-                refusals.extend(planner.refuse(now()));
                 more |= planner.has_waiting();
             }
         }
         for grant in grants {
             self.deliver(grant);
         }
-        for refusal in refusals {
-            self.turn_away(refusal);
-        }
         if more {
             self.woken.notify_one();
         }
@@ -363,19 +331,6 @@
         // An entry that is too far behind loses its connection, and with it what was granted.
         let _ = orders.try_send(Order::Grant { number: id.number, team });
     }
-
-    /// Takes a refusal to the entry that has the prompt.
-    fn turn_away(&self, refusal: Refusal) {
-        let Refusal { id, retry_after } = refusal;
-        crate::event!("turned-away", entry = id.entry, number = id.number, retry_after_ms = retry_after.as_millis());
-        if id.entry == OWN {
-            return self.refused(id.number, retry_after);
-        }
-        let followers = self.followers.borrow();
-        let Some(orders) = followers.get(&id.entry) else { return };
-        // As for a grant.
-        let _ = orders.try_send(Order::Refuse { number: id.number, retry_after });
-    }
 }
 
 fn own(number: u64) -> Id {
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -29,7 +29,6 @@
     gap_ms: f64,
     left: Duration,
     priority: u32,
-    refuse_left: Option<Duration>,
 }
 
 impl Ask {
@@ -42,7 +41,6 @@
             gap_ms: job.gap_ms,
             left: job.deadline.since(now),
             priority: job.priority,
-            refuse_left: job.refuse_by.map(|by| by.since(now)),
         }
     }
 
@@ -55,7 +53,6 @@
             gap_ms: self.gap_ms,
             deadline: now + self.left,
             priority: self.priority,
-            refuse_by: self.refuse_left.map(|left| now + left),
         }
     }
 }
@@ -167,13 +164,6 @@
         /// Its engines.
         team: Team,
     },
-    /// A prompt cannot be in time now.
-    Refuse {
-        /// The entry's number for it.
-        number: u64,
-        /// When its caller should come back.
-        retry_after: Duration,
-    },
     /// What is new in the store.
     Update {
         /// The number of the question.
