Slow engines are found by first events that are overdue

A first event that takes 2.5 times what the model says, and 150 ms more, fails a lone engine; engines of a team come on trial, where the next short prompts tell them apart.

--- a/coord/src/breaker.rs
+++ b/coord/src/breaker.rs
@@ -49,6 +49,11 @@
         self.on_trial = true;
     }
 
+    /// Notes that something it took part in went badly, maybe not by its fault: a trial shall tell.
+    pub fn suspect(&mut self) {
+        self.on_trial = true;
+    }
+
     /// Notes a success.
     pub fn succeeded(&mut self, now: Moment) {
         // One that was sent before the failures says nothing of the replica since.
--- a/coord/src/planner/evidence.rs
+++ b/coord/src/planner/evidence.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Notes that a prompt took far too long to which `engine` was one of several.
+    pub fn suspect(&mut self, engine: &Name) {
+        self.breakers.entry(engine.clone()).or_default().suspect();
+    }
+
     /// Notes that a request is sent to `engine`.
     pub fn begin(&mut self, engine: &Name, now: Moment) {
         if let Some(breaker) = self.breakers.get_mut(engine) {
@@ -71,6 +76,11 @@
         failed_at.is_none_or(|at| now.since(*at) >= PAIR_PENALTY)
     }
 
+    /// Engines whose next request is a trial.
+    pub fn on_trial(&self) -> usize {
+        self.breakers.values().filter(|breaker| breaker.is_on_trial()).count()
+    }
+
     /// Whether the next request to `engine` is a trial.
     pub fn is_on_trial(&self, engine: &Name) -> bool {
         self.breakers.get(engine).is_some_and(Breaker::is_on_trial)
--- a/coord/src/planner/job.rs
+++ b/coord/src/planner/job.rs
@@ -59,7 +59,7 @@
 
 impl Team {
     /// All its engines, the writer first.
-    pub fn engines(&self) -> impl Iterator<Item = &Name> {
+    pub fn engines(&self) -> impl Iterator<Item = &Name> + Clone {
         std::iter::once(&self.writer).chain(self.helpers.iter().map(|helper| &helper.engine))
     }
 }
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -81,6 +81,10 @@
 /// Time in which entries tell a planner that is new to them what they have at the engines. Those that meet a lost
 /// planner at the same moment were seen to take 0.1 s to find the next one.
 const SETTLING: Duration = Duration::from_millis(300);
+/// A first event that takes this many times as long as the model has it shows that an engine is slow …
+const SLOW: f64 = 2.5;
+/// … if it also takes so much longer, in milliseconds: a pass of a full engine and some ways through the network.
+const SLOW_BY_MS: f64 = 150.0;
 /// A part that is overdue by this factor no longer counts as pending.
 const OVERDUE: f64 = 3.0;
 /// Output tokens that a job is expected to write at most, for memory.
@@ -101,6 +105,24 @@
     cost_ms: f64,
 }
 
+/// A job that has its engines.
+#[derive(Debug)]
+struct Granted {
+    team: Team,
+    at: Moment,
+    /// Time from the grant to the first event as the model has it, in milliseconds.
+    expected_ms: f64,
+    /// Whether its prompt is still being read, as far as is known, and not yet overdue.
+    watched: bool,
+}
+
+impl Granted {
+    /// Whether the first event is so late that an engine must be to blame.
+    fn is_overdue(&self, now: Moment) -> bool {
+        now.since(self.at) > millis(self.expected_ms * SLOW + SLOW_BY_MS)
+    }
+}
+
 /// One engine that reads and writes all by itself.
 fn alone(name: &Name) -> Team {
     Team { writer: name.clone(), helpers: Vec::new() }
@@ -115,8 +137,8 @@
     /// Long prompts wait until then: not all who have prompts at the engines have told yet.
     settled_at: Moment,
     waiting: BTreeMap<Id, Job>,
-    /// Engines that each granted job uses.
-    granted: BTreeMap<Id, Team>,
+    /// What was granted.
+    granted: BTreeMap<Id, Granted>,
 }
 
 impl Planner {
@@ -161,6 +183,7 @@
         self.waiting.remove(&id);
         let parts = 1 + team.helpers.len();
         let held: u64 = team.helpers.iter().map(|helper| helper.holds).sum();
+        let expected_ms = self.expected_ms(job, &team, now);
         if reading {
             for name in team.engines() {
                 let Some(engine) = self.engines.get_mut(name) else { continue };
@@ -172,7 +195,15 @@
         for helper in team.helpers.iter().filter(|helper| helper.holds > 0) {
             self.seat(&helper.engine, id, helper.holds, job.gap_ms);
         }
-        self.granted.insert(id, team);
+        self.granted.insert(id, Granted { team, at: now, expected_ms, watched: reading });
+    }
+
+    /// Milliseconds until a team that is granted now has read a prompt and writes its first event.
+    fn expected_ms(&self, job: &Job, team: &Team, now: Moment) -> f64 {
+        let engines = team.engines().filter_map(|name| self.engines.get(name));
+        let wait = engines.clone().map(|engine| self.wait_ms(engine, now)).fold(0.0, f64::max);
+        let pass = engines.map(Engine::pass_ms).fold(0.0, f64::max);
+        wait + self.cost_ms(job) / (1 + team.helpers.len()) as f64 + pass
     }
 
     fn seat(&mut self, engine: &Name, id: Id, tokens: u64, gap_ms: f64) {
@@ -183,19 +214,28 @@
 
     /// Notes that a job's first event came: its prompt is read.
     pub fn first_event(&mut self, id: Id, now: Moment) {
-        for name in self.granted.get(&id).iter().flat_map(|team| team.engines()) {
+        let Some(granted) = self.granted.get_mut(&id) else { return };
+        let overdue = granted.is_overdue(now);
+        granted.watched = false;
+        let team = granted.team.clone();
+        for name in team.engines() {
             if let Some(engine) = self.engines.get_mut(name) {
                 engine.drop_part(id, now);
             }
-            self.evidence.succeeded(id.entry, name, now);
+            match overdue {
+                false => self.evidence.succeeded(id.entry, name, now),
+                true if team.helpers.is_empty() => self.evidence.failed(id.entry, name, now),
+                // One of them is slow, who knows which.
+                true => self.evidence.suspect(name),
+            }
         }
     }
 
     /// Notes that a job is over, or no longer waits.
     pub fn end(&mut self, id: Id, now: Moment) {
         self.waiting.remove(&id);
-        let Some(team) = self.granted.remove(&id) else { return };
-        for name in team.engines() {
+        let Some(granted) = self.granted.remove(&id) else { return };
+        for name in granted.team.engines() {
             if let Some(engine) = self.engines.get_mut(name) {
                 engine.drop_part(id, now);
                 engine.seats.remove(&id);
@@ -203,6 +243,14 @@
         }
     }
 
+    /// Suspects the engines of prompts whose first events are overdue.
+    fn look_for_slow(&mut self, now: Moment) {
+        for granted in self.granted.values_mut().filter(|granted| granted.watched && granted.is_overdue(now)) {
+            granted.watched = false;
+            granted.team.engines().for_each(|name| self.evidence.suspect(name));
+        }
+    }
+
     /// Forgets all jobs of an entry.
     pub fn end_entry(&mut self, entry: u64, now: Moment) {
         let of_entry = |id: &&Id| id.entry == entry;
@@ -221,6 +269,7 @@
 
     /// Grants what may start now.
     pub fn pump(&mut self, now: Moment) -> Vec<Grant> {
+        self.look_for_slow(now);
         let mut grants = Vec::new();
         let mut held_back = false;
         for Ranked { id, job, late, .. } in self.ranked(now) {
@@ -359,12 +408,14 @@
     fn place_long(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<Team> {
         let read = self.cost_ms(job);
         let most = ((read / self.policy.least_part_ms) as usize).clamp(1, self.policy.most_parts);
+        let on_trial = self.evidence.on_trial() as f64;
+        let all_on_trial = on_trial >= self.engines.len() as f64 * (1.0 - self.policy.least_usable);
         let mut open: Vec<Open> = engines
             .iter()
             .map(|(name, engine)| Open { name, engine, wait_ms: self.wait_ms(engine, now) })
             .filter(|open| open.engine.pending_ms(now) <= self.policy.start_pending_ms)
             // One that fails holds up the whole team; short prompts try it.
-            .filter(|open| !self.evidence.is_on_trial(open.name))
+            .filter(|open| all_on_trial || !self.evidence.is_on_trial(open.name))
             .collect();
         open.sort_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
         let least = self.fewest(job, read, most, engines, now);
