Who comes back is held for a part of what it has left

Cause: a prompt that was refused at 0.45 of its caller's patience came back and was held as long again, to the end of its time.

--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -96,6 +96,7 @@
         service,
         outgoing: Outgoing { method: head.method, uri: head.uri, headers: head.headers, body },
         started,
+        allowed,
         deadline,
         tried: Vec::new(),
         sends: 0,
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -53,6 +53,8 @@
     pub outgoing: Outgoing,
     /// When its head had come.
     pub started: Moment,
+    /// Time that its caller gave it.
+    pub allowed: Duration,
     /// When its final answer is due.
     pub deadline: Moment,
     /// Replicas that were tried.
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -105,7 +105,8 @@
         let prompt = self.prompt(tokens);
         loop {
             self.gateway.roster.borrow().usable(&self.service).next()?;
-            let left = (self.started + self.route.patience().mul_f64(PATIENCE_SHARE)).since(now());
+            let patience = self.route.patience().min(self.allowed);
+            let left = (self.started + patience.mul_f64(PATIENCE_SHARE)).since(now());
             let placed = tokio::time::timeout(left, self.gateway.desk.place(&self.service, prompt)).await;
             let lease = placed.ok().flatten()?;
             let Some((record, found)) = self.locate(&lease.team) else { continue };
