--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -24,6 +24,7 @@
 pub use self::job::{Grant, Helper, Id, Job, Team};
 use crate::engine::{Figures, millis};
 use crate::name::Name;
+use crate::pick::rendezvous;
 use crate::time::Moment;
 
 /// Settings of the policy. The values were found by measured rounds; see `docs/design/08-platform.md`.
@@ -132,6 +133,8 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     policy: Policy,
+    /// Orders engines that are equally good; planners that know nothing of each other should not choose alike.
+    salt: u64,
     engines: BTreeMap<Name, Engine>,
     evidence: Evidence,
     /// Long prompts wait until then: not all who have prompts at the engines have told yet.
@@ -142,9 +145,9 @@
 }
 
 impl Planner {
-    /// A planner with a policy and no engines.
-    pub fn new(policy: Policy) -> Self {
-        Self { policy, ..Self::default() }
+    /// A planner with a policy and no engines. Planners of different `salt` prefer different engines.
+    pub fn new(policy: Policy, salt: u64) -> Self {
+        Self { policy, salt, ..Self::default() }
     }
 
     /// Sets which engines take work. What runs on an engine that is left out is forgotten.
@@ -370,10 +373,11 @@
         if let Some((name, _)) = packed {
             return Some(alone(name));
         }
-        let opened = engines
-            .iter()
-            .filter(|(_, engine)| fits(engine) && !like(engine))
-            .min_by(|(_, a), (_, b)| self.opening_cost(a, now).total_cmp(&self.opening_cost(b, now)));
+        let opened =
+            engines.iter().filter(|(_, engine)| fits(engine) && !like(engine)).min_by(|(a, of_a), (b, of_b)| {
+                let costs = self.opening_cost(of_a, now).total_cmp(&self.opening_cost(of_b, now));
+                costs.then(rendezvous(self.salt, a).cmp(&rendezvous(self.salt, b)))
+            });
         let all_like = engines.iter().filter(|(_, engine)| like(engine)).count();
         let may_open = (all_like as f64) < engines.len() as f64 * (1.0 - self.policy.long_share);
         if let (Some((name, _)), true) = (opened, may_open) {
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -31,7 +31,7 @@
 }
 
 fn planner(count: usize) -> Planner {
-    let mut planner = Planner::new(Policy::default());
+    let mut planner = Planner::new(Policy::default(), 0);
     planner.set_engines(engines(count));
     planner
 }
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -17,6 +17,7 @@
 
 use super::link::{Ask, Order, Report};
 use super::now;
+use crate::util;
 
 /// How often waiting prompts are looked at when nothing else happens: engines free up by the
 /// model's reckoning, which is good to some milliseconds.
@@ -112,7 +113,8 @@
     pub fn set_engines(&self, service: &Name, figures: &Arc<Figures>, engines: impl Iterator<Item = Name>) {
         let engines: Vec<(Name, Arc<Figures>)> = engines.map(|name| (name, figures.clone())).collect();
         let mut planners = self.planners.borrow_mut();
-        let planner = planners.entry(service.clone()).or_insert_with(|| Planner::new(Policy::default()));
+        let planner =
+            planners.entry(service.clone()).or_insert_with(|| Planner::new(Policy::default(), util::incarnation().0));
         planner.set_engines(engines);
     }
 
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -54,7 +54,9 @@
     let mut pause = FIRST_RETRY;
     loop {
         // Read anew each time: an entry that was older may have been restarted since, and is the youngest now.
-        peers = list(&mut client, own).await.unwrap_or(peers);
+        if peers.is_empty() || gateway.ready() {
+            peers = list(&mut client, own).await.unwrap_or(peers);
+        }
         let own_rank = peers.iter().position(|peer: &Peer| peer.address == own);
         // An entry that is about to end looks to the younger ones too.
         let rank = own_rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(peers.len());
@@ -63,8 +65,11 @@
             while own_rank == Some(0) && gateway.phase() == Phase::Serving {
                 tokio::time::sleep(RETRY).await;
             }
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(RETRY);
+            let was_ready = gateway.ready();
+            gateway.facts.pause(pause).await;
+            // After an outage of the store all look for each other at the same moment.
+            let is_back = gateway.ready() && !was_ready;
+            pause = if is_back { FIRST_RETRY } else { (pause * 2).min(RETRY) };
             continue;
         };
         pause = FIRST_RETRY;
