A suspicion that nobody tries is over after four seconds

Cause: the randomised run of the planner (nothing_is_granted_twice...) found long prompts that never start: engines on trial are left out of teams, and where no short prompt comes to try them they stayed so for ever. Tests: breaker::what_is_suspected_..., planner_machine (+3), platform_facts::after_an_outage_...

--- a/coord/src/breaker.rs
+++ b/coord/src/breaker.rs
@@ -17,6 +17,8 @@
 const HALF_LIFE: Duration = Duration::from_secs(5);
 /// A trial without an outcome does not keep others away for longer than this.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(2);
+/// For how long it waits for a trial; where nobody comes to try it, it is as good as any.
+const TRIAL_SPAN: Duration = Duration::from_secs(4);
 /// Failures must weigh so much to open it; one report in full does.
 const LEAST_WEIGHT: f64 = 0.5;
 
@@ -28,8 +30,8 @@
     weighed_at: Moment,
     /// It lets nothing through before.
     open_until: Moment,
-    /// It was open, and no request has succeeded since.
-    on_trial: bool,
+    /// It was open, or is suspected, and no request has succeeded since; over at this moment.
+    on_trial_until: Moment,
     /// When the trial under way began.
     trial: Option<Moment>,
 }
@@ -46,26 +48,26 @@
         let open =
             FIRST_OPEN.mul_f64((self.weight - 1.0).exp2().min(LONGEST_OPEN.as_secs_f64() / FIRST_OPEN.as_secs_f64()));
         self.open_until = self.open_until.max(now + open);
-        self.on_trial = true;
+        self.on_trial_until = self.open_until + TRIAL_SPAN;
     }
 
     /// Notes that something it took part in went badly, maybe not by its fault: a trial shall tell.
-    pub fn suspect(&mut self) {
-        self.on_trial = true;
+    pub fn suspect(&mut self, now: Moment) {
+        self.on_trial_until = self.open_until.max(now) + TRIAL_SPAN;
     }
 
     /// Notes a success.
     pub fn succeeded(&mut self, now: Moment) {
         // One that was sent before the failures says nothing of the replica since.
         if now >= self.open_until {
-            self.on_trial = false;
+            self.on_trial_until = now;
             self.trial = None;
         }
     }
 
     /// Notes that a request is sent.
     pub fn begin(&mut self, now: Moment) {
-        if self.on_trial {
+        if self.is_on_trial(now) {
             self.trial = Some(now);
         }
     }
@@ -73,12 +75,12 @@
     /// Whether a request may be sent.
     pub fn admits(&self, now: Moment) -> bool {
         let busy = self.trial.is_some_and(|since| now.since(since) < TRIAL_PATIENCE);
-        now >= self.open_until && !(self.on_trial && busy)
+        now >= self.open_until && !(self.is_on_trial(now) && busy)
     }
 
     /// Whether the next request is a trial.
-    pub fn is_on_trial(&self) -> bool {
-        self.on_trial
+    pub fn is_on_trial(&self, now: Moment) -> bool {
+        now < self.on_trial_until
     }
 
     /// What past failures weigh now.
--- a/coord/src/planner/evidence.rs
+++ b/coord/src/planner/evidence.rs
@@ -48,8 +48,8 @@
     }
 
     /// Notes that a prompt took far too long to which `engine` was one of several.
-    pub fn suspect(&mut self, engine: &Name) {
-        self.breakers.entry(engine.clone()).or_default().suspect();
+    pub fn suspect(&mut self, engine: &Name, now: Moment) {
+        self.breakers.entry(engine.clone()).or_default().suspect(now);
     }
 
     /// Notes that a request is sent to `engine`.
@@ -77,12 +77,12 @@
     }
 
     /// Engines whose next request is a trial.
-    pub fn on_trial(&self) -> usize {
-        self.breakers.values().filter(|breaker| breaker.is_on_trial()).count()
+    pub fn on_trial(&self, now: Moment) -> usize {
+        self.breakers.values().filter(|breaker| breaker.is_on_trial(now)).count()
     }
 
     /// Whether the next request to `engine` is a trial.
-    pub fn is_on_trial(&self, engine: &Name) -> bool {
-        self.breakers.get(engine).is_some_and(Breaker::is_on_trial)
+    pub fn is_on_trial(&self, engine: &Name, now: Moment) -> bool {
+        self.breakers.get(engine).is_some_and(|breaker| breaker.is_on_trial(now))
     }
 }
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -229,7 +229,7 @@
                 false => self.evidence.succeeded(id.entry, name, now),
                 true if team.helpers.is_empty() => self.evidence.failed(id.entry, name, now),
                 // One of them is slow, who knows which.
-                true => self.evidence.suspect(name),
+                true => self.evidence.suspect(name, now),
             }
         }
     }
@@ -250,7 +250,7 @@
     fn look_for_slow(&mut self, now: Moment) {
         for granted in self.granted.values_mut().filter(|granted| granted.watched && granted.is_overdue(now)) {
             granted.watched = false;
-            granted.team.engines().for_each(|name| self.evidence.suspect(name));
+            granted.team.engines().for_each(|name| self.evidence.suspect(name, now));
         }
     }
 
@@ -361,8 +361,9 @@
         let in_time =
             |engine: &Engine| engine.room_ms(now, &self.policy) >= read && self.in_time(engine, read, job, now);
         let like = |engine: &Engine| engine.gap_ms() <= job.gap_ms;
-        let trial =
-            engines.iter().find(|(name, engine)| self.evidence.is_on_trial(name) && fits(engine) && in_time(engine));
+        let trial = engines
+            .iter()
+            .find(|(name, engine)| self.evidence.is_on_trial(name, now) && fits(engine) && in_time(engine));
         if let Some((name, _)) = trial {
             return Some(alone(name));
         }
@@ -412,14 +413,14 @@
     fn place_long(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<Team> {
         let read = self.cost_ms(job);
         let most = ((read / self.policy.least_part_ms) as usize).clamp(1, self.policy.most_parts);
-        let on_trial = self.evidence.on_trial() as f64;
+        let on_trial = self.evidence.on_trial(now) as f64;
         let all_on_trial = on_trial >= self.engines.len() as f64 * (1.0 - self.policy.least_usable);
         let mut open: Vec<Open> = engines
             .iter()
             .map(|(name, engine)| Open { name, engine, wait_ms: self.wait_ms(engine, now) })
             .filter(|open| open.engine.pending_ms(now) <= self.policy.start_pending_ms)
             // One that fails holds up the whole team; short prompts try it.
-            .filter(|open| all_on_trial || !self.evidence.is_on_trial(open.name))
+            .filter(|open| all_on_trial || !self.evidence.is_on_trial(open.name, now))
             .collect();
         open.sort_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
         let least = self.fewest(job, read, most, engines, now);
--- a/coord/tests/breaker.rs
+++ b/coord/tests/breaker.rs
@@ -16,14 +16,14 @@
 #[test]
 fn a_failure_opens_it_and_one_trial_at_a_time_may_close_it() {
     let mut breaker = Breaker::default();
-    assert!(breaker.admits(at(0)) && !breaker.is_on_trial());
+    assert!(breaker.admits(at(0)) && !breaker.is_on_trial(at(0)));
     breaker.failed(1.0, at(0));
-    assert!(!breaker.admits(at(400)) && breaker.admits(at(600)) && breaker.is_on_trial());
+    assert!(!breaker.admits(at(400)) && breaker.admits(at(600)) && breaker.is_on_trial(at(600)));
     breaker.begin(at(600));
     assert!(!breaker.admits(at(700)), "the trial is under way");
     assert!(breaker.admits(at(2_700)), "a trial without an outcome does not block it for ever");
     breaker.succeeded(at(800));
-    assert!(breaker.admits(at(800)) && !breaker.is_on_trial());
+    assert!(breaker.admits(at(800)) && !breaker.is_on_trial(at(800)));
 }
 
 #[test]
@@ -46,6 +46,18 @@
     assert!(opens_after(&breaker, now + 60_000) <= 510);
 }
 
+#[test]
+fn what_is_suspected_is_tried_and_trusted_again_if_nobody_comes() {
+    let mut breaker = Breaker::default();
+    breaker.suspect(at(0));
+    assert!(breaker.admits(at(0)) && breaker.is_on_trial(at(3_900)) && !breaker.is_on_trial(at(4_100)));
+    breaker.suspect(at(5_000));
+    breaker.begin(at(5_000));
+    assert!(!breaker.admits(at(5_010)));
+    breaker.succeeded(at(5_050));
+    assert!(breaker.admits(at(5_060)) && !breaker.is_on_trial(at(5_060)));
+}
+
 #[test]
 fn a_success_sent_before_the_failure_does_not_close_it() {
     let mut breaker = Breaker::default();
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -345,3 +345,72 @@
     assert!(first.contains_key(&2) && !first.contains_key(&1), "{first:?}");
     assert!(pump(&mut planner, now + Duration::from_millis(310)).contains_key(&1));
 }
+
+/// Plays prompts at 50 a second on six engines of which one is slow; returns the prompts that it got in each second.
+fn play_with_a_slow_engine(slow: &Name, factor: f64) -> Vec<usize> {
+    let mut planner = planner(6);
+    let mut first_events: BTreeMap<(u64, u64), Id> = BTreeMap::new();
+    let mut ends: BTreeMap<(u64, u64), Id> = BTreeMap::new();
+    let mut at_slow = vec![0; 10];
+    for ms in 0..10_000u64 {
+        let now = Moment::from_millis(10_000 + ms);
+        while let Some(entry) = first_events.first_entry().filter(|entry| entry.key().0 <= ms) {
+            planner.first_event(entry.remove(), now);
+        }
+        while let Some(entry) = ends.first_entry().filter(|entry| entry.key().0 <= ms) {
+            planner.end(entry.remove(), now);
+        }
+        if ms % 20 == 0 {
+            planner.submit(id(ms), job(4_000, now));
+        }
+        for (number, grant) in pump(&mut planner, now) {
+            let is_slow = grant.team.writer == *slow;
+            at_slow[ms as usize / 1_000] += usize::from(is_slow);
+            let pace = if is_slow { factor } else { 1.0 };
+            first_events.insert((ms + (80.0 * pace) as u64, number), grant.id);
+            ends.insert((ms + (500.0 * pace) as u64, number), grant.id);
+        }
+    }
+    at_slow
+}
+
+#[test]
+fn a_slow_engine_is_found_by_what_it_reads_and_left_alone() {
+    let slow: Name = "engine-00".into();
+    let as_others = play_with_a_slow_engine(&slow, 1.0).iter().sum::<usize>();
+    assert!(as_others > 40, "it is one that is used: {as_others}");
+    let at_slow = play_with_a_slow_engine(&slow, 6.0);
+    assert!(at_slow[2..].iter().sum::<usize>() <= 8, "a trial now and then: {at_slow:?}");
+}
+
+#[test]
+fn engines_of_a_team_that_is_held_up_are_tried_by_short_prompts_before_the_next_team() {
+    let now = Moment::from_millis(10_000);
+    let mut planner = planner(18);
+    planner.submit(id(1), job(210_000, now));
+    let team = pump(&mut planner, now).remove(&1).expect("it is granted").team;
+    let late = now + Duration::from_secs(3);
+    planner.first_event(id(1), late);
+    planner.end(id(1), late);
+    planner.submit(id(2), job(210_000, late));
+    planner.submit(id(3), job(4_000, late));
+    let next = pump(&mut planner, late);
+    assert!(team.engines().any(|engine| *engine == next[&3].team.writer), "a short one tries one of them");
+    let reused = next
+        .get(&2)
+        .map_or(0, |grant| grant.team.engines().filter(|name| team.engines().any(|one| one == *name)).count());
+    assert!(reused <= 1 || next.get(&2).is_none_or(|grant| grant.team.helpers.len() + 1 == 17), "{next:?}");
+}
+
+#[test]
+fn planners_that_know_nothing_of_each_other_do_not_choose_alike() {
+    let now = Moment::from_millis(10_000);
+    let mut writers = BTreeSet::new();
+    for salt in 0..12 {
+        let mut planner = Planner::new(Policy::default(), salt);
+        planner.set_engines(engines(18));
+        planner.submit(id(1), job(4_000, now));
+        writers.extend(pump(&mut planner, now).into_values().map(|grant| grant.team.writer));
+    }
+    assert!(writers.len() >= 6, "{writers:?}");
+}
--- a/standin/tests/platform_facts.rs
+++ b/standin/tests/platform_facts.rs
@@ -146,3 +146,28 @@
     answers(&site, frozen, OTHER_KEY, 200, Duration::from_secs(3)).await;
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn after_an_outage_of_the_store_entries_find_each_other_at_once() {
+    let site = site("facts-outage", "revoke_ms = 2500").await;
+    roles(&site).await;
+    for door in &site.doors {
+        door.set(Fault::Unavailable);
+    }
+    for entry in 0..3 {
+        site.wait_ready(entry, false).await.expect("nobody is sure of the configuration");
+    }
+    // Long enough for the search to have grown slow.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let follows = || (0..3).map(|entry| site.log(entry).matches("step=following").count()).sum::<usize>();
+    let before = follows();
+    for door in &site.doors {
+        door.set(Fault::None);
+    }
+    let back = Instant::now();
+    while follows() < before + 2 {
+        assert!(back.elapsed() < Duration::from_millis(2_500), "they look for each other only every 3 s");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    site.close().expect("no invariant was breached");
+}
