A fault soak for the platform's form, first form; signals are watched before anyone can reach the process

Cause (soak seeds 6, 7 and 9): an entry that had just been started was ended by SIGTERM or SIGHUP without a line: handlers were set after sockets were bound, and that for SIGHUP only when its task first ran. Change: handlers are set first; standin site-soak with loopback proxies, signals, bad answers of store and replicas.

--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -26,7 +26,7 @@
 use std::rc::Rc;
 
 use eyre::{Result, WrapErr};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use self::state::{Gateway, Phase};
 use crate::config::{self, Settings};
@@ -42,6 +42,10 @@
 }
 
 async fn serve(settings: config::Gateway, file: PathBuf) -> Result<()> {
+    // Before anyone can reach this process: from then on its end is a planned one, and a reload does not end it.
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("step=watch-signals")?;
+    let hangup = signal(SignalKind::hangup()).wrap_err("step=watch-signals")?;
     let listener = http::listen(settings.listen)?;
     let ready_listener = http::listen(settings.ready_listen)?;
     let grace = settings.bounds.grace;
@@ -51,7 +55,7 @@
     tokio::task::spawn_local(watch::replicas(gateway.clone()));
     tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
     tokio::task::spawn_local(gateway.desk.clone().run());
-    tokio::task::spawn_local(reload(file));
+    tokio::task::spawn_local(reload(file, hangup));
     let (stop, stopping) = tokio::sync::watch::channel(Phase::Serving);
     if let Some(port) = gateway.settings.peer_port {
         let own = SocketAddr::new(gateway.settings.listen.ip(), port);
@@ -61,8 +65,6 @@
     }
     tokio::task::spawn_local(serve::run(gateway.clone(), listener, stopping));
 
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("step=watch-signals")?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -75,11 +77,7 @@
 
 /// Reads the settings again at each SIGHUP. What is bound to a socket stays until the next start;
 /// a faulty file changes nothing.
-async fn reload(file: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        warn_event!("reload", outcome = "signal cannot be watched");
-        return;
-    };
+async fn reload(file: PathBuf, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         match Settings::load(&file) {
             Ok(Settings::Gateway(_)) => event!("reload", outcome = "checked; in force at the next start"),
--- a/standin/src/cmd/mod.rs
+++ b/standin/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod overhead;
 mod scale;
+mod site_soak;
 mod soak;
 
 use std::process::ExitCode;
@@ -51,6 +52,9 @@
     #[bpaf(command)]
     /// Runs a fleet under random faults from a seed
     Soak(#[bpaf(external(soak::args))] soak::Args),
+    #[bpaf(command("site-soak"))]
+    /// Runs a site of the users' platform under random faults from a seed
+    SiteSoak(#[bpaf(external(site_soak::args))] site_soak::Args),
 }
 
 /// Threads of a tool that drives a fleet; a stand-in has one, so that many fit a machine.
@@ -94,6 +98,7 @@
             Command::Overhead(args) => overhead::run(args).await,
             Command::Scale(args) => scale::run(args).await,
             Command::Soak(args) => soak::run(args).await,
+            Command::SiteSoak(args) => site_soak::run(args).await,
         }
     })
 }
--- /dev/null
+++ b/standin/src/cmd/site_soak.rs
@@ -0,0 +1,53 @@
+//! Runs a small site of the users' platform under random faults from a seed, and prints every breach.
+//!
+//! Usage: standin site-soak [--seed S] [--seeds N] [--rounds N] [--seconds N] [--entries N] [--callers N]
+//!
+//! Entries are killed, paused, stopped and told to reload; the ways from callers, to the store and to replicas
+//! are delayed, reset, cut one way or silenced; the store and the replicas answer badly; keys change. It ends
+//! with status 1 if a promise was broken.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use eyre::Result;
+use standin::platform::soak::{self, Plan};
+
+/// Arguments of `site-soak`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(args))]
+pub struct Args {
+    /// First seed
+    #[bpaf(argument("S"), fallback(1))]
+    seed: u64,
+    /// How many seeds to run, one after the other
+    #[bpaf(argument("N"), fallback(1))]
+    seeds: u64,
+    /// Rounds of faults and calm for each seed
+    #[bpaf(argument("N"), fallback(2))]
+    rounds: u32,
+    /// How long faults are injected in each round, in seconds
+    #[bpaf(argument("N"), fallback(6))]
+    seconds: u64,
+    /// Entries
+    #[bpaf(argument("N"), fallback(3))]
+    entries: usize,
+    /// Callers at once
+    #[bpaf(argument("N"), fallback(16))]
+    callers: usize,
+}
+
+/// Runs the subcommand.
+pub async fn run(args: Args) -> Result<ExitCode> {
+    let mut broken = 0;
+    for seed in args.seed..args.seed + args.seeds {
+        let faults = Duration::from_secs(args.seconds);
+        let plan = Plan { seed, rounds: args.rounds, faults, entries: args.entries, callers: args.callers };
+        let report = soak::run(&plan).await?;
+        let breaches = report.breaches.len();
+        println!("seed {seed}: {breaches} breaches\n{report}");
+        broken += usize::from(breaches > 0);
+    }
+    println!("{} of {} seeds kept every promise that was checked", args.seeds - broken as u64, args.seeds);
+    Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -2,11 +2,14 @@
 //! of real entries in front of them.
 
 mod client;
+mod proxy;
 mod replica;
 mod site;
+pub mod soak;
 mod store;
 
-pub use client::{Ask, Seen, send};
+pub use client::{Ask, Connection, Seen, send};
+pub use proxy::{Proxy, Way};
 pub use replica::{Act, Replica, Run};
-pub use site::{HOST, KEY, Site, Spec};
+pub use site::{HOST, KEY, Proxies, Site, Spec};
 pub use store::{Door, Fault, Store};
