--- a/standin/src/cmd/site_soak.rs
+++ b/standin/src/cmd/site_soak.rs
@@ -1,6 +1,6 @@
 //! Runs a small site of the users' platform under random faults from a seed, and prints every breach.
 //!
-//! Usage: standin site-soak [--seed S] [--seeds N] [--rounds N] [--seconds N] [--entries N] [--callers N]
+//! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N]
 //!
 //! Entries are killed, paused, stopped and told to reload; the ways from callers, to the store and to replicas
 //! are delayed, reset, cut one way or silenced; the store and the replicas answer badly; keys change. It ends
@@ -11,6 +11,8 @@
 
 use bpaf::Bpaf;
 use eyre::Result;
+use futures_util::{StreamExt, stream};
+use standin::fleet::place;
 use standin::platform::soak::{self, Plan};
 
 /// Arguments of `site-soak`.
@@ -20,9 +22,12 @@
     /// First seed
     #[bpaf(argument("S"), fallback(1))]
     seed: u64,
-    /// How many seeds to run, one after the other
+    /// How many seeds to run
     #[bpaf(argument("N"), fallback(1))]
     seeds: u64,
+    /// How many of them to run at the same time
+    #[bpaf(argument("N"), fallback(1))]
+    at_once: usize,
     /// Rounds of faults and calm for each seed
     #[bpaf(argument("N"), fallback(2))]
     rounds: u32,
@@ -39,15 +44,18 @@
 
 /// Runs the subcommand.
 pub async fn run(args: Args) -> Result<ExitCode> {
+    place::use_soak_ports();
+    let faults = Duration::from_secs(args.seconds);
+    let plan = |seed| Plan { seed, rounds: args.rounds, faults, entries: args.entries, callers: args.callers };
+    let seeds = stream::iter(args.seed..args.seed + args.seeds);
+    let mut reports =
+        seeds.map(|seed| async move { (seed, soak::run(&plan(seed)).await) }).buffer_unordered(args.at_once);
     let mut broken = 0;
-    for seed in args.seed..args.seed + args.seeds {
-        let faults = Duration::from_secs(args.seconds);
-        let plan = Plan { seed, rounds: args.rounds, faults, entries: args.entries, callers: args.callers };
-        let report = soak::run(&plan).await?;
-        let breaches = report.breaches.len();
-        println!("seed {seed}: {breaches} breaches\n{report}");
-        broken += usize::from(breaches > 0);
+    while let Some((seed, report)) = reports.next().await {
+        let report = report?;
+        println!("seed {seed}: {} breaches\n{report}", report.breaches.len());
+        broken += u64::from(!report.breaches.is_empty());
     }
-    println!("{} of {} seeds kept every promise that was checked", args.seeds - broken as u64, args.seeds);
+    println!("{} of {} seeds kept every promise that was checked", args.seeds - broken, args.seeds);
     Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 //! started, by id, and leaves their logs behind.
 
 mod control;
-mod place;
+pub mod place;
 
 pub use place::{binary, free_address};
 
--- a/standin/src/fleet/place.rs
+++ b/standin/src/fleet/place.rs
@@ -15,14 +15,34 @@
 /// Ports between the starting points of two processes that use fleets at once.
 const PORTS_APART: u16 = 500;
 
-static NEXT_PORT: OnceLock<AtomicU16> = OnceLock::new();
+/// Ports of a soak, above those of fleets: an entry of it is down now and then, and its port must not look free
+/// to a test that runs beside it.
+const SOAK_PORTS: u16 = 2_000;
+
+/// The ports of this process.
+struct Range {
+    first: u16,
+    count: u16,
+    next: AtomicU16,
+}
+
+static RANGE: OnceLock<Range> = OnceLock::new();
+
+/// Takes ports from those of soaks from now on; has no effect once an address was handed out.
+pub fn use_soak_ports() {
+    let range = Range { first: FIRST_PORT + PORTS, count: SOAK_PORTS, next: AtomicU16::new(0) };
+    // Fails only if the range is chosen already.
+    let _ = RANGE.set(range);
+}
 
 /// A free address on loopback, handed out once in this process.
 pub fn free_address() -> Result<String> {
-    let start = || AtomicU16::new((std::process::id() % u32::from(PORTS / PORTS_APART)) as u16 * PORTS_APART);
-    let next = NEXT_PORT.get_or_init(start);
-    for _ in 0..PORTS {
-        let port = FIRST_PORT + next.fetch_add(1, Ordering::Relaxed) % PORTS;
+    let range = RANGE.get_or_init(|| {
+        let start = (std::process::id() % u32::from(PORTS / PORTS_APART)) as u16 * PORTS_APART;
+        Range { first: FIRST_PORT, count: PORTS, next: AtomicU16::new(start) }
+    });
+    for _ in 0..range.count {
+        let port = range.first + range.next.fetch_add(1, Ordering::Relaxed) % range.count;
         // Asked by connecting: a listener of ours would live on for a moment in a child that another
         // thread forks just then, and be found in the way.
         if TcpStream::connect(("127.0.0.1", port)).is_err() {
--- a/standin/src/platform/replica.rs
+++ b/standin/src/platform/replica.rs
@@ -115,6 +115,11 @@
         self.lock().acts.extend(acts);
     }
 
+    /// Takes back what it was told to do with the next requests.
+    pub fn behave(&self) {
+        self.lock().acts.clear();
+    }
+
     /// Requests that came, in order.
     pub fn seen(&self) -> Vec<Run> {
         self.lock().runs.clone()
--- a/standin/src/platform/soak.rs
+++ b/standin/src/platform/soak.rs
@@ -430,7 +430,8 @@
             self.take_back(false).await?;
         }
         self.take_back(true).await?;
-        // Callers whose requests wait behind what was healed come to their ends; acts that nobody met are spent.
+        self.site.engines.iter().chain(&self.site.plain).for_each(|replica| replica.behave());
+        // Callers whose requests wait behind what was healed come to their ends.
         tokio::time::sleep(RECOVERY).await;
         for entry in 0..self.site.doors.len() {
             if !self.site.is_ready(entry).await {
--- /dev/null
+++ b/standin/tests/platform_soak.rs
@@ -0,0 +1,32 @@
+//! A short soak of the platform's form, and every seed that ever found something.
+//!
+//! Seeds 7 and 9 (5 s of faults, two rounds) found that a signal ended an entry that had just been started: SIGHUP
+//! came before its handler was set. Handlers are set before anyone can reach the process now. The others' causes
+//! were the soak's own: a way that had lost bytes was reset in the calm (12), ports of an entry that was down
+//! were taken by a soak beside it (12), and bad answers were left over for the calm (14, 22).
+
+use std::time::Duration;
+
+use standin::platform::soak::{self, Plan};
+
+async fn kept(seed: u64) {
+    let plan = Plan { seed, rounds: 2, faults: Duration::from_secs(5), entries: 3, callers: 16 };
+    let report = soak::run(&plan).await.expect("it runs");
+    assert!(report.breaches.is_empty(), "{report}");
+    assert!(report.statuses.get(&200).is_some_and(|served| *served > 100), "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_7() {
+    kept(7).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_9() {
+    kept(9).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_22() {
+    kept(22).await;
+}
