Plain replicas have breakers; trials are requests that may run again

No answer weighs in full, an error answer a quarter, silence to the end of the time in full. Test: platform_once::a_replica_that_loses_answers_... passes; it was not run against the state before.

--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -25,6 +25,7 @@
 pub use self::target::Place;
 use super::answer::{self, Answer};
 use super::attempt::{Connection, Outgoing};
+use super::place::NO_ANSWER;
 use super::state::{Gateway, InFlight};
 use super::{now, relay};
 use crate::failure::Failure;
@@ -171,6 +172,10 @@
         if self.sends == 0 {
             return Failure::busy("waited_out", "no replica became free in time", BUSY_RETRY);
         }
+        if let (Some(silent), false) = (self.tried.last(), self.has_engines()) {
+            // An engine may be busy with others for long; a plain replica that says nothing for so long is not.
+            self.blame(silent, NO_ANSWER);
+        }
         Failure::new(StatusCode::GATEWAY_TIMEOUT, "deadline", "the time allowed has run out").ran(Ran::Unknown)
     }
 }
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -10,6 +10,7 @@
 use platform::dialect;
 
 use super::super::attempt::{self, Connection, Failed};
+use super::super::place::{ERROR_ANSWER, NO_ANSWER};
 use super::target::{Place, Target};
 use super::{Job, Opened};
 use crate::event;
@@ -47,7 +48,7 @@
         match sent {
             Ok((response, connection)) => self.judge(record, response, connection, place),
             Err(Failed::Lost(error)) => {
-                self.gateway.desk.failed(&self.service, &record.id);
+                self.blame(&record.id, NO_ANSWER);
                 event!("lost", request = %self.call.id, peer = %record.id, error = %error);
                 Sent::Lost
             }
@@ -55,7 +56,7 @@
                 self.sends -= 1;
                 self.runs -= 1;
                 self.unreached += 1;
-                self.gateway.desk.failed(&self.service, &record.id);
+                self.blame(&record.id, NO_ANSWER);
                 event!("unreached", request = %self.call.id, peer = %record.id, error = %error);
                 Sent::Unsent
             }
@@ -86,15 +87,27 @@
         let worth_another = answer.status.is_server_error() && self.may_repeat();
         if !is_usable(&answer) || worth_another {
             event!("lost", request = %self.call.id, peer = %record.id, status = answer.status.as_u16(), ours = answer.ours, sealed = answer.sealed);
-            self.gateway.desk.failed(&self.service, &record.id);
+            let share = if is_usable(&answer) { ERROR_ANSWER } else { NO_ANSWER };
+            self.blame(&record.id, share);
             return Sent::Lost;
         }
         if answer.status.is_server_error() {
-            self.gateway.desk.failed(&self.service, &record.id);
+            self.blame(&record.id, ERROR_ANSWER);
+        } else {
+            self.gateway.placer.borrow_mut().succeeded(&record.id);
         }
         Sent::Opened(Box::new(Opened { record, response, connection, place }))
     }
 
+    /// Notes that a replica failed the request; for a plain service `share` tells how far that is its fault.
+    pub(super) fn blame(&self, replica: &Name, share: f64) {
+        if self.has_engines() {
+            self.gateway.desk.failed(&self.service, replica);
+        } else {
+            self.gateway.placer.borrow_mut().failed(replica, share);
+        }
+    }
+
     /// Notes that a replica proved that it did not run the request, and who is to blame.
     fn refused(&mut self, record: &Record, answer: &dialect::Answer) -> Sent {
         event!("not-run", request = %self.call.id, peer = %record.id, status = answer.status.as_u16(), at_fault = answer.at_fault.as_deref().unwrap_or(""));
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -89,13 +89,13 @@
         }
     }
 
-    fn has_engines(&self) -> bool {
+    pub(super) fn has_engines(&self) -> bool {
         self.gateway.table().service(&self.service).is_some_and(|service| service.engine.is_some())
     }
 
     fn plain(&self) -> Option<Target> {
         let roster = self.gateway.roster.borrow();
-        let record = self.gateway.placer.borrow().pick(&roster, &self.service, &self.tried)?;
+        let record = self.gateway.placer.borrow().pick(&roster, &self.service, self.route.repeat, &self.tried)?;
         let place = Place::Plain { _count: Outstanding::begin(&self.gateway, &record.id) };
         Some(Target { record, helpers: Vec::new(), place })
     }
--- a/sorrelpass/src/gateway/place.rs
+++ b/sorrelpass/src/gateway/place.rs
@@ -1,9 +1,22 @@
-//! Which replica a request goes to.
+//! Which replica of a plain service a request goes to.
+//!
+//! Replicas are judged by what requests come to, never by health answers. One that fails is left alone for a
+//! while by its breaker, as long as that leaves any; its trials are requests that may run again.
 
 use std::collections::HashMap;
 
+use coord::breaker::Breaker;
 use coord::name::Name;
 use coord::roster::{Record, Roster};
+use coord::route::Repeat;
+
+use super::now;
+
+/// What an error answer weighs as a failure of its replica: services were seen that fail one sound request in
+/// seven, so it takes several within seconds to count.
+pub const ERROR_ANSWER: f64 = 0.25;
+/// What no answer, or one that is not the request's, weighs.
+pub const NO_ANSWER: f64 = 1.0;
 
 /// What this entry knows of one replica's load.
 #[derive(Clone, Copy, Debug, Default)]
@@ -18,26 +31,58 @@
 pub struct Placer {
     home: Name,
     loads: HashMap<Name, Load>,
+    breakers: HashMap<Name, Breaker>,
 }
 
 impl Placer {
     /// A placer in failure domain `home`.
     pub fn new(home: Name) -> Self {
-        Self { home, loads: HashMap::new() }
+        Self { home, loads: HashMap::new(), breakers: HashMap::new() }
     }
 
-    /// The replica with the fewest requests of ours, then of anyone's, then the nearest.
-    pub fn pick(&self, roster: &Roster, service: &str, tried: &[Name]) -> Option<Record> {
+    /// The replica with the fewest requests of ours, then of anyone's, then the nearest, among those in the best standing.
+    pub fn pick(&self, roster: &Roster, service: &str, repeat: Repeat, tried: &[Name]) -> Option<Record> {
         let fits = roster.usable(service).filter(|record| !tried.contains(&record.id));
         let key = |record: &&Record| {
             let load = self.loads.get(&record.id).copied().unwrap_or_default();
-            (load.ours, load.told, record.failure_domain != self.home, coord::pick::rendezvous(0, &record.id))
+            let doubt = self.doubt(&record.id, repeat);
+            (doubt, load.ours, load.told, record.failure_domain != self.home, coord::pick::rendezvous(0, &record.id))
         };
         fits.min_by_key(key).cloned()
     }
 
+    /// How doubtful a replica is: a trial comes before sound ones for requests that may run again, and after them for
+    /// those that may not; what its breaker does not admit comes last, and still before nothing.
+    fn doubt(&self, replica: &Name, repeat: Repeat) -> u8 {
+        let Some(breaker) = self.breakers.get(replica) else { return 1 };
+        let now = now();
+        match (breaker.admits(now), breaker.is_on_trial(now), repeat) {
+            (false, _, _) => 3,
+            (true, true, Repeat::Safe) => 0,
+            (true, true, Repeat::Once) => 2,
+            (true, false, _) => 1,
+        }
+    }
+
+    /// Notes that a request failed at a replica; `share` tells how far that is the replica's fault.
+    pub fn failed(&mut self, replica: &Name, share: f64) {
+        let breaker = self.breakers.entry(replica.clone()).or_default();
+        breaker.failed(share, now());
+        crate::event!("doubt", peer = %replica, share, admitted = breaker.admits(now()));
+    }
+
+    /// Notes that a request was answered.
+    pub fn succeeded(&mut self, replica: &Name) {
+        if let Some(breaker) = self.breakers.get_mut(replica) {
+            breaker.succeeded(now());
+        }
+    }
+
     /// Notes a request sent.
     pub fn begin(&mut self, replica: &Name) {
+        if let Some(breaker) = self.breakers.get_mut(replica) {
+            breaker.begin(now());
+        }
         self.loads.entry(replica.clone()).or_default().ours += 1;
     }
 
--- a/standin/tests/platform_once.rs
+++ b/standin/tests/platform_once.rs
@@ -94,3 +94,25 @@
     assert_eq!(site.plain[0].seen().len(), 0);
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_loses_answers_is_tried_with_requests_that_may_repeat() {
+    let site = site("once-doubt").await;
+    let bad = &site.plain[0];
+    bad.next(std::iter::repeat_n(Act::LoseAnswer, 1_000));
+    // Both entries learn it, each for itself.
+    for number in 0..8 {
+        let seen = site.send(number % 2, &look(&format!("d{number}"))).await;
+        assert_eq!(seen.status, 200, "{seen:?}");
+    }
+    let mut lost = 0;
+    for number in 0..40 {
+        let seen = site.send(number % 2, &pay(&format!("e{number}"))).await;
+        lost += usize::from(seen.status != 200);
+        let seen = site.send(number % 2, &look(&format!("f{number}"))).await;
+        assert_eq!(seen.status, 200, "{seen:?}");
+    }
+    assert_eq!(lost, 0, "a call that may run once does not make the trial");
+    assert!(bad.seen().len() <= 24, "{}", bad.seen().len());
+    site.close().expect("no invariant was breached");
+}
