--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use super::job::Id;
-use super::{OVERDUE, Policy};
+use super::job::{Id, Job};
+use super::policy::{LEAST_LEFT, OVERDUE, Policy};
 use crate::engine::Figures;
 use crate::time::Moment;
 
@@ -58,11 +58,16 @@
     pub fn pending_ms(&self, now: Moment) -> f64 {
         let Some(front) = self.parts.front() else { return 0.0 };
         let elapsed = now.since(self.front_since).as_secs_f64() * 1e3;
-        let front_left =
-            if elapsed > front.ms * OVERDUE + self.pass_ms() { 0.0 } else { (front.ms - elapsed).max(front.ms * 0.1) };
+        let overdue = elapsed > front.ms * OVERDUE + self.pass_ms();
+        let front_left = if overdue { 0.0 } else { (front.ms - elapsed).max(front.ms * LEAST_LEFT) };
         front_left + self.parts.iter().skip(1).map(|part| part.ms).sum::<f64>()
     }
 
+    /// Milliseconds until it could begin to read something new.
+    pub fn wait_ms(&self, now: Moment) -> f64 {
+        self.pending_ms(now) + self.pass_ms()
+    }
+
     /// The shortest pause that anyone who writes here wants.
     pub fn gap_ms(&self) -> f64 {
         self.seats.values().map(|seat| seat.gap_ms).filter(|gap| *gap > 0.0).fold(f64::INFINITY, f64::min)
@@ -78,6 +83,11 @@
         ((self.figures.memory as f64 * policy.memory_share) as u64).saturating_sub(self.context())
     }
 
+    /// Whether its memory has room for a job.
+    pub fn has_memory(&self, job: &Job, policy: &Policy) -> bool {
+        self.free_memory(policy) >= job.needs()
+    }
+
     /// Whether one more answer may be written here.
     pub fn has_slot(&self, policy: &Policy) -> bool {
         (self.seats.len() as f64) < f64::from(self.figures.slots) * policy.slot_share
--- a/coord/src/planner/job.rs
+++ b/coord/src/planner/job.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::LIKELY_OUTPUT;
+use super::policy::LIKELY_OUTPUT;
 use crate::name::Name;
 use crate::time::Moment;
 
@@ -58,6 +58,11 @@
 }
 
 impl Team {
+    /// One engine that reads and writes all by itself.
+    pub(super) fn alone(engine: &Name) -> Self {
+        Self { writer: engine.clone(), helpers: Vec::new() }
+    }
+
     /// All its engines, the writer first.
     pub fn engines(&self) -> impl Iterator<Item = &Name> + Clone {
         std::iter::once(&self.writer).chain(self.helpers.iter().map(|helper| &helper.engine))
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -13,122 +13,26 @@
 
 mod engine;
 mod evidence;
+mod granted;
 mod job;
+mod order;
+mod place;
+mod policy;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use self::engine::{Engine, Seat};
 use self::evidence::Evidence;
+use self::granted::Granted;
 pub use self::job::{Grant, Helper, Id, Job, Team};
-use crate::engine::{Figures, millis};
+use self::order::Ranked;
+pub use self::policy::Policy;
+use self::policy::SETTLING;
+use crate::engine::Figures;
 use crate::name::Name;
-use crate::pick::rendezvous;
 use crate::time::Moment;
 
-/// Settings of the policy. The values were found by measured rounds; see `docs/design/08-platform.md`.
-#[derive(Clone, Copy, Debug)]
-pub struct Policy {
-    /// Part of a wanted pause that a pass may take.
-    pub pause_share: f64,
-    /// Least time that a part is worth, in milliseconds: smaller ones cost more passes than they save.
-    pub least_part_ms: f64,
-    /// Most engines that read one prompt.
-    pub most_parts: usize,
-    /// A long prompt starts on engines that have at most this left to read, in milliseconds.
-    pub start_pending_ms: f64,
-    /// Part of an engine's slots that is granted; the rest absorbs what this planner does not see.
-    pub slot_share: f64,
-    /// Part of an engine's memory that is granted.
-    pub memory_share: f64,
-    /// Part of the engines that short prompts leave to long ones.
-    pub long_share: f64,
-    /// Part of the engines that could read a part, which must be free before a long prompt starts:
-    /// many prompts that each read slowly on few engines would all be late.
-    pub team_share: f64,
-    /// Part of the time to its aim that a prompt may be read for by a single engine.
-    pub slack_share: f64,
-    /// Part of the time that its caller still waits for which a late prompt may be read.
-    pub late_share: f64,
-    /// Part of the engines that is left when those that failed are left out; with fewer, none is.
-    pub least_usable: f64,
-    /// Part of the time to its aim within which a team must have read a prompt.
-    pub in_time_share: f64,
-    /// An engine that has at most this left to read is worth waiting for, in milliseconds.
-    pub soon_ms: f64,
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            pause_share: 0.85,
-            least_part_ms: 40.0,
-            most_parts: 17,
-            start_pending_ms: 40.0,
-            slot_share: 0.88,
-            memory_share: 0.97,
-            long_share: 0.06,
-            team_share: 0.6,
-            slack_share: 0.25,
-            late_share: 0.5,
-            least_usable: 0.6,
-            in_time_share: 0.9,
-            soon_ms: 500.0,
-        }
-    }
-}
-
-/// Time in which entries tell a planner that is new to them what they have at the engines. Those that meet a lost
-/// planner at the same moment were seen to take 0.1 s to find the next one.
-const SETTLING: Duration = Duration::from_millis(300);
-/// A first event that takes this many times as long as the model has it shows that an engine is slow …
-const SLOW: f64 = 2.5;
-/// … if it also takes so much longer, in milliseconds: a pass of a full engine and some ways through the network.
-const SLOW_BY_MS: f64 = 150.0;
-/// A part that is overdue by this factor no longer counts as pending.
-const OVERDUE: f64 = 3.0;
-/// Output tokens that a job is expected to write at most, for memory.
-const LIKELY_OUTPUT: u64 = 4_096;
-
-/// An engine that may read a part now.
-struct Open<'a> {
-    name: &'a Name,
-    engine: &'a Engine,
-    wait_ms: f64,
-}
-
-/// A job that waits, with what its turn depends on.
-struct Ranked {
-    id: Id,
-    job: Job,
-    late: bool,
-    cost_ms: f64,
-}
-
-/// A job that has its engines.
-#[derive(Debug)]
-struct Granted {
-    team: Team,
-    at: Moment,
-    /// Time from the grant to the first event as the model has it, in milliseconds.
-    expected_ms: f64,
-    /// Whether its prompt is still being read, as far as is known, and not yet overdue.
-    watched: bool,
-}
-
-impl Granted {
-    /// Whether the first event is so late that an engine must be to blame.
-    fn is_overdue(&self, now: Moment) -> bool {
-        now.since(self.at) > millis(self.expected_ms * SLOW + SLOW_BY_MS)
-    }
-}
-
-/// One engine that reads and writes all by itself.
-fn alone(name: &Name) -> Team {
-    Team { writer: name.clone(), helpers: Vec::new() }
-}
-
 /// The planner of one service.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -204,7 +108,7 @@
     /// Milliseconds until a team that is granted now has read a prompt and writes its first event.
     fn expected_ms(&self, job: &Job, team: &Team, now: Moment) -> f64 {
         let engines = team.engines().filter_map(|name| self.engines.get(name));
-        let wait = engines.clone().map(|engine| self.wait_ms(engine, now)).fold(0.0, f64::max);
+        let wait = engines.clone().map(|engine| engine.wait_ms(now)).fold(0.0, f64::max);
         let pass = engines.map(Engine::pass_ms).fold(0.0, f64::max);
         wait + self.cost_ms(job) / (1 + team.helpers.len()) as f64 + pass
     }
@@ -290,210 +194,4 @@
         }
         grants
     }
-
-    /// What waits: prompts that can still be in time go first; among them the more urgent rank, then the cheaper.
-    fn ranked(&self, now: Moment) -> Vec<Ranked> {
-        let rank = |(id, job): (&Id, &Job)| Ranked {
-            id: *id,
-            job: *job,
-            late: self.is_late(job, now),
-            cost_ms: self.cost_ms(job),
-        };
-        let mut ranked: Vec<Ranked> = self.waiting.iter().map(rank).collect();
-        ranked.sort_by(|a, b| {
-            (a.late, a.job.priority).cmp(&(b.late, b.job.priority)).then(a.cost_ms.total_cmp(&b.cost_ms))
-        });
-        ranked
-    }
-
-    /// Whether a prompt would be late even if it started now: on one engine if short, else on all,
-    /// behind the rest of a pass and with the pass in which its first event is written.
-    fn is_late(&self, job: &Job, now: Moment) -> bool {
-        let Some(engine) = self.engines.values().next() else { return false };
-        let engines = if self.is_short(job) { 1 } else { self.policy.most_parts.min(self.engines.len()) };
-        let pass = engine.figures.pass_ms(engine.figures.slots / 2, 0);
-        now + millis(self.cost_ms(job) / engines as f64 + pass * PASSES_TO_FIRST_EVENT) > job.aim
-    }
-
-    /// Engine time that reading a job takes, in milliseconds.
-    fn cost_ms(&self, job: &Job) -> f64 {
-        self.engines.values().next().map_or(job.prompt as f64, |engine| engine.figures.read_ms(job.prompt))
-    }
-
-    /// Engines that may be chosen for a job of an entry: those that failed of late are left out, as long as that
-    /// leaves most of them; what strikes many at once is no fault of theirs.
-    fn candidates(&self, entry: u64, now: Moment) -> Vec<(&Name, &Engine)> {
-        let admitted: Vec<_> = self.engines.iter().filter(|(name, _)| self.evidence.admits(name, now)).collect();
-        let most = admitted.len() as f64 > self.engines.len() as f64 * self.policy.least_usable;
-        let usable = if most { admitted } else { self.engines.iter().collect() };
-        let reached = |(name, _): &(&Name, &Engine)| self.evidence.reaches(entry, name, now);
-        let reached: Vec<_> = usable.iter().copied().filter(reached).collect();
-        if reached.is_empty() { usable } else { reached }
-    }
-
-    fn place(&self, id: Id, job: &Job, now: Moment) -> Option<Grant> {
-        let engines = self.candidates(id.entry, now);
-        if engines.is_empty() {
-            return None;
-        }
-        let short = self.is_short(job);
-        if !short && now < self.settled_at {
-            return None;
-        }
-        let team = if short { self.place_short(job, &engines, now)? } else { self.place_long(job, &engines, now)? };
-        Some(Grant { id, team })
-    }
-
-    /// Whether one engine can read the prompt without a pause that someone like its caller would mind.
-    fn is_short(&self, job: &Job) -> bool {
-        let Some(engine) = self.engines.values().next() else { return true };
-        let gap = if job.gap_ms > 0.0 { job.gap_ms } else { f64::INFINITY };
-        let figures = &engine.figures;
-        let full = figures.pass_ms((f64::from(figures.slots) * self.policy.slot_share) as u32, 0);
-        figures.read_ms(job.prompt) <= gap * self.policy.pause_share - full
-            && figures.read_ms(job.prompt) <= SHORT_READ_MS
-    }
-
-    /// Packs a short prompt onto an engine that has others like it, as long as all stay in time.
-    fn place_short(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<Team> {
-        let read = self.cost_ms(job);
-        let fits = |engine: &Engine| engine.has_slot(&self.policy) && self.fits_memory(engine, job);
-        let in_time =
-            |engine: &Engine| engine.room_ms(now, &self.policy) >= read && self.in_time(engine, read, job, now);
-        let like = |engine: &Engine| engine.gap_ms() <= job.gap_ms;
-        let trial = engines
-            .iter()
-            .find(|(name, engine)| self.evidence.is_on_trial(name, now) && fits(engine) && in_time(engine));
-        if let Some((name, _)) = trial {
-            return Some(alone(name));
-        }
-        let packed = engines
-            .iter()
-            .filter(|(_, engine)| fits(engine) && like(engine) && in_time(engine))
-            .max_by_key(|(_, engine)| engine.seats.len());
-        if let Some((name, _)) = packed {
-            return Some(alone(name));
-        }
-        let opened =
-            engines.iter().filter(|(_, engine)| fits(engine) && !like(engine)).min_by(|(a, of_a), (b, of_b)| {
-                let costs = self.opening_cost(of_a, now).total_cmp(&self.opening_cost(of_b, now));
-                costs.then(rendezvous(self.salt, a).cmp(&rendezvous(self.salt, b)))
-            });
-        let all_like = engines.iter().filter(|(_, engine)| like(engine)).count();
-        let may_open = (all_like as f64) < engines.len() as f64 * (1.0 - self.policy.long_share);
-        if let (Some((name, _)), true) = (opened, may_open) {
-            return Some(alone(name));
-        }
-        engines
-            .iter()
-            .filter(|(_, engine)| fits(engine) && engine.room_ms(now, &self.policy) >= read)
-            .min_by(|(_, a), (_, b)| self.wait_ms(a, now).total_cmp(&self.wait_ms(b, now)))
-            .map(|(name, _)| alone(name))
-    }
-
-    /// What it costs to make an engine one of those that hold short answers.
-    fn opening_cost(&self, engine: &Engine, now: Moment) -> f64 {
-        self.wait_ms(engine, now) + engine.context() as f64 / 1e3
-    }
-
-    /// Milliseconds until an engine could begin to read something new.
-    fn wait_ms(&self, engine: &Engine, now: Moment) -> f64 {
-        engine.pending_ms(now) + engine.pass_ms()
-    }
-
-    fn in_time(&self, engine: &Engine, read: f64, job: &Job, now: Moment) -> bool {
-        now + millis(self.wait_ms(engine, now) + read + engine.pass_ms()) <= job.aim
-    }
-
-    fn fits_memory(&self, engine: &Engine, job: &Job) -> bool {
-        engine.free_memory(&self.policy) >= job.needs()
-    }
-
-    /// Splits a long prompt over as many engines as can read a part without making anyone wait.
-    fn place_long(&self, job: &Job, engines: &[(&Name, &Engine)], now: Moment) -> Option<Team> {
-        let read = self.cost_ms(job);
-        let most = ((read / self.policy.least_part_ms) as usize).clamp(1, self.policy.most_parts);
-        let on_trial = self.evidence.on_trial(now) as f64;
-        let all_on_trial = on_trial >= self.engines.len() as f64 * (1.0 - self.policy.least_usable);
-        let mut open: Vec<Open> = engines
-            .iter()
-            .map(|(name, engine)| Open { name, engine, wait_ms: self.wait_ms(engine, now) })
-            .filter(|open| open.engine.pending_ms(now) <= self.policy.start_pending_ms)
-            // One that fails holds up the whole team; short prompts try it.
-            .filter(|open| all_on_trial || !self.evidence.is_on_trial(open.name, now))
-            .collect();
-        open.sort_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
-        let least = self.fewest(job, read, most, engines, now);
-        for parts in (least..=most.min(open.len())).rev() {
-            let part = read / parts as f64;
-            let roomy: Vec<&Open> = open.iter().filter(|open| open.engine.room_ms(now, &self.policy) >= part).collect();
-            if roomy.len() < parts {
-                continue;
-            }
-            if let Some(team) = self.team(job, &roomy, parts) {
-                return Some(team);
-            }
-        }
-        None
-    }
-
-    /// Fewest engines that may read a prompt now.
-    fn fewest(&self, job: &Job, read: f64, most: usize, engines: &[(&Name, &Engine)], now: Moment) -> usize {
-        if self.is_late(job, now) {
-            // It takes what there is, if that is enough for its caller to see the first event at all, or is all.
-            let left = job.deadline.since(now).as_secs_f64() * 1e3 * self.policy.late_share;
-            return ((read / left.max(1.0)).ceil() as usize).clamp(1, most.min(engines.len()));
-        }
-        let slack = job.aim.since(now).as_secs_f64() * 1e3;
-        if read <= slack * self.policy.slack_share {
-            return 1;
-        }
-        // A team that is too small to be in time would be in the way of others for long.
-        let in_time = (read / (slack * self.policy.in_time_share).max(1.0)).ceil() as usize;
-        self.team_size(read, most, engines, now).max(in_time.min(most))
-    }
-
-    /// A share of the engines that could read a prompt if they had nothing left to read, which they soon have.
-    fn team_size(&self, read: f64, most: usize, engines: &[(&Name, &Engine)], now: Moment) -> usize {
-        let part = read / most as f64;
-        let could = |engine: &Engine| engine.gap_ms() * self.policy.pause_share - engine.pass_ms() >= part;
-        let soon = |engine: &Engine| engine.pending_ms(now) <= self.policy.soon_ms;
-        let able = engines.iter().filter(|(_, engine)| could(engine) && soon(engine)).count();
-        ((most.min(able) as f64 * self.policy.team_share).ceil() as usize).max(1)
-    }
-
-    /// Chooses the writer among engines that may read a part, and who holds what exceeds its memory.
-    fn team(&self, job: &Job, roomy: &[&Open], parts: usize) -> Option<Team> {
-        let with_slot = roomy.iter().filter(|open| open.engine.has_slot(&self.policy));
-        let fitting = with_slot.clone().filter(|open| self.fits_memory(open.engine, job));
-        if let Some(writer) = fitting.min_by_key(|open| self.writer_key(open.engine, job)) {
-            let others = roomy.iter().filter(|open| open.name != writer.name).take(parts - 1);
-            let helpers = others.map(|open| Helper { engine: open.name.clone(), holds: 0 }).collect();
-            return Some(Team { writer: writer.name.clone(), helpers });
-        }
-        let free = |open: &Open| open.engine.free_memory(&self.policy);
-        let writer = with_slot.max_by_key(|open| free(open))?;
-        let mut left = job.needs().saturating_sub(free(writer));
-        let mut others: Vec<&&Open> = roomy.iter().filter(|open| open.name != writer.name).collect();
-        others.sort_by_key(|open| std::cmp::Reverse(free(open)));
-        let mut helpers = Vec::new();
-        for open in others.into_iter().take(parts - 1) {
-            let holds = left.min(free(open));
-            left -= holds;
-            helpers.push(Helper { engine: open.name.clone(), holds });
-        }
-        (left == 0).then(|| Team { writer: writer.name.clone(), helpers })
-    }
-
-    /// Long answers are written where others are, away from short ones, so that most engines only read.
-    fn writer_key(&self, engine: &Engine, job: &Job) -> (bool, std::cmp::Reverse<usize>) {
-        (engine.gap_ms() < job.gap_ms, std::cmp::Reverse(engine.seats.len()))
-    }
 }
-
-/// Passes until a prompt that fits in has its first event, reading left out: on average half of the
-/// one under way, and the one that reads it.
-const PASSES_TO_FIRST_EVENT: f64 = 1.5;
-/// A prompt that takes longer to read than this is long, in milliseconds: it would spend most of
-/// the 200 ms that the shortest wanted pause seen leaves beside a pass.
-const SHORT_READ_MS: f64 = 125.0;
--- /dev/null
+++ b/coord/src/planner/place/mod.rs
@@ -0,0 +1,57 @@
+//! The choice of engines for one prompt.
+
+mod long;
+mod short;
+
+use super::Planner;
+use super::engine::Engine;
+use super::job::{Grant, Id, Job};
+use super::policy::Policy;
+use crate::name::Name;
+use crate::time::Moment;
+
+/// A prompt that may start now, and what the choice of its engines depends on.
+struct Choice<'a> {
+    planner: &'a Planner,
+    job: &'a Job,
+    /// Engines that may be chosen.
+    engines: Vec<(&'a Name, &'a Engine)>,
+    /// Engine time that reading the prompt takes, in milliseconds.
+    read_ms: f64,
+    now: Moment,
+}
+
+impl<'a> Choice<'a> {
+    fn policy(&self) -> &'a Policy {
+        &self.planner.policy
+    }
+}
+
+impl Planner {
+    /// Engines for a prompt that may start now; none if it must wait.
+    pub(super) fn place(&self, id: Id, job: &Job, now: Moment) -> Option<Grant> {
+        let engines = self.candidates(id.entry, now);
+        if engines.is_empty() {
+            return None;
+        }
+        let choice = Choice { planner: self, job, engines, read_ms: self.cost_ms(job), now };
+        if self.is_short(job) {
+            return choice.short().map(|team| Grant { id, team });
+        }
+        if now < self.settled_at {
+            return None;
+        }
+        choice.long().map(|team| Grant { id, team })
+    }
+
+    /// Engines that may be chosen for a job of an entry: those that failed of late are left out, as long as that
+    /// leaves most of them; what strikes many at once is no fault of theirs.
+    fn candidates(&self, entry: u64, now: Moment) -> Vec<(&Name, &Engine)> {
+        let admitted: Vec<_> = self.engines.iter().filter(|(name, _)| self.evidence.admits(name, now)).collect();
+        let most = admitted.len() as f64 > self.engines.len() as f64 * self.policy.least_usable;
+        let usable = if most { admitted } else { self.engines.iter().collect() };
+        let reached = |(name, _): &(&Name, &Engine)| self.evidence.reaches(entry, name, now);
+        let reached: Vec<_> = usable.iter().copied().filter(reached).collect();
+        if reached.is_empty() { usable } else { reached }
+    }
+}
--- /dev/null
+++ b/coord/src/planner/policy.rs
@@ -0,0 +1,78 @@
+//! Settings of the planner's policy, and the figures that are fixed.
+
+use std::time::Duration;
+
+/// Settings of the policy. The values were found by measured rounds; see `docs/design/08-platform.md`.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Part of a wanted pause that a pass may take.
+    pub pause_share: f64,
+    /// Least time that a part is worth, in milliseconds: smaller ones cost more passes than they save.
+    pub least_part_ms: f64,
+    /// Most engines that read one prompt.
+    pub most_parts: usize,
+    /// A long prompt starts on engines that have at most this left to read, in milliseconds.
+    pub start_pending_ms: f64,
+    /// Part of an engine's slots that is granted; the rest absorbs what this planner does not see.
+    pub slot_share: f64,
+    /// Part of an engine's memory that is granted.
+    pub memory_share: f64,
+    /// Part of the engines that short prompts leave to long ones.
+    pub long_share: f64,
+    /// Part of the engines that could read a part, which must be free before a long prompt starts:
+    /// many prompts that each read slowly on few engines would all be late.
+    pub team_share: f64,
+    /// Part of the time to its aim that a prompt may be read for by a single engine.
+    pub slack_share: f64,
+    /// Part of the time that its caller still waits for which a late prompt may be read.
+    pub late_share: f64,
+    /// Part of the engines that is left when those that failed are left out; with fewer, none is.
+    pub least_usable: f64,
+    /// Part of the time to its aim within which a team must have read a prompt.
+    pub in_time_share: f64,
+    /// An engine that has at most this left to read is worth waiting for, in milliseconds.
+    pub soon_ms: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            pause_share: 0.85,
+            least_part_ms: 40.0,
+            most_parts: 17,
+            start_pending_ms: 40.0,
+            slot_share: 0.88,
+            memory_share: 0.97,
+            long_share: 0.06,
+            team_share: 0.6,
+            slack_share: 0.25,
+            late_share: 0.5,
+            least_usable: 0.6,
+            in_time_share: 0.9,
+            soon_ms: 500.0,
+        }
+    }
+}
+
+/// Time in which entries tell a planner that is new to them what they have at the engines. Those that meet a lost
+/// planner at the same moment were seen to take 0.1 s to find the next one.
+pub(super) const SETTLING: Duration = Duration::from_millis(300);
+/// A first event that takes this many times as long as the model has it shows that an engine is slow …
+pub(super) const SLOW: f64 = 2.5;
+/// … if it also takes so much longer, in milliseconds: a pass of a full engine and some ways through the network.
+pub(super) const SLOW_BY_MS: f64 = 150.0;
+/// A part that is overdue by this factor no longer counts as pending.
+pub(super) const OVERDUE: f64 = 3.0;
+/// A part that is being read and not yet overdue has at least this share of its time left; set, not measured.
+pub(super) const LEAST_LEFT: f64 = 0.1;
+/// Tokens in an engine's memory that weigh as much as a wait of 1 ms when one is chosen to hold short answers;
+/// set, not measured.
+pub(super) const TOKENS_A_MS: f64 = 1e3;
+/// Output tokens that a job is expected to write at most, for memory.
+pub(super) const LIKELY_OUTPUT: u64 = 4_096;
+/// Passes until a prompt that fits in has its first event, reading left out: on average half of the
+/// one under way, and the one that reads it.
+pub(super) const PASSES_TO_FIRST_EVENT: f64 = 1.5;
+/// A prompt that takes longer to read than this is long, in milliseconds: it would spend most of
+/// the 200 ms that the shortest wanted pause seen leaves beside a pass.
+pub(super) const SHORT_READ_MS: f64 = 125.0;
