Gateway modules with one job each: reader, belief, topic; one way to send on a link

watch.rs keeps the two reading tasks; the calls to the store and their repeats are in reader.rs, what is done with what they say in belief.rs, which facts.rs uses too. lead.rs and follow.rs shared a send with the same limit: it is the link's now, with the beat that it is made of.

--- /dev/null
+++ b/sorrelpass/src/gateway/belief.rs
@@ -0,0 +1,60 @@
+//! Taking in what the store says, whoever read it: a configuration, and news of replicas.
+
+use coord::roster::{Change, Sighting, Standing};
+use platform::table;
+
+use super::link::Document;
+use super::now;
+use super::state::Gateway;
+use crate::{event, warn_event};
+
+/// Puts one configuration in force. One that cannot be decoded changes nothing, and proves nothing.
+pub fn apply(gateway: &Gateway, document: Document) -> bool {
+    let offset = document.offset;
+    match table::decode(&document.value) {
+        Ok(table) => {
+            let (version, (routes, services, keys)) = (table.version(), table.sizes());
+            let taken = gateway.put_table(table);
+            gateway.refresh_engines();
+            event!("configuration", version, routes, services, keys, offset, taken);
+            if taken {
+                gateway.facts.keep(document);
+            }
+            true
+        }
+        Err(error) => {
+            warn_event!("configuration", offset, error = %format!("{error:#}"));
+            false
+        }
+    }
+}
+
+/// Takes in what the log says.
+pub fn hear(gateway: &Gateway, sightings: Vec<Sighting>) {
+    let now = now();
+    for Sighting { offset, news } in sightings {
+        let change = gateway.roster.borrow_mut().hear(offset, news, now);
+        tell(gateway, change.as_slice());
+    }
+}
+
+/// Gives up replicas whose records are still missing when their time is over.
+pub fn expire(gateway: &Gateway) {
+    let changes = gateway.roster.borrow_mut().expire(now());
+    tell(gateway, &changes);
+}
+
+/// Logs changes of belief and passes them to those who choose engines.
+pub fn tell(gateway: &Gateway, changes: &[Change]) {
+    for change in changes {
+        let standing = match change.standing {
+            Standing::Ready => "ready",
+            Standing::Lapsed(_) => "lapsed",
+            Standing::Gone => "gone",
+        };
+        event!("replica", peer = %change.id, standing);
+    }
+    if !changes.is_empty() {
+        gateway.refresh_engines();
+    }
+}
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -5,79 +5,21 @@
 //! counts that age from the moment of its *question*, so that no delay on the way, not even a frozen
 //! process at either end, makes a fact look younger than it is.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::time::Duration;
 
-use coord::invariant;
 use coord::time::Moment;
 use tokio::sync::Notify;
 
-use super::link::{Document, Known, Update};
+use super::link::{Document, Update};
 use super::state::Gateway;
-use super::{now, watch};
+use super::topic::Topic;
+use super::{belief, now};
 
 /// Largest configuration that is passed on, in bytes; sent to 27 entries over 20 Mbit/s, the least link seen,
 /// it takes a third of a second. Who needs a larger one reads it.
 const PASSED_ON_BYTES: usize = 32 * 1_024;
 
-/// How far one topic is known.
-#[derive(Default)]
-pub struct Topic {
-    next: Cell<Option<u64>>,
-    read: Cell<Option<Moment>>,
-    behind: Cell<bool>,
-}
-
-impl Topic {
-    /// The offset to read on from; none before the first whole picture.
-    pub fn next(&self) -> Option<u64> {
-        self.next.get()
-    }
-
-    /// Notes that all records below `next` are taken in.
-    pub fn advance(&self, next: u64) {
-        if self.next.get().is_none_or(|known| known <= next) {
-            self.next.set(Some(next));
-            self.behind.set(false);
-        }
-    }
-
-    /// Notes that records were lost from view: the whole picture must be read anew.
-    pub fn forget(&self) {
-        self.next.set(None);
-    }
-
-    /// Notes that a reading sent at `sent` showed what is known to be the newest.
-    pub fn prove(&self, sent: Moment) {
-        invariant!(sent <= now(), "a reading is not from the future");
-        if self.read.get().is_none_or(|read| read < sent) {
-            self.read.set(Some(sent));
-        }
-    }
-
-    /// Notes that there is something newer than what is known.
-    fn fall_behind(&self) {
-        self.behind.set(true);
-    }
-
-    /// Time since the newest such reading was sent.
-    pub fn age(&self) -> Option<Duration> {
-        self.read.get().map(|read| now().since(read))
-    }
-
-    /// For how long the topic need not be read, if a reading serves for `bound`.
-    fn serves_for(&self, bound: Duration) -> Duration {
-        if self.behind.get() {
-            return Duration::ZERO;
-        }
-        self.age().map_or(Duration::ZERO, |age| bound.saturating_sub(age))
-    }
-
-    fn known(&self) -> Option<Known> {
-        Some(Known { next: self.next.get()?, age: self.age()? })
-    }
-}
-
 /// What this entry knows from the store.
 #[derive(Default)]
 pub struct Facts {
@@ -145,7 +87,7 @@
 /// Takes in the answer to a question that was asked at `asked`.
 pub fn take_in(gateway: &Gateway, update: Update, asked: Moment) {
     let facts = &gateway.facts;
-    let sound = update.document.is_none_or(|document| watch::apply(gateway, document));
+    let sound = update.document.is_none_or(|document| belief::apply(gateway, document));
     match update.configuration {
         Some(known) if sound && !update.too_large => {
             facts.configuration.advance(known.next);
@@ -159,8 +101,8 @@
     }
     if let Some(known) = update.replicas {
         gateway.roster.borrow_mut().store_returned(now(), update.doubt_left);
-        watch::hear(gateway, update.sightings);
-        watch::expire(gateway);
+        belief::hear(gateway, update.sightings);
+        belief::expire(gateway);
         facts.replicas.advance(known.next);
         facts.replicas.prove(asked - known.age);
     }
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -10,15 +10,14 @@
 use std::time::Duration;
 
 use coord::time::Moment;
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Result, eyre};
 use platform::connection::connect;
 use platform::store::{self, Client};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::facts;
-use super::lead::{BEAT, BEATS_MISSED};
-use super::link::{self, Link, Order, Report};
+use super::link::{self, Link, Order, Report, SILENCE};
 use super::now;
 use super::state::{Gateway, Phase};
 use crate::{event, util, warn_event};
@@ -46,6 +45,22 @@
     incarnation: String,
 }
 
+/// The last question about what is new in the store; an answer to an earlier one is too old to count.
+#[derive(Clone, Copy, Debug, Default)]
+struct Question {
+    number: u64,
+    asked: Moment,
+}
+
+impl Question {
+    /// The question as it is sent.
+    fn report(&self, gateway: &Gateway) -> Report {
+        let facts = &gateway.facts;
+        let (configuration, replicas) = (facts.configuration.next(), facts.replicas.next());
+        Report::Sync { number: self.number, configuration, replicas }
+    }
+}
+
 /// Follows the oldest entry that can be reached, for as long as the process lives.
 pub async fn run(gateway: Rc<Gateway>, own: SocketAddr) {
     let mut client = Client::new(gateway.settings.store);
@@ -60,23 +75,29 @@
         let own_rank = peers.iter().position(|peer: &Peer| peer.address == own);
         // An entry that is about to end looks to the younger ones too.
         let rank = own_rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(peers.len());
-        let Some((rank, link)) = reach(&peers[..rank], own).await else {
-            // None is older than the oldest, for as long as it serves.
-            while own_rank == Some(0) && gateway.phase() == Phase::Serving {
-                tokio::time::sleep(RETRY).await;
+        match reach(&peers[..rank], own).await {
+            Some((rank, link)) => {
+                pause = FIRST_RETRY;
+                follow(&gateway, link, &peers, rank, own).await;
             }
-            let was_ready = gateway.ready();
-            gateway.facts.pause(pause).await;
-            // After an outage of the store all look for each other at the same moment.
-            let is_back = gateway.ready() && !was_ready;
-            pause = if is_back { FIRST_RETRY } else { (pause * 2).min(RETRY) };
-            continue;
-        };
-        pause = FIRST_RETRY;
-        follow(&gateway, link, &peers, rank, own).await;
+            None => pause = rest(&gateway, own_rank == Some(0), pause).await,
+        }
     }
 }
 
+/// Waits before older entries are tried again; returns the pause after the next time.
+async fn rest(gateway: &Gateway, oldest: bool, pause: Duration) -> Duration {
+    // None is older than the oldest, for as long as it serves.
+    while oldest && gateway.phase() == Phase::Serving {
+        tokio::time::sleep(RETRY).await;
+    }
+    let was_ready = gateway.ready();
+    gateway.facts.pause(pause).await;
+    // After an outage of the store all look for each other at the same moment.
+    let is_back = gateway.ready() && !was_ready;
+    if is_back { FIRST_RETRY } else { (pause * 2).min(RETRY) }
+}
+
 /// Announces this entry until the store has taken it.
 async fn announce(client: &mut Client, own: SocketAddr) {
     let value = util::incarnation().to_string();
@@ -168,7 +189,6 @@
 
 /// Sends reports and takes orders; ends with an error, at the latest when beats are missed.
 async fn exchange(gateway: &Gateway, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<()> {
-    let silence = BEAT * BEATS_MISSED;
     let mut heard = Instant::now();
     let mut sync = tokio::time::interval(SYNC);
     sync.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -187,34 +207,13 @@
             }
             report = waiting.recv() => {
                 let report = report.ok_or_else(|| eyre!("step=send: too far behind"))?;
-                send(&mut link, report, &mut waiting).await?;
+                link.send(report, &mut waiting).await?;
             }
             _ = sync.tick() => {
                 question = Question { number: question.number + 1, asked: now() };
-                send(&mut link, question.report(gateway), &mut waiting).await?;
+                link.send(question.report(gateway), &mut waiting).await?;
             }
-            () = tokio::time::sleep_until(heard + silence) => return Err(eyre!("step=receive: no beat")),
+            () = tokio::time::sleep_until(heard + SILENCE) => return Err(eyre!("step=receive: no beat")),
         }
     }
 }
-
-/// Sends a report and what waits behind it; a peer that does not read holds the writer up, and is given up.
-async fn send(link: &mut Link, report: Report, waiting: &mut mpsc::Receiver<Report>) -> Result<()> {
-    let sent = tokio::time::timeout(BEAT * BEATS_MISSED, link.send_all(report, waiting)).await;
-    sent.wrap_err("step=send: not taken")?
-}
-
-/// The last question about what is new in the store; an answer to an earlier one is too old to count.
-#[derive(Clone, Copy, Debug, Default)]
-struct Question {
-    number: u64,
-    asked: Moment,
-}
-
-impl Question {
-    fn report(&self, gateway: &Gateway) -> Report {
-        let facts = &gateway.facts;
-        let (configuration, replicas) = (facts.configuration.next(), facts.replicas.next());
-        Report::Sync { number: self.number, configuration, replicas }
-    }
-}
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -3,22 +3,16 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Result, eyre};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
 use super::facts;
-use super::link::{self, Link, Order, Report};
+use super::link::{self, BEAT, Link, Order, Report};
 use super::state::{Gateway, Phase};
 use crate::{event, util};
 
-/// How often an entry that plans tells the others that it lives. They wait for a few of these.
-pub const BEAT: Duration = Duration::from_millis(150);
-/// A peer that is silent, or does not read, for so many beats is given up.
-pub const BEATS_MISSED: u32 = 3;
-
 /// Takes other entries in until this one is told to stop; then they look for another.
 ///
 /// An entry without a recent proof of its configuration sends them away: it may not know the engines.
@@ -65,7 +59,7 @@
 /// Takes the entry's reports and sends it orders and beats; ends with an error.
 async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
     let welcome = Order::Welcome { incarnation: util::incarnation().to_string() };
-    send(link, welcome, waiting).await?;
+    link.send(welcome, waiting).await?;
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -73,22 +67,17 @@
             report = link.receive() => match report? {
                 Report::Sync { number, configuration, replicas } => {
                     let update = facts::update(gateway, configuration, replicas);
-                    send(link, Order::Update { number, update }, waiting).await?;
+                    link.send(Order::Update { number, update }, waiting).await?;
                 }
                 report => gateway.desk.hear(entry, report),
             },
-            Some(order) = waiting.recv() => send(link, order, waiting).await?,
+            Some(order) = waiting.recv() => link.send(order, waiting).await?,
             _ = beat.tick() => {
                 if !gateway.ready() {
                     return Err(eyre!("step=beat: no proof of the configuration"));
                 }
-                send(link, Order::Beat, waiting).await?;
+                link.send(Order::Beat, waiting).await?;
             }
         }
     }
 }
-
-/// Sends to an entry that reads; one that does not, for as long as it would wait for us, is given up.
-async fn send(link: &mut Link, order: Order, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
-    tokio::time::timeout(BEAT * BEATS_MISSED, link.send_all(order, waiting)).await.wrap_err("step=send: not taken")?
-}
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -20,6 +20,13 @@
 /// Messages that may wait to be sent; a peer that is so far behind is given up.
 pub const RING: usize = 1_024;
 
+/// How often an entry that plans tells the others that it lives. They wait for a few of these.
+pub const BEAT: Duration = Duration::from_millis(150);
+/// A peer that is silent, or does not read, for so many beats is given up.
+const BEATS_MISSED: u32 = 3;
+/// That time.
+pub const SILENCE: Duration = BEAT.saturating_mul(BEATS_MISSED);
+
 /// What a prompt asks for, with times left in place of moments: clocks differ.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
@@ -193,8 +200,13 @@
         postcard::from_bytes(&frame).wrap_err("step=decode-message")
     }
 
+    /// Sends a message and what waits behind it. A peer that does not read would hold the sender up, and is given up.
+    pub async fn send<T: Serialize>(&mut self, first: T, waiting: &mut mpsc::Receiver<T>) -> Result<()> {
+        tokio::time::timeout(SILENCE, self.send_all(first, waiting)).await.wrap_err("step=send: not taken")?
+    }
+
     /// Sends a message and all that wait behind it, in one write.
-    pub async fn send_all<T: Serialize>(&mut self, first: T, waiting: &mut mpsc::Receiver<T>) -> Result<()> {
+    async fn send_all<T: Serialize>(&mut self, first: T, waiting: &mut mpsc::Receiver<T>) -> Result<()> {
         let mut next = Some(first);
         while let Some(message) = next {
             let frame = postcard::to_stdvec(&message).wrap_err("step=encode-message")?;
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod belief;
 mod call;
 mod desk;
 mod facts;
@@ -15,10 +16,12 @@
 mod lead;
 mod link;
 mod place;
+mod reader;
 mod relay;
 mod serve;
 mod state;
 mod stream;
+mod topic;
 mod watch;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/sorrelpass/src/gateway/topic.rs
@@ -0,0 +1,72 @@
+//! How far one topic of the store is known, and as of when.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use coord::invariant;
+use coord::time::Moment;
+
+use super::link::Known;
+use super::now;
+
+/// How far one topic is known.
+#[derive(Default)]
+pub struct Topic {
+    /// The offset to read on from.
+    next: Cell<Option<u64>>,
+    /// When the newest reading was sent that proved it.
+    read: Cell<Option<Moment>>,
+    /// Whether there is something newer, which must be read here.
+    behind: Cell<bool>,
+}
+
+impl Topic {
+    /// The offset to read on from; none before the first whole picture.
+    pub fn next(&self) -> Option<u64> {
+        self.next.get()
+    }
+
+    /// Notes that all records below `next` are taken in.
+    pub fn advance(&self, next: u64) {
+        if self.next.get().is_none_or(|known| known <= next) {
+            self.next.set(Some(next));
+            self.behind.set(false);
+        }
+    }
+
+    /// Notes that records were lost from view: the whole picture must be read anew.
+    pub fn forget(&self) {
+        self.next.set(None);
+    }
+
+    /// Notes that a reading sent at `sent` showed what is known to be the newest.
+    pub fn prove(&self, sent: Moment) {
+        invariant!(sent <= now(), "a reading is not from the future");
+        if self.read.get().is_none_or(|read| read < sent) {
+            self.read.set(Some(sent));
+        }
+    }
+
+    /// Notes that there is something newer than what is known.
+    pub fn fall_behind(&self) {
+        self.behind.set(true);
+    }
+
+    /// Time since the newest such reading was sent.
+    pub fn age(&self) -> Option<Duration> {
+        self.read.get().map(|read| now().since(read))
+    }
+
+    /// For how long the topic need not be read, if a reading serves for `bound`.
+    pub fn serves_for(&self, bound: Duration) -> Duration {
+        if self.behind.get() {
+            return Duration::ZERO;
+        }
+        self.age().map_or(Duration::ZERO, |age| bound.saturating_sub(age))
+    }
+
+    /// That, as another entry is told it; none before the first proof.
+    pub fn known(&self) -> Option<Known> {
+        Some(Known { next: self.next.get()?, age: self.age()? })
+    }
+}
