SIGHUP puts bounds in force at once; an unsound configuration proves nothing; news of replicas are taken in at once

Cause 2: after a configuration that cannot be decoded, the next empty read proved the older one that was still in force. The read fails now until the newest is sound.

--- a/sorrelpass/src/gateway/belief.rs
+++ b/sorrelpass/src/gateway/belief.rs
@@ -32,10 +32,12 @@
 /// Takes in what the log says.
 pub fn hear(gateway: &Gateway, sightings: Vec<Sighting>) {
     let now = now();
-    for Sighting { offset, news } in sightings {
-        let change = gateway.roster.borrow_mut().hear(offset, news, now);
-        tell(gateway, change.as_slice());
-    }
+    let mut roster = gateway.roster.borrow_mut();
+    let changes: Vec<Change> =
+        sightings.into_iter().filter_map(|Sighting { offset, news }| roster.hear(offset, news, now)).collect();
+    drop(roster);
+    // Once for all of them: engines are chosen anew each time, which takes longer the more there are.
+    tell(gateway, &changes);
 }
 
 /// Gives up replicas whose records are still missing when their time is over.
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -158,7 +158,7 @@
         if wants.is_empty() {
             return Some((helpers, None));
         }
-        let hold = hold::take(&self.call.id, wants, self.gateway.settings.bounds.hold()).await?;
+        let hold = hold::take(&self.call.id, wants, self.gateway.bounds().hold()).await?;
         for helper in &mut helpers {
             helper.memory = hold.id(&helper.address);
         }
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -51,14 +51,13 @@
     let hangup = signal(SignalKind::hangup()).wrap_err("step=watch-signals")?;
     let listener = http::listen(settings.listen)?;
     let ready_listener = http::listen(settings.ready_listen)?;
-    let grace = settings.bounds.grace;
     event!("start", role = "gateway", listen = %settings.listen, store = %settings.store);
     let gateway = Rc::new(Gateway::new(settings));
     tokio::task::spawn_local(watch::configuration(gateway.clone()));
     tokio::task::spawn_local(watch::replicas(gateway.clone()));
     tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
     tokio::task::spawn_local(gateway.desk.clone().run());
-    tokio::task::spawn_local(reload(file, hangup));
+    tokio::task::spawn_local(reload(gateway.clone(), file, hangup));
     let (stop, stopping) = tokio::sync::watch::channel(Phase::Serving);
     if let Some(port) = gateway.settings.peer_port {
         let own = SocketAddr::new(gateway.settings.listen.ip(), port);
@@ -73,17 +72,20 @@
         _ = interrupt.recv() => {}
     }
     event!("stop", reason = "signal", in_flight = gateway.in_flight());
-    serve::wind_down(&gateway, grace, &stop).await;
+    serve::wind_down(&gateway, gateway.bounds().grace, &stop).await;
     event!("stopped", in_flight = gateway.in_flight());
     Ok(())
 }
 
-/// Reads the settings again at each SIGHUP. What is bound to a socket stays until the next start;
-/// a faulty file changes nothing.
-async fn reload(file: PathBuf, mut hangup: Signal) {
+/// Reads the settings again at each SIGHUP and puts their bounds in force. Names and addresses stay until the
+/// next start; a faulty file changes nothing.
+async fn reload(gateway: Rc<Gateway>, file: PathBuf, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         match Settings::load(&file) {
-            Ok(Settings::Gateway(_)) => event!("reload", outcome = "checked; in force at the next start"),
+            Ok(Settings::Gateway(settings)) => {
+                gateway.put_bounds(settings.bounds);
+                event!("reload", outcome = "bounds in force", bounds = ?settings.bounds);
+            }
             Ok(_) => warn_event!("reload", outcome = "refused: settings of another role"),
             Err(error) => warn_event!("reload", outcome = "refused", error = %format!("{error:#}")),
         }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -14,7 +14,7 @@
 use super::facts::Facts;
 use super::now;
 use super::place::Placer;
-use crate::config;
+use crate::config::{self, Bounds};
 
 /// Part of `revoke` for which a proof is good. The rest covers drift between two steady clocks.
 const PROOF_SHARE: f64 = 0.9;
@@ -47,8 +47,9 @@
 
 /// A gateway's shared state.
 pub struct Gateway {
-    /// The settings.
+    /// The settings at the start.
     pub settings: config::Gateway,
+    bounds: Cell<Bounds>,
     table: RefCell<Arc<Table>>,
     /// How far the store is known.
     pub facts: Facts,
@@ -67,8 +68,10 @@
     /// A gateway that knows nothing yet.
     pub fn new(settings: config::Gateway) -> Self {
         let placer = Placer::new(settings.process.failure_domain.clone());
+        let bounds = Cell::new(settings.bounds);
         Self {
             settings,
+            bounds,
             table: RefCell::default(),
             facts: Facts::default(),
             roster: RefCell::default(),
@@ -80,6 +83,17 @@
         }
     }
 
+    /// The deployment's bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Puts other bounds in force. Retry budgets keep what they have counted and the shares that they began with.
+    pub fn put_bounds(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+        self.facts.wake();
+    }
+
     /// The table in force here.
     pub fn table(&self) -> Arc<Table> {
         self.table.borrow().clone()
@@ -119,7 +133,7 @@
 
     /// Whether keys may be trusted: the table was the newest a short while ago.
     pub fn proof_holds(&self) -> bool {
-        let bound = self.settings.bounds.revoke.mul_f64(PROOF_SHARE);
+        let bound = self.bounds().revoke.mul_f64(PROOF_SHARE);
         self.facts.configuration.age().is_some_and(|age| age < bound)
     }
 
@@ -160,7 +174,7 @@
     }
 
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Windowed) -> T) -> T {
-        let bounds = self.settings.bounds;
+        let bounds = self.bounds();
         let fresh = || {
             let allowance = bounds.retry_allowance / ENTRIES_AT_MOST;
             Windowed::new(bounds.retry_share * RETRY_SHARE_USED, allowance, bounds.retry_window)
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use coord::roster::{News, Sighting};
-use eyre::Result;
+use eyre::{Result, eyre};
 use platform::store::Keyed;
 use platform::{replica, table};
 
@@ -33,8 +33,8 @@
 /// Keeps the routing table the newest.
 pub async fn configuration(gateway: Rc<Gateway>) {
     let mut reader = Reader::new(&gateway, table::TOPIC);
-    let serves = gateway.settings.bounds.revoke.mul_f64(CONFIGURATION_SERVES);
     loop {
+        let serves = gateway.bounds().revoke.mul_f64(CONFIGURATION_SERVES);
         gateway.facts.due(&gateway.facts.configuration, serves, || gateway.desk.has_leader()).await;
         let outcome = read_configuration(&gateway, &mut reader).await;
         if reader.note(&outcome) {
@@ -50,7 +50,7 @@
 /// Reads what is new in the configuration's topic, and takes it as proof if nothing newer was unsound.
 async fn read_configuration(gateway: &Gateway, reader: &mut Reader) -> Result<()> {
     let topic = &gateway.facts.configuration;
-    let held = gateway.settings.bounds.revoke.mul_f64(LONG_READ_SHARE);
+    let held = gateway.bounds().revoke.mul_f64(LONG_READ_SHARE);
     let sent = now();
     let page = match topic.next() {
         None => reader.read_all().await?,
@@ -64,10 +64,14 @@
         let Some(value) = record.value else { continue };
         sound &= belief::apply(gateway, Document { offset: record.offset, value });
     }
+    if !sound {
+        // Read again until it is sound: what came after it would prove the older one that is still in force.
+        return Err(eyre!("step=decode-configuration peer=store: the newest configuration cannot be decoded"));
+    }
     topic.advance(page.next);
     if gateway.table().version() == 0 {
         tokio::time::sleep(RETRY_PAUSE).await;
-    } else if sound {
+    } else {
         topic.prove(sent);
     }
     Ok(())
@@ -76,9 +80,9 @@
 /// Keeps the belief about replicas up to date.
 pub async fn replicas(gateway: Rc<Gateway>) {
     let mut reader = Reader::new(&gateway, replica::TOPIC);
-    let drain = gateway.settings.bounds.drain;
-    let (period, serves) = (drain / READS_PER_DRAIN, drain.mul_f64(RECORDS_SERVE));
     loop {
+        let drain = gateway.bounds().drain;
+        let (period, serves) = (drain / READS_PER_DRAIN, drain.mul_f64(RECORDS_SERVE));
         gateway.facts.due(&gateway.facts.replicas, serves, || gateway.desk.has_leader()).await;
         let outcome = read_replicas(&gateway, &mut reader).await;
         if reader.note(&outcome) {
