--- a/coord/src/breaker.rs
+++ b/coord/src/breaker.rs
@@ -45,9 +45,7 @@
         if self.weight < LEAST_WEIGHT {
             return;
         }
-        let open =
-            FIRST_OPEN.mul_f64((self.weight - 1.0).exp2().min(LONGEST_OPEN.as_secs_f64() / FIRST_OPEN.as_secs_f64()));
-        self.open_until = self.open_until.max(now + open);
+        self.open_until = self.open_until.max(now + self.open_for());
         self.on_trial_until = self.open_until + TRIAL_SPAN;
     }
 
@@ -83,6 +81,12 @@
         now < self.on_trial_until
     }
 
+    /// For how long a failure opens it, by what it weighs with those before it: twice as long for each one more.
+    fn open_for(&self) -> Duration {
+        let most = LONGEST_OPEN.as_secs_f64() / FIRST_OPEN.as_secs_f64();
+        FIRST_OPEN.mul_f64((self.weight - 1.0).exp2().min(most))
+    }
+
     /// What past failures weigh now.
     fn weight(&self, now: Moment) -> f64 {
         let half_lives = now.since(self.weighed_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! of real entries in front of them.
 
 mod client;
+mod configuration;
 mod proxy;
 mod replica;
 mod site;
