--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -386,7 +386,7 @@
 #[test]
 fn engines_of_a_team_that_is_held_up_are_tried_by_short_prompts_before_the_next_team() {
     let now = Moment::from_millis(10_000);
-    let mut planner = planner(18);
+    let mut planner = planner(60);
     planner.submit(id(1), job(210_000, now));
     let team = pump(&mut planner, now).remove(&1).expect("it is granted").team;
     let late = now + Duration::from_secs(3);
@@ -395,11 +395,9 @@
     planner.submit(id(2), job(210_000, late));
     planner.submit(id(3), job(4_000, late));
     let next = pump(&mut planner, late);
-    assert!(team.engines().any(|engine| *engine == next[&3].team.writer), "a short one tries one of them");
-    let reused = next
-        .get(&2)
-        .map_or(0, |grant| grant.team.engines().filter(|name| team.engines().any(|one| one == *name)).count());
-    assert!(reused <= 1 || next.get(&2).is_none_or(|grant| grant.team.helpers.len() + 1 == 17), "{next:?}");
+    let suspected = |engine: &Name| team.engines().any(|one| one == engine);
+    assert!(suspected(&next[&3].team.writer), "a short one tries one of them");
+    assert!(!next[&2].team.engines().any(suspected), "{next:?}");
 }
 
 #[test]
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -59,10 +59,11 @@
             None => return Ok(()),
         },
     };
+    // Only the newest decides: what it replaces need not have been sound.
     let mut sound = true;
     for record in page.records.into_iter().filter(|record| &*record.key == table::KEY) {
         let Some(value) = record.value else { continue };
-        sound &= belief::apply(gateway, Document { offset: record.offset, value });
+        sound = belief::apply(gateway, Document { offset: record.offset, value });
     }
     if !sound {
         // Read again until it is sound: what came after it would prove the older one that is still in force.
@@ -114,12 +115,11 @@
 async fn read_all_replicas(gateway: &Gateway, reader: &mut Reader) -> Result<()> {
     let sent = now();
     let whole = reader.read_all().await?;
-    let mut newest = Vec::new();
-    for record in &whole.records {
-        if let News::Here(found) = replica::decode(record)? {
-            newest.push((record.offset, found));
-        }
-    }
+    let here = |sighting: Sighting| match sighting.news {
+        News::Here(record) => Some((sighting.offset, record)),
+        News::Removed(_) => None,
+    };
+    let newest = sightings(&whole.records).into_iter().filter_map(here).collect();
     note_return(gateway, reader);
     let changes = gateway.roster.borrow_mut().replace(whole.next, newest, now());
     belief::tell(gateway, &changes);
--- a/standin/src/platform/soak.rs
+++ b/standin/src/platform/soak.rs
@@ -2,7 +2,7 @@
 //! what callers and replicas see.
 //!
 //! A run is a number of rounds. Each injects faults from the seed for a while, in series and overlapping,
-//! then heals everything, gives the entries [`RECOVERY`] to come back, and checks a calm while strictly.
+//! then heals everything, gives the entries five seconds to come back, and checks a calm while strictly.
 //! Every other round has planned work only: then no answer may be lost at all. Clocks are left alone:
 //! entries decide by the steady clock only, which nothing outside a process can change.
 
--- a/standin/tests/platform_processes.rs
+++ b/standin/tests/platform_processes.rs
@@ -210,6 +210,8 @@
 async fn an_entry_whose_proof_grows_old_sends_its_followers_away() {
     let site = site("processes-old-proof", 3, "revoke_ms = 2500").await;
     let first = leader(&site, 3).await;
+    // One that met another entry first looks for an older one after 3 s.
+    tokio::time::sleep(Duration::from_secs(4)).await;
     site.doors[first].set(Fault::Silent);
     let others: Vec<usize> = (0..3).filter(|entry| *entry != first).collect();
     for entry in &others {
--- a/standin/tests/platform_streams.rs
+++ b/standin/tests/platform_streams.rs
@@ -1,9 +1,10 @@
 //! Streams are whole or visibly broken, go on elsewhere, and end with their caller.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standin::platform::{Act, Ask, KEY, Site, Spec};
+use standin::platform::{Act, Ask, KEY, Replica, Site, Spec};
 
 fn prompt(id: &str) -> Ask {
     Ask::new("POST", "/prompt/1", id, KEY).with("token-usage", "500,400").with("deadline-ms", "2500")
@@ -26,7 +27,9 @@
     assert!(!seen.whole, "{seen:?}");
     assert_eq!(seen.body, whole_stream("a1").split_inclusive("\n\n").take(6).collect::<String>());
     while site.send(0, &prompt("spend")).await.body != whole_stream("spend") {}
-    let writer = site.engines.iter().position(|engine| !engine.seen().is_empty()).expect("one wrote");
+    // Each process prefers other engines; the one that wrote last is the one that holds short answers.
+    let last = |engine: &Arc<Replica>| engine.seen().last().map(|run| run.at);
+    let writer = (0..site.engines.len()).max_by_key(|index| last(&site.engines[*index])).expect("one wrote");
     site.engines[writer].next([Act::BreakAfter(3)]);
     let mut resumed = None;
     for number in 0..20 {
