A prompt that waits is refused when its entry closes

Ruled out: a send (none was made). It is refused as not run when resting connections are closed, 2.5 s after SIGTERM. Test a_prompt_that_still_waits_... failed first (no answer after 5.9 s), passes now.

--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -107,8 +107,12 @@
             self.gateway.roster.borrow().usable(&self.service).next()?;
             let patience = self.route.patience().min(self.allowed);
             let left = (self.started + patience.mul_f64(PATIENCE_SHARE)).since(now());
-            let placed = tokio::time::timeout(left, self.gateway.desk.place(&self.service, prompt)).await;
-            let lease = placed.ok().flatten()?;
+            let lease = tokio::select! {
+                placed = self.gateway.desk.place(&self.service, prompt) => placed?,
+                () = tokio::time::sleep(left) => return None,
+                // Refused while its caller can still go elsewhere; a broken stream waits on, it has no other way.
+                () = self.gateway.closing(), if self.sends == 0 => return None,
+            };
             let Some((record, found)) = self.locate(&lease.team) else { continue };
             let Some((helpers, _hold)) = self.hold(found).await else {
                 drop(lease);
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use coord::name::Name;
 use coord::roster::Roster;
 use coord::route::Table;
+use tokio::sync::Notify;
 
 use super::desk::Desk;
 use super::facts::Facts;
@@ -61,6 +62,8 @@
     pub desk: Rc<Desk>,
     budgets: RefCell<HashMap<Name, Windowed>>,
     phase: Cell<Phase>,
+    /// Told when resting connections are closed.
+    closing: Notify,
     in_flight: Cell<usize>,
 }
 
@@ -79,6 +82,7 @@
             desk: Desk::new(),
             budgets: RefCell::default(),
             phase: Cell::new(Phase::Serving),
+            closing: Notify::new(),
             in_flight: Cell::new(0),
         }
     }
@@ -145,6 +149,17 @@
     /// Notes how far the process is on its way to its end.
     pub fn enter(&self, phase: Phase) {
         self.phase.set(phase);
+        if phase == Phase::Closing {
+            self.closing.notify_waiters();
+        }
+    }
+
+    /// Waits until resting connections are closed; what waits here then would not be over before the process is.
+    pub async fn closing(&self) {
+        let notified = self.closing.notified();
+        if self.phase() != Phase::Closing {
+            notified.await;
+        }
     }
 
     /// How far the process is on its way to its end.
--- a/standin/tests/platform_processes.rs
+++ b/standin/tests/platform_processes.rs
@@ -129,6 +129,29 @@
     site.close().expect("no invariant was breached");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_that_still_waits_when_its_entry_closes_is_refused_as_not_run() {
+    let mut site = site("processes-waits", 1, "grace_s = 6").await;
+    // No engine has memory for it for as long as it waits: 0.45 of twenty seconds, far beyond the end.
+    site.configure(&[KEY], |config| {
+        config["routes"][0]["target_latency_ms"] = serde_json::json!(5_000);
+        config["routes"][0]["timeout_ms"] = serde_json::json!(20_000);
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let waits =
+        Ask::new("POST", "/prompt/1", "k1", KEY).with("token-usage", "5000000,400").with("deadline-ms", "20000");
+    let ending = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        site.signal(0, Signal::TERM).expect("it is told");
+    };
+    let (seen, ()) = tokio::join!(site.send(0, &waits), ending);
+    assert_eq!(seen.status, 503, "{seen:?}");
+    assert!(!seen.header("retry-after").is_empty());
+    assert!(seen.took < Duration::from_secs(4), "{:?}", seen.took);
+    assert!(site.wait_end(0).await.expect("it ends"), "it ends well");
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn reloaded_bounds_are_in_force_at_once() {
     let site = site("processes-bounds", 1, "revoke_ms = 20000").await;
