One place tells how far an entry is on its way to its end

Ruled out: keeping the notice (a special case beside the channel that already wakes everyone). Change: the gateway owns the channel; phase(), enter() and reached() are all there is. Behaviour unchanged.

--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -11,7 +11,7 @@
 use super::super::desk::Lease;
 use super::super::hold::{self, Hold};
 use super::super::now;
-use super::super::state::Gateway;
+use super::super::state::{Gateway, Phase};
 use super::Job;
 
 /// Pause before a prompt whose memory could not be had is planned anew.
@@ -111,7 +111,7 @@
                 placed = self.gateway.desk.place(&self.service, prompt) => placed?,
                 () = tokio::time::sleep(left) => return None,
                 // Refused while its caller can still go elsewhere; a broken stream waits on, it has no other way.
-                () = self.gateway.closing(), if self.sends == 0 => return None,
+                () = self.gateway.reached(Phase::Closing), if self.sends == 0 => return None,
             };
             let Some((record, found)) = self.locate(&lease.team) else { continue };
             let Some((helpers, _hold)) = self.hold(found).await else {
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -6,7 +6,7 @@
 
 use eyre::{Result, eyre};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use super::facts;
 use super::link::{self, BEAT, Link, Order, Report};
@@ -16,16 +16,14 @@
 /// Takes other entries in until this one is told to stop; then they look for another.
 ///
 /// An entry without a recent proof of its configuration sends them away: it may not know the engines.
-pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase != Phase::Serving) => return,
+            () = gateway.reached(Phase::Stopping) => return,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                drop(tokio::task::spawn_local(follower(gateway.clone(), stream, peer, phase.clone())))
-            }
+            Ok((stream, peer)) => drop(tokio::task::spawn_local(follower(gateway.clone(), stream, peer))),
             Err(error) => {
                 crate::warn_event!("accept-peer", error = %error);
                 tokio::time::sleep(BEAT).await;
@@ -35,7 +33,7 @@
 }
 
 /// Plans for one entry until it is lost or this one is told to stop.
-async fn follower(gateway: Rc<Gateway>, stream: TcpStream, peer: SocketAddr, mut phase: watch::Receiver<Phase>) {
+async fn follower(gateway: Rc<Gateway>, stream: TcpStream, peer: SocketAddr) {
     if !gateway.ready() {
         event!("peer-refused", peer = %peer, proof_age_ms = gateway.proof_age_ms().unwrap_or(0));
         return;
@@ -49,7 +47,7 @@
     let mut link = Link::new(stream);
     let outcome = tokio::select! {
         outcome = exchange(&gateway, entry, &mut link, &mut waiting) => outcome,
-        _ = phase.wait_for(|phase| *phase != Phase::Serving) => Ok(()),
+        () = gateway.reached(Phase::Stopping) => Ok(()),
     };
     desk.leave(entry);
     let reason = outcome.err().map_or_else(|| "stopping".to_owned(), |error| format!("{error:#}"));
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -31,7 +31,7 @@
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use self::state::{Gateway, Phase};
+use self::state::Gateway;
 use crate::config::{self, Settings};
 use crate::{event, http, metric, timeline, util, warn_event};
 
@@ -58,21 +58,20 @@
     tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
     tokio::task::spawn_local(gateway.desk.clone().run());
     tokio::task::spawn_local(reload(gateway.clone(), file, hangup));
-    let (stop, stopping) = tokio::sync::watch::channel(Phase::Serving);
     if let Some(port) = gateway.settings.peer_port {
         let own = SocketAddr::new(gateway.settings.listen.ip(), port);
         let peers = http::listen(own)?;
-        tokio::task::spawn_local(lead::run(gateway.clone(), peers, stopping.clone()));
+        tokio::task::spawn_local(lead::run(gateway.clone(), peers));
         tokio::task::spawn_local(follow::run(gateway.clone(), own));
     }
-    tokio::task::spawn_local(serve::run(gateway.clone(), listener, stopping));
+    tokio::task::spawn_local(serve::run(gateway.clone(), listener));
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     event!("stop", reason = "signal", in_flight = gateway.in_flight());
-    serve::wind_down(&gateway, gateway.bounds().grace, &stop).await;
+    serve::wind_down(&gateway).await;
     event!("stopped", in_flight = gateway.in_flight());
     Ok(())
 }
--- a/sorrelpass/src/gateway/serve.rs
+++ b/sorrelpass/src/gateway/serve.rs
@@ -10,7 +10,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use super::state::{Gateway, Phase};
 use super::{call, now};
@@ -33,11 +32,11 @@
 const POLL: Duration = Duration::from_millis(50);
 
 /// Takes connections until the process ends.
-pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, stop: watch::Receiver<Phase>) {
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(gateway.clone(), stream, stop.clone()));
+                tokio::task::spawn_local(connection(gateway.clone(), stream));
             }
             Err(error) => {
                 // Out of descriptors, most likely: let some close.
@@ -57,7 +56,7 @@
 }
 
 /// Serves one connection until either side closes it.
-async fn connection(gateway: Rc<Gateway>, stream: TcpStream, mut stop: watch::Receiver<Phase>) {
+async fn connection(gateway: Rc<Gateway>, stream: TcpStream) {
     // Without it the connection is slower and no less right.
     let _ = stream.set_nodelay(true);
     let rest = Rc::new(Rest { requests: Cell::new(0), since: Cell::new(now()) });
@@ -81,7 +80,7 @@
     tokio::select! {
         // A caller that goes away mid-request is no fault of ours.
         _ = serving.as_mut() => return,
-        _ = stop.wait_for(|phase| *phase == Phase::Closing) => {}
+        () = gateway.reached(Phase::Closing) => {}
         () = rested(&gateway, &rest) => {}
     }
     serving.as_mut().graceful_shutdown();
@@ -115,21 +114,14 @@
 
 /// Serves what still comes until the balancer has taken notice, then closes what rests, refuses what is
 /// new, and lets the requests in flight finish.
-pub async fn wind_down(gateway: &Gateway, grace: Duration, stop: &watch::Sender<Phase>) {
+pub async fn wind_down(gateway: &Gateway) {
+    let grace = gateway.bounds().grace;
     let last = now() + grace.mul_f64(GRACE_SHARE);
-    enter(gateway, stop, Phase::Stopping);
+    gateway.enter(Phase::Stopping);
     tokio::time::sleep(LAME_DUCK.min(grace / 2)).await;
-    enter(gateway, stop, Phase::Closing);
+    gateway.enter(Phase::Closing);
     tokio::time::sleep(CROSSING).await;
     while gateway.in_flight() > 0 && now() < last {
         tokio::time::sleep(POLL).await;
     }
 }
-
-/// Enters a phase and tells all connections.
-fn enter(gateway: &Gateway, stop: &watch::Sender<Phase>, phase: Phase) {
-    gateway.enter(phase);
-    // Fails only if nobody listens any more.
-    let _ = stop.send(phase);
-    crate::event!("phase", phase = phase.as_str(), in_flight = gateway.in_flight());
-}
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -9,7 +9,7 @@
 use coord::name::Name;
 use coord::roster::Roster;
 use coord::route::Table;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::desk::Desk;
 use super::facts::Facts;
@@ -25,7 +25,7 @@
 const ENTRIES_AT_MOST: f64 = 32.0;
 
 /// How far the process is on its way to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Connections are taken.
     Serving,
@@ -61,9 +61,7 @@
     /// Where prompts go.
     pub desk: Rc<Desk>,
     budgets: RefCell<HashMap<Name, Windowed>>,
-    phase: Cell<Phase>,
-    /// Told when resting connections are closed.
-    closing: Notify,
+    phase: watch::Sender<Phase>,
     in_flight: Cell<usize>,
 }
 
@@ -81,8 +79,7 @@
             placer: RefCell::new(placer),
             desk: Desk::new(),
             budgets: RefCell::default(),
-            phase: Cell::new(Phase::Serving),
-            closing: Notify::new(),
+            phase: watch::Sender::new(Phase::Serving),
             in_flight: Cell::new(0),
         }
     }
@@ -143,28 +140,24 @@
 
     /// Whether this entry wants callers.
     pub fn ready(&self) -> bool {
-        self.phase.get() == Phase::Serving && self.proof_holds()
+        self.phase() == Phase::Serving && self.proof_holds()
     }
 
-    /// Notes how far the process is on its way to its end.
+    /// Notes how far the process is on its way to its end, and tells all who wait for that.
     pub fn enter(&self, phase: Phase) {
-        self.phase.set(phase);
-        if phase == Phase::Closing {
-            self.closing.notify_waiters();
-        }
+        self.phase.send_replace(phase);
+        crate::event!("phase", phase = phase.as_str(), in_flight = self.in_flight());
     }
 
-    /// Waits until resting connections are closed; what waits here then would not be over before the process is.
-    pub async fn closing(&self) {
-        let notified = self.closing.notified();
-        if self.phase() != Phase::Closing {
-            notified.await;
-        }
+    /// Waits until the process is so far on its way to its end.
+    pub async fn reached(&self, phase: Phase) {
+        // Fails only if the sender is gone, which lives as long as this.
+        let _ = self.phase.subscribe().wait_for(|current| *current >= phase).await;
     }
 
     /// How far the process is on its way to its end.
     pub fn phase(&self) -> Phase {
-        self.phase.get()
+        *self.phase.borrow()
     }
 
     /// Requests in flight.
