An answer is judged once; a plain service's failures are not reported to who plans

Cause: judge asked twice whether an answer is usable and blamed in two places; and a refusal or a broken stream of a plain service sent a report over the network that no planner takes. Change: one match blames or clears, then the answer is passed on or not; the desk keeps to itself what concerns a service without a planner. Behaviour towards callers and replicas unchanged.

--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -84,18 +84,16 @@
         if answer.not_run {
             return self.refused(&record, &answer);
         }
-        let worth_another = answer.status.is_server_error() && self.may_repeat();
-        if !is_usable(&answer) || worth_another {
+        let (usable, error) = (is_usable(&answer), answer.status.is_server_error());
+        match (usable, error) {
+            (false, _) => self.blame(&record.id, NO_ANSWER),
+            (true, true) => self.blame(&record.id, ERROR_ANSWER),
+            (true, false) => self.gateway.placer.borrow_mut().succeeded(&record.id),
+        }
+        if !usable || (error && self.may_repeat()) {
             event!("lost", request = %self.call.id, peer = %record.id, status = answer.status.as_u16(), ours = answer.ours, sealed = answer.sealed);
-            let share = if is_usable(&answer) { ERROR_ANSWER } else { NO_ANSWER };
-            self.blame(&record.id, share);
             return Sent::Lost;
         }
-        if answer.status.is_server_error() {
-            self.blame(&record.id, ERROR_ANSWER);
-        } else {
-            self.gateway.placer.borrow_mut().succeeded(&record.id);
-        }
         Sent::Opened(Box::new(Opened { record, response, connection, place }))
     }
 
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -135,8 +135,11 @@
         Some(Lease { desk: Rc::downgrade(self), number, team })
     }
 
-    /// Notes that an engine failed a prompt.
+    /// Notes that an engine failed a prompt. Services without engines have no planner, here or elsewhere.
     pub fn failed(&self, service: &Name, engine: &str) {
+        if !self.planners.borrow().contains_key(service) {
+            return;
+        }
         let engine = Name::from(engine);
         self.planner(service, |planner| planner.failed(OWN, &engine, now()));
         self.report(Report::Failed { service: service.clone(), engine });
