The store's return is noted in one place; a request's parts travel together

Cause: the loop over replicas' records noted the return of the store a second time, only for the case that the first answer held nothing to take in; and two functions passed the same five parts of a request on. Change: the return is noted as soon as the store has answered; the parts are an Arrival. Behaviour unchanged.

--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -30,12 +30,22 @@
 /// When a caller should come back to another entry, this one being about to end.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
 
+/// A request as it came.
+struct Arrival {
+    call: dialect::Call,
+    request: Request<Incoming>,
+    /// When its head had come.
+    at: Moment,
+    /// Counts it at its caller's connection until it is over.
+    busy: Box<dyn Any>,
+}
+
 /// Takes a request to its answer. `busy` is dropped once the request is over.
 pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>, busy: Box<dyn Any>) -> Answer {
     let started = now();
     let (id, outcome) = match dialect::decode(request.headers()) {
         Err(malformed) => (Name::default(), Err(Failure::bad_request("malformed", malformed.0))),
-        Ok(call) => (call.id.clone(), serve(&gateway, call, request, started, busy).await),
+        Ok(call) => (call.id.clone(), serve(&gateway, Arrival { call, request, at: started, busy }).await),
     };
     let mut answer = match outcome {
         Ok(answer) => answer,
@@ -55,30 +65,19 @@
     answer::failure(failure, id)
 }
 
-async fn serve(
-    gateway: &Rc<Gateway>,
-    call: dialect::Call,
-    request: Request<Incoming>,
-    started: Moment,
-    busy: Box<dyn Any>,
-) -> Result<Answer, Failure> {
+async fn serve(gateway: &Rc<Gateway>, arrival: Arrival) -> Result<Answer, Failure> {
     if gateway.phase() == Phase::Closing {
         // It could not be finished before the process must end.
         return Err(Failure::busy("stopping", "this entry is about to end", STOPPING_RETRY));
     }
-    let mut job = job(gateway, call, request, started, busy).await?;
+    let mut job = job(gateway, arrival).await?;
     let opened = job.open_in_time().await?;
     job.pass_on(opened).await
 }
 
 /// Reads and admits a request.
-async fn job(
-    gateway: &Rc<Gateway>,
-    call: dialect::Call,
-    request: Request<Incoming>,
-    started: Moment,
-    busy: Box<dyn Any>,
-) -> Result<Job, Failure> {
+async fn job(gateway: &Rc<Gateway>, arrival: Arrival) -> Result<Job, Failure> {
+    let Arrival { call, request, at: started, busy } = arrival;
     let in_flight = gateway.begin_request();
     let (head, body) = request.into_parts();
     let allowed = call.allowed.unwrap_or(DEFAULT_ALLOWED);
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -86,9 +86,7 @@
         let (period, serves) = (drain / READS_PER_DRAIN, drain.mul_f64(RECORDS_SERVE));
         gateway.facts.due(&gateway.facts.replicas, serves, || gateway.desk.has_leader()).await;
         let outcome = read_replicas(&gateway, &mut reader).await;
-        if reader.note(&outcome) {
-            gateway.roster.borrow_mut().store_returned(now(), RETURN_GRACE);
-        }
+        reader.note(&outcome);
         belief::expire(&gateway);
         if outcome.is_err() {
             reader.back_off(&gateway).await;
@@ -103,8 +101,9 @@
     let topic = &gateway.facts.replicas;
     let Some(from) = topic.next() else { return read_all_replicas(gateway, reader).await };
     let sent = now();
-    let Some(page) = reader.read_on(topic, from, Duration::ZERO).await? else { return Ok(()) };
+    let page = reader.read_on(topic, from, Duration::ZERO).await?;
     note_return(gateway, reader);
+    let Some(page) = page else { return Ok(()) };
     belief::hear(gateway, sightings(&page.records));
     topic.advance(page.next);
     topic.prove(sent);
