Tests find the entry that leads in one way

Cause: platform_facts searched for it with a copy of platform_processes' loop. Change: common::leader serves both; every assertion stands as it was.

--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -3,10 +3,11 @@
 
 use std::io::{Read, Write};
 use std::process::Command;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use standin::client::{Prompt, Seen};
 use standin::fleet::{Fleet, Spec, workspace_key};
+use standin::platform::Site;
 use standin::text;
 
 /// A small fleet under the test's own name.
@@ -96,3 +97,17 @@
     let text = String::from_utf8_lossy(&line[..read]).into_owned();
     text.lines().next().unwrap_or_default().to_owned()
 }
+
+/// The entry of a site that plans for the others: the only one that follows nobody.
+pub async fn leader(site: &Site, entries: usize) -> usize {
+    let follows = |entry: &usize| site.log(*entry).contains("step=following");
+    let started = Instant::now();
+    loop {
+        let leaders: Vec<usize> = (0..entries).filter(|entry| !follows(entry)).collect();
+        if let [leader] = leaders[..] {
+            return leader;
+        }
+        assert!(started.elapsed() < Duration::from_secs(12), "leaders: {leaders:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/standin/tests/platform_facts.rs
+++ b/standin/tests/platform_facts.rs
@@ -1,7 +1,10 @@
 //! What entries know of the store through each other: few calls, nothing that looks younger than it is.
 
+mod common;
+
 use std::time::{Duration, Instant};
 
+use common::leader;
 use rustix::process::Signal;
 use serde_json::json;
 use standin::platform::{Ask, Fault, KEY, Site, Spec};
@@ -19,16 +22,8 @@
 
 /// The entry that reads the store for the others, once all follow it; then the others.
 async fn roles(site: &Site) -> (usize, Vec<usize>) {
-    let started = Instant::now();
-    loop {
-        let follows = |entry: &usize| site.log(*entry).contains("step=following");
-        let (others, leaders): (Vec<usize>, Vec<usize>) = (0..3).partition(follows);
-        if let [leader] = leaders[..] {
-            return (leader, others);
-        }
-        assert!(started.elapsed() < Duration::from_secs(12), "leaders: {leaders:?}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let leader = leader(site, 3).await;
+    (leader, (0..3).filter(|entry| *entry != leader).collect())
 }
 
 /// Asks an entry until it answers with this status.
--- a/standin/tests/platform_processes.rs
+++ b/standin/tests/platform_processes.rs
@@ -1,9 +1,12 @@
 //! Entries end, die, come back and are cut off; prompts are granted engines all the while.
 
+mod common;
+
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use common::leader;
 use rustix::process::Signal;
 use standin::platform::{Act, Ask, Fault, HOST, KEY, Site, Spec};
 
@@ -29,20 +32,6 @@
     }
 }
 
-/// The entry that plans for the others: the only one that follows nobody.
-async fn leader(site: &Site, entries: usize) -> usize {
-    let follows = |entry: &usize| site.log(*entry).contains("step=following");
-    let started = Instant::now();
-    loop {
-        let leaders: Vec<usize> = (0..entries).filter(|entry| !follows(entry)).collect();
-        if let [leader] = leaders[..] {
-            return leader;
-        }
-        assert!(started.elapsed() < Duration::from_secs(12), "leaders: {leaders:?}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 async fn served_by_all(site: &Site, entries: usize, round: &str) {
     for entry in 0..entries {
         let id = format!("{round}{entry}");
