A whole picture of the replicas is taken in as sightings, each looked up once

Cause: it came as pairs beside the Sighting type that says the same, and for each known replica all of the picture was searched: nine million comparisons for 3,000, at a start and after each trimmed history. Change: replace takes sightings and looks ids up in a set; the conversion in the entry goes. Behaviour unchanged; the randomised test builds sightings, its assertions stand.

--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -6,7 +6,7 @@
 //! while before it counts as gone. And a store that answers with an older state than was already
 //! seen does not take anything back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -40,6 +40,16 @@
     Removed(Name),
 }
 
+impl News {
+    /// The replica that it is about.
+    pub fn id(&self) -> &Name {
+        match self {
+            News::Here(record) => &record.id,
+            News::Removed(id) => id,
+        }
+    }
+}
+
 /// News with the offset at which the store has them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sighting {
@@ -168,15 +178,13 @@
     }
 
     /// Takes a whole picture whose newest offset is below `end`: what it leaves out was removed.
-    pub fn replace(&mut self, end: u64, newest: Vec<(u64, Record)>, now: Moment) -> Vec<Change> {
-        let missing: Vec<Name> = self
-            .replicas
-            .values()
-            .filter(|known| known.offset < end && !newest.iter().any(|(_, record)| record.id == known.record.id))
-            .map(|known| known.record.id.clone())
-            .collect();
+    pub fn replace(&mut self, end: u64, newest: Vec<Sighting>, now: Moment) -> Vec<Change> {
+        let listed: HashSet<&Name> = newest.iter().map(|sighting| sighting.news.id()).collect();
+        let is_missing = |known: &&Replica| known.offset < end && !listed.contains(&known.record.id);
+        let missing: Vec<Name> =
+            self.replicas.values().filter(is_missing).map(|known| known.record.id.clone()).collect();
         let mut changes: Vec<Change> =
-            newest.into_iter().filter_map(|(offset, record)| self.here(offset, record)).collect();
+            newest.into_iter().filter_map(|sighting| self.hear(sighting.offset, sighting.news, now)).collect();
         let last = end.saturating_sub(1);
         changes.extend(missing.iter().filter_map(|id| self.removed(last, id, now)));
         changes
--- a/coord/tests/roster_machine.rs
+++ b/coord/tests/roster_machine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coord::name::Name;
-use coord::roster::{News, Record, Roster, Standing};
+use coord::roster::{News, Record, Roster, Sighting, Standing};
 use coord::time::Moment;
 use proptest::prelude::*;
 
@@ -92,7 +92,8 @@
                     }
                 }
                 Step::Replace => {
-                    let newest = truth.newest.values().cloned().collect();
+                    let sighting = |(offset, record): &(u64, Record)| Sighting { offset: *offset, news: News::Here(record.clone()) };
+                    let newest = truth.newest.values().map(sighting).collect();
                     roster.replace(truth.offset + 1, newest, now);
                 }
                 Step::Wait(millis) => {
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coord::roster::{News, Sighting};
+use coord::roster::Sighting;
 use eyre::{Result, eyre};
 use platform::store::Keyed;
 use platform::{replica, table};
@@ -114,11 +114,7 @@
 async fn read_all_replicas(gateway: &Gateway, reader: &mut Reader) -> Result<()> {
     let sent = now();
     let whole = reader.read_all().await?;
-    let here = |sighting: Sighting| match sighting.news {
-        News::Here(record) => Some((sighting.offset, record)),
-        News::Removed(_) => None,
-    };
-    let newest = sightings(&whole.records).into_iter().filter_map(here).collect();
+    let newest = sightings(&whole.records);
     note_return(gateway, reader);
     let changes = gateway.roster.borrow_mut().replace(whole.next, newest, now());
     belief::tell(gateway, &changes);
