The configuration's bound is read; nothing is denied on an old proof

Change: bounds.config_apply_ms is a setting; followers read at 0.6 of it, the store holds a read for 0.35 of it, questions come six times in the shorter of it and drain_ms; 401 and 404 need a proof younger than 0.8 of it, else 503. Tests, failed first: entries_that_follow_one_cut_off_..., nothing_is_denied_on_an_old_proof (401 in place of 200 and 503).

--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -119,25 +119,36 @@
     }
 }
 
-/// Finds the route and the workspace. Without a recent proof of the configuration no key is trusted.
+/// Finds the route and the workspace. Without a recent proof of the configuration no key is trusted, and nothing is
+/// said not to be there.
 fn admit(gateway: &Gateway, call: &dialect::Call, path: &str) -> Result<(Route, Option<Workspace>), Failure> {
     let table = gateway.table();
     if table.version() == 0 {
         return Err(Failure::busy("no_configuration", "no configuration is known yet", UNPROVEN_RETRY));
     }
-    let found = table.route(&call.host, path);
-    let keyed = found.is_ok_and(|route| table.needs_key(route));
-    if (keyed || found.is_err()) && !gateway.proof_holds() {
-        return Err(Failure::busy("unproven", "the configuration may have changed", UNPROVEN_RETRY));
-    }
-    let route = found.map_err(|_| Failure::new(StatusCode::NOT_FOUND, "no_route", "no route begins this path"))?;
-    if !keyed {
+    let Ok(route) = table.route(&call.host, path) else {
+        return Err(denied(gateway, StatusCode::NOT_FOUND, "no_route", "no route begins this path"));
+    };
+    if !table.needs_key(route) {
         return Ok((route.clone(), None));
     }
-    let workspace = table
-        .workspace(call.key.as_deref())
-        .map_err(|_| Failure::new(StatusCode::UNAUTHORIZED, "unknown_key", "the key stands for nobody"))?;
-    Ok((route.clone(), Some(workspace.clone())))
+    if !gateway.proof_holds() {
+        return Err(unproven());
+    }
+    match table.workspace(call.key.as_deref()) {
+        Ok(workspace) => Ok((route.clone(), Some(workspace.clone()))),
+        Err(_) => Err(denied(gateway, StatusCode::UNAUTHORIZED, "unknown_key", "the key stands for nobody")),
+    }
+}
+
+/// Says that something is not there; a table that may lack what is in force by now cannot say so.
+fn denied(gateway: &Gateway, status: StatusCode, code: &'static str, message: &str) -> Failure {
+    if gateway.may_deny() { Failure::new(status, code, message) } else { unproven() }
+}
+
+/// The table is too old to decide.
+fn unproven() -> Failure {
+    Failure::busy("unproven", "the configuration may have changed", UNPROVEN_RETRY)
 }
 
 fn no_service() -> Failure {
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -29,9 +29,11 @@
 const FIRST_RETRY: Duration = Duration::from_millis(300);
 /// How often older entries are tried again, for one that was cut off or frozen may be back.
 const RETRY: Duration = Duration::from_secs(3);
-/// How often an entry asks the one that it follows what is new in the store: a sixth of the shortest time seen
-/// within which a configuration must be in force, or a leaving replica be left alone.
+/// How often, at least, an entry asks the one that it follows what is new in the store …
 const SYNC: Duration = Duration::from_millis(300);
+/// … and in the time within which a configuration must be in force, or a leaving replica be left alone: one
+/// question may be lost with its connection, and what the other entry knows is itself some time old.
+const SYNCS_PER_BOUND: u32 = 6;
 /// Time for an answer of the store.
 const PATIENCE: Duration = Duration::from_millis(1_000);
 /// Pause after a failed announcement.
@@ -190,7 +192,8 @@
 /// Sends reports and takes orders; ends with an error, at the latest when beats are missed.
 async fn exchange(gateway: &Gateway, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<()> {
     let mut heard = Instant::now();
-    let mut sync = tokio::time::interval(SYNC);
+    let bounds = gateway.bounds();
+    let mut sync = tokio::time::interval(SYNC.min(bounds.config_apply.min(bounds.drain) / SYNCS_PER_BOUND));
     sync.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut question = Question::default();
     loop {
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -19,6 +19,10 @@
 
 /// Part of `revoke` for which a proof is good. The rest covers drift between two steady clocks.
 const PROOF_SHARE: f64 = 0.9;
+/// Part of the time within which a configuration must be in force for which a proof is good enough to say that there
+/// is no such route or key. A younger proof shows all that was in force when the request was sent; the rest covers the
+/// way from the caller and drift.
+const DENIAL_SHARE: f64 = 0.8;
 /// Part of the common retry share that entries use, so that a window's edge never overdraws it.
 const RETRY_SHARE_USED: f64 = 0.9;
 /// Entries among which the common retry allowance is divided: more than any deployment seen has.
@@ -138,6 +142,12 @@
         self.facts.configuration.age().is_some_and(|age| age < bound)
     }
 
+    /// Whether the table may be believed in what it lacks: it holds all that must be in force by now.
+    pub fn may_deny(&self) -> bool {
+        let bound = self.bounds().config_apply.mul_f64(DENIAL_SHARE);
+        self.facts.configuration.age().is_some_and(|age| age < bound)
+    }
+
     /// Whether this entry wants callers.
     pub fn ready(&self) -> bool {
         self.phase() == Phase::Serving && self.proof_holds()
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -15,14 +15,21 @@
 use super::reader::{RETRY_PAUSE, Reader};
 use super::state::Gateway;
 use super::{belief, now};
+use crate::config::Bounds;
 use crate::warn_event;
 
 /// Part of the bound on taken keys for which the store holds a read of the configuration if nothing changes:
 /// a proof is as old as its read when that is answered, and serves until the next one is.
 const LONG_READ_SHARE: f64 = 0.15;
-/// Part of that bound after which an entry that gets the configuration from another reads it itself: three
-/// times that for which a read is held, since a proof is up to two holds old before the next one comes.
-const CONFIGURATION_SERVES: f64 = 3.0 * LONG_READ_SHARE;
+/// The same for the bound within which a configuration must be in force. With the pause between two questions it
+/// stays below the next share, so that an entry that follows a sound one has no need to read.
+const LONG_READ_APPLY_SHARE: f64 = 0.35;
+/// Part of the bound on taken keys after which an entry that gets the configuration from another reads it itself:
+/// three times that for which a read is held, since a proof is up to two holds old before the next one comes.
+const SERVES_SHARE: f64 = 3.0 * LONG_READ_SHARE;
+/// The same for the bound within which a configuration must be in force: the rest is for the reading, the clock and
+/// the way. An entry that the store does not reach may still be reached by those that follow it, and knows nothing new.
+const SERVES_APPLY_SHARE: f64 = 0.6;
 /// Records that lapsed in an outage of the store are back within this time of its return.
 const RETURN_GRACE: Duration = Duration::from_secs(2);
 /// Reads of the replicas' records in the time in which a leaving replica must be left alone.
@@ -30,11 +37,21 @@
 /// Part of that time after which an entry that gets the records from another reads them itself.
 const RECORDS_SERVE: f64 = 0.5;
 
+/// For how long the store holds a read of the configuration.
+fn long_read(bounds: &Bounds) -> Duration {
+    bounds.revoke.mul_f64(LONG_READ_SHARE).min(bounds.config_apply.mul_f64(LONG_READ_APPLY_SHARE))
+}
+
+/// For how long a configuration that another entry passed on serves before it is read here.
+fn configuration_serves(bounds: &Bounds) -> Duration {
+    bounds.revoke.mul_f64(SERVES_SHARE).min(bounds.config_apply.mul_f64(SERVES_APPLY_SHARE))
+}
+
 /// Keeps the routing table the newest.
 pub async fn configuration(gateway: Rc<Gateway>) {
     let mut reader = Reader::new(&gateway, table::TOPIC);
     loop {
-        let serves = gateway.bounds().revoke.mul_f64(CONFIGURATION_SERVES);
+        let serves = configuration_serves(&gateway.bounds());
         gateway.facts.due(&gateway.facts.configuration, serves, || gateway.desk.has_leader()).await;
         let outcome = read_configuration(&gateway, &mut reader).await;
         if reader.note(&outcome) {
@@ -50,7 +67,7 @@
 /// Reads what is new in the configuration's topic, and takes it as proof if nothing newer was unsound.
 async fn read_configuration(gateway: &Gateway, reader: &mut Reader) -> Result<()> {
     let topic = &gateway.facts.configuration;
-    let held = gateway.bounds().revoke.mul_f64(LONG_READ_SHARE);
+    let held = long_read(&gateway.bounds());
     let sent = now();
     let page = match topic.next() {
         None => reader.read_all().await?,
--- a/standin/tests/platform_facts.rs
+++ b/standin/tests/platform_facts.rs
@@ -166,3 +166,45 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_follow_one_cut_off_from_the_store_read_for_themselves_in_time() {
+    let site = site("facts-reader-cut", "config_apply_ms = 800").await;
+    let (leader, others) = roles(&site).await;
+    site.doors[leader].set(Fault::Silent);
+    // A read that the store holds already would still tell.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    site.configure(&[KEY, OTHER_KEY], |_| {});
+    let accepted = Instant::now();
+    // Before the bound an older configuration may still be in force; after it nothing may be denied that it lacks.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    for number in 0..20 {
+        for entry in &others {
+            let seen = site.send(*entry, &look(&format!("e{entry}-{number}"), OTHER_KEY)).await;
+            assert_eq!(seen.status, 200, "entry {entry}, {:?} later: {seen:?}", accepted.elapsed());
+        }
+        let seen = site.send(leader, &look(&format!("e{leader}-{number}"), OTHER_KEY)).await;
+        assert_ne!(seen.status, 401, "it cannot know that there is no such key: {seen:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_denied_on_an_old_proof() {
+    let site = site("facts-deny", "config_apply_ms = 1500").await;
+    for door in &site.doors {
+        door.set(Fault::Unavailable);
+    }
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    for entry in 0..3 {
+        let missing = Ask::new("GET", "/nowhere/1", &format!("f{entry}"), KEY).with("deadline-ms", "2000");
+        for ask in [look(&format!("g{entry}"), OTHER_KEY), missing] {
+            let seen = site.send(entry, &ask).await;
+            assert_eq!(seen.status, 503, "entry {entry}: {seen:?}");
+            assert!(!seen.header("retry-after").is_empty());
+        }
+        assert_eq!(site.send(entry, &look(&format!("h{entry}"), KEY)).await.status, 200, "known keys are served");
+    }
+    site.close().expect("no invariant was breached");
+}
