Keys outlast an outage of the store where the deployment says so; records that went are not doubted by who knew

Change: bounds.revoke_strict; where false, a known key is served on a proof of any age (age in the request line, counted by sorrelpass_served_on_old_proof), 401 and 404 still need a young one. True, or not given: as before.

--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -38,6 +38,8 @@
     pub grace: Duration,
     /// A key that was taken away is refused after this.
     pub revoke: Duration,
+    /// Whether that holds also for entries that the store does not reach: then they refuse all keys in time.
+    pub revoke_strict: bool,
     /// A configuration is in force everywhere this long after the store has taken it.
     pub config_apply: Duration,
     /// Retries per first try that all entries may make together.
@@ -81,6 +83,7 @@
         drain: reader.millis("bounds", "drain_ms", 1..=DAY_MS, 2_000),
         grace: seconds(reader, "grace_s", 8.0),
         revoke: reader.millis("bounds", "revoke_ms", 1..=DAY_MS, 5_000),
+        revoke_strict: reader.flag("bounds", "revoke_strict", true),
         config_apply: reader.millis("bounds", "config_apply_ms", 1..=DAY_MS, 2_000),
         retry_share: reader.number("bounds", "retry_share", 0.0..=1.0, 0.2),
         retry_window: seconds(reader, "retry_window_s", 10.0),
--- a/sorrelpass/src/config/reader.rs
+++ b/sorrelpass/src/config/reader.rs
@@ -177,6 +177,12 @@
         default
     }
 
+    /// A setting that is `true` or `false`, with a default where it is left out or empty.
+    pub fn flag(&mut self, section: &str, key: &str, default: bool) -> bool {
+        let raw = self.raw(section, key).filter(|raw| !raw.is_empty());
+        raw.and_then(|raw| self.parsed(section, key, &raw, "true or false")).unwrap_or(default)
+    }
+
     /// A list of addresses, separated by commas.
     pub fn addresses(&mut self, section: &str, key: &str) -> Vec<Name> {
         let address = |part: &str| part.parse::<SocketAddr>().is_ok().then(|| Name::from(part));
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -83,6 +83,9 @@
     let allowed = call.allowed.unwrap_or(DEFAULT_ALLOWED);
     let body = read_body(gateway, body, allowed).await?;
     let (route, workspace) = admit(gateway, &call, head.uri.path())?;
+    if workspace.is_some() && !gateway.has_recent_proof() {
+        metric::old_proof();
+    }
     let service = route.pick(rand::random()).cloned().ok_or_else(no_service)?;
     let deadline = started + allowed.min(route.timeout);
     event!("request", request = %call.id, route = %route.name, service = %service, prompt_tokens = call.prompt_tokens.unwrap_or(0),
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -14,7 +14,7 @@
 use super::link::{Document, Update};
 use super::state::Gateway;
 use super::topic::Topic;
-use super::{belief, now};
+use super::{belief, now, watch};
 
 /// Largest configuration that is passed on, in bytes; sent to 27 entries over 20 Mbit/s, the least link seen,
 /// it takes a third of a second. Who needs a larger one reads it.
@@ -100,7 +100,10 @@
         None => {}
     }
     if let Some(known) = update.replicas {
-        gateway.roster.borrow_mut().store_returned(now(), update.doubt_left);
+        // Whoever knew the records all along sees that one went, however long the other entry was cut off.
+        if !watch::knows_replicas(gateway) {
+            gateway.roster.borrow_mut().store_returned(now(), update.doubt_left);
+        }
         belief::hear(gateway, update.sightings);
         belief::expire(gateway);
         facts.replicas.advance(known.next);
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -136,8 +136,14 @@
         self.facts.configuration.age().map(|age| age.as_millis())
     }
 
-    /// Whether keys may be trusted: the table was the newest a short while ago.
+    /// Whether keys may be trusted: the table was the newest a short while ago, or, where the deployment lets keys that
+    /// were taken away outlast an outage, at any time.
     pub fn proof_holds(&self) -> bool {
+        if self.bounds().revoke_strict { self.has_recent_proof() } else { self.facts.configuration.age().is_some() }
+    }
+
+    /// Whether no key can have been taken away for longer than it may be served.
+    pub fn has_recent_proof(&self) -> bool {
         let bound = self.bounds().revoke.mul_f64(PROOF_SHARE);
         self.facts.configuration.age().is_some_and(|age| age < bound)
     }
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -47,6 +47,16 @@
     bounds.revoke.mul_f64(SERVES_SHARE).min(bounds.config_apply.mul_f64(SERVES_APPLY_SHARE))
 }
 
+/// For how long what is known of the replicas serves before their records are read here.
+fn records_serve(bounds: &Bounds) -> Duration {
+    bounds.drain.mul_f64(RECORDS_SERVE)
+}
+
+/// Whether the replicas' records were read, here or elsewhere, a short while ago.
+pub fn knows_replicas(gateway: &Gateway) -> bool {
+    gateway.facts.replicas.age().is_some_and(|age| age < records_serve(&gateway.bounds()))
+}
+
 /// Keeps the routing table the newest.
 pub async fn configuration(gateway: Rc<Gateway>) {
     let mut reader = Reader::new(&gateway, table::TOPIC);
@@ -100,8 +110,11 @@
     let mut reader = Reader::new(&gateway, replica::TOPIC);
     loop {
         let drain = gateway.bounds().drain;
-        let (period, serves) = (drain / READS_PER_DRAIN, drain.mul_f64(RECORDS_SERVE));
-        gateway.facts.due(&gateway.facts.replicas, serves, || gateway.desk.has_leader()).await;
+        let period = drain / READS_PER_DRAIN;
+        gateway
+            .facts
+            .due(&gateway.facts.replicas, records_serve(&gateway.bounds()), || gateway.desk.has_leader())
+            .await;
         let outcome = read_replicas(&gateway, &mut reader).await;
         reader.note(&outcome);
         belief::expire(&gateway);
@@ -140,9 +153,10 @@
     Ok(())
 }
 
-/// What the first answer after an outage says may show records that only lapsed.
+/// What the first answer after an outage says may show records that only lapsed; but not if the store went on
+/// answering others, which told this entry.
 fn note_return(gateway: &Gateway, reader: &Reader) {
-    if reader.is_lost() {
+    if reader.is_lost() && !knows_replicas(gateway) {
         gateway.roster.borrow_mut().store_returned(now(), RETURN_GRACE);
     }
 }
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -16,6 +16,7 @@
     requests: Counter<u64>,
     retries: Counter<u64>,
     rings_full: Counter<u64>,
+    old_proofs: Counter<u64>,
     ttft: Histogram<f64>,
     first_event: Histogram<f64>,
     revision: Gauge<u64>,
@@ -42,6 +43,7 @@
         requests: meter.u64_counter("sorrelpass_requests").build(),
         retries: meter.u64_counter("sorrelpass_retries").build(),
         rings_full: meter.u64_counter("sorrelpass_ring_full").build(),
+        old_proofs: meter.u64_counter("sorrelpass_served_on_old_proof").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BOUNDS.to_vec()).build(),
         first_event: meter
             .f64_histogram("sorrelpass_first_event_seconds")
@@ -79,6 +81,11 @@
     with(|on| on.rings_full.add(1, &[KeyValue::new("ring", ring)]));
 }
 
+/// A request was taken on a proof of its key that is older than the bound on keys that were taken away.
+pub fn old_proof() {
+    with(|on| on.old_proofs.add(1, &[]));
+}
+
 /// A first token came after `ttft`, for a prompt of length class `class`.
 pub fn ttft(class: usize, ttft: Duration) {
     with(|on| on.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
--- a/standin/tests/platform_beliefs.rs
+++ b/standin/tests/platform_beliefs.rs
@@ -127,3 +127,38 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn where_keys_may_outlast_an_outage_known_ones_are_served_and_nothing_is_denied() {
+    for fault in [Fault::Silent, Fault::Unavailable] {
+        let bounds = "revoke_ms = 1000\nconfig_apply_ms = 1000\nrevoke_strict = false";
+        let mut site = site("beliefs-lax", bounds).await;
+        site.doors.iter().for_each(|door| door.set(fault));
+        pause(2_000).await;
+        // Taken away while the entries hear nothing, as is one more key given.
+        site.configure(&["another"], |_| {});
+        for entry in 0..2 {
+            assert!(site.is_ready(entry).await, "{fault:?}");
+            let known = site.send(entry, &look(&format!("v1{entry}"), KEY)).await;
+            assert_eq!(known.status, 200, "{fault:?}: {known:?}");
+            let unknown = site.send(entry, &look(&format!("v2{entry}"), "another")).await;
+            assert_eq!(unknown.status, 503, "{fault:?}: {unknown:?}");
+        }
+        site.doors.iter().for_each(|door| door.set(Fault::None));
+        pause(2_500).await;
+        for entry in 0..2 {
+            assert_eq!(site.send(entry, &look(&format!("v3{entry}"), "another")).await.status, 200, "{fault:?}");
+            assert_eq!(site.send(entry, &look(&format!("v4{entry}"), KEY)).await.status, 401, "{fault:?}");
+        }
+        // One that knows no configuration at all trusts nobody, however lax the bound.
+        site.doors.iter().for_each(|door| door.set(fault));
+        site.restart(0).await.expect("it starts");
+        site.restart(1).await.expect("it starts");
+        pause(500).await;
+        for entry in 0..2 {
+            assert!(!site.is_ready(entry).await, "{fault:?}");
+            assert_ne!(site.send(entry, &look(&format!("v5{entry}"), "another")).await.status, 200, "{fault:?}");
+        }
+        site.close().expect("no invariant was breached");
+    }
+}
--- a/standin/tests/platform_facts.rs
+++ b/standin/tests/platform_facts.rs
@@ -208,3 +208,28 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_went_while_only_the_reader_was_cut_off_gets_nothing_late() {
+    let spec = Spec { entries: 3, plain: 4, bounds: "drain_ms = 2000".to_owned(), ..Spec::small("facts-went") };
+    let site = Site::start(spec).await.expect("the site starts");
+    let (leader, others) = roles(&site).await;
+    // Who hears first of a replica that went, the reader or one that reads for itself, differs from round to round.
+    for (round, gone) in site.plain.iter().take(3).enumerate() {
+        site.doors[leader].set(Fault::Unavailable);
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        site.store.put("keyed.servers", &gone.id, "");
+        let removed = Instant::now();
+        site.doors[leader].set(Fault::None);
+        tokio::time::sleep(Duration::from_millis(2_000).saturating_sub(removed.elapsed())).await;
+        let before = gone.seen().len();
+        for number in 0..10 {
+            for entry in &others {
+                assert_eq!(site.send(*entry, &look(&format!("i{entry}-{round}-{number}"), KEY)).await.status, 200);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(gone.seen().len(), before, "its record is gone for longer than it may get requests");
+    }
+    site.close().expect("no invariant was breached");
+}
