An entry that has just begun lets requests wait for its first pictures, and asks for them quickly

Change: for 2 s after its start an entry keeps requests waiting until it knows configuration and replicas; first calls are repeated after 50, 100, 200 ms; every pause before a repeated call varies by a quarter.

--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -82,6 +82,7 @@
     let (head, body) = request.into_parts();
     let allowed = call.allowed.unwrap_or(DEFAULT_ALLOWED);
     let body = read_body(gateway, body, allowed).await?;
+    gateway.learn().await;
     let (route, workspace) = admit(gateway, &call, head.uri.path())?;
     if workspace.is_some() && !gateway.has_recent_proof() {
         metric::old_proof();
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -34,6 +34,13 @@
 }
 
 impl Facts {
+    /// Waits until both topics are known, and no longer than until `deadline`.
+    pub async fn first(&self, deadline: Moment) {
+        let both = async { tokio::join!(self.configuration.first_proof(), self.replicas.first_proof()) };
+        // Whoever asked looks at what is known; nothing may be.
+        let _ = tokio::time::timeout(deadline.since(now()), both).await;
+    }
+
     /// Keeps a configuration, to pass it on.
     pub fn keep(&self, document: Document) {
         *self.document.borrow_mut() = Some(document);
--- a/sorrelpass/src/gateway/reader.rs
+++ b/sorrelpass/src/gateway/reader.rs
@@ -13,6 +13,10 @@
 const PATIENCE: Duration = Duration::from_millis(1_000);
 /// Pause after a failed call, at first; doubled with each failure in a row.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The same before the first picture, without which the entry serves nobody: a few answers of the store.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest such pause before the first picture.
+const LONGEST_FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest such pause: every call has a price, also one that fails, and a second is short beside an outage.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 /// As much longer may an entry wait that will hear from another when the store is back.
@@ -66,12 +70,20 @@
         }
     }
 
-    /// Waits before a failed call is repeated. Who will hear from another entry waits longer.
-    pub async fn back_off(&self, gateway: &Gateway) {
+    /// Waits before a failed call for `topic` is repeated. Who will hear from another entry waits longer, who knows
+    /// nothing yet shorter.
+    pub async fn back_off(&self, gateway: &Gateway, topic: &Topic) {
+        let (first, longest) = match topic.age() {
+            None => (FIRST_PAUSE, LONGEST_FIRST_PAUSE),
+            Some(_) if gateway.desk.has_leader() => {
+                (RETRY_PAUSE * FOLLOWER_PATIENCE, LONGEST_PAUSE * FOLLOWER_PATIENCE)
+            }
+            Some(_) => (RETRY_PAUSE, LONGEST_PAUSE),
+        };
         let doublings = self.failures.saturating_sub(1).min(8);
-        let pause = (RETRY_PAUSE * 2u32.pow(doublings)).min(LONGEST_PAUSE);
-        let factor = if gateway.desk.has_leader() { FOLLOWER_PATIENCE } else { 1 };
-        gateway.facts.pause(pause * factor).await;
+        let pause = (first * 2u32.pow(doublings)).min(longest);
+        // Entries that lost power together do not come back to the store together.
+        gateway.facts.pause(pause.mul_f64(rand::random_range(0.75..1.25))).await;
     }
 
     /// Reads on from offset `from`; none if the store no longer keeps that, or answers with an older state.
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -4,11 +4,13 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use coord::budget::Windowed;
 use coord::name::Name;
 use coord::roster::Roster;
 use coord::route::Table;
+use coord::time::Moment;
 use tokio::sync::watch;
 
 use super::desk::Desk;
@@ -23,6 +25,9 @@
 /// is no such route or key. A younger proof shows all that was in force when the request was sent; the rest covers the
 /// way from the caller and drift.
 const DENIAL_SHARE: f64 = 0.8;
+/// Time after its start in which an entry that knows nothing yet keeps requests waiting for what it will know. Most
+/// learn all within some tens of milliseconds; one that does not by then is cut off, and callers go elsewhere.
+const LEARNING: Duration = Duration::from_secs(2);
 /// Part of the common retry share that entries use, so that a window's edge never overdraws it.
 const RETRY_SHARE_USED: f64 = 0.9;
 /// Entries among which the common retry allowance is divided: more than any deployment seen has.
@@ -52,6 +57,8 @@
 
 /// A gateway's shared state.
 pub struct Gateway {
+    /// When the process began.
+    started: Moment,
     /// The settings at the start.
     pub settings: config::Gateway,
     bounds: Cell<Bounds>,
@@ -75,6 +82,7 @@
         let placer = Placer::new(settings.process.failure_domain.clone());
         let bounds = Cell::new(settings.bounds);
         Self {
+            started: now(),
             settings,
             bounds,
             table: RefCell::default(),
@@ -88,6 +96,11 @@
         }
     }
 
+    /// Waits until this entry knows configuration and replicas, if it has only just begun.
+    pub async fn learn(&self) {
+        self.facts.first(self.started + LEARNING).await;
+    }
+
     /// The deployment's bounds in force.
     pub fn bounds(&self) -> Bounds {
         self.bounds.get()
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -5,6 +5,7 @@
 
 use coord::invariant;
 use coord::time::Moment;
+use tokio::sync::watch;
 
 use super::link::Known;
 use super::now;
@@ -16,6 +17,8 @@
     next: Cell<Option<u64>>,
     /// When the newest reading was sent that proved it.
     read: Cell<Option<Moment>>,
+    /// Whether there was ever one.
+    proven: watch::Sender<bool>,
     /// Whether there is something newer, which must be read here.
     behind: Cell<bool>,
 }
@@ -44,9 +47,16 @@
         invariant!(sent <= now(), "a reading is not from the future");
         if self.read.get().is_none_or(|read| read < sent) {
             self.read.set(Some(sent));
+            self.proven.send_replace(true);
         }
     }
 
+    /// Waits for the first such reading.
+    pub async fn first_proof(&self) {
+        // Fails only if the sender is gone, which lives as long as this.
+        let _ = self.proven.subscribe().wait_for(|proven| *proven).await;
+    }
+
     /// Notes that there is something newer than what is known.
     pub fn fall_behind(&self) {
         self.behind.set(true);
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -69,7 +69,7 @@
             gateway.facts.wake();
         }
         if outcome.is_err() {
-            reader.back_off(&gateway).await;
+            reader.back_off(&gateway, &gateway.facts.configuration).await;
         }
     }
 }
@@ -119,7 +119,7 @@
         reader.note(&outcome);
         belief::expire(&gateway);
         if outcome.is_err() {
-            reader.back_off(&gateway).await;
+            reader.back_off(&gateway, &gateway.facts.replicas).await;
         } else if gateway.facts.replicas.next().is_some() {
             gateway.facts.pause(period).await;
         }
