Late short prompts go beside others of their kind while a long one waits

Change: what is late while something is held back may take engines that hold short answers already, and no others.

--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -27,6 +27,7 @@
 use self::granted::Granted;
 pub use self::job::{Grant, Helper, Id, Job, Team};
 use self::order::Ranked;
+use self::place::Reach;
 pub use self::policy::Policy;
 use self::policy::SETTLING;
 use crate::engine::Figures;
@@ -181,10 +182,8 @@
         let mut held_back = false;
         for Ranked { id, job, late, .. } in self.ranked(now) {
             // What is late anyway must not take the engines that one in time waits for.
-            if late && held_back {
-                break;
-            }
-            let placed = self.place(id, &job, now);
+            let reach = if late && held_back { Reach::Shared } else { Reach::All };
+            let placed = self.place(id, &job, reach, now);
             held_back |= placed.is_none();
             if let Some(grant) = placed {
                 self.adopt(id, &job, grant.team.clone(), true, now);
--- a/coord/src/planner/place/mod.rs
+++ b/coord/src/planner/place/mod.rs
@@ -10,12 +10,23 @@
 use crate::name::Name;
 use crate::time::Moment;
 
+/// Which engines a prompt may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// Any of them.
+    All,
+    /// Only those that hold short answers already, which prompts that wait for a team do not wait for.
+    Shared,
+}
+
 /// A prompt that may start now, and what the choice of its engines depends on.
 struct Choice<'a> {
     planner: &'a Planner,
     job: &'a Job,
     /// Engines that may be chosen.
     engines: Vec<(&'a Name, &'a Engine)>,
+    /// Which of them.
+    reach: Reach,
     /// Engine time that reading the prompt takes, in milliseconds.
     read_ms: f64,
     now: Moment,
@@ -29,16 +40,16 @@
 
 impl Planner {
     /// Engines for a prompt that may start now; none if it must wait.
-    pub(super) fn place(&self, id: Id, job: &Job, now: Moment) -> Option<Grant> {
+    pub(super) fn place(&self, id: Id, job: &Job, reach: Reach, now: Moment) -> Option<Grant> {
         let engines = self.candidates(id.entry, now);
         if engines.is_empty() {
             return None;
         }
-        let choice = Choice { planner: self, job, engines, read_ms: self.cost_ms(job), now };
+        let choice = Choice { planner: self, job, engines, reach, read_ms: self.cost_ms(job), now };
         if self.is_short(job) {
             return choice.short().map(|team| Grant { id, team });
         }
-        if now < self.settled_at {
+        if now < self.settled_at || reach == Reach::Shared {
             return None;
         }
         choice.long().map(|team| Grant { id, team })
--- a/coord/src/planner/place/short.rs
+++ b/coord/src/planner/place/short.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Ordering;
 
-use super::Choice;
+use super::{Choice, Reach};
 use crate::engine::millis;
 use crate::name::Name;
 use crate::pick::rendezvous;
@@ -14,10 +14,19 @@
     /// Packs a short prompt onto an engine that has others like it, as long as all stay in time. Who waits to be
     /// tried goes first: only short prompts try engines.
     pub(super) fn short(&self) -> Option<Team> {
-        let engine = self.tried().or_else(|| self.packed()).or_else(|| self.opened()).or_else(|| self.soonest());
+        let engine = match self.reach {
+            Reach::All => self.tried().or_else(|| self.packed()).or_else(|| self.opened()).or_else(|| self.soonest()),
+            Reach::Shared => self.shared(),
+        };
         engine.map(Team::alone)
     }
 
+    /// The engine that can begin soonest among those that hold answers like this one's and keep their pauses.
+    fn shared(&self) -> Option<&Name> {
+        let may = |engine: &Engine| self.fits(engine) && self.is_like(engine) && self.has_room(engine);
+        self.first_free(self.engines.iter().filter(|(_, engine)| may(engine)))
+    }
+
     /// An engine that waits for a trial.
     fn tried(&self) -> Option<&Name> {
         let is_on_trial = |name| self.planner.evidence.is_on_trial(name, self.now);
@@ -45,7 +54,11 @@
 
     /// The engine that can begin soonest among those that keep their pauses; the prompt may be late.
     fn soonest(&self) -> Option<&Name> {
-        let engines = self.engines.iter().filter(|(_, engine)| self.fits(engine) && self.has_room(engine));
+        self.first_free(self.engines.iter().filter(|(_, engine)| self.fits(engine) && self.has_room(engine)))
+    }
+
+    /// The engine among these that can begin soonest.
+    fn first_free<'b>(&self, engines: impl Iterator<Item = &'b (&'b Name, &'b Engine)>) -> Option<&'b Name> {
         let wait_ms = |engine: &Engine| engine.wait_ms(self.now);
         engines.min_by(|(_, a), (_, b)| wait_ms(a).total_cmp(&wait_ms(b))).map(|(name, _)| *name)
     }
