The policy of placing requests is a section of the settings

Change: [policy] holds every weight of the planner and one switch for each mechanism (order, lateness, packing, shared memory, breakers, suspicion, settling, salt, learning, facts passed on, plain breakers, nearness, patience), checked and logged at start. Defaults are as before. Tests: those of coord and of the settings pass.

--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -52,6 +52,7 @@
 impl Planner {
     /// A planner with a policy and no engines. Planners of different `salt` prefer different engines.
     pub fn new(policy: Policy, salt: u64) -> Self {
+        let salt = if policy.salt { salt } else { 0 };
         Self { policy, salt, ..Self::default() }
     }
 
@@ -73,7 +74,9 @@
 
     /// Notes that others are about to tell what they have at the engines.
     pub fn unsettle(&mut self, now: Moment) {
-        self.settled_at = now + SETTLING;
+        if self.policy.settling {
+            self.settled_at = now + SETTLING;
+        }
     }
 
     /// Whether jobs wait.
@@ -130,7 +133,7 @@
             if let Some(engine) = self.engines.get_mut(name) {
                 engine.drop_part(id, now);
             }
-            match overdue {
+            match overdue && self.policy.suspicion {
                 false => self.evidence.succeeded(id.entry, name, now),
                 true if team.helpers.is_empty() => self.evidence.failed(id.entry, name, now),
                 // One of them is slow, who knows which.
@@ -153,6 +156,9 @@
 
     /// Suspects the engines of prompts whose first events are overdue.
     fn look_for_slow(&mut self, now: Moment) {
+        if !self.policy.suspicion {
+            return;
+        }
         for granted in self.granted.values_mut().filter(|granted| granted.watched && granted.is_overdue(now)) {
             granted.watched = false;
             granted.team.engines().for_each(|name| self.evidence.suspect(name, now));
@@ -170,7 +176,7 @@
 
     /// Notes that an engine failed a job of an entry: it is left out for a growing while.
     pub fn failed(&mut self, entry: u64, engine: &Name, now: Moment) {
-        if self.engines.contains_key(engine) {
+        if self.policy.breakers && self.engines.contains_key(engine) {
             self.evidence.failed(entry, engine, now);
         }
     }
@@ -182,7 +188,11 @@
         let mut held_back = false;
         for Ranked { id, job, late, .. } in self.ranked(now) {
             // What is late anyway must not take the engines that one in time waits for.
-            let reach = if late && held_back { Reach::Shared } else { Reach::All };
+            let reach = match late && held_back && self.policy.late_last {
+                true if self.policy.late_shared => Reach::Shared,
+                true => break,
+                false => Reach::All,
+            };
             let placed = self.place(id, &job, reach, now);
             held_back |= placed.is_none();
             if let Some(grant) = placed {
--- a/coord/src/planner/order.rs
+++ b/coord/src/planner/order.rs
@@ -29,8 +29,13 @@
             cost_ms: self.cost_ms(job),
         };
         let mut ranked: Vec<Ranked> = self.waiting.iter().map(rank).collect();
+        let cheapest_first = self.policy.cheapest_first;
         ranked.sort_by(|a, b| {
-            (a.late, a.job.priority).cmp(&(b.late, b.job.priority)).then(a.cost_ms.total_cmp(&b.cost_ms))
+            let rank = (a.late, a.job.priority).cmp(&(b.late, b.job.priority));
+            rank.then_with(|| match cheapest_first {
+                true => a.cost_ms.total_cmp(&b.cost_ms),
+                false => a.job.aim.cmp(&b.job.aim),
+            })
         });
         ranked
     }
--- a/coord/src/planner/place/long.rs
+++ b/coord/src/planner/place/long.rs
@@ -97,6 +97,9 @@
 
     /// A team whose helpers hold what exceeds the writer's memory.
     fn holding_together(&self, roomy: &[&Open], parts: usize) -> Option<Team> {
+        if !self.policy().shared_memory {
+            return None;
+        }
         let free = |open: &Open| open.engine.free_memory(self.policy());
         let with_slot = roomy.iter().filter(|open| open.engine.has_slot(self.policy()));
         let writer = with_slot.max_by_key(|open| free(open))?;
--- a/coord/src/planner/place/short.rs
+++ b/coord/src/planner/place/short.rs
@@ -15,6 +15,7 @@
     /// tried goes first: only short prompts try engines.
     pub(super) fn short(&self) -> Option<Team> {
         let engine = match self.reach {
+            Reach::All if !self.policy().packing => self.tried().or_else(|| self.soonest()),
             Reach::All => self.tried().or_else(|| self.packed()).or_else(|| self.opened()).or_else(|| self.soonest()),
             Reach::Shared => self.shared(),
         };
--- a/coord/src/planner/policy.rs
+++ b/coord/src/planner/policy.rs
@@ -32,6 +32,24 @@
     pub in_time_share: f64,
     /// An engine that has at most this left to read is worth waiting for, in milliseconds.
     pub soon_ms: f64,
+    /// Whether the cheapest prompt goes first among equals; else the one whose first event is wanted soonest.
+    pub cheapest_first: bool,
+    /// Whether what would be late anyway waits for what is in time.
+    pub late_last: bool,
+    /// Whether late short prompts may meanwhile go beside others of their kind.
+    pub late_shared: bool,
+    /// Whether short prompts are packed onto few engines; else each goes where it can begin soonest.
+    pub packing: bool,
+    /// Whether prompts beyond one engine's memory are held by several.
+    pub shared_memory: bool,
+    /// Whether engines that fail are left alone for a while.
+    pub breakers: bool,
+    /// Whether engines of overdue prompts are suspected.
+    pub suspicion: bool,
+    /// Whether a planner that is new waits until it knows what runs.
+    pub settling: bool,
+    /// Whether planners that know nothing of each other prefer different engines.
+    pub salt: bool,
 }
 
 impl Default for Policy {
@@ -50,6 +68,15 @@
             least_usable: 0.6,
             in_time_share: 0.9,
             soon_ms: 500.0,
+            cheapest_first: true,
+            late_last: true,
+            late_shared: true,
+            packing: true,
+            shared_memory: true,
+            breakers: true,
+            suspicion: true,
+            settling: true,
+            salt: true,
         }
     }
 }
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coord::planner;
+
 use super::reader::Reader;
 use super::{DAY_MS, Process, address, process};
 
@@ -27,6 +29,27 @@
     pub peer_port: Option<u16>,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
+    /// How requests are placed.
+    pub policy: Policy,
+}
+
+/// How requests are placed: every mechanism can be switched off, every weight be set. The defaults were found by
+/// measured rounds; see `docs/design/10-deciding.md`.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// How prompts get engines.
+    pub planner: planner::Policy,
+    /// Part of its caller's patience for which a prompt waits for an engine; then it is refused while its caller has
+    /// time left to come back in.
+    pub patience_share: f64,
+    /// Whether an entry that has just begun lets requests wait for what it will know.
+    pub learning: bool,
+    /// Whether one entry reads the store for all.
+    pub passing_on: bool,
+    /// Whether plain replicas that fail are left alone for a while.
+    pub plain_breakers: bool,
+    /// Whether plain replicas in the entry's own failure domain are preferred among equals.
+    pub near: bool,
 }
 
 /// Bounds that the deployment sets.
@@ -71,7 +94,61 @@
     let store = address(reader, "gateway", "store");
     let peer_port = reader.ports("gateway", "peer_ports").first().copied();
     let bounds = bounds(reader);
-    Some(Gateway { process: process?, listen: listen?, ready_listen: ready_listen?, store: store?, peer_port, bounds })
+    let policy = policy(reader);
+    Some(Gateway {
+        process: process?,
+        listen: listen?,
+        ready_listen: ready_listen?,
+        store: store?,
+        peer_port,
+        bounds,
+        policy,
+    })
+}
+
+/// Most milliseconds that a weight of the policy may be.
+const MOST_MS: f64 = 60_000.0;
+
+fn policy(reader: &mut Reader) -> Policy {
+    Policy {
+        planner: planner_policy(reader),
+        patience_share: reader.number("policy", "patience_share", 0.0..=1.0, 0.45),
+        learning: reader.flag("policy", "learning", true),
+        passing_on: reader.flag("policy", "passing_on", true),
+        plain_breakers: reader.flag("policy", "plain_breakers", true),
+        near: reader.flag("policy", "near", true),
+    }
+}
+
+fn planner_policy(reader: &mut Reader) -> planner::Policy {
+    let base = planner::Policy::default();
+    let share = |reader: &mut Reader, key, default| reader.number("policy", key, 0.0..=1.0, default);
+    let millis = |reader: &mut Reader, key, default| reader.number("policy", key, 0.0..=MOST_MS, default);
+    let flag = |reader: &mut Reader, key, default| reader.flag("policy", key, default);
+    planner::Policy {
+        pause_share: share(reader, "pause_share", base.pause_share),
+        least_part_ms: millis(reader, "least_part_ms", base.least_part_ms),
+        most_parts: reader.number("policy", "most_parts", 1..=base.most_parts, base.most_parts),
+        start_pending_ms: millis(reader, "start_pending_ms", base.start_pending_ms),
+        slot_share: share(reader, "slot_share", base.slot_share),
+        memory_share: share(reader, "memory_share", base.memory_share),
+        long_share: share(reader, "long_share", base.long_share),
+        team_share: share(reader, "team_share", base.team_share),
+        slack_share: share(reader, "slack_share", base.slack_share),
+        late_share: share(reader, "late_share", base.late_share),
+        least_usable: share(reader, "least_usable", base.least_usable),
+        in_time_share: share(reader, "in_time_share", base.in_time_share),
+        soon_ms: millis(reader, "soon_ms", base.soon_ms),
+        cheapest_first: flag(reader, "cheapest_first", base.cheapest_first),
+        late_last: flag(reader, "late_last", base.late_last),
+        late_shared: flag(reader, "late_shared", base.late_shared),
+        packing: flag(reader, "packing", base.packing),
+        shared_memory: flag(reader, "shared_memory", base.shared_memory),
+        breakers: flag(reader, "breakers", base.breakers),
+        suspicion: flag(reader, "suspicion", base.suspicion),
+        settling: flag(reader, "settling", base.settling),
+        salt: flag(reader, "salt", base.salt),
+    }
 }
 
 /// The defaults are those of the users' first deployments; the platform always gives its own.
--- a/sorrelpass/src/config/mod.rs
+++ b/sorrelpass/src/config/mod.rs
@@ -14,7 +14,7 @@
 use coord::scheduler::Limits;
 use eyre::{Result, eyre};
 
-pub use self::gateway::{Bounds, Gateway};
+pub use self::gateway::{Bounds, Gateway, Policy};
 use self::reader::Reader;
 use crate::plugin::{self, LogPlugin, OrderPlugin, PickerPlugin, VmListPlugin, Weights};
 use crate::secret::Secret;
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -16,9 +16,6 @@
 
 /// Pause before a prompt whose memory could not be had is planned anew.
 const MEMORY_PAUSE: Duration = Duration::from_millis(50);
-/// Part of its caller's patience for which a prompt waits for an engine; then it is refused while
-/// more than half of the time is left for the caller to come back in.
-const PATIENCE_SHARE: f64 = 0.45;
 /// Least time that a prompt has to find an engine, however long it was held up before: an engine that is free is
 /// granted within a few milliseconds.
 const LEAST_WAIT: Duration = Duration::from_millis(100);
@@ -106,7 +103,7 @@
     /// Waits for engines; none if the caller has waited long enough, or no engine takes work.
     async fn engine(&self, tokens: u64) -> Option<Target> {
         let prompt = self.prompt(tokens);
-        let patience = self.route.patience().min(self.allowed).mul_f64(PATIENCE_SHARE);
+        let patience = self.route.patience().min(self.allowed).mul_f64(self.gateway.settings.policy.patience_share);
         let until = (self.started + patience).max(now() + LEAST_WAIT);
         loop {
             self.gateway.roster.borrow().usable(&self.service).next()?;
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -43,6 +43,8 @@
 
 /// Hands prompts to engines.
 pub struct Desk {
+    /// The policy of its planners.
+    policy: Policy,
     /// By service.
     planners: RefCell<HashMap<Name, Planner>>,
     /// This process's prompts that wait, by number.
@@ -96,8 +98,9 @@
 
 impl Desk {
     /// A desk that knows no engines.
-    pub fn new() -> Rc<Self> {
+    pub fn new(policy: Policy) -> Rc<Self> {
         Rc::new(Self {
+            policy,
             planners: RefCell::default(),
             waiting: RefCell::default(),
             running: RefCell::default(),
@@ -114,7 +117,7 @@
         let engines: Vec<(Name, Arc<Figures>)> = engines.map(|name| (name, figures.clone())).collect();
         let mut planners = self.planners.borrow_mut();
         let planner =
-            planners.entry(service.clone()).or_insert_with(|| Planner::new(Policy::default(), util::incarnation().0));
+            planners.entry(service.clone()).or_insert_with(|| Planner::new(self.policy, util::incarnation().0));
         planner.set_engines(engines);
     }
 
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -212,7 +212,7 @@
                 let report = report.ok_or_else(|| eyre!("step=send: too far behind"))?;
                 link.send(report, &mut waiting).await?;
             }
-            _ = sync.tick() => {
+            _ = sync.tick(), if gateway.settings.policy.passing_on => {
                 question = Question { number: question.number + 1, asked: now() };
                 link.send(question.report(gateway), &mut waiting).await?;
             }
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -51,7 +51,7 @@
     let hangup = signal(SignalKind::hangup()).wrap_err("step=watch-signals")?;
     let listener = http::listen(settings.listen)?;
     let ready_listener = http::listen(settings.ready_listen)?;
-    event!("start", role = "gateway", listen = %settings.listen, store = %settings.store);
+    event!("start", role = "gateway", listen = %settings.listen, store = %settings.store, policy = ?settings.policy);
     let gateway = Rc::new(Gateway::new(settings));
     tokio::task::spawn_local(watch::configuration(gateway.clone()));
     tokio::task::spawn_local(watch::replicas(gateway.clone()));
--- a/sorrelpass/src/gateway/place.rs
+++ b/sorrelpass/src/gateway/place.rs
@@ -11,6 +11,7 @@
 use coord::route::Repeat;
 
 use super::now;
+use crate::config;
 
 /// What an error answer weighs as a failure of its replica: services were seen that fail one sound request in
 /// seven, so it takes several within seconds to count.
@@ -30,14 +31,24 @@
 /// Chooses replicas and counts what it sent them.
 pub struct Placer {
     home: Name,
+    /// Whether replicas at home are preferred among equals.
+    near: bool,
+    /// Whether replicas that fail are left alone for a while.
+    heeds_failures: bool,
     loads: HashMap<Name, Load>,
     breakers: HashMap<Name, Breaker>,
 }
 
 impl Placer {
     /// A placer in failure domain `home`.
-    pub fn new(home: Name) -> Self {
-        Self { home, loads: HashMap::new(), breakers: HashMap::new() }
+    pub fn new(home: Name, policy: &config::Policy) -> Self {
+        Self {
+            home,
+            near: policy.near,
+            heeds_failures: policy.plain_breakers,
+            loads: HashMap::new(),
+            breakers: HashMap::new(),
+        }
     }
 
     /// The replica with the fewest requests of ours, then of anyone's, then the nearest, among those in the best standing.
@@ -46,7 +57,13 @@
         let key = |record: &&Record| {
             let load = self.loads.get(&record.id).copied().unwrap_or_default();
             let doubt = self.doubt(&record.id, repeat);
-            (doubt, load.ours, load.told, record.failure_domain != self.home, coord::pick::rendezvous(0, &record.id))
+            (
+                doubt,
+                load.ours,
+                load.told,
+                self.near && record.failure_domain != self.home,
+                coord::pick::rendezvous(0, &record.id),
+            )
         };
         fits.min_by_key(key).cloned()
     }
@@ -66,6 +83,9 @@
 
     /// Notes that a request failed at a replica; `share` tells how far that is the replica's fault.
     pub fn failed(&mut self, replica: &Name, share: f64) {
+        if !self.heeds_failures {
+            return;
+        }
         let breaker = self.breakers.entry(replica.clone()).or_default();
         breaker.failed(share, now());
         crate::event!("doubt", peer = %replica, share, admitted = breaker.admits(now()));
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -79,7 +79,8 @@
 impl Gateway {
     /// A gateway that knows nothing yet.
     pub fn new(settings: config::Gateway) -> Self {
-        let placer = Placer::new(settings.process.failure_domain.clone());
+        let placer = Placer::new(settings.process.failure_domain.clone(), &settings.policy);
+        let desk = Desk::new(settings.policy.planner);
         let bounds = Cell::new(settings.bounds);
         Self {
             started: now(),
@@ -89,7 +90,7 @@
             facts: Facts::default(),
             roster: RefCell::default(),
             placer: RefCell::new(placer),
-            desk: Desk::new(),
+            desk,
             budgets: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             in_flight: Cell::new(0),
@@ -98,7 +99,9 @@
 
     /// Waits until this entry knows configuration and replicas, if it has only just begun.
     pub async fn learn(&self) {
-        self.facts.first(self.started + LEARNING).await;
+        if self.settings.policy.learning {
+            self.facts.first(self.started + LEARNING).await;
+        }
     }
 
     /// The deployment's bounds in force.
@@ -161,6 +164,11 @@
         self.facts.configuration.age().is_some_and(|age| age < bound)
     }
 
+    /// Whether another entry reads the store for this one.
+    pub fn has_reader(&self) -> bool {
+        self.settings.policy.passing_on && self.desk.has_leader()
+    }
+
     /// Whether the table may be believed in what it lacks: it holds all that must be in force by now.
     pub fn may_deny(&self) -> bool {
         let bound = self.bounds().config_apply.mul_f64(DENIAL_SHARE);
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -62,7 +62,7 @@
     let mut reader = Reader::new(&gateway, table::TOPIC);
     loop {
         let serves = configuration_serves(&gateway.bounds());
-        gateway.facts.due(&gateway.facts.configuration, serves, || gateway.desk.has_leader()).await;
+        gateway.facts.due(&gateway.facts.configuration, serves, || gateway.has_reader()).await;
         let outcome = read_configuration(&gateway, &mut reader).await;
         if reader.note(&outcome) {
             // The replicas' records can be read again too.
@@ -111,10 +111,7 @@
     loop {
         let drain = gateway.bounds().drain;
         let period = drain / READS_PER_DRAIN;
-        gateway
-            .facts
-            .due(&gateway.facts.replicas, records_serve(&gateway.bounds()), || gateway.desk.has_leader())
-            .await;
+        gateway.facts.due(&gateway.facts.replicas, records_serve(&gateway.bounds()), || gateway.has_reader()).await;
         let outcome = read_replicas(&gateway, &mut reader).await;
         reader.note(&outcome);
         belief::expire(&gateway);
