A leader that ends follows the next at once; entries name whom they follow

Change: the oldest waits for its own end, not 3 s; lists are read as long as the proof is recent, whatever the phase; the first message of a connection names whom the entry follows, and whoever connected goes there; an entry that has found a leader sends its followers on.

--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,12 @@
 /// This process's own jobs carry this number in place of a connection's.
 const OWN: u64 = 0;
 
+/// The entry that plans for this one.
+struct Leader {
+    address: SocketAddr,
+    reports: mpsc::Sender<Report>,
+}
+
 /// A prompt that waits for its grant.
 struct Waiter {
     service: Name,
@@ -52,7 +59,7 @@
     /// This process's prompts that were granted, by number.
     running: RefCell<HashMap<u64, Running>>,
     /// The way to the entry that plans; none while this one plans for itself.
-    leader: RefCell<Option<mpsc::Sender<Report>>>,
+    leader: RefCell<Option<Leader>>,
     /// Entries that this one plans for, by their number here.
     followers: RefCell<HashMap<u64, mpsc::Sender<Order>>>,
     next_number: Cell<u64>,
@@ -158,8 +165,8 @@
     }
 
     /// Another entry plans from now on: it gets to know what runs and what waits here.
-    pub fn link_up(&self, leader: mpsc::Sender<Report>) {
-        *self.leader.borrow_mut() = Some(leader);
+    pub fn link_up(&self, address: SocketAddr, reports: mpsc::Sender<Report>) {
+        *self.leader.borrow_mut() = Some(Leader { address, reports });
         let now = now();
         for (number, running) in &*self.running.borrow() {
             self.report(Report::Adopt {
@@ -187,6 +194,11 @@
         self.pump();
     }
 
+    /// The entry that plans for this one, if another does.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.leader.borrow().as_ref().map(|leader| leader.address)
+    }
+
     /// Whether another entry plans for this one.
     pub fn has_leader(&self) -> bool {
         self.leader.borrow().is_some()
@@ -278,8 +290,8 @@
     /// Tells the entry that plans; says whether there is one.
     fn report(&self, report: Report) -> bool {
         let mut leader = self.leader.borrow_mut();
-        let Some(sender) = &*leader else { return false };
-        if sender.try_send(report).is_err() {
+        let Some(known) = &*leader else { return false };
+        if known.reports.try_send(report).is_err() {
             // Too far behind: dropping the sender ends the link, which hands over what waits.
             *leader = None;
             return false;
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -47,6 +47,21 @@
     incarnation: String,
 }
 
+/// An entry that plans, and the way to it.
+struct Found {
+    address: SocketAddr,
+    link: Link,
+}
+
+/// What an entry says of itself when another connects.
+struct Greeting {
+    found: Found,
+    /// The run of its process.
+    incarnation: String,
+    /// Whom it follows; none if it plans.
+    leader: Option<SocketAddr>,
+}
+
 /// The last question about what is new in the store; an answer to an earlier one is too old to count.
 #[derive(Clone, Copy, Debug, Default)]
 struct Question {
@@ -71,27 +86,35 @@
     let mut pause = FIRST_RETRY;
     loop {
         // Read anew each time: an entry that was older may have been restarted since, and is the youngest now.
-        if peers.is_empty() || gateway.ready() {
+        if peers.is_empty() || gateway.has_recent_proof() {
             peers = list(&mut client, own).await.unwrap_or(peers);
         }
         let own_rank = peers.iter().position(|peer: &Peer| peer.address == own);
         // An entry that is about to end looks to the younger ones too.
         let rank = own_rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(peers.len());
         match reach(&peers[..rank], own).await {
-            Some((rank, link)) => {
+            Some(found) => {
                 pause = FIRST_RETRY;
-                follow(&gateway, link, &peers, rank, own).await;
+                let older = older_than(&peers[..rank], found.address);
+                follow(&gateway, found, older, own).await;
             }
             None => pause = rest(&gateway, own_rank == Some(0), pause).await,
         }
     }
 }
 
+/// Those of `peers` that are listed before an entry; all if it is not among them.
+fn older_than(peers: &[Peer], address: SocketAddr) -> &[Peer] {
+    let rank = peers.iter().position(|peer| peer.address == address);
+    &peers[..rank.unwrap_or(peers.len())]
+}
+
 /// Waits before older entries are tried again; returns the pause after the next time.
 async fn rest(gateway: &Gateway, oldest: bool, pause: Duration) -> Duration {
-    // None is older than the oldest, for as long as it serves.
-    while oldest && gateway.phase() == Phase::Serving {
-        tokio::time::sleep(RETRY).await;
+    if oldest && gateway.phase() == Phase::Serving {
+        // None is older than the oldest, for as long as it serves; then it follows the next at once.
+        gateway.reached(Phase::Stopping).await;
+        return FIRST_RETRY;
     }
     let was_ready = gateway.ready();
     gateway.facts.pause(pause).await;
@@ -135,43 +158,62 @@
     Some(Peer { address: record.key.parse().ok()?, incarnation: String::from_utf8_lossy(value).into_owned() })
 }
 
-/// The first of `peers` that can be reached, with its rank.
-async fn reach(peers: &[Peer], own: SocketAddr) -> Option<(usize, Link)> {
-    for (rank, peer) in peers.iter().enumerate().filter(|(_, peer)| peer.address != own) {
-        match tokio::time::timeout(CONNECT_TIMEOUT, greet(peer)).await {
-            Ok(Ok(link)) => return Some((rank, link)),
-            Ok(Err(error)) => event!("peer-unreached", peer = %peer.address, error = %format!("{error:#}")),
-            Err(_) => event!("peer-unreached", peer = %peer.address, error = "no greeting in time"),
+/// The first of `peers` that can be reached and plans, or the one that it follows.
+async fn reach(peers: &[Peer], own: SocketAddr) -> Option<Found> {
+    for peer in peers.iter().filter(|peer| peer.address != own) {
+        let Some(greeting) = greet(peer.address).await else { continue };
+        match greeting.leader {
+            None if greeting.incarnation == peer.incarnation => return Some(greeting.found),
+            // It was restarted since it announced itself, and is the youngest now.
+            None => event!("peer-unreached", peer = %peer.address, error = "another run of the process"),
+            // This entry is to lead it, and others.
+            Some(leader) if leader == own => {}
+            Some(leader) => {
+                event!("peer-redirects", peer = %peer.address, leader = %leader);
+                if let Some(greeting) = greet(leader).await.filter(|greeting| greeting.leader.is_none()) {
+                    return Some(greeting.found);
+                }
+            }
         }
     }
     None
 }
 
-/// Connects and waits for the first message: an entry that cannot plan closes the connection instead.
-///
-/// One that was restarted since it announced itself is not the one that was listed; it is the youngest now.
-async fn greet(peer: &Peer) -> Result<Link> {
-    let mut link = Link::new(connect(peer.address).await?);
-    match link.receive::<Order>().await? {
-        Order::Welcome { incarnation } if incarnation == peer.incarnation => Ok(link),
-        other => Err(eyre!("step=greet peer={}: {other:?}", peer.address)),
+/// Connects and waits for the first message; none from an entry that cannot plan, which closes the connection instead.
+async fn greet(address: SocketAddr) -> Option<Greeting> {
+    let greeted = async {
+        let mut link = Link::new(connect(address).await?);
+        match link.receive::<Order>().await? {
+            Order::Welcome { incarnation, leader } => {
+                Ok(Greeting { found: Found { address, link }, incarnation, leader })
+            }
+            other => Err(eyre!("step=greet: {other:?}")),
+        }
+    };
+    let outcome = tokio::time::timeout(CONNECT_TIMEOUT, greeted).await;
+    match outcome.unwrap_or_else(|_| Err(eyre!("no greeting in time"))) {
+        Ok(greeting) => Some(greeting),
+        Err(error) => {
+            event!("peer-unreached", peer = %address, error = %format!("{error:#}"));
+            None
+        }
     }
 }
 
 /// Follows one entry until it is lost or an older one can be reached.
-async fn follow(gateway: &Gateway, link: Link, peers: &[Peer], rank: usize, own: SocketAddr) {
+async fn follow(gateway: &Gateway, found: Found, older_peers: &[Peer], own: SocketAddr) {
     let desk = &gateway.desk;
-    let peer = peers[rank].address;
-    event!("following", peer = %peer, rank);
+    let Found { address: peer, link } = found;
+    event!("following", peer = %peer, rank = older_peers.len());
     let (reports, waiting) = mpsc::channel(link::RING);
-    desk.link_up(reports);
+    desk.link_up(peer, reports);
     tokio::select! {
         outcome = exchange(gateway, link, waiting) => {
             let reason = outcome.err().unwrap_or_else(|| eyre!("ended"));
             warn_event!("leader-lost", peer = %peer, reason = %format!("{reason:#}"));
         }
-        older = older(&peers[..rank], own) => {
-            event!("leader-left", peer = %peer, reason = "an older entry is back", older);
+        older = older(older_peers, own) => {
+            event!("leader-left", peer = %peer, reason = "an older entry is back", older = %older);
         }
     }
     desk.link_down();
@@ -179,12 +221,15 @@
     gateway.facts.wake();
 }
 
-/// Waits until an older entry can be reached.
-async fn older(peers: &[Peer], own: SocketAddr) -> usize {
+/// Waits until an older entry plans again.
+async fn older(peers: &[Peer], own: SocketAddr) -> SocketAddr {
     loop {
         tokio::time::sleep(RETRY).await;
-        if let Some((rank, _)) = reach(peers, own).await {
-            return rank;
+        for peer in peers.iter().filter(|peer| peer.address != own) {
+            let Some(greeting) = greet(peer.address).await else { continue };
+            if greeting.leader.is_none() && greeting.incarnation == peer.incarnation {
+                return peer.address;
+            }
         }
     }
 }
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -40,6 +40,10 @@
     }
     // Without it the link is slower and no less right.
     let _ = stream.set_nodelay(true);
+    if let Some(leader) = gateway.desk.leader() {
+        redirect(stream, leader).await;
+        return;
+    }
     let desk = &gateway.desk;
     let (orders, mut waiting) = mpsc::channel(link::RING);
     let entry = desk.join(orders);
@@ -54,9 +58,18 @@
     event!("peer-left", peer = %peer, entry, reason);
 }
 
+/// Tells an entry whom this one follows, so that all follow the same, whatever lists they have read.
+async fn redirect(stream: TcpStream, leader: SocketAddr) {
+    let (_, mut nothing) = mpsc::channel(1);
+    let welcome = Order::Welcome { incarnation: util::incarnation().to_string(), leader: Some(leader) };
+    if let Err(error) = Link::new(stream).send(welcome, &mut nothing).await {
+        event!("peer-refused", leader = %leader, error = %format!("{error:#}"));
+    }
+}
+
 /// Takes the entry's reports and sends it orders and beats; ends with an error.
 async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
-    let welcome = Order::Welcome { incarnation: util::incarnation().to_string() };
+    let welcome = Order::Welcome { incarnation: util::incarnation().to_string(), leader: None };
     link.send(welcome, waiting).await?;
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -74,6 +87,9 @@
                 if !gateway.ready() {
                     return Err(eyre!("step=beat: no proof of the configuration"));
                 }
+                if let Some(leader) = gateway.desk.leader() {
+                    return Err(eyre!("step=beat: this entry follows {leader} now"));
+                }
                 link.send(Order::Beat, waiting).await?;
             }
         }
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -1,5 +1,6 @@
 //! What entries say to each other about prompts and the store: messages, and a connection that carries them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -156,13 +157,15 @@
     },
 }
 
-/// From the entry that plans to another.
+/// From the entry that plans to another, or from one that names it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Order {
-    /// The first message: this entry plans.
+    /// The first message.
     Welcome {
         /// The run of its process.
         incarnation: String,
+        /// The entry that it follows itself; whoever connected should go there.
+        leader: Option<SocketAddr>,
     },
     /// A prompt may start.
     Grant {
--- a/standin/tests/platform_processes.rs
+++ b/standin/tests/platform_processes.rs
@@ -234,3 +234,23 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_planned_and_ends_follows_the_next_at_once() {
+    let site = site("processes-handover", 3, "grace_s = 6").await;
+    let old = leader(&site, 3).await;
+    // Something that runs to the end keeps the process up; what it still takes is planned with all the rest.
+    site.plain.iter().for_each(|replica| replica.next([Act::Stall(1_500)]));
+    let ask = pay("p1");
+    let running = site.send(old, &ask);
+    let ending = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        site.signal(old, Signal::TERM).expect("it is told");
+        let told = Instant::now();
+        logged(&site, old, "step=following", 1).await;
+        assert!(told.elapsed() < Duration::from_millis(1_500), "it plans for itself alone until {:?}", told.elapsed());
+    };
+    let (seen, ()) = tokio::join!(running, ending);
+    assert_eq!(seen.status, 200, "{seen:?}");
+    site.close().expect("no invariant was breached");
+}
