Entries that come back while the store is away learn from the others

Change: entries listen for each other at their control address; the settings' seeds name some of them; an entry whose announcement the store has not taken within 0.3 s connects to a seed, goes to whom that follows, and gets facts (with their age) and grants there until it is announced.

--- a/deploy/rounds.py
+++ b/deploy/rounds.py
@@ -60,7 +60,7 @@
             if told is None:
                 notes.append(f"seed {seed} not played: {output!r}")
                 continue
-            row.append(told["G"])
+            row.append(told["G"] or 0.0)
             notes += [f"seed {seed}: {what}" for what in broken(told)]
             for kind in told["classes"]:
                 kinds[kind["name"]].append(kind["worth"])
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -24,9 +24,10 @@
     pub ready_listen: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
-    /// Port for what entries say to each other, the first of those that the settings list; without one, this
-    /// entry plans for itself alone.
-    pub peer_port: Option<u16>,
+    /// Where other entries connect; without it, this entry plans for itself alone.
+    pub peer_listen: Option<SocketAddr>,
+    /// Where some other entries listen for that, maybe stale: whom to ask while the store does not answer.
+    pub seeds: Vec<SocketAddr>,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
     /// How requests are placed.
@@ -93,14 +94,18 @@
     let ready_listen = address(reader, "gateway", "ready_listen");
     let store = address(reader, "gateway", "store");
     let peer_port = reader.ports("gateway", "peer_ports").first().copied();
+    let peer_address = reader.addresses("gateway", "peer_listen").first().and_then(|address| address.parse().ok());
+    let seeds = reader.addresses("gateway", "seeds").iter().filter_map(|seed| seed.parse().ok()).collect();
     let bounds = bounds(reader);
     let policy = policy(reader);
+    let listen = listen?;
     Some(Gateway {
         process: process?,
-        listen: listen?,
+        listen,
         ready_listen: ready_listen?,
         store: store?,
-        peer_port,
+        peer_listen: peer_address.or(peer_port.map(|port| SocketAddr::new(listen.ip(), port))),
+        seeds,
         bounds,
         policy,
     })
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -13,7 +13,7 @@
 use eyre::{Result, eyre};
 use platform::connection::connect;
 use platform::store::{self, Client};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::facts;
@@ -24,6 +24,8 @@
 
 /// Time for a connection to another entry: a few times the way across a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which an entry that starts waits for the store alone: some answers of it on a bad day.
+const STORE_FIRST: Duration = Duration::from_millis(300);
 /// Pause before an entry that reached no older one tries again, at first; doubled each time. Entries that start
 /// together turn each other away until they have read the configuration, some tens of milliseconds later.
 const FIRST_RETRY: Duration = Duration::from_millis(300);
@@ -80,8 +82,9 @@
 
 /// Follows the oldest entry that can be reached, for as long as the process lives.
 pub async fn run(gateway: Rc<Gateway>, own: SocketAddr) {
+    let announced = announce(&gateway, own);
+    seek(&gateway, own, announced).await;
     let mut client = Client::new(gateway.settings.store);
-    announce(&mut client, own).await;
     let mut peers = Vec::new();
     let mut pause = FIRST_RETRY;
     loop {
@@ -123,18 +126,49 @@
     if is_back { FIRST_RETRY } else { (pause * 2).min(RETRY) }
 }
 
-/// Announces this entry until the store has taken it.
-async fn announce(client: &mut Client, own: SocketAddr) {
-    let value = util::incarnation().to_string();
-    loop {
-        match client.put(store::PEERS, &own.to_string(), value.as_bytes(), PATIENCE).await {
-            Ok(()) => return event!("announced", address = %own),
-            Err(error) => warn_event!("announced", error = %format!("{error:#}")),
+/// Announces this entry until the store has taken it; then the receiver is told.
+fn announce(gateway: &Gateway, own: SocketAddr) -> oneshot::Receiver<()> {
+    let mut client = Client::new(gateway.settings.store);
+    let (done, announced) = oneshot::channel();
+    tokio::task::spawn_local(async move {
+        let value = util::incarnation().to_string();
+        while let Err(error) = client.put(store::PEERS, &own.to_string(), value.as_bytes(), PATIENCE).await {
+            warn_event!("announced", error = %format!("{error:#}"));
+            tokio::time::sleep(ANNOUNCE_PAUSE).await;
+        }
+        event!("announced", address = %own);
+        // Nobody waits any more only if the process ends.
+        let _ = done.send(());
+    });
+    announced
+}
+
+/// Follows whomever the seeds follow or know to plan, until the store has taken this entry's announcement: an entry
+/// that comes back in an outage of the store gets configuration, replicas and engines from there.
+async fn seek(gateway: &Gateway, own: SocketAddr, mut announced: oneshot::Receiver<()>) {
+    let mut pause = STORE_FIRST;
+    while tokio::time::timeout(pause, &mut announced).await.is_err() {
+        pause = FIRST_RETRY;
+        let Some(found) = reach_any(&gateway.settings.seeds, own).await else { continue };
+        tokio::select! {
+            _ = &mut announced => return,
+            () = follow(gateway, found, &[], own) => {}
         }
-        tokio::time::sleep(ANNOUNCE_PAUSE).await;
     }
 }
 
+/// The first entry that plans among `seeds` and those whom they follow.
+async fn reach_any(seeds: &[SocketAddr], own: SocketAddr) -> Option<Found> {
+    for seed in seeds.iter().filter(|seed| **seed != own) {
+        let Some(greeting) = greet(*seed).await else { continue };
+        let Some(leader) = greeting.leader else { return Some(greeting.found) };
+        if let Some(greeting) = greet(leader).await.filter(|greeting| greeting.leader.is_none()) {
+            return Some(greeting.found);
+        }
+    }
+    None
+}
+
 /// All announced entries, the oldest first.
 async fn list(client: &mut Client, own: SocketAddr) -> Option<Vec<Peer>> {
     match client.newest(store::PEERS, PATIENCE).await {
@@ -207,6 +241,7 @@
     event!("following", peer = %peer, rank = older_peers.len());
     let (reports, waiting) = mpsc::channel(link::RING);
     desk.link_up(peer, reports);
+    let _followed = Followed(gateway);
     tokio::select! {
         outcome = exchange(gateway, link, waiting) => {
             let reason = outcome.err().unwrap_or_else(|| eyre!("ended"));
@@ -216,9 +251,17 @@
             event!("leader-left", peer = %peer, reason = "an older entry is back", older = %older);
         }
     }
-    desk.link_down();
-    // Nobody reads the store for this entry now.
-    gateway.facts.wake();
+}
+
+/// Takes planning back when another entry is followed no more.
+struct Followed<'a>(&'a Gateway);
+
+impl Drop for Followed<'_> {
+    fn drop(&mut self) {
+        self.0.desk.link_down();
+        // Nobody reads the store for this entry now.
+        self.0.facts.wake();
+    }
 }
 
 /// Waits until an older entry plans again.
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -24,7 +24,6 @@
 mod topic;
 mod watch;
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -58,8 +57,7 @@
     tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
     tokio::task::spawn_local(gateway.desk.clone().run());
     tokio::task::spawn_local(reload(gateway.clone(), file, hangup));
-    if let Some(port) = gateway.settings.peer_port {
-        let own = SocketAddr::new(gateway.settings.listen.ip(), port);
+    if let Some(own) = gateway.settings.peer_listen {
         let peers = http::listen(own)?;
         tokio::task::spawn_local(lead::run(gateway.clone(), peers));
         tokio::task::spawn_local(follow::run(gateway.clone(), own));
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -41,6 +41,8 @@
     pub takes: Duration,
     /// Settings of `[bounds]` besides the defaults.
     pub bounds: String,
+    /// Whether each entry is told where the others listen for entries.
+    pub seeded: bool,
     /// Whether a proxy stands on each way: from callers and to the store and the replicas.
     pub proxied: bool,
 }
@@ -49,7 +51,16 @@
     /// Two entries, three engines, two plain replicas.
     pub fn small(name: &str) -> Self {
         let takes = Duration::from_millis(20);
-        Self { name: name.to_owned(), entries: 2, engines: 3, plain: 2, takes, bounds: String::new(), proxied: false }
+        Self {
+            name: name.to_owned(),
+            entries: 2,
+            engines: 3,
+            plain: 2,
+            takes,
+            bounds: String::new(),
+            seeded: false,
+            proxied: false,
+        }
     }
 }
 
@@ -87,6 +98,8 @@
     pub addresses: Vec<String>,
     /// Where the balancer asks each entry.
     pub ready: Vec<String>,
+    /// Where each entry listens for the others.
+    peers: Vec<String>,
     /// Holds settings and logs.
     dir: PathBuf,
     /// The entries' processes; none where one has ended.
@@ -119,6 +132,7 @@
             proxies: Proxies::default(),
             addresses: Vec::new(),
             ready: Vec::new(),
+            peers: Vec::new(),
             dir,
             entries: Vec::new(),
             launches: Vec::new(),
@@ -152,7 +166,8 @@
     async fn add_entry(&mut self, index: usize, spec: &Spec) -> Result<()> {
         let door = self.store.door().await?;
         let (listen, ready, peer) = (free_address()?, free_address()?, free_address()?);
-        let (_, peer) = peer.rsplit_once(':').ok_or_else(|| eyre!("step=find-port"))?;
+        let seeds = if spec.seeded { self.peers.join(",") } else { String::new() };
+        self.peers.push(peer.clone());
         let bounds = &spec.bounds;
         let (mut store, mut reached_at) = (door.address.clone(), listen.clone());
         if spec.proxied {
@@ -163,7 +178,7 @@
         }
         let settings = format!(
             "[process]\nname = entry-{index}\nfailure_domain = here\n\n[gateway]\nlisten = {listen}\n\
-             ready_listen = {ready}\nstore = {store}\npeer_ports = {peer}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
+             ready_listen = {ready}\nstore = {store}\npeer_listen = {peer}\nseeds = {seeds}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
         );
         std::fs::write(self.settings_file(index), settings).wrap_err("step=write-settings")?;
         self.addresses.push(reached_at);
--- a/standin/tests/platform_processes.rs
+++ b/standin/tests/platform_processes.rs
@@ -254,3 +254,31 @@
     assert_eq!(seen.status, 200, "{seen:?}");
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_comes_back_while_the_store_is_away_learns_all_from_the_others() {
+    for fault in [Fault::Silent, Fault::Unavailable] {
+        let bounds = "revoke_strict = false".to_owned();
+        let spec = Spec { entries: 3, bounds, seeded: true, ..Spec::small("processes-back") };
+        let mut site = Site::start(spec).await.expect("the site starts");
+        let old = leader(&site, 3).await;
+        // The last entry knows where all the others are.
+        let back = if old == 2 { 1 } else { 2 };
+        site.doors.iter().for_each(|door| door.set(fault));
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        site.restart(back).await.expect("it starts");
+        let started = Instant::now();
+        site.wait_ready(back, true).await.expect("it knows the configuration");
+        assert!(started.elapsed() < Duration::from_millis(2_500), "{fault:?}: {:?}", started.elapsed());
+        for (number, ask) in [prompt("q1"), pay("q2")].iter().enumerate() {
+            let seen = site.send(back, ask).await;
+            assert_eq!((seen.status, seen.whole), (200, true), "{fault:?} {number}: {seen:?}");
+        }
+        // Once the store is back it is listed like all others.
+        site.doors.iter().for_each(|door| door.set(Fault::None));
+        logged(&site, back, "step=announced address", 2).await;
+        logged(&site, back, "step=peers known=3 rank=2", 1).await;
+        served_by_all(&site, 3, "r").await;
+        site.close().expect("no invariant was breached");
+    }
+}
