A leader that is cut off from the store asks its followers

Hypothesis: followers of an entry that is cut off read for themselves, and know more than it does; where keys must be refused in time it refuses all and sends them away, elsewhere it plans with engines that are gone. Change: an entry that plans and whose knowledge is older than what a follower would read at asks each follower with its next question; ages count as in the other direction. Test: an_entry_that_is_cut_off_is_told_by_its_followers_and_sends_them_away_when_nobody_knows replaces an_entry_whose_proof_grows_old_...: the entry itself must serve too while it alone is cut off, and its followers stay; they are sent away once nobody reaches the store.

--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -71,6 +71,31 @@
     }
 }
 
+/// A question about what is new in the store; an answer to an earlier one is too old to count.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Question {
+    /// Its number on its connection.
+    pub number: u64,
+    /// When it was asked.
+    pub asked: Moment,
+    /// How far the configuration's topic was known then.
+    pub configuration: Option<u64>,
+    /// How far the replicas' topic was known then.
+    pub replicas: Option<u64>,
+}
+
+impl Question {
+    /// The next question on the same connection, asked now.
+    pub fn next(&self, facts: &Facts) -> Self {
+        Self {
+            number: self.number + 1,
+            asked: now(),
+            configuration: facts.configuration.next(),
+            replicas: facts.replicas.next(),
+        }
+    }
+}
+
 /// What an entry that knows the topics up to these offsets does not know yet.
 pub fn update(gateway: &Gateway, configuration: Option<u64>, replicas: Option<u64>) -> Update {
     let facts = &gateway.facts;
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -9,16 +9,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coord::time::Moment;
 use eyre::{Result, eyre};
 use platform::connection::connect;
 use platform::store::{self, Client};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior};
 
-use super::facts;
+use super::facts::{self, Question};
 use super::link::{self, Link, Order, Report, SILENCE};
-use super::now;
 use super::state::{Gateway, Phase};
 use crate::{event, util, warn_event};
 
@@ -64,22 +62,6 @@
     leader: Option<SocketAddr>,
 }
 
-/// The last question about what is new in the store; an answer to an earlier one is too old to count.
-#[derive(Clone, Copy, Debug, Default)]
-struct Question {
-    number: u64,
-    asked: Moment,
-}
-
-impl Question {
-    /// The question as it is sent.
-    fn report(&self, gateway: &Gateway) -> Report {
-        let facts = &gateway.facts;
-        let (configuration, replicas) = (facts.configuration.next(), facts.replicas.next());
-        Report::Sync { number: self.number, configuration, replicas }
-    }
-}
-
 /// Follows the oldest entry that can be reached, for as long as the process lives.
 pub async fn run(gateway: Rc<Gateway>, own: SocketAddr) {
     let announced = announce(&gateway, own);
@@ -293,6 +275,10 @@
                     Order::Update { number, update } if number == question.number => {
                         facts::take_in(gateway, update, question.asked);
                     }
+                    Order::Sync { number, configuration, replicas } => {
+                        let update = facts::update(gateway, configuration, replicas);
+                        link.send(Report::Update { number, update }, &mut waiting).await?;
+                    }
                     Order::Update { .. } | Order::Beat | Order::Welcome { .. } => {}
                 }
             }
@@ -301,8 +287,9 @@
                 link.send(report, &mut waiting).await?;
             }
             _ = sync.tick(), if gateway.settings.policy.passing_on => {
-                question = Question { number: question.number + 1, asked: now() };
-                link.send(question.report(gateway), &mut waiting).await?;
+                question = question.next(&gateway.facts);
+                let Question { number, configuration, replicas, .. } = question;
+                link.send(Report::Sync { number, configuration, replicas }, &mut waiting).await?;
             }
             () = tokio::time::sleep_until(heard + SILENCE) => return Err(eyre!("step=receive: no beat")),
         }
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -8,9 +8,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-use super::facts;
+use super::facts::{self, Question};
 use super::link::{self, BEAT, Link, Order, Report};
 use super::state::{Gateway, Phase};
+use super::watch;
 use crate::{event, util};
 
 /// Takes other entries in until this one is told to stop; then they look for another.
@@ -71,6 +72,7 @@
 async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
     let welcome = Order::Welcome { incarnation: util::incarnation().to_string(), leader: None };
     link.send(welcome, waiting).await?;
+    let mut question = Question::default();
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -79,6 +81,15 @@
                 Report::Sync { number, configuration, replicas } => {
                     let update = facts::update(gateway, configuration, replicas);
                     link.send(Order::Update { number, update }, waiting).await?;
+                    // Whoever follows reads for itself once what it hears is too old, and may know more.
+                    if watch::is_stale(gateway) && gateway.settings.policy.passing_on {
+                        question = question.next(&gateway.facts);
+                        let Question { number, configuration, replicas, .. } = question;
+                        link.send(Order::Sync { number, configuration, replicas }, waiting).await?;
+                    }
+                }
+                Report::Update { number, update } if number == question.number => {
+                    facts::take_in(gateway, update, question.asked);
                 }
                 report => gateway.desk.hear(entry, report),
             },
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -155,6 +155,13 @@
         /// How far it knows the replicas' topic.
         replicas: Option<u64>,
     },
+    /// What is new in the store, for an entry that plans and is cut off from it.
+    Update {
+        /// The number of the question.
+        number: u64,
+        /// The answer.
+        update: Update,
+    },
 }
 
 /// From the entry that plans to another, or from one that names it.
@@ -181,6 +188,15 @@
         /// The answer.
         update: Update,
     },
+    /// The entry that plans wants to know what is new in the store: its own readings are too old.
+    Sync {
+        /// Its number for the question.
+        number: u64,
+        /// How far it knows the configuration's topic.
+        configuration: Option<u64>,
+        /// How far it knows the replicas' topic.
+        replicas: Option<u64>,
+    },
     /// The planner is alive.
     Beat,
 }
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -52,6 +52,12 @@
     bounds.drain.mul_f64(RECORDS_SERVE)
 }
 
+/// Whether what is known of the store is so old that an entry which follows another would read it itself.
+pub fn is_stale(gateway: &Gateway) -> bool {
+    let serves = configuration_serves(&gateway.bounds());
+    !knows_replicas(gateway) || gateway.facts.configuration.age().is_none_or(|age| age >= serves)
+}
+
 /// Whether the replicas' records were read, here or elsewhere, a short while ago.
 pub fn knows_replicas(gateway: &Gateway) -> bool {
     gateway.facts.replicas.age().is_some_and(|age| age < records_serve(&gateway.bounds()))
