Parts behind overdue ones are read too

Cause: two prompts that 17 engines read lost their answers (answer_lost). The first part became overdue and counted nothing; the second, behind it, counted in full for as long as its caller waited, on every engine. Change: time runs on through the parts behind one that is given up. Test, failed first: parts_that_nobody_reports_as_read_do_not_keep_engines_busy_for_ever.

--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -54,13 +54,21 @@
         if self.seats.is_empty() { 0.0 } else { self.figures.pass_ms(self.seats.len() as u32, self.context()) }
     }
 
-    /// Milliseconds of reading that are left.
+    /// Milliseconds of reading that are left. A part that is long overdue is read, though nobody said so: its answer
+    /// was lost, or another engine holds up its team. What stands behind it has been read since.
     pub fn pending_ms(&self, now: Moment) -> f64 {
-        let Some(front) = self.parts.front() else { return 0.0 };
-        let elapsed = now.since(self.front_since).as_secs_f64() * 1e3;
-        let overdue = elapsed > front.ms * OVERDUE + self.pass_ms();
-        let front_left = if overdue { 0.0 } else { (front.ms - elapsed).max(front.ms * LEAST_LEFT) };
-        front_left + self.parts.iter().skip(1).map(|part| part.ms).sum::<f64>()
+        let mut elapsed = now.since(self.front_since).as_secs_f64() * 1e3;
+        let mut left = 0.0;
+        for part in &self.parts {
+            let given_up_after = part.ms * OVERDUE + self.pass_ms();
+            if elapsed > given_up_after {
+                elapsed -= given_up_after;
+                continue;
+            }
+            left += (part.ms - elapsed).max(part.ms * LEAST_LEFT);
+            elapsed = 0.0;
+        }
+        left
     }
 
     /// Milliseconds until it could begin to read something new.
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -412,3 +412,26 @@
     }
     assert!(writers.len() >= 6, "{writers:?}");
 }
+
+#[test]
+fn parts_that_nobody_reports_as_read_do_not_keep_engines_busy_for_ever() {
+    let mut planner = planner(4);
+    let mut now = Moment::ZERO + Duration::from_secs(1);
+    // Two prompts that all engines read, one behind the other, and whose answers are lost.
+    let team = |number: usize| coord::planner::Team {
+        writer: format!("engine-{number:02}").into(),
+        helpers: (0..4usize)
+            .filter(|index| *index != number)
+            .map(|index| coord::planner::Helper { engine: format!("engine-{index:02}").into(), holds: 0 })
+            .collect(),
+    };
+    for number in 0..2u64 {
+        planner.adopt(id(number), &job(200_000, now), team(number as usize), true, now);
+    }
+    now = now + Duration::from_secs(6);
+    let short = job(20_000, now);
+    for number in 10..14 {
+        planner.submit(id(number), short);
+    }
+    assert_eq!(planner.pump(now).len(), 4, "the engines have long read both");
+}
