Teams are as small as are in time, and engines take a part 20 ms before they are free

Change: the quorum is gone with its settings (team_share, slack_share, soon_ms); a team needs as many engines as are in time and takes what is free; start_pending_ms 40 -> 20.

--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -54,21 +54,24 @@
         if self.seats.is_empty() { 0.0 } else { self.figures.pass_ms(self.seats.len() as u32, self.context()) }
     }
 
-    /// Milliseconds of reading that are left. A part that is long overdue is read, though nobody said so: its answer
-    /// was lost, or another engine holds up its team. What stands behind it has been read since.
+    /// Milliseconds of reading that are left. Parts that are long overdue, one after the other, no longer count: their
+    /// answers were lost, or other engines hold up their teams. The part behind those counts in full.
     pub fn pending_ms(&self, now: Moment) -> f64 {
         let mut elapsed = now.since(self.front_since).as_secs_f64() * 1e3;
-        let mut left = 0.0;
-        for part in &self.parts {
-            let given_up_after = part.ms * OVERDUE + self.pass_ms();
-            if elapsed > given_up_after {
-                elapsed -= given_up_after;
-                continue;
+        let mut parts = self.parts.iter();
+        let mut is_front = true;
+        let next = parts.find(|part| {
+            let overdue_after = part.ms * OVERDUE + self.pass_ms();
+            let overdue = elapsed > overdue_after;
+            if overdue {
+                elapsed -= overdue_after;
+                is_front = false;
             }
-            left += (part.ms - elapsed).max(part.ms * LEAST_LEFT);
-            elapsed = 0.0;
-        }
-        left
+            !overdue
+        });
+        let Some(next) = next else { return 0.0 };
+        let next_left = if is_front { (next.ms - elapsed).max(next.ms * LEAST_LEFT) } else { next.ms };
+        next_left + parts.map(|part| part.ms).sum::<f64>()
     }
 
     /// Milliseconds until it could begin to read something new.
--- a/coord/src/planner/place/long.rs
+++ b/coord/src/planner/place/long.rs
@@ -49,13 +49,10 @@
         if self.planner.is_late(self.job, self.now) {
             return self.fewest_late(most);
         }
-        let slack_ms = self.job.aim.since(self.now).as_secs_f64() * 1e3;
-        if self.read_ms <= slack_ms * self.policy().slack_share {
-            return 1;
-        }
         // A team that is too small to be in time would be in the way of others for long.
+        let slack_ms = self.job.aim.since(self.now).as_secs_f64() * 1e3;
         let in_time = (self.read_ms / (slack_ms * self.policy().in_time_share).max(1.0)).ceil() as usize;
-        self.usual(most).max(in_time.min(most))
+        in_time.clamp(1, most)
     }
 
     /// A late prompt takes what there is, if that is enough for its caller to see the first event at all, or is all.
@@ -64,16 +61,6 @@
         ((self.read_ms / left_ms.max(1.0)).ceil() as usize).clamp(1, most.min(self.engines.len()))
     }
 
-    /// A share of the engines that could read a part if they had nothing left to read, which they soon have.
-    fn usual(&self, most: usize) -> usize {
-        let policy = self.policy();
-        let part_ms = self.read_ms / most as f64;
-        let could = |engine: &Engine| engine.gap_ms() * policy.pause_share - engine.pass_ms() >= part_ms;
-        let soon = |engine: &Engine| engine.pending_ms(self.now) <= policy.soon_ms;
-        let able = self.engines.iter().filter(|(_, engine)| could(engine) && soon(engine)).count();
-        ((most.min(able) as f64 * policy.team_share).ceil() as usize).max(1)
-    }
-
     /// A team of `parts` engines that have room for a part each.
     fn team(&self, open: &[Open], parts: usize) -> Option<Team> {
         let part_ms = self.read_ms / parts as f64;
--- a/coord/src/planner/policy.rs
+++ b/coord/src/planner/policy.rs
@@ -19,19 +19,12 @@
     pub memory_share: f64,
     /// Part of the engines that short prompts leave to long ones.
     pub long_share: f64,
-    /// Part of the engines that could read a part, which must be free before a long prompt starts:
-    /// many prompts that each read slowly on few engines would all be late.
-    pub team_share: f64,
-    /// Part of the time to its aim that a prompt may be read for by a single engine.
-    pub slack_share: f64,
     /// Part of the time that its caller still waits for which a late prompt may be read.
     pub late_share: f64,
     /// Part of the engines that is left when those that failed are left out; with fewer, none is.
     pub least_usable: f64,
     /// Part of the time to its aim within which a team must have read a prompt.
     pub in_time_share: f64,
-    /// An engine that has at most this left to read is worth waiting for, in milliseconds.
-    pub soon_ms: f64,
     /// Whether the cheapest prompt goes first among equals; else the one whose first event is wanted soonest.
     pub cheapest_first: bool,
     /// Whether what would be late anyway waits for what is in time.
@@ -58,16 +51,13 @@
             pause_share: 0.85,
             least_part_ms: 40.0,
             most_parts: 17,
-            start_pending_ms: 40.0,
+            start_pending_ms: 20.0,
             slot_share: 0.88,
             memory_share: 0.97,
             long_share: 0.06,
-            team_share: 0.6,
-            slack_share: 0.25,
             late_share: 0.5,
             least_usable: 0.6,
             in_time_share: 0.9,
-            soon_ms: 500.0,
             cheapest_first: true,
             late_last: true,
             late_shared: true,
