--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod hold;
 mod lead;
 mod link;
+mod peers;
 mod place;
 mod reader;
 mod relay;
