An entry that came later does not hide what was removed before

Cause: an entry's first picture lacks what was removed before it. Since a leader that is cut off asks its followers, it could advance past a removal by the word of one that had just been added, and pass that on; nobody heard of the replica's end. Change: an entry that is asked from an offset before its own first picture answers with all that is there, and who asked takes what that leaves out as removed. Test, failed first: an_entry_that_came_later_does_not_hide_what_was_removed_before (2 requests at a replica that was gone).

--- a/sorrelpass/src/gateway/belief.rs
+++ b/sorrelpass/src/gateway/belief.rs
@@ -40,6 +40,12 @@
     tell(gateway, &changes);
 }
 
+/// Takes in a whole picture whose newest offset is below `end`: what it leaves out was removed.
+pub fn replace(gateway: &Gateway, end: u64, newest: Vec<Sighting>) {
+    let changes = gateway.roster.borrow_mut().replace(end, newest, now());
+    tell(gateway, &changes);
+}
+
 /// Gives up replicas whose records are still missing when their time is over.
 pub fn expire(gateway: &Gateway) {
     let changes = gateway.roster.borrow_mut().expire(now());
@@ -47,7 +53,7 @@
 }
 
 /// Logs changes of belief and passes them to those who choose engines.
-pub fn tell(gateway: &Gateway, changes: &[Change]) {
+fn tell(gateway: &Gateway, changes: &[Change]) {
     for change in changes {
         let standing = match change.standing {
             Standing::Ready => "ready",
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -106,12 +106,16 @@
         Some(document) if document.value.len() > PASSED_ON_BYTES => (None, true),
         other => (other, false),
     };
+    // One that came later than the other has not seen what was removed before.
+    let whole = replicas.is_some_and(|from| !facts.replicas.has_seen_all_from(from));
+    let from = replicas.filter(|_| !whole).unwrap_or(0);
     Update {
         configuration: facts.configuration.known(),
         document,
         too_large: large,
         replicas: facts.replicas.known(),
-        sightings: roster.since(replicas.unwrap_or(0)),
+        sightings: roster.since(from),
+        whole,
         doubt_left: roster.doubt_left(now()),
     }
 }
@@ -136,7 +140,11 @@
         if !watch::knows_replicas(gateway) {
             gateway.roster.borrow_mut().store_returned(now(), update.doubt_left);
         }
-        belief::hear(gateway, update.sightings);
+        if update.whole {
+            belief::replace(gateway, known.next, update.sightings);
+        } else {
+            belief::hear(gateway, update.sightings);
+        }
         belief::expire(gateway);
         facts.replicas.advance(known.next);
         facts.replicas.prove(asked - known.age);
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -94,8 +94,10 @@
     pub too_large: bool,
     /// How far the replicas' records are known.
     pub replicas: Option<Known>,
-    /// What changed there.
+    /// What changed there, or all that is there.
     pub sightings: Vec<Sighting>,
+    /// Whether it is all that is there: what the other knows and this leaves out was removed.
+    pub whole: bool,
     /// For how long a vanished record may only have lapsed.
     pub doubt_left: Duration,
 }
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -15,6 +15,8 @@
 pub struct Topic {
     /// The offset to read on from.
     next: Cell<Option<u64>>,
+    /// The offset from which on every change was seen here; what was removed before that is not known.
+    seen_from: Cell<Option<u64>>,
     /// When the newest reading was sent that proved it.
     read: Cell<Option<Moment>>,
     /// Whether there was ever one.
@@ -35,6 +37,14 @@
             self.next.set(Some(next));
             self.behind.set(false);
         }
+        if self.seen_from.get().is_none() {
+            self.seen_from.set(Some(next));
+        }
+    }
+
+    /// Whether every change at offset `from` and later was seen here.
+    pub fn has_seen_all_from(&self, from: u64) -> bool {
+        self.seen_from.get().is_some_and(|seen| seen <= from)
     }
 
     /// Notes that records were lost from view: the whole picture must be read anew.
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -149,8 +149,7 @@
     let whole = reader.read_all().await?;
     let newest = sightings(&whole.records);
     note_return(gateway, reader);
-    let changes = gateway.roster.borrow_mut().replace(whole.next, newest, now());
-    belief::tell(gateway, &changes);
+    belief::replace(gateway, whole.next, newest);
     gateway.facts.replicas.advance(whole.next);
     gateway.facts.replicas.prove(sent);
     Ok(())
--- a/standin/tests/platform_facts.rs
+++ b/standin/tests/platform_facts.rs
@@ -233,3 +233,25 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_came_later_does_not_hide_what_was_removed_before() {
+    let site = &mut site("facts-later", "drain_ms = 2000").await;
+    let (leader, others) = roles(site).await;
+    let (restarted, cut_off) = (others[0], others[1]);
+    // Only the one that is restarted reaches the store, and it has never seen the replica that went.
+    site.doors[leader].set(Fault::Unavailable);
+    site.doors[cut_off].set(Fault::Unavailable);
+    let gone = site.plain[0].clone();
+    site.store.put("keyed.servers", &gone.id, "");
+    site.restart(restarted).await.expect("it starts");
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let before = gone.seen().len();
+    for number in 0..10 {
+        for entry in 0..3 {
+            assert_eq!(site.send(entry, &look(&format!("j{entry}-{number}"), KEY)).await.status, 200);
+        }
+    }
+    assert_eq!(gone.seen().len(), before, "what the first picture leaves out was removed");
+    assert!(site.breached_invariants().is_empty());
+}
