--- a/deploy/kinds.py
+++ b/deploy/kinds.py
@@ -10,14 +10,14 @@
 
 import argparse
 import itertools
-import json
 import pathlib
-import subprocess
 import sys
 import tempfile
 import tomllib
 from concurrent.futures import ThreadPoolExecutor
 
+import rounds
+
 # Seconds from the start of traffic, of some 34: the start, the middle, and right before the closing fault.
 MOMENTS = [0.5, 12.0, 30.0]
 # Kinds that any site may meet, whether or not its file lists them.
@@ -62,21 +62,16 @@
     return f'[[day]]\nname = "{name}"\nslot = "trouble"\nseed = {seed}\none = 1.0\nzero = 0.0\n{closing}{lists}'
 
 
-def play(bench, site, folder, seed, troubles, moments, why):
-    """Plays one day; returns its title, its worth and what went wrong."""
+def play_own(bench, site, folder, seed, troubles, moments, why):
+    """Plays one day of our own; returns its title, its worth and what went wrong."""
     name = f"own-{seed}"
     file = pathlib.Path(folder) / f"{name}.toml"
     file.write_text(day(name, seed, troubles, moments))
-    report = file.with_suffix(".json")
-    command = [bench, "run", site, str(file), "--no-cpu", "--jobs", "1", "--why", why, "--report", str(report)]
-    played = subprocess.run(command, capture_output=True, text=True, check=False)
+    told, output = rounds.play(bench, site, file, file.with_suffix(".json"), why)
     label = " + ".join(title(trouble) for trouble in troubles)
-    if not report.exists():
-        return label, "-", f"not played: {(played.stdout + played.stderr)[-200:]!r}"
-    told = json.loads(report.read_text())
-    wrong = [f"{rule} {count}" for rule, count in told["breaks"].items()]
-    wrong += [f"fault {told['fault']}"] if told["fault"] else []
-    return label, f"{told['G']:.3f}", ", ".join(wrong)
+    if told is None:
+        return label, "-", f"not played: {output!r}"
+    return label, f"{told['G'] or 0.0:.3f}", ", ".join(rounds.broken(told))
 
 
 def main():
@@ -93,7 +88,7 @@
     days += [(list(triple), MOMENTS[1:]) for triple in list(itertools.product(*groups))[::7]]
     with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(args.at_once) as pool:
         plays = [
-            pool.submit(play, args.bench, args.site, folder, 1000 + number, troubles, moments, args.why)
+            pool.submit(play_own, args.bench, args.site, folder, 1000 + number, troubles, moments, args.why)
             for number, (troubles, moments) in enumerate(days)
         ]
         results = [future.result() for future in plays]
--- a/deploy/rounds.py
+++ b/deploy/rounds.py
@@ -29,17 +29,21 @@
     return [day["name"] for day in known if day["slot"] in TROUBLED]
 
 
-def play(bench, site, day, seed, folder, why):
-    """Plays one day; returns the report, or the end of the output where there is none."""
-    report = pathlib.Path(folder) / f"{pathlib.Path(site).stem}-{day}-{seed}.json"
+def play(bench, site, day, report, why, seed=None):
+    """Plays a standard day or one in a file; returns the report, or the end of the output where there is none."""
     seeded = ["--seed", str(seed)] if seed else []
-    command = [bench, "run", site, day, *seeded, "--no-cpu", "--jobs", "1", "--why", why, "--report", str(report)]
+    command = [bench, "run", site, str(day), *seeded, "--no-cpu", "--jobs", "1", "--why", why, "--report", str(report)]
     played = subprocess.run(command, capture_output=True, text=True, check=False)
     if not report.exists():
         return None, (played.stdout + played.stderr)[-200:]
     return json.loads(report.read_text()), ""
 
 
+def report(folder, site, day, seed):
+    """Where the report of one play lies."""
+    return pathlib.Path(folder) / f"{pathlib.Path(site).stem}-{day}-{seed}.json"
+
+
 def broken(told):
     """What was broken on a day, in words."""
     rules = [f"{rule} {count}" for rule, count in told["breaks"].items()]
@@ -91,7 +95,7 @@
     with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(args.at_once) as pool:
         days = {site: args.days.split(",") if args.days else days_of(site) for site in args.sites}
         results = {
-            (site, day, seed): pool.submit(play, args.bench, site, day, seed, folder, args.why)
+            (site, day, seed): pool.submit(play, args.bench, site, day, report(folder, site, day, seed), args.why, seed)
             for site in args.sites
             for day in days[site]
             for seed in seeds
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -94,8 +94,8 @@
     let ready_listen = address(reader, "gateway", "ready_listen");
     let store = address(reader, "gateway", "store");
     let peer_port = reader.ports("gateway", "peer_ports").first().copied();
-    let peer_address = reader.addresses("gateway", "peer_listen").first().and_then(|address| address.parse().ok());
-    let seeds = reader.addresses("gateway", "seeds").iter().filter_map(|seed| seed.parse().ok()).collect();
+    let peer_address = reader.sockets("gateway", "peer_listen").first().copied();
+    let seeds = reader.sockets("gateway", "seeds");
     let bounds = bounds(reader);
     let policy = policy(reader);
     let listen = listen?;
--- a/sorrelpass/src/config/reader.rs
+++ b/sorrelpass/src/config/reader.rs
@@ -189,6 +189,11 @@
         self.list(section, key, "an address ip:port", address)
     }
 
+    /// A list of addresses to connect to or listen on, separated by commas.
+    pub fn sockets(&mut self, section: &str, key: &str) -> Vec<SocketAddr> {
+        self.list(section, key, "an address ip:port", |part| part.parse().ok())
+    }
+
     /// A list of port numbers, separated by commas.
     pub fn ports(&mut self, section: &str, key: &str) -> Vec<u16> {
         self.list(section, key, "a port", |part| part.parse().ok())
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -246,7 +246,7 @@
             Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
             Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
             // What is new in the store is no matter of planning.
-            Report::Sync { .. } | Report::Update { .. } => return,
+            Report::Sync(_) | Report::Update { .. } => return,
         }
         self.pump();
     }
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -11,7 +11,7 @@
 use coord::time::Moment;
 use tokio::sync::Notify;
 
-use super::link::{Document, Update};
+use super::link::{Document, Question, Update};
 use super::state::Gateway;
 use super::topic::Topic;
 use super::{belief, now, watch};
@@ -36,6 +36,10 @@
 impl Facts {
     /// Waits until both topics are known, and no longer than until `deadline`.
     pub async fn first(&self, deadline: Moment) {
+        let known = self.configuration.age().is_some() && self.replicas.age().is_some();
+        if known || deadline <= now() {
+            return;
+        }
         let both = async { tokio::join!(self.configuration.first_proof(), self.replicas.first_proof()) };
         // Whoever asked looks at what is known; nothing may be.
         let _ = tokio::time::timeout(deadline.since(now()), both).await;
@@ -71,33 +75,30 @@
     }
 }
 
-/// A question about what is new in the store; an answer to an earlier one is too old to count.
+/// The last question on a connection.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Question {
-    /// Its number on its connection.
-    pub number: u64,
+pub struct Asked {
+    /// The question.
+    pub question: Question,
     /// When it was asked.
-    pub asked: Moment,
-    /// How far the configuration's topic was known then.
-    pub configuration: Option<u64>,
-    /// How far the replicas' topic was known then.
-    pub replicas: Option<u64>,
+    pub at: Moment,
 }
 
-impl Question {
+impl Asked {
     /// The next question on the same connection, asked now.
     pub fn next(&self, facts: &Facts) -> Self {
-        Self {
-            number: self.number + 1,
-            asked: now(),
+        let question = Question {
+            number: self.question.number + 1,
             configuration: facts.configuration.next(),
             replicas: facts.replicas.next(),
-        }
+        };
+        Self { question, at: now() }
     }
 }
 
-/// What an entry that knows the topics up to these offsets does not know yet.
-pub fn update(gateway: &Gateway, configuration: Option<u64>, replicas: Option<u64>) -> Update {
+/// What an entry that asks does not know yet.
+pub fn update(gateway: &Gateway, question: Question) -> Update {
+    let Question { configuration, replicas, .. } = question;
     let facts = &gateway.facts;
     let roster = gateway.roster.borrow();
     let newer = |document: &Document| configuration.is_none_or(|from| document.offset >= from);
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior};
 
-use super::facts::{self, Question};
+use super::facts::{self, Asked};
 use super::link::{self, Link, Order, Report, SILENCE};
 use super::peers::{self, Found, Peer, RETRY};
 use super::state::{Gateway, Phase};
@@ -116,19 +116,19 @@
     let bounds = gateway.bounds();
     let mut sync = tokio::time::interval(SYNC.min(bounds.config_apply.min(bounds.drain) / SYNCS_PER_BOUND));
     sync.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut question = Question::default();
+    let mut asked = Asked::default();
     loop {
         tokio::select! {
             order = link.receive() => {
                 heard = Instant::now();
                 match order? {
                     Order::Grant { number, team } => gateway.desk.granted(number, team),
-                    Order::Update { number, update } if number == question.number => {
-                        facts::take_in(gateway, update, question.asked);
+                    Order::Update { number, update } if number == asked.question.number => {
+                        facts::take_in(gateway, update, asked.at);
                     }
-                    Order::Sync { number, configuration, replicas } => {
-                        let update = facts::update(gateway, configuration, replicas);
-                        link.send(Report::Update { number, update }, &mut waiting).await?;
+                    Order::Sync(question) => {
+                        let update = facts::update(gateway, question);
+                        link.send(Report::Update { number: question.number, update }, &mut waiting).await?;
                     }
                     Order::Update { .. } | Order::Beat | Order::Welcome { .. } => {}
                 }
@@ -138,9 +138,8 @@
                 link.send(report, &mut waiting).await?;
             }
             _ = sync.tick(), if gateway.settings.policy.passing_on => {
-                question = question.next(&gateway.facts);
-                let Question { number, configuration, replicas, .. } = question;
-                link.send(Report::Sync { number, configuration, replicas }, &mut waiting).await?;
+                asked = asked.next(&gateway.facts);
+                link.send(Report::Sync(asked.question), &mut waiting).await?;
             }
             () = tokio::time::sleep_until(heard + SILENCE) => return Err(eyre!("step=receive: no beat")),
         }
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-use super::facts::{self, Question};
+use super::facts::{self, Asked};
 use super::link::{self, BEAT, Link, Order, Report};
 use super::state::{Gateway, Phase};
 use super::watch;
@@ -61,9 +61,8 @@
 
 /// Tells an entry whom this one follows, so that all follow the same, whatever lists they have read.
 async fn redirect(stream: TcpStream, leader: SocketAddr) {
-    let (_, mut nothing) = mpsc::channel(1);
     let welcome = Order::Welcome { incarnation: util::incarnation().to_string(), leader: Some(leader) };
-    if let Err(error) = Link::new(stream).send(welcome, &mut nothing).await {
+    if let Err(error) = Link::new(stream).send_one(welcome).await {
         event!("peer-refused", leader = %leader, error = %format!("{error:#}"));
     }
 }
@@ -72,24 +71,23 @@
 async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
     let welcome = Order::Welcome { incarnation: util::incarnation().to_string(), leader: None };
     link.send(welcome, waiting).await?;
-    let mut question = Question::default();
+    let mut asked = Asked::default();
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             report = link.receive() => match report? {
-                Report::Sync { number, configuration, replicas } => {
-                    let update = facts::update(gateway, configuration, replicas);
-                    link.send(Order::Update { number, update }, waiting).await?;
+                Report::Sync(question) => {
+                    let update = facts::update(gateway, question);
+                    link.send(Order::Update { number: question.number, update }, waiting).await?;
                     // Whoever follows reads for itself once what it hears is too old, and may know more.
                     if watch::is_stale(gateway) && gateway.settings.policy.passing_on {
-                        question = question.next(&gateway.facts);
-                        let Question { number, configuration, replicas, .. } = question;
-                        link.send(Order::Sync { number, configuration, replicas }, waiting).await?;
+                        asked = asked.next(&gateway.facts);
+                        link.send(Order::Sync(asked.question), waiting).await?;
                     }
                 }
-                Report::Update { number, update } if number == question.number => {
-                    facts::take_in(gateway, update, question.asked);
+                Report::Update { number, update } if number == asked.question.number => {
+                    facts::take_in(gateway, update, asked.at);
                 }
                 report => gateway.desk.hear(entry, report),
             },
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -83,6 +83,17 @@
     pub value: Bytes,
 }
 
+/// A question about what is new in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Its number on its connection; an answer to an earlier one is too old to count.
+    pub number: u64,
+    /// How far who asks knows the configuration's topic.
+    pub configuration: Option<u64>,
+    /// How far who asks knows the replicas' topic.
+    pub replicas: Option<u64>,
+}
+
 /// What one entry knows from the store that another does not, and how old it is.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
@@ -149,14 +160,7 @@
         engine: Name,
     },
     /// The entry wants to know what is new in the store.
-    Sync {
-        /// The entry's number for the question.
-        number: u64,
-        /// How far it knows the configuration's topic.
-        configuration: Option<u64>,
-        /// How far it knows the replicas' topic.
-        replicas: Option<u64>,
-    },
+    Sync(Question),
     /// What is new in the store, for an entry that plans and is cut off from it.
     Update {
         /// The number of the question.
@@ -191,14 +195,7 @@
         update: Update,
     },
     /// The entry that plans wants to know what is new in the store: its own readings are too old.
-    Sync {
-        /// Its number for the question.
-        number: u64,
-        /// How far it knows the configuration's topic.
-        configuration: Option<u64>,
-        /// How far it knows the replicas' topic.
-        replicas: Option<u64>,
-    },
+    Sync(Question),
     /// The planner is alive.
     Beat,
 }
@@ -226,14 +223,31 @@
         tokio::time::timeout(SILENCE, self.send_all(first, waiting)).await.wrap_err("step=send: not taken")?
     }
 
+    /// Sends one message, as [`Link::send`] does.
+    pub async fn send_one<T: Serialize>(&mut self, message: T) -> Result<()> {
+        let sent = async {
+            self.feed(message).await?;
+            self.flush().await
+        };
+        tokio::time::timeout(SILENCE, sent).await.wrap_err("step=send: not taken")?
+    }
+
     /// Sends a message and all that wait behind it, in one write.
     async fn send_all<T: Serialize>(&mut self, first: T, waiting: &mut mpsc::Receiver<T>) -> Result<()> {
         let mut next = Some(first);
         while let Some(message) = next {
-            let frame = postcard::to_stdvec(&message).wrap_err("step=encode-message")?;
-            self.0.feed(Bytes::from(frame)).await.wrap_err("step=send")?;
+            self.feed(message).await?;
             next = waiting.try_recv().ok();
         }
+        self.flush().await
+    }
+
+    async fn feed<T: Serialize>(&mut self, message: T) -> Result<()> {
+        let frame = postcard::to_stdvec(&message).wrap_err("step=encode-message")?;
+        self.0.feed(Bytes::from(frame)).await.wrap_err("step=send")
+    }
+
+    async fn flush(&mut self) -> Result<()> {
         SinkExt::<Bytes>::flush(&mut self.0).await.wrap_err("step=send")
     }
 }
--- a/sorrelpass/src/gateway/peers.rs
+++ b/sorrelpass/src/gateway/peers.rs
@@ -52,6 +52,13 @@
     leader: Option<SocketAddr>,
 }
 
+impl Greeting {
+    /// Whether it comes from the run of the process that made an announcement.
+    fn is_of(&self, peer: &Peer) -> bool {
+        self.incarnation == peer.incarnation
+    }
+}
+
 /// Those of `peers` that are listed before an entry; all if it is not among them.
 pub fn older_than(peers: &[Peer], address: SocketAddr) -> &[Peer] {
     let rank = peers.iter().position(|peer| peer.address == address);
@@ -103,15 +110,15 @@
     for peer in peers.iter().filter(|peer| peer.address != own) {
         let Some(greeting) = greet(peer.address).await else { continue };
         match greeting.leader {
-            None if greeting.incarnation == peer.incarnation => return Some(greeting.found),
+            None if greeting.is_of(peer) => return Some(greeting.found),
             // It was restarted since it announced itself, and is the youngest now.
             None => event!("peer-unreached", peer = %peer.address, error = "another run of the process"),
             // This entry is to lead it, and others.
             Some(leader) if leader == own => {}
             Some(leader) => {
                 event!("peer-redirects", peer = %peer.address, leader = %leader);
-                if let Some(greeting) = greet(leader).await.filter(|greeting| greeting.leader.is_none()) {
-                    return Some(greeting.found);
+                if let Some(found) = planner(leader).await {
+                    return Some(found);
                 }
             }
         }
@@ -124,13 +131,18 @@
     for seed in seeds.iter().filter(|seed| **seed != own) {
         let Some(greeting) = greet(*seed).await else { continue };
         let Some(leader) = greeting.leader else { return Some(greeting.found) };
-        if let Some(greeting) = greet(leader).await.filter(|greeting| greeting.leader.is_none()) {
-            return Some(greeting.found);
+        if let Some(found) = planner(leader).await {
+            return Some(found);
         }
     }
     None
 }
 
+/// The entry at an address, if it plans.
+async fn planner(address: SocketAddr) -> Option<Found> {
+    greet(address).await.filter(|greeting| greeting.leader.is_none()).map(|greeting| greeting.found)
+}
+
 /// Connects and waits for the first message; none from an entry that cannot plan, which closes the connection instead.
 async fn greet(address: SocketAddr) -> Option<Greeting> {
     let greeted = async {
@@ -158,7 +170,7 @@
         tokio::time::sleep(RETRY).await;
         for peer in peers.iter().filter(|peer| peer.address != own) {
             let Some(greeting) = greet(peer.address).await else { continue };
-            if greeting.leader.is_none() && greeting.incarnation == peer.incarnation {
+            if greeting.leader.is_none() && greeting.is_of(peer) {
                 return peer.address;
             }
         }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -161,7 +161,7 @@
     /// Whether no key can have been taken away for longer than it may be served.
     pub fn has_recent_proof(&self) -> bool {
         let bound = self.bounds().revoke.mul_f64(PROOF_SHARE);
-        self.facts.configuration.age().is_some_and(|age| age < bound)
+        self.facts.configuration.is_proven_within(bound)
     }
 
     /// Whether another entry reads the store for this one.
@@ -172,7 +172,7 @@
     /// Whether the table may be believed in what it lacks: it holds all that must be in force by now.
     pub fn may_deny(&self) -> bool {
         let bound = self.bounds().config_apply.mul_f64(DENIAL_SHARE);
-        self.facts.configuration.age().is_some_and(|age| age < bound)
+        self.facts.configuration.is_proven_within(bound)
     }
 
     /// Whether this entry wants callers.
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -77,6 +77,11 @@
         self.read.get().map(|read| now().since(read))
     }
 
+    /// Whether the newest such reading was sent less than `bound` ago.
+    pub fn is_proven_within(&self, bound: Duration) -> bool {
+        self.age().is_some_and(|age| age < bound)
+    }
+
     /// For how long the topic need not be read, if a reading serves for `bound`.
     pub fn serves_for(&self, bound: Duration) -> Duration {
         if self.behind.get() {
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -55,12 +55,12 @@
 /// Whether what is known of the store is so old that an entry which follows another would read it itself.
 pub fn is_stale(gateway: &Gateway) -> bool {
     let serves = configuration_serves(&gateway.bounds());
-    !knows_replicas(gateway) || gateway.facts.configuration.age().is_none_or(|age| age >= serves)
+    !knows_replicas(gateway) || !gateway.facts.configuration.is_proven_within(serves)
 }
 
 /// Whether the replicas' records were read, here or elsewhere, a short while ago.
 pub fn knows_replicas(gateway: &Gateway) -> bool {
-    gateway.facts.replicas.age().is_some_and(|age| age < records_serve(&gateway.bounds()))
+    gateway.facts.replicas.is_proven_within(records_serve(&gateway.bounds()))
 }
 
 /// Keeps the routing table the newest.
