--- a/deploy/rounds.py
+++ b/deploy/rounds.py
@@ -1,10 +1,11 @@
 #!/usr/bin/env python3
 """Plays the standard days of sites on the users' bench with several seeds, and prints the worth of each.
 
-Usage: deploy/rounds.py BENCH SITE... [--seeds 1,2,3] [--days trouble-1,...] [--at-once N] [--why TEXT] [--kinds]
+Usage: deploy/rounds.py BENCH SITE... [--seeds 1,2,3] [--days trouble-1,...] [--at-once N] [--why TEXT] [--kinds] [--processor]
 
 BENCH is the program that plays days, SITE a site file. Without --days, those with trouble (slots `trouble` and
-`scale`) are played. Processor time is not counted, so that what a run shows repeats. Prints for each site a table of
+`scale`) are played. Processor time is not counted, so that what a run shows repeats, unless --processor is given: then
+it is measured, and fewer days should be played at once than there are cores. Prints for each site a table of
 worth by day and seed with its mean and the rules broken; with --kinds, also the worth by kind of request. Ends with
 status 1 if a rule was broken or a day could not be played.
 """
@@ -29,10 +30,11 @@
     return [day["name"] for day in known if day["slot"] in TROUBLED]
 
 
-def play(bench, site, day, report, why, seed=None):
+def play(bench, site, day, report, why, seed=None, processor=False):
     """Plays a standard day or one in a file; returns the report, or the end of the output where there is none."""
     seeded = ["--seed", str(seed)] if seed else []
-    command = [bench, "run", site, str(day), *seeded, "--no-cpu", "--jobs", "1", "--why", why, "--report", str(report)]
+    free = [] if processor else ["--no-cpu"]
+    command = [bench, "run", site, str(day), *seeded, *free, "--jobs", "1", "--why", why, "--report", str(report)]
     played = subprocess.run(command, capture_output=True, text=True, check=False)
     if not report.exists():
         return None, (played.stdout + played.stderr)[-200:]
@@ -89,13 +91,14 @@
     parser.add_argument("--at-once", type=int, default=6)
     parser.add_argument("--why", default="standard days with several seeds")
     parser.add_argument("--kinds", action="store_true")
+    parser.add_argument("--processor", action="store_true", help="count processor time")
     args = parser.parse_args()
     seeds = [int(seed) for seed in args.seeds.split(",")]
     bad = 0
     with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(args.at_once) as pool:
         days = {site: args.days.split(",") if args.days else days_of(site) for site in args.sites}
         results = {
-            (site, day, seed): pool.submit(play, args.bench, site, day, report(folder, site, day, seed), args.why, seed)
+            (site, day, seed): pool.submit(play, args.bench, site, day, report(folder, site, day, seed), args.why, seed, args.processor)
             for site in args.sites
             for day in days[site]
             for seed in seeds
