The planner's time does not grow with reports times waiting times engines

Cause: Desk::hear ran a pump at every report, and a pump ranked all that waits and built two lists of all engines for each prompt, adding up each engine's seats and looking up its breaker by name every time.

Change: sums over an engine's seats are kept; one view of all engines is made for all prompts of a pump; what waits is kept in the order of its turns; a short prompt is not looked at after a cheaper one of its kind found no engine; overdue first events are kept by when they are due. Reports that come together are looked at together: the desk's own task pumps, behind all tasks that took a message.

Decisions are those of the plain form, which tests/plain keeps as it was: tests/planner_plain.rs plays random sequences to both and compares each grant. It found one difference, left as it is: the plain form counted breakers of engines that are gone among those on trial.

Figures: one event at 150 engines and 20 waiting 409 -> 10.5 us, 1,000 waiting 29.4 ms -> 48 us (cargo bench -p coord). At 12,000 engines 0.7 to 1.0 ms, not the 50 us aimed for: views and scans are still over all engines.

--- /dev/null
+++ b/coord/benches/planner.rs
@@ -0,0 +1,117 @@
+//! Time that a planner takes for one event: a short prompt comes in, what may start is granted, and the prompt ends.
+//!
+//! `cargo bench -p coord --bench planner`. Half of the engines read and all write for callers who mind pauses; what
+//! waits is two thirds short prompts and a third long ones, as in a burst. `plain` is the same decision worked out anew
+//! for each prompt at each event. Median on one core of the development machine, 8 cores, in microseconds:
+//!
+//! | engines / waiting | plain | planner |
+//! |---|---|---|
+//! | 18 / 10 | 14.1 | 2.2 |
+//! | 150 / 20 | 409 | 10.5 |
+//! | 150 / 100 | 656 | 14.7 |
+//! | 150 / 1,000 | 29,410 | 47.6 |
+//! | 1,000 / 100 | 7,138 | 60.7 |
+//! | 12,000 / 100 | not run | 744 |
+//! | 12,000 / 1,000 | not run | 1,044 |
+
+#[path = "../tests/plain/mod.rs"]
+#[allow(dead_code, missing_docs)]
+mod plain;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::engine::Figures;
+use coord::name::Name;
+use coord::planner::{Id, Job, Planner, Policy, Team};
+use coord::time::Moment;
+use divan::{Bencher, black_box};
+
+/// Engines and prompts that wait.
+const SIZES: &[(usize, u64)] =
+    &[(18, 10), (150, 20), (150, 100), (150, 1_000), (1_000, 100), (12_000, 100), (12_000, 1_000)];
+/// Those at which the plain form ends in a reasonable time.
+const PLAIN_SIZES: &[(usize, u64)] = &[(18, 10), (150, 20), (150, 100), (150, 1_000), (1_000, 100)];
+/// The entry whose prompts run already.
+const OTHER: u64 = 1;
+
+fn main() {
+    divan::main();
+}
+
+fn figures() -> Arc<Figures> {
+    Arc::new(Figures {
+        slots: 10,
+        memory: 450_000,
+        stride: 73,
+        step_ms: 0.925,
+        per_writer_ms: 0.00483,
+        per_context_ms: 0.00254,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+        chunk: 2_048,
+        hop_ms: 0.1,
+    })
+}
+
+fn name(engine: usize) -> Name {
+    format!("engine-{engine:05}").into()
+}
+
+fn job(prompt: u64, now: Moment) -> Job {
+    let (aim, gap_ms) = if prompt < 30_000 { (300, 250.0) } else { (4_000, 1_000.0) };
+    let aim = now + Duration::from_millis(aim);
+    Job { prompt, output: 1_000, aim, gap_ms, deadline: now + Duration::from_secs(10), priority: 1 }
+}
+
+/// Makes both kinds of planner busy in the same way.
+macro_rules! busy {
+    ($planner:expr, $size:expr, $now:expr) => {{
+        let (engines, waiting) = $size;
+        let mut planner = $planner;
+        planner.set_engines((0..engines).map(|index| (name(index), figures())));
+        for index in 0..engines {
+            for seat in 0..4 {
+                let id = Id { entry: OTHER, number: (index * 4 + seat) as u64 };
+                let team = Team { writer: name(index), helpers: Vec::new() };
+                planner.adopt(id, &job(9_000, $now), team, seat == 0 && index % 2 == 0, $now);
+            }
+        }
+        for number in 0..waiting {
+            let prompt = if number % 3 == 0 { 300_000 } else { 22_000 };
+            planner.submit(Id { entry: 0, number }, job(prompt, $now));
+        }
+        planner.pump($now);
+        planner
+    }};
+}
+
+fn event(number: u64) -> Id {
+    Id { entry: 0, number: 1_000_000 + number }
+}
+
+#[divan::bench(args = SIZES)]
+fn planner(bencher: Bencher, size: (usize, u64)) {
+    let now = Moment::from_millis(10_000);
+    let mut planner = busy!(Planner::new(Policy::default(), 0), size, now);
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        planner.submit(event(number), job(3_000, now));
+        black_box(planner.pump(now));
+        planner.end(event(number), now);
+    });
+}
+
+#[divan::bench(args = PLAIN_SIZES, sample_count = 10)]
+fn plain(bencher: Bencher, size: (usize, u64)) {
+    let now = Moment::from_millis(10_000);
+    let mut planner = busy!(plain::Planner::new(Policy::default(), 0), size, now);
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        planner.submit(event(number), job(3_000, now));
+        black_box(planner.pump(now));
+        planner.end(event(number), now);
+    });
+}
--- /dev/null
+++ b/coord/src/planner/board.rs
@@ -0,0 +1,148 @@
+//! What all engines are like at one moment, worked out once for all prompts that get their turn then.
+
+use std::cell::OnceCell;
+
+use super::engine::Engine;
+use super::job::Job;
+use super::policy::Policy;
+use crate::time::Moment;
+
+/// One engine at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct View {
+    /// Milliseconds of reading that are left.
+    pub pending_ms: f64,
+    /// Milliseconds until it could begin to read something new.
+    pub wait_ms: f64,
+    /// Milliseconds of reading that fit in before someone who writes here waits too long.
+    pub room_ms: f64,
+    /// Milliseconds of a pass in which nothing is read.
+    pub pass_ms: f64,
+    /// The shortest pause that anyone who writes here wants, in milliseconds.
+    pub gap_ms: f64,
+    /// Tokens that its memory holds.
+    pub context: u64,
+    /// Tokens of its memory that may still be granted.
+    pub free_memory: u64,
+    /// Answers that it writes, or will.
+    pub seats: usize,
+    /// Whether one more answer may be written here.
+    pub has_slot: bool,
+    /// Whether requests may be sent to it.
+    pub admits: bool,
+    /// Whether the next request to it is a trial.
+    pub on_trial: bool,
+}
+
+impl View {
+    /// An engine as it is at `now`.
+    fn of(engine: &Engine, policy: &Policy, now: Moment) -> Self {
+        let (pass_ms, gap_ms, context) = (engine.pass_ms(), engine.gap_ms(), engine.context());
+        let pending_ms = engine.pending_ms(now);
+        let figures = engine.figures();
+        let grantable = (figures.memory as f64 * policy.memory_share) as u64;
+        Self {
+            pending_ms,
+            wait_ms: pending_ms + pass_ms,
+            room_ms: gap_ms * policy.pause_share - pass_ms - pending_ms,
+            pass_ms,
+            gap_ms,
+            context,
+            free_memory: grantable.saturating_sub(context),
+            seats: engine.seats(),
+            has_slot: (engine.seats() as f64) < f64::from(figures.slots) * policy.slot_share,
+            admits: engine.breaker.is_none_or(|breaker| breaker.admits(now)),
+            on_trial: engine.breaker.is_some_and(|breaker| breaker.is_on_trial(now)),
+        }
+    }
+
+    /// Whether it has a slot and memory for a job's answer.
+    pub fn fits(&self, job: &Job) -> bool {
+        self.has_slot && self.free_memory >= job.needs()
+    }
+}
+
+/// Engines that may read a part of a long prompt now.
+#[derive(Clone, Debug)]
+pub struct Open {
+    /// Their places in the fleet, those first that can begin soonest.
+    pub by_wait: Vec<usize>,
+    /// Milliseconds of reading that fit in at each, the most first.
+    rooms: Vec<f64>,
+}
+
+impl Open {
+    /// How many have room for so much reading.
+    pub fn roomy(&self, ms: f64) -> usize {
+        self.rooms.partition_point(|room| *room >= ms)
+    }
+}
+
+/// All engines at one moment.
+#[derive(Debug, Default)]
+pub struct Board {
+    views: Vec<View>,
+    /// Engines that admit requests.
+    admitted: usize,
+    /// Engines whose next request is a trial.
+    on_trial: usize,
+    /// For prompts of entries that reach all engines.
+    open: OnceCell<Open>,
+}
+
+impl Board {
+    /// Looks at all engines anew.
+    pub fn refresh(&mut self, engines: &[Engine], policy: &Policy, now: Moment) {
+        self.views.clear();
+        self.views.extend(engines.iter().map(|engine| View::of(engine, policy, now)));
+        self.admitted = self.views.iter().filter(|view| view.admits).count();
+        self.on_trial = self.views.iter().filter(|view| view.on_trial).count();
+        self.open.take();
+    }
+
+    /// Looks at one engine anew, the one at place `index`.
+    pub fn update(&mut self, index: usize, engine: &Engine, policy: &Policy, now: Moment) {
+        let view = View::of(engine, policy, now);
+        let old = std::mem::replace(&mut self.views[index], view);
+        self.admitted = self.admitted + usize::from(view.admits) - usize::from(old.admits);
+        self.on_trial = self.on_trial + usize::from(view.on_trial) - usize::from(old.on_trial);
+        self.open.take();
+    }
+
+    /// All engines, in the order of the fleet.
+    pub fn views(&self) -> &[View] {
+        &self.views
+    }
+
+    /// Whether engines that failed of late are left out: as long as that leaves most of them. What strikes many at once
+    /// is no fault of theirs.
+    pub fn leaves_out(&self, policy: &Policy) -> bool {
+        self.admitted as f64 > self.views.len() as f64 * policy.least_usable
+    }
+
+    /// Whether so many engines wait for a trial that too few are left without them.
+    pub fn must_try(&self, policy: &Policy) -> bool {
+        self.on_trial as f64 >= self.views.len() as f64 * (1.0 - policy.least_usable)
+    }
+
+    /// Those among engines that have next to nothing left to read.
+    pub fn open_among(&self, engines: impl Iterator<Item = usize>, policy: &Policy) -> Open {
+        let tries = self.must_try(policy);
+        // One that fails holds up the whole team; short prompts try it.
+        let may = |view: &View| view.pending_ms <= policy.start_pending_ms && (tries || !view.on_trial);
+        let mut by_wait: Vec<usize> = engines.filter(|index| may(&self.views[*index])).collect();
+        by_wait.sort_by(|a, b| self.views[*a].wait_ms.total_cmp(&self.views[*b].wait_ms));
+        let mut rooms: Vec<f64> = by_wait.iter().map(|index| self.views[*index].room_ms).collect();
+        rooms.sort_by(|a, b| b.total_cmp(a));
+        Open { by_wait, rooms }
+    }
+
+    /// The same among all that may be chosen, worked out once between two grants.
+    pub fn open(&self, policy: &Policy) -> &Open {
+        self.open.get_or_init(|| {
+            let leaves_out = self.leaves_out(policy);
+            let usable = |index: &usize| !leaves_out || self.views[*index].admits;
+            self.open_among((0..self.views.len()).filter(usable), policy)
+        })
+    }
+}
--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use super::job::{Id, Job};
-use super::policy::{LEAST_LEFT, OVERDUE, Policy};
+use super::job::Id;
+use super::policy::{LEAST_LEFT, OVERDUE};
+use crate::breaker::Breaker;
 use crate::engine::Figures;
+use crate::name::Name;
 use crate::time::Moment;
 
 /// A part of a prompt that an engine has still to read.
@@ -25,38 +27,86 @@
     pub gap_ms: f64,
 }
 
+/// Sums over the answers that an engine writes, kept so that a look at all engines does not add them up each time.
+#[derive(Clone, Copy, Debug)]
+struct Sums {
+    /// Tokens that the engine's memory holds.
+    context: u64,
+    /// The shortest pause that anyone wants, in milliseconds; infinite if nobody minds.
+    gap_ms: f64,
+    /// Milliseconds of a pass in which nothing is read.
+    pass_ms: f64,
+}
+
 /// What the planner believes of one engine.
 #[derive(Debug)]
 pub struct Engine {
+    /// Its name.
+    pub name: Name,
+    /// What requests have told of it, once one went badly.
+    pub breaker: Option<Breaker>,
     /// Its sizes and speeds.
-    pub figures: Arc<Figures>,
+    figures: Arc<Figures>,
     /// What it reads, in order.
     parts: VecDeque<Part>,
     /// When the first part began to be read.
     front_since: Moment,
     /// What it writes.
-    pub seats: BTreeMap<Id, Seat>,
+    seats: BTreeMap<Id, Seat>,
+    sums: Sums,
 }
 
 impl Engine {
     /// An engine with nothing to do.
-    pub fn new(figures: Arc<Figures>) -> Self {
-        Self { figures, parts: VecDeque::new(), front_since: Moment::ZERO, seats: BTreeMap::new() }
+    pub fn new(name: Name, figures: Arc<Figures>) -> Self {
+        Self {
+            name,
+            breaker: None,
+            figures,
+            parts: VecDeque::new(),
+            front_since: Moment::ZERO,
+            seats: BTreeMap::new(),
+            sums: Sums { context: 0, gap_ms: f64::INFINITY, pass_ms: 0.0 },
+        }
+    }
+
+    /// Its sizes and speeds.
+    pub fn figures(&self) -> &Arc<Figures> {
+        &self.figures
+    }
+
+    /// Gives it other sizes and speeds.
+    pub fn set_figures(&mut self, figures: Arc<Figures>) {
+        self.figures = figures;
+        self.sum_up();
     }
 
     /// Tokens that its memory holds.
     pub fn context(&self) -> u64 {
-        self.seats.values().map(|seat| seat.tokens).sum()
+        self.sums.context
+    }
+
+    /// Answers that it writes, or will.
+    pub fn seats(&self) -> usize {
+        self.seats.len()
+    }
+
+    /// The shortest pause that anyone who writes here wants, in milliseconds.
+    pub fn gap_ms(&self) -> f64 {
+        self.sums.gap_ms
     }
 
     /// Milliseconds of a pass in which nothing is read.
     pub fn pass_ms(&self) -> f64 {
-        if self.seats.is_empty() { 0.0 } else { self.figures.pass_ms(self.seats.len() as u32, self.context()) }
+        self.sums.pass_ms
     }
 
     /// Milliseconds of reading that are left. Parts that are long overdue, one after the other, no longer count: their
     /// answers were lost, or other engines hold up their teams. The part behind those counts in full.
     pub fn pending_ms(&self, now: Moment) -> f64 {
+        if self.parts.is_empty() {
+            return 0.0;
+        }
         let mut elapsed = now.since(self.front_since).as_secs_f64() * 1e3;
         let mut parts = self.parts.iter();
         let mut is_front = true;
@@ -79,29 +129,17 @@
         self.pending_ms(now) + self.pass_ms()
     }
 
-    /// The shortest pause that anyone who writes here wants.
-    pub fn gap_ms(&self) -> f64 {
-        self.seats.values().map(|seat| seat.gap_ms).filter(|gap| *gap > 0.0).fold(f64::INFINITY, f64::min)
+    /// Adds an answer that it will write.
+    pub fn seat(&mut self, job: Id, seat: Seat) {
+        self.seats.insert(job, seat);
+        self.sum_up();
     }
 
-    /// Milliseconds of reading that fit in before someone who writes here waits too long.
-    pub fn room_ms(&self, now: Moment, policy: &Policy) -> f64 {
-        self.gap_ms() * policy.pause_share - self.pass_ms() - self.pending_ms(now)
-    }
-
-    /// Tokens of its memory that may still be granted.
-    pub fn free_memory(&self, policy: &Policy) -> u64 {
-        ((self.figures.memory as f64 * policy.memory_share) as u64).saturating_sub(self.context())
-    }
-
-    /// Whether its memory has room for a job.
-    pub fn has_memory(&self, job: &Job, policy: &Policy) -> bool {
-        self.free_memory(policy) >= job.needs()
-    }
-
-    /// Whether one more answer may be written here.
-    pub fn has_slot(&self, policy: &Policy) -> bool {
-        (self.seats.len() as f64) < f64::from(self.figures.slots) * policy.slot_share
+    /// Notes that an answer is over.
+    pub fn unseat(&mut self, job: Id) {
+        if self.seats.remove(&job).is_some() {
+            self.sum_up();
+        }
     }
 
     /// Adds a part behind what is left to read.
@@ -120,4 +158,13 @@
             self.front_since = now;
         }
     }
+
+    fn sum_up(&mut self) {
+        let context = self.seats.values().map(|seat| seat.tokens).sum();
+        let gaps = self.seats.values().map(|seat| seat.gap_ms).filter(|gap| *gap > 0.0);
+        let gap_ms = gaps.fold(f64::INFINITY, f64::min);
+        let writers = self.seats.len() as u32;
+        let pass_ms = if writers == 0 { 0.0 } else { self.figures.pass_ms(writers, context) };
+        self.sums = Sums { context, gap_ms, pass_ms };
+    }
 }
--- a/coord/src/planner/estimate.rs
+++ b/coord/src/planner/estimate.rs
@@ -1,66 +1,50 @@
-//! The order in which waiting prompts get their turn, and the model's view of a prompt that this and
-//! the choice of engines depend on.
+//! The model's view of a prompt that its turn and the choice of its engines depend on.
 
 use super::Planner;
-use super::job::{Id, Job};
-use super::policy::{PASSES_TO_FIRST_EVENT, SHORT_READ_MS};
-use crate::engine::millis;
+use super::engine::Engine;
+use super::job::{Job, Team};
+use super::policy::{PASSES_TO_FIRST_EVENT, Policy, SHORT_READ_MS};
+use super::waiting::Prompt;
+use crate::engine::{Figures, millis};
 use crate::time::Moment;
 
-/// A job that waits, with what its turn depends on.
-pub struct Ranked {
-    /// Its identity.
-    pub id: Id,
-    /// What it asks for.
-    pub job: Job,
-    /// Whether it would be late even if it started now.
-    pub late: bool,
-    /// Engine time that reading it takes, in milliseconds.
-    cost_ms: f64,
-}
+/// Far beyond any time that is asked about.
+const NEVER: Moment = Moment::from_micros(u64::MAX);
 
-impl Planner {
-    /// What waits: prompts that can still be in time go first; among them the more urgent rank, then the cheaper.
-    pub(super) fn ranked(&self, now: Moment) -> Vec<Ranked> {
-        let rank = |(id, job): (&Id, &Job)| Ranked {
-            id: *id,
-            job: *job,
-            late: self.is_late(job, now),
-            cost_ms: self.cost_ms(job),
-        };
-        let mut ranked: Vec<Ranked> = self.waiting.iter().map(rank).collect();
-        let cheapest_first = self.policy.cheapest_first;
-        ranked.sort_by(|a, b| {
-            let rank = (a.late, a.job.priority).cmp(&(b.late, b.job.priority));
-            rank.then_with(|| match cheapest_first {
-                true => a.cost_ms.total_cmp(&b.cost_ms),
-                false => a.job.aim.cmp(&b.job.aim),
-            })
-        });
-        ranked
-    }
+/// A prompt as engines of these sizes and speeds see it.
+pub(super) fn prompt(job: Job, figures: Option<&Figures>, engines: usize, policy: &Policy) -> Prompt {
+    let Some(figures) = figures else {
+        return Prompt { job, read_ms: job.prompt as f64, short: true, late_after: NEVER };
+    };
+    let read_ms = figures.read_ms(job.prompt);
+    let short = is_short(&job, figures, policy);
+    let readers = if short { 1 } else { policy.most_parts.min(engines) };
+    // Behind the rest of a pass and with the pass in which its first event is written.
+    let pass_ms = figures.pass_ms(figures.slots / 2, 0);
+    let first_event_ms = read_ms / readers as f64 + pass_ms * PASSES_TO_FIRST_EVENT;
+    Prompt { job, read_ms, short, late_after: job.aim - millis(first_event_ms) }
+}
 
-    /// Whether a prompt would be late even if it started now: on one engine if short, else on all,
-    /// behind the rest of a pass and with the pass in which its first event is written.
-    pub(super) fn is_late(&self, job: &Job, now: Moment) -> bool {
-        let Some(engine) = self.engines.values().next() else { return false };
-        let engines = if self.is_short(job) { 1 } else { self.policy.most_parts.min(self.engines.len()) };
-        let pass = engine.figures.pass_ms(engine.figures.slots / 2, 0);
-        now + millis(self.cost_ms(job) / engines as f64 + pass * PASSES_TO_FIRST_EVENT) > job.aim
-    }
+/// Whether one engine can read the prompt without a pause that someone like its caller would mind.
+fn is_short(job: &Job, figures: &Figures, policy: &Policy) -> bool {
+    let gap = if job.gap_ms > 0.0 { job.gap_ms } else { f64::INFINITY };
+    let full = figures.pass_ms((f64::from(figures.slots) * policy.slot_share) as u32, 0);
+    let read_ms = figures.read_ms(job.prompt);
+    read_ms <= gap * policy.pause_share - full && read_ms <= SHORT_READ_MS
+}
 
-    /// Engine time that reading a job takes, in milliseconds.
-    pub(super) fn cost_ms(&self, job: &Job) -> f64 {
-        self.engines.values().next().map_or(job.prompt as f64, |engine| engine.figures.read_ms(job.prompt))
+impl Planner {
+    /// A prompt as the engines of today see it.
+    pub(super) fn prompt(&self, job: Job) -> Prompt {
+        let engines = self.fleet.engines().len();
+        prompt(job, self.fleet.figures().map(AsRef::as_ref), engines, &self.policy)
     }
 
-    /// Whether one engine can read the prompt without a pause that someone like its caller would mind.
-    pub(super) fn is_short(&self, job: &Job) -> bool {
-        let Some(engine) = self.engines.values().next() else { return true };
-        let gap = if job.gap_ms > 0.0 { job.gap_ms } else { f64::INFINITY };
-        let figures = &engine.figures;
-        let full = figures.pass_ms((f64::from(figures.slots) * self.policy.slot_share) as u32, 0);
-        figures.read_ms(job.prompt) <= gap * self.policy.pause_share - full
-            && figures.read_ms(job.prompt) <= SHORT_READ_MS
+    /// Milliseconds until a team that is granted now has read a prompt and writes its first event.
+    pub(super) fn expected_ms(&self, read_ms: f64, team: &Team, now: Moment) -> f64 {
+        let engines = team.engines().filter_map(|name| self.fleet.get(name));
+        let wait = engines.clone().map(|engine| engine.wait_ms(now)).fold(0.0, f64::max);
+        let pass = engines.map(Engine::pass_ms).fold(0.0, f64::max);
+        wait + read_ms / (1 + team.helpers.len()) as f64 + pass
     }
 }
--- a/coord/src/planner/granted.rs
+++ b/coord/src/planner/granted.rs
@@ -1,26 +1,77 @@
 //! Jobs that have their engines, and when their first events are overdue.
 
-use super::job::Team;
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::job::{Id, Team};
 use super::policy::{SLOW, SLOW_BY_MS};
 use crate::engine::millis;
 use crate::time::Moment;
 
 /// A job that has its engines.
 #[derive(Debug)]
-pub struct Granted {
+pub struct Grantee {
     /// Its engines.
     pub team: Team,
-    /// When it got them.
-    pub at: Moment,
-    /// Time from the grant to the first event as the model has it, in milliseconds.
-    pub expected_ms: f64,
-    /// Whether its prompt is still being read, as far as is known, and not yet overdue.
-    pub watched: bool,
+    /// A first event that comes after this shows that an engine must be to blame.
+    overdue_after: Moment,
 }
 
-impl Granted {
-    /// Whether the first event is so late that an engine must be to blame.
+impl Grantee {
+    /// A job that got its engines at `now`, and whose first event is expected that many milliseconds later.
+    pub fn new(team: Team, expected_ms: f64, now: Moment) -> Self {
+        Self { team, overdue_after: now + millis(expected_ms * SLOW + SLOW_BY_MS) }
+    }
+
+    /// Whether its first event is so late that an engine must be to blame.
     pub fn is_overdue(&self, now: Moment) -> bool {
-        now.since(self.at) > millis(self.expected_ms * SLOW + SLOW_BY_MS)
+        now > self.overdue_after
+    }
+}
+
+/// All jobs that have their engines.
+#[derive(Debug, Default)]
+pub struct Granted {
+    jobs: BTreeMap<Id, Grantee>,
+    /// Those that are still being read, as far as is known, and not yet overdue, by when they will be.
+    watched: BTreeSet<(Moment, Id)>,
+}
+
+impl Granted {
+    /// Adds a job; `reading` tells whether its first event has yet to come.
+    pub fn insert(&mut self, id: Id, job: Grantee, reading: bool) {
+        self.remove(id);
+        if reading {
+            self.watched.insert((job.overdue_after, id));
+        }
+        self.jobs.insert(id, job);
+    }
+
+    /// The job, and whether it was not yet known as overdue; from now on its first event is there.
+    pub fn first_event(&mut self, id: Id) -> Option<&Grantee> {
+        let job = self.jobs.get(&id)?;
+        self.watched.remove(&(job.overdue_after, id));
+        Some(job)
+    }
+
+    /// Takes a job out.
+    pub fn remove(&mut self, id: Id) -> Option<Grantee> {
+        let job = self.jobs.remove(&id)?;
+        self.watched.remove(&(job.overdue_after, id));
+        Some(job)
+    }
+
+    /// Identities of all.
+    pub fn ids(&self) -> impl Iterator<Item = &Id> {
+        self.jobs.keys()
+    }
+
+    /// The next job whose first event has become overdue, each once.
+    pub fn next_overdue(&mut self, now: Moment) -> Option<&Grantee> {
+        let (overdue_after, id) = *self.watched.first()?;
+        if now <= overdue_after {
+            return None;
+        }
+        self.watched.pop_first();
+        self.jobs.get(&id)
     }
 }
--- a/coord/src/planner/job.rs
+++ b/coord/src/planner/job.rs
@@ -34,7 +34,7 @@
 
 impl Job {
     /// Memory that it takes, in tokens.
-    pub(super) fn needs(&self) -> u64 {
+    pub(in crate::planner) fn needs(&self) -> u64 {
         self.prompt + self.output.min(LIKELY_OUTPUT)
     }
 }
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -11,25 +11,29 @@
 //! The same picture serves a process that decides for all entries and one that decides for
 //! itself alone; nothing that must hold depends on how complete it is.
 
+mod board;
 mod engine;
+mod estimate;
 mod evidence;
+mod fleet;
 mod granted;
 mod job;
-mod order;
 mod place;
 mod policy;
+mod waiting;
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use self::engine::{Engine, Seat};
+use self::board::Board;
+use self::engine::Seat;
 use self::evidence::Evidence;
-use self::granted::Granted;
+use self::fleet::Fleet;
+use self::granted::{Granted, Grantee};
 pub use self::job::{Grant, Helper, Id, Job, Team};
-use self::order::Ranked;
-use self::place::Reach;
+use self::place::{Hopeless, Reach};
 pub use self::policy::Policy;
 use self::policy::SETTLING;
+use self::waiting::{Turn, Waiting};
 use crate::engine::Figures;
 use crate::name::Name;
 use crate::time::Moment;
@@ -40,36 +44,30 @@
     policy: Policy,
     /// Orders engines that are equally good; planners that know nothing of each other should not choose alike.
     salt: u64,
-    engines: BTreeMap<Name, Engine>,
+    fleet: Fleet,
+    /// The engines as they were at the last pump.
+    board: Board,
     evidence: Evidence,
     /// Long prompts wait until then: not all who have prompts at the engines have told yet.
     settled_at: Moment,
-    waiting: BTreeMap<Id, Job>,
-    /// What was granted.
-    granted: BTreeMap<Id, Granted>,
+    waiting: Waiting,
+    granted: Granted,
 }
 
 impl Planner {
     /// A planner with a policy and no engines. Planners of different `salt` prefer different engines.
     pub fn new(policy: Policy, salt: u64) -> Self {
         let salt = if policy.salt { salt } else { 0 };
-        Self { policy, salt, ..Self::default() }
+        Self { policy, salt, waiting: Waiting::new(policy.cheapest_first), ..Self::default() }
     }
 
     /// Sets which engines take work. What runs on an engine that is left out is forgotten.
     pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Name, Arc<Figures>)>) {
-        let mut old = std::mem::take(&mut self.engines);
-        for (name, figures) in engines {
-            let engine = match old.remove(&name) {
-                Some(mut engine) => {
-                    engine.figures = figures;
-                    engine
-                }
-                None => Engine::new(figures),
-            };
-            self.engines.insert(name, engine);
-        }
-        self.evidence.keep(|name| self.engines.contains_key(name));
+        self.fleet.set(engines);
+        self.evidence.keep(|name| self.fleet.position(name).is_some());
+        let figures = self.fleet.figures().map(AsRef::as_ref);
+        let engines = self.fleet.engines().len();
+        self.waiting.renew(|job| estimate::prompt(job, figures, engines, &self.policy));
     }
 
     /// Notes that others are about to tell what they have at the engines.
@@ -86,19 +84,19 @@
 
     /// Takes a job in; [`Planner::pump`] grants it.
     pub fn submit(&mut self, id: Id, job: Job) {
-        self.waiting.insert(id, job);
+        self.waiting.insert(id, self.prompt(job));
     }
 
     /// Takes in a job that was granted elsewhere.
     pub fn adopt(&mut self, id: Id, job: &Job, team: Team, reading: bool, now: Moment) {
-        self.waiting.remove(&id);
+        self.waiting.remove(id);
         let parts = 1 + team.helpers.len();
         let held: u64 = team.helpers.iter().map(|helper| helper.holds).sum();
-        let expected_ms = self.expected_ms(job, &team, now);
+        let expected_ms = self.expected_ms(self.prompt(*job).read_ms, &team, now);
         if reading {
             for name in team.engines() {
-                let Some(engine) = self.engines.get_mut(name) else { continue };
-                let ms = engine.figures.part_ms(job.prompt, parts);
+                let Some(engine) = self.fleet.get_mut(name) else { continue };
+                let ms = engine.figures().part_ms(job.prompt, parts);
                 engine.add_part(id, ms, now);
             }
         }
@@ -106,50 +104,46 @@
         for helper in team.helpers.iter().filter(|helper| helper.holds > 0) {
             self.seat(&helper.engine, id, helper.holds, job.gap_ms);
         }
-        self.granted.insert(id, Granted { team, at: now, expected_ms, watched: reading });
-    }
-
-    /// Milliseconds until a team that is granted now has read a prompt and writes its first event.
-    fn expected_ms(&self, job: &Job, team: &Team, now: Moment) -> f64 {
-        let engines = team.engines().filter_map(|name| self.engines.get(name));
-        let wait = engines.clone().map(|engine| engine.wait_ms(now)).fold(0.0, f64::max);
-        let pass = engines.map(Engine::pass_ms).fold(0.0, f64::max);
-        wait + self.cost_ms(job) / (1 + team.helpers.len()) as f64 + pass
+        self.granted.insert(id, Grantee::new(team, expected_ms, now), reading);
     }
 
     fn seat(&mut self, engine: &Name, id: Id, tokens: u64, gap_ms: f64) {
-        if let Some(engine) = self.engines.get_mut(engine) {
-            engine.seats.insert(id, Seat { tokens, gap_ms });
+        if let Some(engine) = self.fleet.get_mut(engine) {
+            engine.seat(id, Seat { tokens, gap_ms });
         }
     }
 
     /// Notes that a job's first event came: its prompt is read.
     pub fn first_event(&mut self, id: Id, now: Moment) {
-        let Some(granted) = self.granted.get_mut(&id) else { return };
-        let overdue = granted.is_overdue(now);
-        granted.watched = false;
-        let team = granted.team.clone();
-        for name in team.engines() {
-            if let Some(engine) = self.engines.get_mut(name) {
-                engine.drop_part(id, now);
-            }
-            match overdue && self.policy.suspicion {
-                false => self.evidence.succeeded(id.entry, name, now),
-                true if team.helpers.is_empty() => self.evidence.failed(id.entry, name, now),
+        let Some(job) = self.granted.first_event(id) else { return };
+        let overdue = job.is_overdue(now) && self.policy.suspicion;
+        let alone = job.team.helpers.is_empty();
+        for name in job.team.engines() {
+            let Some(engine) = self.fleet.get_mut(name) else { continue };
+            engine.drop_part(id, now);
+            if !overdue {
+                self.evidence.succeeded(id.entry, name);
+                if let Some(breaker) = &mut engine.breaker {
+                    breaker.succeeded(now);
+                }
+            } else if alone {
+                let share = self.evidence.failed(id.entry, name, now);
+                engine.breaker.get_or_insert_default().failed(share, now);
+            } else {
                 // One of them is slow, who knows which.
-                true => self.evidence.suspect(name, now),
+                engine.breaker.get_or_insert_default().suspect(now);
             }
         }
     }
 
     /// Notes that a job is over, or no longer waits.
     pub fn end(&mut self, id: Id, now: Moment) {
-        self.waiting.remove(&id);
-        let Some(granted) = self.granted.remove(&id) else { return };
-        for name in granted.team.engines() {
-            if let Some(engine) = self.engines.get_mut(name) {
+        self.waiting.remove(id);
+        let Some(job) = self.granted.remove(id) else { return };
+        for name in job.team.engines() {
+            if let Some(engine) = self.fleet.get_mut(name) {
                 engine.drop_part(id, now);
-                engine.seats.remove(&id);
+                engine.unseat(id);
             }
         }
     }
@@ -159,16 +153,19 @@
         if !self.policy.suspicion {
             return;
         }
-        for granted in self.granted.values_mut().filter(|granted| granted.watched && granted.is_overdue(now)) {
-            granted.watched = false;
-            granted.team.engines().for_each(|name| self.evidence.suspect(name, now));
+        while let Some(job) = self.granted.next_overdue(now) {
+            for name in job.team.engines() {
+                if let Some(engine) = self.fleet.get_mut(name) {
+                    engine.breaker.get_or_insert_default().suspect(now);
+                }
+            }
         }
     }
 
     /// Forgets all jobs of an entry.
     pub fn end_entry(&mut self, entry: u64, now: Moment) {
         let of_entry = |id: &&Id| id.entry == entry;
-        let ids: Vec<Id> = self.waiting.keys().chain(self.granted.keys()).filter(of_entry).copied().collect();
+        let ids: Vec<Id> = self.waiting.ids().chain(self.granted.ids()).filter(of_entry).copied().collect();
         for id in ids {
             self.end(id, now);
         }
@@ -176,31 +173,59 @@
 
     /// Notes that an engine failed a job of an entry: it is left out for a growing while.
     pub fn failed(&mut self, entry: u64, engine: &Name, now: Moment) {
-        if self.policy.breakers && self.engines.contains_key(engine) {
-            self.evidence.failed(entry, engine, now);
-        }
+        let Some(known) = self.fleet.get_mut(engine).filter(|_| self.policy.breakers) else { return };
+        let share = self.evidence.failed(entry, engine, now);
+        known.breaker.get_or_insert_default().failed(share, now);
     }
 
     /// Grants what may start now.
     pub fn pump(&mut self, now: Moment) -> Vec<Grant> {
         self.look_for_slow(now);
         let mut grants = Vec::new();
+        if self.waiting.is_empty() || self.fleet.engines().is_empty() {
+            return grants;
+        }
+        self.board.refresh(self.fleet.engines(), &self.policy, now);
+        let mut hopeless = Hopeless::default();
         let mut held_back = false;
-        for Ranked { id, job, late, .. } in self.ranked(now) {
+        for turn in self.waiting.turns(now) {
             // What is late anyway must not take the engines that one in time waits for.
-            let reach = match late && held_back && self.policy.late_last {
+            let reach = match turn.late && held_back && self.policy.late_last {
                 true if self.policy.late_shared => Reach::Shared,
                 true => break,
                 false => Reach::All,
             };
-            let placed = self.place(id, &job, reach, now);
-            held_back |= placed.is_none();
-            if let Some(grant) = placed {
-                self.adopt(id, &job, grant.team.clone(), true, now);
-                grant.team.engines().for_each(|engine| self.evidence.begin(engine, now));
-                grants.push(grant);
+            let unreached = self.unreached(turn.id.entry, now);
+            if unreached.is_empty() && hopeless.covers(&turn.prompt, reach) {
+                held_back = true;
+                continue;
+            }
+            match self.place(&turn, reach, &unreached, now) {
+                Some(team) => {
+                    hopeless.clear();
+                    grants.push(self.grant(&turn, team, now));
+                }
+                None => {
+                    held_back = true;
+                    if unreached.is_empty() {
+                        hopeless.note(&turn.prompt, reach);
+                    }
+                }
             }
         }
         grants
     }
+
+    /// Gives a prompt its engines.
+    fn grant(&mut self, turn: &Turn, team: Team, now: Moment) -> Grant {
+        self.adopt(turn.id, &turn.prompt.job, team.clone(), true, now);
+        for name in team.engines() {
+            let Some(index) = self.fleet.position(name) else { continue };
+            if let Some(breaker) = self.fleet.get_mut(name).and_then(|engine| engine.breaker.as_mut()) {
+                breaker.begin(now);
+            }
+            self.board.update(index, &self.fleet.engines()[index], &self.policy, now);
+        }
+        Grant { id: turn.id, team }
+    }
 }
--- a/coord/src/planner/place/mod.rs
+++ b/coord/src/planner/place/mod.rs
@@ -1,12 +1,18 @@
 //! The choice of engines for one prompt.
 
+mod hopeless;
 mod long;
 mod short;
 
+use std::borrow::Cow;
+
+pub(super) use self::hopeless::Hopeless;
 use super::Planner;
+use super::board::{Board, Open, View};
 use super::engine::Engine;
-use super::job::{Grant, Id, Job};
+use super::job::{Job, Team};
 use super::policy::Policy;
+use super::waiting::{Prompt, Turn};
 use crate::name::Name;
 use crate::time::Moment;
 
@@ -22,13 +28,14 @@
 /// A prompt that may start now, and what the choice of its engines depends on.
 struct Choice<'a> {
     planner: &'a Planner,
-    job: &'a Job,
-    /// Engines that may be chosen.
-    engines: Vec<(&'a Name, &'a Engine)>,
-    /// Which of them.
+    board: &'a Board,
+    turn: &'a Turn,
+    /// Which engines it may take.
     reach: Reach,
-    /// Engine time that reading the prompt takes, in milliseconds.
-    read_ms: f64,
+    /// Places of the engines that its entry does not reach, as far as is known.
+    unreached: &'a [usize],
+    /// Whether engines that failed of late are left out.
+    leaves_out: bool,
     now: Moment,
 }
 
@@ -36,33 +43,60 @@
     fn policy(&self) -> &'a Policy {
         &self.planner.policy
     }
+
+    fn prompt(&self) -> &'a Prompt {
+        &self.turn.prompt
+    }
+
+    fn job(&self) -> &'a Job {
+        &self.turn.prompt.job
+    }
+
+    fn engine(&self, index: usize) -> &'a Engine {
+        &self.planner.fleet.engines()[index]
+    }
+
+    fn name(&self, index: usize) -> &'a Name {
+        &self.engine(index).name
+    }
+
+    /// Engines that may be chosen, with their places in the fleet.
+    fn engines(&self) -> impl Iterator<Item = (usize, &'a View)> {
+        let views = self.board.views().iter().enumerate();
+        views.filter(|(index, view)| (!self.leaves_out || view.admits) && !self.unreached.contains(index))
+    }
+
+    /// Engines that may read a part of a long prompt now.
+    fn open(&self) -> Cow<'a, Open> {
+        if self.unreached.is_empty() {
+            return Cow::Borrowed(self.board.open(self.policy()));
+        }
+        Cow::Owned(self.board.open_among(self.engines().map(|(index, _)| index), self.policy()))
+    }
 }
 
 impl Planner {
-    /// Engines for a prompt that may start now; none if it must wait.
-    pub(super) fn place(&self, id: Id, job: &Job, reach: Reach, now: Moment) -> Option<Grant> {
-        let engines = self.candidates(id.entry, now);
-        if engines.is_empty() {
-            return None;
+    /// Engines for a prompt that has its turn; none if it must wait. `unreached` are the places of engines that its
+    /// entry does not reach.
+    pub(super) fn place(&self, turn: &Turn, reach: Reach, unreached: &[usize], now: Moment) -> Option<Team> {
+        let leaves_out = self.board.leaves_out(&self.policy);
+        let board = &self.board;
+        let mut choice = Choice { planner: self, board, turn, reach, unreached, leaves_out, now };
+        if choice.engines().next().is_none() {
+            // Rather one that it may not reach than none.
+            choice.unreached = &[];
         }
-        let choice = Choice { planner: self, job, engines, reach, read_ms: self.cost_ms(job), now };
-        if self.is_short(job) {
-            return choice.short().map(|team| Grant { id, team });
+        if turn.prompt.short {
+            return choice.short().map(|index| Team::alone(choice.name(index)));
         }
         if now < self.settled_at || reach == Reach::Shared {
             return None;
         }
-        choice.long().map(|team| Grant { id, team })
+        choice.long()
     }
 
-    /// Engines that may be chosen for a job of an entry: those that failed of late are left out, as long as that
-    /// leaves most of them; what strikes many at once is no fault of theirs.
-    fn candidates(&self, entry: u64, now: Moment) -> Vec<(&Name, &Engine)> {
-        let admitted: Vec<_> = self.engines.iter().filter(|(name, _)| self.evidence.admits(name, now)).collect();
-        let most = admitted.len() as f64 > self.engines.len() as f64 * self.policy.least_usable;
-        let usable = if most { admitted } else { self.engines.iter().collect() };
-        let reached = |(name, _): &(&Name, &Engine)| self.evidence.reaches(entry, name, now);
-        let reached: Vec<_> = usable.iter().copied().filter(reached).collect();
-        if reached.is_empty() { usable } else { reached }
+    /// Places of the engines that an entry does not reach, as far as is known.
+    pub(super) fn unreached(&self, entry: u64, now: Moment) -> Vec<usize> {
+        self.evidence.unreached(entry, now).filter_map(|name| self.fleet.position(name)).collect()
     }
 }
--- /dev/null
+++ b/coord/tests/plain/place/mod.rs
@@ -0,0 +1,67 @@
+//! The choice of engines for one prompt.
+
+mod long;
+mod short;
+
+use super::Planner;
+use super::engine::Engine;
+use coord::name::Name;
+use coord::planner::{Grant, Id, Job, Policy};
+use coord::time::Moment;
+
+/// Which engines a prompt may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Any of them.
+    All,
+    /// Only those that hold short answers already, which prompts that wait for a team do not wait for.
+    Shared,
+}
+
+/// A prompt that may start now, and what the choice of its engines depends on.
+struct Choice<'a> {
+    planner: &'a Planner,
+    job: &'a Job,
+    /// Engines that may be chosen.
+    engines: Vec<(&'a Name, &'a Engine)>,
+    /// Which of them.
+    reach: Reach,
+    /// Engine time that reading the prompt takes, in milliseconds.
+    read_ms: f64,
+    now: Moment,
+}
+
+impl<'a> Choice<'a> {
+    fn policy(&self) -> &'a Policy {
+        &self.planner.policy
+    }
+}
+
+impl Planner {
+    /// Engines for a prompt that may start now; none if it must wait.
+    pub fn place(&self, id: Id, job: &Job, reach: Reach, now: Moment) -> Option<Grant> {
+        let engines = self.candidates(id.entry, now);
+        if engines.is_empty() {
+            return None;
+        }
+        let choice = Choice { planner: self, job, engines, reach, read_ms: self.cost_ms(job), now };
+        if self.is_short(job) {
+            return choice.short().map(|team| Grant { id, team });
+        }
+        if now < self.settled_at || reach == Reach::Shared {
+            return None;
+        }
+        choice.long().map(|team| Grant { id, team })
+    }
+
+    /// Engines that may be chosen for a job of an entry: those that failed of late are left out, as long as that
+    /// leaves most of them; what strikes many at once is no fault of theirs.
+    fn candidates(&self, entry: u64, now: Moment) -> Vec<(&Name, &Engine)> {
+        let admitted: Vec<_> = self.engines.iter().filter(|(name, _)| self.evidence.admits(name, now)).collect();
+        let most = admitted.len() as f64 > self.engines.len() as f64 * self.policy.least_usable;
+        let usable = if most { admitted } else { self.engines.iter().collect() };
+        let reached = |(name, _): &(&Name, &Engine)| self.evidence.reaches(entry, name, now);
+        let reached: Vec<_> = usable.iter().copied().filter(reached).collect();
+        if reached.is_empty() { usable } else { reached }
+    }
+}
--- /dev/null
+++ b/coord/tests/planner_plain.rs
@@ -0,0 +1,222 @@
+//! The planner decides as its plainest form does, whatever comes in whatever order.
+
+mod plain;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::engine::Figures;
+use coord::name::Name;
+use coord::planner::{Grant, Id, Job, Planner, Policy, Team};
+use coord::time::Moment;
+use proptest::prelude::*;
+
+fn figures(slots: u32) -> Arc<Figures> {
+    Arc::new(Figures {
+        slots,
+        memory: 450_000,
+        stride: 46,
+        step_ms: 0.925,
+        per_writer_ms: 0.00483,
+        per_context_ms: 0.00254,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+        chunk: 2_048,
+        hop_ms: 0.1,
+    })
+}
+
+/// Both planners, which get to know the same.
+struct Pair {
+    quick: Planner,
+    plain: plain::Planner,
+    running: Vec<Id>,
+}
+
+impl Pair {
+    fn new(policy: Policy) -> Self {
+        Self { quick: Planner::new(policy, 7), plain: plain::Planner::new(policy, 7), running: Vec::new() }
+    }
+
+    fn set_engines(&mut self, engines: &BTreeSet<Name>, slots: u32) {
+        self.quick.set_engines(engines.iter().map(|name| (name.clone(), figures(slots))));
+        self.plain.set_engines(engines.iter().map(|name| (name.clone(), figures(slots))));
+    }
+
+    fn end(&mut self, id: Id, now: Moment) {
+        self.running.retain(|running| *running != id);
+        self.quick.end(id, now);
+        self.plain.end(id, now);
+    }
+
+    fn pump(&mut self, now: Moment) -> Result<Vec<Grant>, TestCaseError> {
+        let quick = self.quick.pump(now);
+        let plain = self.plain.pump(now);
+        prop_assert_eq!(&quick, &plain);
+        prop_assert_eq!(self.quick.has_waiting(), self.plain.has_waiting());
+        self.running.extend(quick.iter().map(|grant| grant.id));
+        Ok(quick)
+    }
+}
+
+fn job(prompt: u64, hurry: u64, now: Moment) -> Job {
+    let (aim, gap_ms, patience) = match prompt {
+        0..30_000 => (300, if hurry.is_multiple_of(7) { 0.0 } else { 200.0 }, 2_000),
+        30_000..120_000 => (1_500, 500.0, 6_000),
+        _ => (3_000, 800.0, 12_000),
+    };
+    let millis = Duration::from_millis;
+    let spent = millis(hurry * 40);
+    Job {
+        prompt,
+        output: 500 + hurry * 100,
+        aim: now + millis(aim) - spent,
+        gap_ms,
+        deadline: now + millis(patience) - spent,
+        priority: 1 + (hurry % 5 / 4) as u32,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit { prompt: u64, hurry: u64, entry: u64 },
+    Adopt { prompt: u64, writer: usize, helpers: usize, reading: bool },
+    FirstEvent(prop::sample::Index),
+    End(prop::sample::Index),
+    Fail { entry: u64, engine: usize },
+    Lose(usize),
+    Return(usize),
+    EntryGone(u64),
+    Unsettle,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let submit = |prompts: std::ops::Range<u64>| {
+        (prompts, 0..12u64, 0..4u64).prop_map(|(prompt, hurry, entry)| Step::Submit { prompt, hurry, entry })
+    };
+    prop_oneof![
+        9 => submit(1_000..25_000),
+        4 => submit(25_000..110_000),
+        2 => submit(110_000..1_000_000),
+        1 => (1_000..400_000u64, 0..24usize, 0..9usize, any::<bool>())
+            .prop_map(|(prompt, writer, helpers, reading)| Step::Adopt { prompt, writer, helpers, reading }),
+        6 => any::<prop::sample::Index>().prop_map(Step::FirstEvent),
+        4 => any::<prop::sample::Index>().prop_map(Step::End),
+        1 => (0..4u64, 0..24usize).prop_map(|(entry, engine)| Step::Fail { entry, engine }),
+        1 => (0..24usize).prop_map(Step::Lose),
+        1 => (0..24usize).prop_map(Step::Return),
+        1 => (0..4u64).prop_map(Step::EntryGone),
+        1 => Just(Step::Unsettle),
+        4 => (0..300u64).prop_map(Step::Wait),
+    ]
+}
+
+fn name(engine: usize) -> Name {
+    format!("engine-{engine:02}").into()
+}
+
+fn play(policy: Policy, count: usize, slots: u32, steps: Vec<Step>) -> Result<(), TestCaseError> {
+    let mut pair = Pair::new(policy);
+    let mut engines: BTreeSet<Name> = (0..count).map(name).collect();
+    pair.set_engines(&engines, slots);
+    let mut now = Moment::from_millis(10_000);
+    for (number, step) in steps.into_iter().enumerate() {
+        let number = number as u64;
+        match step {
+            Step::Submit { prompt, hurry, entry } => {
+                let id = Id { entry, number };
+                let job = job(prompt, hurry, now);
+                pair.quick.submit(id, job);
+                pair.plain.submit(id, job);
+            }
+            Step::Adopt { prompt, writer, helpers, reading } => {
+                let helper = |index| coord::planner::Helper { engine: name((writer + index) % 24), holds: 0 };
+                let team = Team { writer: name(writer), helpers: (1..=helpers).map(helper).collect() };
+                // The plain form counts engines that are gone among those on trial.
+                if !team.engines().all(|engine| engines.contains(engine)) {
+                    continue;
+                }
+                let id = Id { entry: 9, number };
+                let job = job(prompt, 0, now);
+                pair.quick.adopt(id, &job, team.clone(), reading, now);
+                pair.plain.adopt(id, &job, team, reading, now);
+                pair.running.push(id);
+            }
+            Step::FirstEvent(index) if !pair.running.is_empty() => {
+                let id = *index.get(&pair.running);
+                pair.quick.first_event(id, now);
+                pair.plain.first_event(id, now);
+            }
+            Step::End(index) if !pair.running.is_empty() => {
+                let id = *index.get(&pair.running);
+                pair.end(id, now);
+            }
+            Step::Fail { entry, engine } => {
+                pair.quick.failed(entry, &name(engine), now);
+                pair.plain.failed(entry, &name(engine), now);
+            }
+            Step::Lose(engine) if engines.len() > 1 => {
+                engines.remove(&name(engine));
+                pair.set_engines(&engines, slots);
+                // What runs there is over, as it is for the entries that have it.
+                for id in std::mem::take(&mut pair.running) {
+                    pair.end(id, now);
+                }
+            }
+            Step::Return(engine) if engine < count => {
+                engines.insert(name(engine));
+                pair.set_engines(&engines, slots);
+            }
+            Step::EntryGone(entry) => {
+                pair.running.retain(|id| id.entry != entry);
+                pair.quick.end_entry(entry, now);
+                pair.plain.end_entry(entry, now);
+            }
+            Step::Unsettle => {
+                pair.quick.unsettle(now);
+                pair.plain.unsettle(now);
+            }
+            Step::Wait(millis) => now = now + Duration::from_millis(millis),
+            _ => {}
+        }
+        // Some events are looked at together.
+        if number.is_multiple_of(3) {
+            pair.pump(now)?;
+        }
+    }
+    pair.pump(now)?;
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_grant_is_that_of_the_plain_planner(
+        count in 1..24usize,
+        slots in 4..17u32,
+        steps in prop::collection::vec(step(), 1..250),
+    ) {
+        play(Policy::default(), count, slots, steps)?;
+    }
+
+    #[test]
+    fn so_it_is_with_other_policies(
+        flags in prop::collection::vec(any::<bool>(), 6),
+        count in 1..24usize,
+        steps in prop::collection::vec(step(), 1..150),
+    ) {
+        let policy = Policy {
+            cheapest_first: flags[0],
+            late_last: flags[1],
+            late_shared: flags[2],
+            packing: flags[3],
+            shared_memory: flags[4],
+            suspicion: flags[5],
+            ..Policy::default()
+        };
+        play(policy, count, 10, steps)?;
+    }
+}
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -64,7 +64,7 @@
     followers: RefCell<HashMap<u64, mpsc::Sender<Order>>>,
     next_number: Cell<u64>,
     next_entry: Cell<u64>,
-    /// Told when prompts are left waiting.
+    /// Told when something happened that prompts may start after.
     woken: Notify,
 }
 
@@ -138,7 +138,7 @@
         let ask = Ask::of(&job, now());
         if !self.report(Report::Submit { number, service: service.clone(), ask }) {
             self.planner(service, |planner| planner.submit(own(number), job));
-            self.pump();
+            self.wake();
         }
         let team = granted.await.ok()?;
         drop(withdraw);
@@ -191,7 +191,7 @@
         for (number, waiter) in &*self.waiting.borrow() {
             self.planner(&waiter.service, |planner| planner.submit(own(*number), waiter.job));
         }
-        self.pump();
+        self.wake();
     }
 
     /// The entry that plans for this one, if another does.
@@ -226,7 +226,7 @@
         for planner in self.planners.borrow_mut().values_mut() {
             planner.end_entry(entry, now());
         }
-        self.pump();
+        self.wake();
     }
 
     /// Takes a report from an entry.
@@ -248,18 +248,31 @@
             // What is new in the store is no matter of planning.
             Report::Sync(_) | Report::Update { .. } => return,
         }
-        self.pump();
+        self.wake();
     }
 
-    /// Looks at waiting prompts again and again while there are any.
+    /// Grants what may start, after whatever happens and every now and then while prompts wait.
+    ///
+    /// What happens at the same time is looked at together: this task has its turn behind all those that took a
+    /// message when it was woken. A look after each of the 1,100 messages a second that 103 entries send took all of the
+    /// half core of the entry that plans.
     pub async fn run(self: Rc<Self>) {
         loop {
             self.woken.notified().await;
-            tokio::time::sleep(TICK).await;
-            self.pump();
+            while self.pump() {
+                tokio::select! {
+                    () = self.woken.notified() => {}
+                    () = tokio::time::sleep(TICK) => {}
+                }
+            }
         }
     }
 
+    /// Has what may start be granted soon.
+    fn wake(&self) {
+        self.woken.notify_one();
+    }
+
     /// One of our granted prompts is read.
     fn first_event(&self, number: u64) {
         let service = match self.running.borrow_mut().get_mut(&number) {
@@ -271,7 +284,7 @@
         };
         self.planner(&service, |planner| planner.first_event(own(number), now()));
         self.report(Report::FirstEvent { number, service });
-        self.pump();
+        self.wake();
     }
 
     /// One of our granted prompts is over.
@@ -284,7 +297,7 @@
     fn end(&self, service: &Name, number: u64) {
         self.planner(service, |planner| planner.end(own(number), now()));
         self.report(Report::End { number, service: service.clone() });
-        self.pump();
+        self.wake();
     }
 
     /// Tells the entry that plans; says whether there is one.
@@ -321,8 +334,8 @@
         true
     }
 
-    /// Grants what may start.
-    fn pump(&self) {
+    /// Grants what may start; says whether prompts are left waiting.
+    fn pump(&self) -> bool {
         let mut grants = Vec::new();
         let mut more = false;
         for planner in self.planners.borrow_mut().values_mut() {
@@ -334,9 +347,7 @@
         for grant in grants {
             self.deliver(grant);
         }
-        if more {
-            self.woken.notify_one();
-        }
+        more
     }
 
     /// Takes a grant to the entry that has the prompt.
