Retries are divided among as many entries as there are

Cause: the common allowance was divided by 32, more than any deployment had; at 103 entries three times the allowance could be spent within a window, though each kept to its part.

Change: entries count the announcements that they list, and the one that leads tells its followers; the part follows that number, 32 at least.

--- a/coord/src/budget.rs
+++ b/coord/src/budget.rs
@@ -53,12 +53,22 @@
     retries: VecDeque<Moment>,
 }
 
+/// The part of a common allowance that one of `processes` may use, whatever the others do.
+pub fn part(allowance: f64, processes: usize) -> f64 {
+    allowance / processes.max(1) as f64
+}
+
 impl Windowed {
     /// A budget of `allowance` retries and `share` retries per first try in every `window`.
     pub fn new(share: f64, allowance: f64, window: Duration) -> Self {
         Self { share, allowance, window, firsts: VecDeque::new(), retries: VecDeque::new() }
     }
 
+    /// Sets the allowance; retries that were made under a larger one still count.
+    pub fn set_allowance(&mut self, allowance: f64) {
+        self.allowance = allowance;
+    }
+
     /// Notes a first try.
     pub fn earn(&mut self, now: Moment) {
         self.forget(now);
--- a/coord/tests/planner_load.rs
+++ b/coord/tests/planner_load.rs
@@ -197,7 +197,7 @@
 
     fn pump(&mut self) {
         for Grant { id, team } in self.planner.pump(self.moment()) {
-            let places: Vec<usize> = team.engines().map(|engine| place(engine)).collect();
+            let places: Vec<usize> = team.engines().map(place).collect();
             let Some(prompt) = self.prompts.get_mut(&id.number) else { continue };
             prompt.parts_left = places.len();
             prompt.writer = places[0];
--- a/coord/tests/windowed_budget.rs
+++ b/coord/tests/windowed_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coord::budget::Windowed;
+use coord::budget::{Windowed, part};
 use coord::time::Moment;
 use proptest::prelude::*;
 
@@ -43,3 +43,20 @@
     }
     assert!(retries as f64 <= 4.0 * 2.0 + 0.2 * 60.0, "{retries}");
 }
+
+#[test]
+fn more_processes_than_were_thought_of_keep_the_whole_once_they_know_their_number() {
+    let (allowance, processes) = (276.0, 103);
+    let now = Moment::from_millis(20_000);
+    let spend = |thought_of: usize| -> usize {
+        let mut parts: Vec<Windowed> =
+            (0..processes).map(|_| Windowed::new(0.2, part(allowance, thought_of), WINDOW)).collect();
+        parts.iter_mut().map(|budget| (0..20).filter(|_| budget.spend(now)).count()).sum()
+    };
+    assert!(spend(32) as f64 > allowance, "32 were thought of");
+    assert!(spend(processes) as f64 <= allowance);
+    let mut budget = Windowed::new(0.2, part(allowance, 32), WINDOW);
+    assert!((0..8).all(|_| budget.spend(now)));
+    budget.set_allowance(part(allowance, processes));
+    assert!(!budget.spend(now), "what was spent still counts");
+}
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -122,11 +122,13 @@
         sightings: roster.since(from),
         whole,
         doubt_left: roster.doubt_left(now()),
+        entries: gateway.entries(),
     }
 }
 
 /// Takes in the answer to a question that was asked at `asked`.
 pub fn take_in(gateway: &Gateway, update: Update, asked: Moment) {
+    gateway.note_entries(update.entries);
     let facts = &gateway.facts;
     let sound = update.document.is_none_or(|document| belief::apply(gateway, document));
     match update.configuration {
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -37,6 +37,7 @@
     let mut client = Client::new(gateway.settings.store);
     let mut search = Search::default();
     let mut known = peers::list(&mut client, own).await.unwrap_or_default();
+    gateway.note_entries(known.len());
     let mut pause = FIRST_RETRY;
     // Whether the list was read again since the last pause.
     let mut read_again = false;
@@ -45,7 +46,7 @@
         match peers::reach(&mut search, ahead, own).await {
             Round::Found(found) => {
                 pause = FIRST_RETRY;
-                follow_on(&gateway, found, own).await;
+                follow_on(&gateway, *found, own).await;
                 continue;
             }
             // All of them may have been restarted, and look for each other now: a new list says who is first.
@@ -59,6 +60,7 @@
         // An entry may have been restarted since, or one more powerful have come.
         if read_again || known.is_empty() || gateway.has_recent_proof() {
             known = peers::list(&mut client, own).await.unwrap_or(known);
+            gateway.note_entries(known.len());
             search.keep(|address| known.iter().any(|peer| peer.address == *address));
         }
     }
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -111,6 +111,8 @@
     pub whole: bool,
     /// For how long a vanished record may only have lapsed.
     pub doubt_left: Duration,
+    /// How many entries there may be.
+    pub entries: usize,
 }
 
 /// From an entry to the one that plans.
--- a/sorrelpass/src/gateway/peers.rs
+++ b/sorrelpass/src/gateway/peers.rs
@@ -109,7 +109,7 @@
 /// What came of a round of greetings.
 pub enum Round {
     /// Here is one that plans.
-    Found(Found),
+    Found(Box<Found>),
     /// One was restarted since it announced itself: the list is out of date.
     Outdated,
     /// None of those that were tried plans, or knows one that does.
@@ -139,7 +139,7 @@
 async fn reach_one(peer: &Peer, own: SocketAddr) -> Round {
     let Some(greeting) = greet(peer.address).await else { return Round::Vain };
     match greeting.leader {
-        None if greeting.is_of(peer) => Round::Found(greeting.found),
+        None if greeting.is_of(peer) => Round::Found(Box::new(greeting.found)),
         // It is the youngest now.
         None => {
             event!("peer-unreached", peer = %peer.address, error = "another run of the process");
@@ -149,7 +149,7 @@
         Some(leader) if leader == own => Round::Vain,
         Some(leader) => {
             event!("peer-redirects", peer = %peer.address, leader = %leader);
-            planner(leader).await.map_or(Round::Vain, Round::Found)
+            planner(leader).await.map_or(Round::Vain, |found| Round::Found(Box::new(found)))
         }
     }
 }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coord::budget::Windowed;
+use coord::budget::{self, Windowed};
 use coord::name::Name;
 use coord::roster::Roster;
 use coord::route::Table;
@@ -33,8 +33,8 @@
 const FIRST_FROM_OTHERS: Duration = Duration::from_millis(60);
 /// Part of the common retry share that entries use, so that a window's edge never overdraws it.
 const RETRY_SHARE_USED: f64 = 0.9;
-/// Entries among which the common retry allowance is divided: more than any deployment seen has.
-const ENTRIES_AT_MOST: f64 = 32.0;
+/// Entries among which the common retry allowance is divided as long as fewer are known.
+const LEAST_ENTRIES: usize = 32;
 
 /// How far the process is on its way to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,6 +75,8 @@
     /// Where prompts go.
     pub desk: Rc<Desk>,
     budgets: RefCell<HashMap<Name, Windowed>>,
+    /// Entries that there may be, at least.
+    entries: Cell<usize>,
     /// Whether an entry that reads the store for this one is being looked for.
     seeking: Cell<bool>,
     phase: watch::Sender<Phase>,
@@ -98,6 +100,7 @@
             placer: RefCell::new(placer),
             desk,
             budgets: RefCell::default(),
+            entries: Cell::new(LEAST_ENTRIES),
             seeking: Cell::new(seeking),
             phase: watch::Sender::new(Phase::Serving),
             in_flight: Cell::new(0),
@@ -116,7 +119,7 @@
         self.bounds.get()
     }
 
-    /// Puts other bounds in force. Retry budgets keep what they have counted and the shares that they began with.
+    /// Puts other bounds in force. Retry budgets keep what they have counted and the share of first tries that they began with.
     pub fn put_bounds(&self, bounds: Bounds) {
         self.bounds.set(bounds);
         self.facts.wake();
@@ -181,6 +184,16 @@
         self.started + FIRST_FROM_OTHERS
     }
 
+    /// Entries that there may be, as far as is known.
+    pub fn entries(&self) -> usize {
+        self.entries.get()
+    }
+
+    /// Notes that there are so many entries. Those that ended are counted too, so the number only grows.
+    pub fn note_entries(&self, entries: usize) {
+        self.entries.set(self.entries.get().max(entries));
+    }
+
     /// Notes whether an entry that reads the store for this one is being looked for.
     pub fn set_seeking(&self, seeking: bool) {
         self.seeking.set(seeking);
@@ -241,11 +254,12 @@
 
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Windowed) -> T) -> T {
         let bounds = self.bounds();
-        let fresh = || {
-            let allowance = bounds.retry_allowance / ENTRIES_AT_MOST;
-            Windowed::new(bounds.retry_share * RETRY_SHARE_USED, allowance, bounds.retry_window)
-        };
-        act(self.budgets.borrow_mut().entry(service.clone()).or_insert_with(fresh))
+        let allowance = budget::part(bounds.retry_allowance, self.entries.get());
+        let fresh = || Windowed::new(bounds.retry_share * RETRY_SHARE_USED, allowance, bounds.retry_window);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(fresh);
+        budget.set_allowance(allowance);
+        act(budget)
     }
 }
 
