Prompts that wait in vain are refused while their callers can still do something else

Hypothesis: in bursts that last longer than callers wait, prompts that are late are held for 4.5 to 6.7 s and then refused, come back after 0.25 s and are refused again; telling them at once costs nobody anything.

Change: coord::planner::pressure. Once prompts that could be in time have found no engines for 2 s, a late one is refused when it has more before it than late ones were granted of late in half of the time that it has left. Retry-After is a third of the time left, the most that callers wait. Broken streams wait on. A grant whose engine this entry knows as gone is asked for again after a pause of 50 ms (it was asked for again at once).

In planner_load::in_a_burst_that_lasts_... callers that are turned away wait less than 0.6 of the time, nobody is served less.

--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -20,6 +20,7 @@
 mod job;
 mod place;
 mod policy;
+mod pressure;
 mod waiting;
 
 use std::sync::Arc;
@@ -33,6 +34,8 @@
 use self::place::{Hopeless, Reach};
 pub use self::policy::Policy;
 use self::policy::SETTLING;
+use self::pressure::Pressure;
+pub use self::pressure::Refusal;
 use self::waiting::{Turn, Waiting};
 use crate::engine::Figures;
 use crate::name::Name;
@@ -52,6 +55,7 @@
     settled_at: Moment,
     waiting: Waiting,
     granted: Granted,
+    pressure: Pressure,
 }
 
 impl Planner {
@@ -185,11 +189,13 @@
         self.look_for_slow(now);
         let mut grants = Vec::new();
         if self.waiting.is_empty() || self.fleet.engines().is_empty() {
+            self.pressure.note(false, now);
             return grants;
         }
         self.board.refresh(self.fleet.engines(), &self.policy, now);
         let mut hopeless = Hopeless::default();
         let mut held_back = false;
+        let mut timely_wait = false;
         for turn in &self.waiting.turns(now) {
             // What is late anyway must not take the engines that one in time waits for.
             let reach = match turn.late && held_back && self.policy.late_last {
@@ -200,21 +206,27 @@
             let unreached = self.unreached(turn.id.entry, now);
             if unreached.is_empty() && hopeless.covers(&turn.prompt, reach) {
                 held_back = true;
+                timely_wait |= !turn.late;
                 continue;
             }
             match self.place(turn, reach, &unreached, now) {
                 Some(team) => {
                     hopeless.clear();
+                    if turn.late {
+                        self.pressure.granted_late(&turn.prompt, now);
+                    }
                     grants.push(self.grant(turn, team, now));
                 }
                 None => {
                     held_back = true;
+                    timely_wait |= !turn.late;
                     if unreached.is_empty() {
                         hopeless.note(&turn.prompt, reach);
                     }
                 }
             }
         }
+        self.pressure.note(timely_wait, now);
         grants
     }
 
--- a/coord/src/planner/place/long.rs
+++ b/coord/src/planner/place/long.rs
@@ -10,9 +10,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Helpers {
     /// Those that write nothing.
-    Calm,
+    NotWriting,
     /// All that have room.
-    All,
+    Any,
 }
 
 impl Choice<'_> {
@@ -22,8 +22,8 @@
         let open = self.open();
         let sizes = self.fewest(most)..=most.min(open.by_wait.len() + 1);
         let team = |helpers| sizes.clone().rev().find_map(|parts| self.team(&open, parts, helpers));
-        let calm = if self.policy().calm_helpers { team(Helpers::Calm) } else { None };
-        calm.or_else(|| team(Helpers::All))
+        let not_writing = if self.policy().spare_writers { team(Helpers::NotWriting) } else { None };
+        not_writing.or_else(|| team(Helpers::Any))
     }
 
     /// Fewest engines that may read the prompt now.
@@ -54,9 +54,9 @@
         let roomy: Vec<usize> = open.by_wait.iter().copied().filter(has_room).collect();
         let alone = self.holding_alone(&roomy, parts, part_ms, helpers);
         match helpers {
-            Helpers::Calm => alone,
-            Helpers::All if roomy.len() < parts => alone,
-            Helpers::All => alone.or_else(|| self.holding_together(&roomy, parts)),
+            Helpers::NotWriting => alone,
+            Helpers::Any if roomy.len() < parts => alone,
+            Helpers::Any => alone.or_else(|| self.holding_together(&roomy, parts)),
         }
     }
 
@@ -66,7 +66,7 @@
         let joined = self.joined(part_ms);
         let fitting = roomy.iter().copied().chain(joined).filter(fits);
         let writer = fitting.min_by_key(|index| self.writer_key(self.view(*index)))?;
-        let may = |index: &usize| *index != writer && (helpers == Helpers::All || self.view(*index).seats == 0);
+        let may = |index: &usize| *index != writer && (helpers == Helpers::Any || self.view(*index).seats == 0);
         let others = roomy.iter().copied().filter(may).take(parts - 1);
         let helpers: Vec<Helper> = others.map(|index| Helper { engine: self.name(index).clone(), holds: 0 }).collect();
         (helpers.len() == parts - 1).then(|| Team { writer: self.name(writer).clone(), helpers })
--- a/coord/src/planner/policy.rs
+++ b/coord/src/planner/policy.rs
@@ -28,7 +28,7 @@
     /// Whether parts of long prompts go to engines that write nothing, as long as these are enough. Elsewhere they make
     /// answers wait, whose seats are then taken for longer: at 150 engines and a burst of long prompts 150 long answers
     /// were being written on 75 engines, and no prompt over 550,000 tokens found a dozen engines that it could use.
-    pub calm_helpers: bool,
+    pub spare_writers: bool,
     /// Whether long answers are written where others are, so that more engines write nothing.
     pub gather: bool,
     /// A long answer may join others on an engine that has up to this left to read, in milliseconds.
@@ -39,6 +39,8 @@
     pub late_last: bool,
     /// Whether late short prompts may meanwhile go beside others of their kind.
     pub late_shared: bool,
+    /// Whether prompts that wait in vain are refused at once.
+    pub refuse_early: bool,
     /// Whether short prompts are packed onto few engines; else each goes where it can begin soonest.
     pub packing: bool,
     /// Whether prompts beyond one engine's memory are held by several.
@@ -66,12 +68,13 @@
             late_share: 0.5,
             least_usable: 0.6,
             in_time_share: 0.9,
-            calm_helpers: true,
+            spare_writers: true,
             gather: true,
             join_pending_ms: 300.0,
             cheapest_first: true,
             late_last: true,
             late_shared: true,
+            refuse_early: true,
             packing: true,
             shared_memory: true,
             breakers: true,
--- a/coord/tests/planner_load.rs
+++ b/coord/tests/planner_load.rs
@@ -19,6 +19,8 @@
 const ENGINES: usize = 60;
 /// Time between two looks at what waits, as the entry that plans has them, in microseconds.
 const TICK: u64 = 10_000;
+/// Time for which a caller waits for engines.
+const PATIENCE: Duration = Duration::from_millis(6_700);
 
 fn figures() -> Arc<Figures> {
     Arc::new(Figures {
@@ -57,6 +59,7 @@
 enum Event {
     Arrive { kind: usize },
     PassEnds { engine: usize },
+    GiveUp { number: u64 },
     Tick,
 }
 
@@ -66,10 +69,14 @@
     tokens: u64,
     arrived: u64,
     parts_left: usize,
+    /// Whether it has had engines.
+    read: bool,
     writer: usize,
     events_left: u32,
     last_event: Option<u64>,
     in_time: bool,
+    /// When it was refused, or its caller gave up, without engines.
+    turned_away: Option<u64>,
 }
 
 #[derive(Default)]
@@ -88,12 +95,27 @@
 struct Served {
     all: u32,
     in_time: u32,
+    turned_away: u32,
+    /// Time for which those were kept waiting, in milliseconds.
+    held_ms: u64,
 }
 
 impl Served {
     fn share(self) -> f64 {
         f64::from(self.in_time) / f64::from(self.all.max(1))
     }
+
+    fn add(&mut self, other: Served) {
+        self.all += other.all;
+        self.in_time += other.in_time;
+        self.turned_away += other.turned_away;
+        self.held_ms += other.held_ms;
+    }
+
+    /// Milliseconds for which a caller that was turned away had been kept waiting, on average.
+    fn mean_held_ms(self) -> f64 {
+        self.held_ms as f64 / f64::from(self.turned_away.max(1))
+    }
 }
 
 struct Play {
@@ -144,6 +166,7 @@
             match self.events.remove(&number) {
                 Some(Event::Arrive { kind }) => self.arrive(kinds, kind),
                 Some(Event::PassEnds { engine }) => self.end_pass(kinds, engine),
+                Some(Event::GiveUp { number }) => self.turn_away(number),
                 Some(Event::Tick) => self.schedule(self.now + TICK, Event::Tick),
                 None => {}
             }
@@ -154,12 +177,15 @@
         let mut served = vec![Served::default(); kinds.len()];
         let mut largest = Served::default();
         for prompt in self.prompts.values().filter(settled) {
-            let in_time = u32::from(prompt.in_time && prompt.last_event.is_some());
-            served[prompt.kind].all += 1;
-            served[prompt.kind].in_time += in_time;
+            let one = Served {
+                all: 1,
+                in_time: u32::from(prompt.in_time && prompt.last_event.is_some()),
+                turned_away: u32::from(prompt.turned_away.is_some()),
+                held_ms: prompt.turned_away.map_or(0, |at| (at - prompt.arrived) / 1_000),
+            };
+            served[prompt.kind].add(one);
             if prompt.tokens >= large {
-                largest.all += 1;
-                largest.in_time += in_time;
+                largest.add(one);
             }
         }
         (served, largest)
@@ -175,7 +201,7 @@
             output: u64::from(told.events) * 73,
             aim: self.moment() + millis(told.aim_ms),
             gap_ms: told.gap_ms,
-            deadline: self.moment() + millis(6_700),
+            deadline: self.moment() + PATIENCE,
             priority: 1,
         };
         self.next += 1;
@@ -185,12 +211,15 @@
             tokens,
             arrived: self.now,
             parts_left: 0,
+            read: false,
             writer: 0,
             events_left: told.events,
             last_event: None,
             in_time: true,
+            turned_away: None,
         };
         self.prompts.insert(number, prompt);
+        self.schedule(self.now + PATIENCE.as_micros() as u64, Event::GiveUp { number });
         self.planner.submit(Id { entry: 0, number }, job);
         self.schedule(self.now + (wait * 1e6) as u64, Event::Arrive { kind });
     }
@@ -200,6 +229,7 @@
             let places: Vec<usize> = team.engines().map(place).collect();
             let Some(prompt) = self.prompts.get_mut(&id.number) else { continue };
             prompt.parts_left = places.len();
+            prompt.read = true;
             prompt.writer = places[0];
             let part_ms = self.figures.part_ms(prompt.tokens, places.len());
             for engine in places {
@@ -207,6 +237,19 @@
                 self.begin_pass(engine);
             }
         }
+        for refusal in self.planner.refuse(self.moment()) {
+            self.turn_away(refusal.id.number);
+        }
+    }
+
+    /// A prompt that has no engines is refused, or its caller gives up.
+    fn turn_away(&mut self, number: u64) {
+        let Some(prompt) = self.prompts.get_mut(&number).filter(|prompt| prompt.parts_left == 0) else { return };
+        if prompt.last_event.is_none() && prompt.turned_away.is_none() && !prompt.read {
+            prompt.turned_away = Some(self.now);
+            let moment = self.moment();
+            self.planner.end(Id { entry: 0, number }, moment);
+        }
     }
 
     fn begin_pass(&mut self, engine: usize) {
@@ -274,28 +317,41 @@
     engine.trim_start_matches("engine-").parse().expect("an engine of this play")
 }
 
-/// Shares of the kinds and of those over 400,000 tokens that are served in time, over some seeds.
-fn shares(policy: Policy, kinds: &[Kind]) -> (Vec<f64>, f64) {
+/// How the kinds and those over 400,000 tokens are served, over some seeds.
+fn played(policy: Policy, kinds: &[Kind]) -> (Vec<Served>, Served) {
     let mut sums = vec![Served::default(); kinds.len()];
     let mut large = Served::default();
     for seed in 1..=4 {
         let (served, largest) = Play::new(policy, seed).run(kinds, Duration::from_secs(20), 400_000);
-        for (sum, one) in sums.iter_mut().zip(served) {
-            sum.all += one.all;
-            sum.in_time += one.in_time;
-        }
-        large.all += largest.all;
-        large.in_time += largest.in_time;
+        sums.iter_mut().zip(served).for_each(|(sum, one)| sum.add(one));
+        large.add(largest);
     }
-    (sums.into_iter().map(Served::share).collect(), large.share())
+    (sums, large)
 }
 
 #[test]
 fn in_a_burst_of_long_prompts_the_largest_are_served_where_helpers_write_nothing() {
     let kinds = long_burst();
-    let (all, large) = shares(Policy::default(), &kinds);
+    let (all, large) = played(Policy::default(), &kinds);
     let (all_without, large_without) =
-        shares(Policy { calm_helpers: false, gather: false, ..Policy::default() }, &kinds);
-    assert!(large >= large_without + 0.05, "{large:.3} and {large_without:.3}");
-    assert!(all.iter().zip(&all_without).all(|(with, without)| with + 0.02 >= *without), "{all:.3?} {all_without:.3?}");
+        played(Policy { spare_writers: false, gather: false, ..Policy::default() }, &kinds);
+    let (with, without) = (large.share(), large_without.share());
+    assert!(with >= without + 0.05, "{with:.3} and {without:.3} of the largest in time");
+    for (with, without) in all.iter().zip(&all_without) {
+        assert!(with.share() + 0.02 >= without.share(), "{with:?} and {without:?}");
+    }
+}
+
+#[test]
+fn in_a_burst_that_lasts_callers_who_cannot_be_served_are_told_soon_and_the_others_lose_nothing() {
+    let mut kinds = long_burst();
+    kinds[2].per_s = 16.0;
+    let (all, _) = played(Policy::default(), &kinds);
+    let (all_without, _) = played(Policy { refuse_early: false, ..Policy::default() }, &kinds);
+    let (told, kept) = (all[2].mean_held_ms(), all_without[2].mean_held_ms());
+    assert!(all[2].turned_away > 100, "there is too much to do: {all:?}");
+    assert!(told <= kept * 0.6, "they wait {told:.0} ms in place of {kept:.0}");
+    for (with, without) in all.iter().zip(&all_without) {
+        assert!(with.share() + 0.02 >= without.share(), "{with:?} and {without:?}");
+    }
 }
--- a/coord/tests/planner_plain.rs
+++ b/coord/tests/planner_plain.rs
@@ -37,7 +37,7 @@
 impl Pair {
     fn new(policy: Policy) -> Self {
         // The plain form knows neither.
-        let policy = Policy { calm_helpers: false, gather: false, ..policy };
+        let policy = Policy { spare_writers: false, gather: false, ..policy };
         Self { quick: Planner::new(policy, 7), plain: plain::Planner::new(policy, 7), running: Vec::new() }
     }
 
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -108,7 +108,10 @@
     pub async fn open(&mut self, after_event: Option<u64>) -> Result<Opened, Failure> {
         let mut retry_after = None;
         loop {
-            let Some(target) = self.target().await else { return Err(self.exhausted(retry_after)) };
+            let target = match self.target().await {
+                Ok(target) => target,
+                Err(unplaced) => return Err(self.exhausted(retry_after.max(unplaced.retry_after()))),
+            };
             if self.sends > 0 && !self.gateway.take_retry(&self.service) {
                 event!("retry-refused", request = %self.call.id, service = %self.service, reason = "budget");
                 return Err(self.exhausted(retry_after));
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -8,14 +8,15 @@
 use coord::roster::Record;
 use platform::dialect;
 
-use super::super::desk::Lease;
+use super::super::desk::{Lease, Unplaced};
 use super::super::hold::{self, Hold};
 use super::super::now;
 use super::super::state::{Gateway, Phase};
 use super::Job;
+use crate::event;
 
-/// Pause before a prompt whose memory could not be had is planned anew.
-const MEMORY_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before a prompt is planned anew whose memory could not be had, or whose engines are gone.
+const REPLAN_PAUSE: Duration = Duration::from_millis(50);
 /// Least time that a prompt has to find an engine, however long it was held up before: an engine that is free is
 /// granted within a few milliseconds.
 const LEAST_WAIT: Duration = Duration::from_millis(100);
@@ -82,10 +83,10 @@
 
 impl Job {
     /// Chooses where the request goes next; a prompt waits here until it may start.
-    pub(super) async fn target(&self) -> Option<Target> {
+    pub(super) async fn target(&self) -> Result<Target, Unplaced> {
         match self.call.prompt_tokens {
             Some(tokens) if self.has_engines() => self.engine(tokens).await,
-            _ => self.plain(),
+            _ => self.plain().ok_or(Unplaced::Exhausted),
         }
     }
 
@@ -100,27 +101,46 @@
         Some(Target { record, helpers: Vec::new(), place })
     }
 
-    /// Waits for engines; none if the caller has waited long enough, or no engine takes work.
-    async fn engine(&self, tokens: u64) -> Option<Target> {
+    /// Waits for engines, for as long as the caller may be kept waiting.
+    async fn engine(&self, tokens: u64) -> Result<Target, Unplaced> {
         let prompt = self.prompt(tokens);
         let patience = self.route.patience().min(self.allowed).mul_f64(self.gateway.settings.policy.patience_share);
         let until = (self.started + patience).max(now() + LEAST_WAIT);
         loop {
-            self.gateway.roster.borrow().usable(&self.service).next()?;
+            if self.gateway.roster.borrow().usable(&self.service).next().is_none() {
+                return Err(Unplaced::Exhausted);
+            }
             let left = until.since(now());
             let lease = tokio::select! {
-                placed = self.gateway.desk.place(&self.service, prompt) => placed?,
-                () = tokio::time::sleep(left) => return None,
+                placed = self.gateway.desk.place(&self.service, prompt) => placed,
+                () = tokio::time::sleep(left) => return Err(Unplaced::Exhausted),
                 // Refused while its caller can still go elsewhere; a broken stream waits on, it has no other way.
-                () = self.gateway.reached(Phase::Closing), if self.sends == 0 => return None,
+                () = self.gateway.reached(Phase::Closing), if self.sends == 0 => return Err(Unplaced::Exhausted),
+            };
+            let lease = match lease {
+                Ok(lease) => lease,
+                // A broken stream has no other way.
+                Err(Unplaced::Refused(_)) if self.sends > 0 => {
+                    tokio::time::sleep(REPLAN_PAUSE).await;
+                    continue;
+                }
+                Err(unplaced) => {
+                    event!("unplaced", request = %self.call.id, reason = ?unplaced, waited_ms = now().since(self.started).as_millis());
+                    return Err(unplaced);
+                }
+            };
+            let Some((record, found)) = self.locate(&lease.team) else {
+                // The entry that plans does not know yet that an engine is gone.
+                drop(lease);
+                tokio::time::sleep(REPLAN_PAUSE).await;
+                continue;
             };
-            let Some((record, found)) = self.locate(&lease.team) else { continue };
             let Some((helpers, _hold)) = self.hold(found).await else {
                 drop(lease);
-                tokio::time::sleep(MEMORY_PAUSE).await;
+                tokio::time::sleep(REPLAN_PAUSE).await;
                 continue;
             };
-            return Some(Target { record, helpers, place: Place::Engine { lease, _hold } });
+            return Ok(Target { record, helpers, place: Place::Engine { lease, _hold } });
         }
     }
 
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -13,7 +13,7 @@
 
 use coord::engine::Figures;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy, Team};
+use coord::planner::{Grant, Id, Job, Planner, Policy, Refusal, Team};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::link::{Ask, Order, Report};
@@ -36,7 +36,36 @@
 struct Waiter {
     service: Name,
     job: Job,
-    grant: oneshot::Sender<Team>,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// What comes of a prompt that waits.
+enum Answer {
+    /// It has its engines.
+    Team(Team),
+    /// It will not get any in time to be of use.
+    Refused(Duration),
+}
+
+/// Why a prompt got no engines.
+#[derive(Clone, Copy, Debug)]
+pub enum Unplaced {
+    /// It is no longer among those that wait.
+    Withdrawn,
+    /// It has waited for as long as may be, or nothing takes work.
+    Exhausted,
+    /// It would get none in time to be of use; its caller should come back after this time.
+    Refused(Duration),
+}
+
+impl Unplaced {
+    /// When the caller should come back, if that is known.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Unplaced::Refused(after) => Some(after),
+            Unplaced::Withdrawn | Unplaced::Exhausted => None,
+        }
+    }
 }
 
 /// A prompt that was granted.
@@ -128,21 +157,24 @@
         planner.set_engines(engines);
     }
 
-    /// Waits until a prompt may start; none if it is no longer among those that wait. Dropping the future withdraws it.
-    pub async fn place(self: &Rc<Self>, service: &Name, job: Job) -> Option<Lease> {
+    /// Waits until a prompt may start. Dropping the future withdraws it.
+    pub async fn place(self: &Rc<Self>, service: &Name, job: Job) -> Result<Lease, Unplaced> {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
-        let (grant, granted) = oneshot::channel();
+        let (answer, answered) = oneshot::channel();
         let withdraw = Withdraw(self, number);
-        self.waiting.borrow_mut().insert(number, Waiter { service: service.clone(), job, grant });
+        self.waiting.borrow_mut().insert(number, Waiter { service: service.clone(), job, answer });
         let ask = Ask::of(&job, now());
         if !self.report(Report::Submit { number, service: service.clone(), ask }) {
             self.planner(service, |planner| planner.submit(own(number), job));
             self.wake();
         }
-        let team = granted.await.ok()?;
+        let answer = answered.await.map_err(|_| Unplaced::Withdrawn)?;
         drop(withdraw);
-        Some(Lease { desk: Rc::downgrade(self), number, team })
+        match answer {
+            Answer::Team(team) => Ok(Lease { desk: Rc::downgrade(self), number, team }),
+            Answer::Refused(retry_after) => Err(Unplaced::Refused(retry_after)),
+        }
     }
 
     /// Notes that an engine failed a prompt. Services without engines have no planner, here or elsewhere.
@@ -164,6 +196,13 @@
         crate::event!("grant-unwanted", number);
     }
 
+    /// One of our prompts gets no engines.
+    pub fn refused(&self, number: u64, retry_after: Duration) {
+        let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return };
+        // Its caller may have gone meanwhile.
+        let _ = waiter.answer.send(Answer::Refused(retry_after));
+    }
+
     /// Another entry plans from now on: it gets to know what runs and what waits here.
     pub fn link_up(&self, address: SocketAddr, reports: mpsc::Sender<Report>) {
         *self.leader.borrow_mut() = Some(Leader { address, reports });
@@ -323,12 +362,12 @@
     /// `elsewhere` is not known to the planner here.
     fn start(&self, number: u64, team: Team, elsewhere: bool) -> bool {
         let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return false };
-        let Waiter { service, job, grant } = waiter;
+        let Waiter { service, job, answer } = waiter;
         if elsewhere {
             self.planner(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
         }
         self.running.borrow_mut().insert(number, Running { service, job, team: team.clone(), reading: true });
-        if grant.send(team).is_err() {
+        if answer.send(Answer::Team(team)).is_err() {
             self.over(number);
         }
         true
@@ -337,19 +376,37 @@
     /// Grants what may start; says whether prompts are left waiting.
     fn pump(&self) -> bool {
         let mut grants = Vec::new();
+        let mut refusals = Vec::new();
         let mut more = false;
         for planner in self.planners.borrow_mut().values_mut() {
             if planner.has_waiting() {
                 grants.extend(planner.pump(now()));
+                refusals.extend(planner.refuse(now()));
                 more |= planner.has_waiting();
             }
         }
         for grant in grants {
             self.deliver(grant);
         }
+        for refusal in refusals {
+            self.turn_away(refusal);
+        }
         more
     }
 
+    /// Tells the entry that has a prompt that it gets no engines.
+    fn turn_away(&self, refusal: Refusal) {
+        let Refusal { id, retry_after } = refusal;
+        if id.entry == OWN {
+            self.refused(id.number, retry_after);
+            return;
+        }
+        let followers = self.followers.borrow();
+        let Some(orders) = followers.get(&id.entry) else { return };
+        // An entry that is too far behind loses its connection, and looks for another that plans.
+        let _ = orders.try_send(Order::Refuse { number: id.number, retry_after });
+    }
+
     /// Takes a grant to the entry that has the prompt.
     fn deliver(&self, grant: Grant) {
         let Grant { id, team } = grant;
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -189,6 +189,13 @@
         /// Its engines.
         team: Team,
     },
+    /// A prompt will not get engines in time to be of use.
+    Refuse {
+        /// The entry's number for it.
+        number: u64,
+        /// When its caller should come back.
+        retry_after: Duration,
+    },
     /// What is new in the store.
     Update {
         /// The number of the question.
