--- a/coord/src/planner/granted.rs
+++ b/coord/src/planner/granted.rs
@@ -46,7 +46,7 @@
         self.jobs.insert(id, job);
     }
 
-    /// The job, and whether it was not yet known as overdue; from now on its first event is there.
+    /// Notes that a job's first event came, and returns the job.
     pub fn first_event(&mut self, id: Id) -> Option<&Grantee> {
         let job = self.jobs.get(&id)?;
         self.watched.remove(&(job.overdue_after, id));
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -43,7 +43,7 @@
     // Without it the link is slower and no less right.
     let _ = stream.set_nodelay(true);
     if let Some(leader) = gateway.desk.leader() {
-        name(&mut Link::new(stream), leader).await;
+        name_leader(&mut Link::new(stream), leader).await;
         return;
     }
     let desk = &gateway.desk;
@@ -56,7 +56,7 @@
         () = gateway.reached(Phase::Stopping) => Ok(()),
     };
     if let Some(leader) = gateway.desk.leader() {
-        name(&mut link, leader).await;
+        name_leader(&mut link, leader).await;
     }
     desk.leave(entry);
     let reason = outcome.err().map_or_else(|| "stopping".to_owned(), |error| format!("{error:#}"));
@@ -64,7 +64,7 @@
 }
 
 /// Tells an entry whom this one follows, so that all follow the same, whatever lists they have read.
-async fn name(link: &mut Link, leader: SocketAddr) {
+async fn name_leader(link: &mut Link, leader: SocketAddr) {
     let welcome = Order::Welcome { incarnation: util::incarnation().to_string(), leader: Some(leader) };
     if let Err(error) = link.send_one(welcome).await {
         event!("peer-refused", leader = %leader, error = %format!("{error:#}"));
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -28,8 +28,8 @@
 /// Time after its start in which an entry that knows nothing yet keeps requests waiting for what it will know. Most
 /// learn all within some tens of milliseconds; one that does not by then is cut off, and callers go elsewhere.
 const LEARNING: Duration = Duration::from_secs(2);
-/// Time after its start in which an entry leaves reading the store to the one that it will follow. It finds that one
-/// within some 20 ms; 100 entries that start together make 200 calls fewer.
+/// Time after its start in which an entry leaves reading the store to the one that it will follow. Where one
+/// leads it is found within some 20 ms; where none does, as after a kill of all, longer would hold up the first answers.
 const FIRST_FROM_OTHERS: Duration = Duration::from_millis(60);
 /// Part of the common retry share that entries use, so that a window's edge never overdraws it.
 const RETRY_SHARE_USED: f64 = 0.9;
