One copy of the engine that the planner's tests and benchmark use

Cause: four files held the same ten figures of an engine, two of them with other slots and steps.

Change: coord/tests/common has figures(slots, stride); planner_machine, planner_plain, planner_load and the benchmark call it with the values they had.

--- a/coord/benches/planner.rs
+++ b/coord/benches/planner.rs
@@ -14,14 +14,15 @@
 //! | 12,000 / 100 | not run | 744 |
 //! | 12,000 / 1,000 | not run | 1,044 |
 
+#[path = "../tests/common/mod.rs"]
+mod common;
 #[path = "../tests/plain/mod.rs"]
 #[allow(dead_code, missing_docs)]
 mod plain;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use coord::engine::Figures;
+use common::figures;
 use coord::name::Name;
 use coord::planner::{Id, Job, Planner, Policy, Team};
 use coord::time::Moment;
@@ -39,21 +40,6 @@
     divan::main();
 }
 
-fn figures() -> Arc<Figures> {
-    Arc::new(Figures {
-        slots: 10,
-        memory: 450_000,
-        stride: 73,
-        step_ms: 0.925,
-        per_writer_ms: 0.00483,
-        per_context_ms: 0.00254,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-        chunk: 2_048,
-        hop_ms: 0.1,
-    })
-}
-
 fn name(engine: usize) -> Name {
     format!("engine-{engine:05}").into()
 }
@@ -69,7 +55,7 @@
     ($planner:expr, $size:expr, $now:expr) => {{
         let (engines, waiting) = $size;
         let mut planner = $planner;
-        planner.set_engines((0..engines).map(|index| (name(index), figures())));
+        planner.set_engines((0..engines).map(|index| (name(index), figures(10, 73))));
         for index in 0..engines {
             for seat in 0..4 {
                 let id = Id { entry: OTHER, number: (index * 4 + seat) as u64 };
--- a/coord/tests/planner_load.rs
+++ b/coord/tests/planner_load.rs
@@ -4,11 +4,14 @@
 //! writes gets one event at the pass's end. A caller is served in time if the first event comes within its aim and no
 //! pause between two events is longer than it wants.
 
+mod common;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 use std::time::Duration;
 
+use common::figures;
 use coord::engine::Figures;
 use coord::name::Name;
 use coord::planner::{Grant, Id, Job, Planner, Policy};
@@ -22,21 +25,6 @@
 /// Time for which a caller waits for engines.
 const PATIENCE: Duration = Duration::from_millis(6_700);
 
-fn figures() -> Arc<Figures> {
-    Arc::new(Figures {
-        slots: 10,
-        memory: 450_000,
-        stride: 73,
-        step_ms: 0.925,
-        per_writer_ms: 0.00483,
-        per_context_ms: 0.00254,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-        chunk: 2_048,
-        hop_ms: 0.1,
-    })
-}
-
 /// One kind of prompt in the load.
 struct Kind {
     per_s: f64,
@@ -132,7 +120,7 @@
 
 impl Play {
     fn new(policy: Policy, seed: u64) -> Self {
-        let figures = figures();
+        let figures = figures(10, 73);
         let mut planner = Planner::new(policy, 0);
         planner.set_engines((0..ENGINES).map(|index| (name(index), figures.clone())));
         let engines = (0..ENGINES).map(|_| Engine::default()).collect();
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -1,33 +1,21 @@
 //! Randomised runs of the planner: nothing is granted twice, memory and slots are never overdrawn,
 //! and everything that waits starts once the engines are free.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use common::figures;
 use coord::engine::Figures;
 use coord::name::Name;
 use coord::planner::{Grant, Id, Job, Planner, Policy};
 use coord::time::Moment;
 use proptest::prelude::*;
 
-fn figures() -> Arc<Figures> {
-    Arc::new(Figures {
-        slots: 16,
-        memory: 450_000,
-        stride: 46,
-        step_ms: 0.925,
-        per_writer_ms: 0.00483,
-        per_context_ms: 0.00254,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-        chunk: 2_048,
-        hop_ms: 0.1,
-    })
-}
-
 fn engines(count: usize) -> Vec<(Name, Arc<Figures>)> {
-    (0..count).map(|index| (format!("engine-{index:02}").into(), figures())).collect()
+    (0..count).map(|index| (format!("engine-{index:02}").into(), figures(16, 46))).collect()
 }
 
 fn planner(count: usize) -> Planner {
--- a/coord/tests/planner_plain.rs
+++ b/coord/tests/planner_plain.rs
@@ -1,32 +1,17 @@
 //! The planner decides as its plainest form does, whatever comes in whatever order.
 
+mod common;
 mod plain;
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
-use coord::engine::Figures;
+use common::figures;
 use coord::name::Name;
 use coord::planner::{Grant, Id, Job, Planner, Policy, Team};
 use coord::time::Moment;
 use proptest::prelude::*;
 
-fn figures(slots: u32) -> Arc<Figures> {
-    Arc::new(Figures {
-        slots,
-        memory: 450_000,
-        stride: 46,
-        step_ms: 0.925,
-        per_writer_ms: 0.00483,
-        per_context_ms: 0.00254,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-        chunk: 2_048,
-        hop_ms: 0.1,
-    })
-}
-
 /// Both planners, which get to know the same.
 struct Pair {
     quick: Planner,
@@ -42,8 +27,8 @@
     }
 
     fn set_engines(&mut self, engines: &BTreeSet<Name>, slots: u32) {
-        self.quick.set_engines(engines.iter().map(|name| (name.clone(), figures(slots))));
-        self.plain.set_engines(engines.iter().map(|name| (name.clone(), figures(slots))));
+        self.quick.set_engines(engines.iter().map(|name| (name.clone(), figures(slots, 46))));
+        self.plain.set_engines(engines.iter().map(|name| (name.clone(), figures(slots, 46))));
     }
 
     fn end(&mut self, id: Id, now: Moment) {
