--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -204,27 +204,21 @@
                 false => Reach::All,
             };
             let unreached = self.unreached(turn.id.entry, now);
-            if unreached.is_empty() && hopeless.covers(&turn.prompt, reach) {
+            let is_hopeless = unreached.is_empty() && hopeless.covers(&turn.prompt, reach);
+            let placed = if is_hopeless { None } else { self.place(turn, reach, &unreached, now) };
+            let Some(team) = placed else {
                 held_back = true;
                 timely_wait |= !turn.late;
-                continue;
-            }
-            match self.place(turn, reach, &unreached, now) {
-                Some(team) => {
-                    hopeless.clear();
-                    if turn.late {
-                        self.pressure.granted_late(&turn.prompt, now);
-                    }
-                    grants.push(self.grant(turn, team, now));
-                }
-                None => {
-                    held_back = true;
-                    timely_wait |= !turn.late;
-                    if unreached.is_empty() {
-                        hopeless.note(&turn.prompt, reach);
-                    }
+                if unreached.is_empty() && !is_hopeless {
+                    hopeless.note(&turn.prompt, reach);
                 }
+                continue;
+            };
+            hopeless.clear();
+            if turn.late {
+                self.pressure.granted_late(&turn.prompt, now);
             }
+            grants.push(self.grant(turn, team, now));
         }
         self.pressure.note(timely_wait, now);
         grants
--- a/coord/src/planner/place/mod.rs
+++ b/coord/src/planner/place/mod.rs
@@ -9,7 +9,6 @@
 pub(super) use self::hopeless::Hopeless;
 use super::Planner;
 use super::board::{Board, Open, View};
-use super::engine::Engine;
 use super::job::{Job, Team};
 use super::policy::Policy;
 use super::waiting::{Prompt, Turn};
@@ -52,12 +51,8 @@
         &self.turn.prompt.job
     }
 
-    fn engine(&self, index: usize) -> &'a Engine {
-        &self.planner.fleet.engines()[index]
-    }
-
     fn name(&self, index: usize) -> &'a Name {
-        &self.engine(index).name
+        &self.planner.fleet.engines()[index].name
     }
 
     /// Engines that may be chosen, with their places in the fleet.
--- a/coord/src/planner/pressure.rs
+++ b/coord/src/planner/pressure.rs
@@ -86,16 +86,15 @@
         if !self.policy.refuse_early || !self.pressure.lasts(now) {
             return Vec::new();
         }
-        let turns = self.waiting.turns(now);
         let (mut ahead_short, mut ahead_long) = (0.0, 0.0);
         let mut refusals = Vec::new();
-        for turn in turns.iter().filter(|turn| turn.late) {
+        for turn in self.waiting.late_turns(now) {
             let (ahead_ms, pace) = match turn.prompt.short {
                 true => (&mut ahead_short, self.pressure.short),
                 false => (&mut ahead_long, self.pressure.long),
             };
             let wait_s = (*ahead_ms + turn.prompt.read_ms) / pace.per_s(now).max(f64::MIN_POSITIVE);
-            if wait_s > self.useful_s(turn, now) {
+            if wait_s > self.useful_s(&turn, now) {
                 let retry_after = turn.prompt.job.deadline.since(now).mul_f64(COME_BACK);
                 refusals.push(Refusal { id: turn.id, retry_after });
             } else {
--- a/coord/src/planner/waiting.rs
+++ b/coord/src/planner/waiting.rs
@@ -120,9 +120,13 @@
     /// All that wait, in the order of their turns at `now`.
     pub fn turns(&mut self, now: Moment) -> Vec<Turn> {
         self.move_late(now);
-        let turn = |(rank, prompt): (&Rank, &Prompt), late| Turn { id: rank.id, prompt: *prompt, late };
-        let timely = self.timely.iter().map(|prompt| turn(prompt, false));
-        timely.chain(self.late.iter().map(|prompt| turn(prompt, true))).collect()
+        turns(&self.timely, false).chain(turns(&self.late, true)).collect()
+    }
+
+    /// Those of them that would be late even if they started now.
+    pub fn late_turns(&mut self, now: Moment) -> Vec<Turn> {
+        self.move_late(now);
+        turns(&self.late, true).collect()
     }
 
     /// Puts those that would be late behind the others.
@@ -144,3 +148,7 @@
         Rank { priority: prompt.job.priority, weight, id }
     }
 }
+
+fn turns(prompts: &BTreeMap<Rank, Prompt>, late: bool) -> impl Iterator<Item = Turn> {
+    prompts.iter().map(move |(rank, prompt)| Turn { id: rank.id, prompt: *prompt, late })
+}
--- a/coord/src/search.rs
+++ b/coord/src/search.rs
@@ -8,16 +8,14 @@
 use std::hash::Hash;
 use std::time::Duration;
 
+use crate::pause::Pause;
 use crate::time::Moment;
 
 /// Most candidates that are tried in one round: the leader, and two that would follow it in rank if it is gone.
 pub const ROUND: usize = 3;
-/// Time for which one that failed once is left out: two beats of a leader, within which it may come up.
-const FIRST_PAUSE: Duration = Duration::from_millis(300);
-/// Longest such time: after a cut the two sides find each other within this.
-const LONGEST_PAUSE: Duration = Duration::from_secs(4);
-/// Doublings after which the pause is surely the longest.
-const MOST_DOUBLINGS: u32 = 8;
+/// Time for which one that failed is left out: at first two beats of a leader, within which it may come up; after a cut
+/// the two sides find each other within the longest.
+const PAUSE: Pause = Pause { first: Duration::from_millis(300), longest: Duration::from_secs(4) };
 
 /// What came of earlier tries.
 #[derive(Clone, Copy, Debug)]
@@ -51,9 +49,8 @@
     /// failed together do not try again together.
     pub fn failed(&mut self, candidate: K, jitter: f64, now: Moment) {
         let failure = self.failures.entry(candidate).or_insert(Failure { count: 0, until: now });
-        let pause = FIRST_PAUSE.saturating_mul(1 << failure.count.min(MOST_DOUBLINGS)).min(LONGEST_PAUSE);
         failure.count += 1;
-        failure.until = now + pause.mul_f64(jitter);
+        failure.until = now + PAUSE.after(failure.count).mul_f64(jitter);
     }
 
     /// Notes that a candidate answered.
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -129,13 +129,12 @@
                     return Err(unplaced);
                 }
             };
-            let Some((record, found)) = self.locate(&lease.team) else {
+            let held = match self.locate(&lease.team) {
+                Some((record, found)) => self.hold(found).await.map(|held| (record, held)),
                 // The entry that plans does not know yet that an engine is gone.
-                drop(lease);
-                tokio::time::sleep(REPLAN_PAUSE).await;
-                continue;
+                None => None,
             };
-            let Some((helpers, _hold)) = self.hold(found).await else {
+            let Some((record, (helpers, _hold))) = held else {
                 drop(lease);
                 tokio::time::sleep(REPLAN_PAUSE).await;
                 continue;
--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk.rs
@@ -36,15 +36,7 @@
 struct Waiter {
     service: Name,
     job: Job,
-    answer: oneshot::Sender<Answer>,
-}
-
-/// What comes of a prompt that waits.
-enum Answer {
-    /// It has its engines.
-    Team(Team),
-    /// It will not get any in time to be of use.
-    Refused(Duration),
+    answer: oneshot::Sender<Result<Team, Unplaced>>,
 }
 
 /// Why a prompt got no engines.
@@ -171,10 +163,7 @@
         }
         let answer = answered.await.map_err(|_| Unplaced::Withdrawn)?;
         drop(withdraw);
-        match answer {
-            Answer::Team(team) => Ok(Lease { desk: Rc::downgrade(self), number, team }),
-            Answer::Refused(retry_after) => Err(Unplaced::Refused(retry_after)),
-        }
+        answer.map(|team| Lease { desk: Rc::downgrade(self), number, team })
     }
 
     /// Notes that an engine failed a prompt. Services without engines have no planner, here or elsewhere.
@@ -200,7 +189,7 @@
     pub fn refused(&self, number: u64, retry_after: Duration) {
         let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return };
         // Its caller may have gone meanwhile.
-        let _ = waiter.answer.send(Answer::Refused(retry_after));
+        let _ = waiter.answer.send(Err(Unplaced::Refused(retry_after)));
     }
 
     /// Another entry plans from now on: it gets to know what runs and what waits here.
@@ -367,7 +356,7 @@
             self.planner(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
         }
         self.running.borrow_mut().insert(number, Running { service, job, team: team.clone(), reading: true });
-        if answer.send(Answer::Team(team)).is_err() {
+        if answer.send(Ok(team)).is_err() {
             self.over(number);
         }
         true
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -37,8 +37,7 @@
     seek(&gateway, own, announced).await;
     let mut client = Client::new(gateway.settings.store);
     let mut search = Search::default();
-    let mut known = peers::list(&mut client, own).await.unwrap_or_default();
-    gateway.note_entries(known.len());
+    let mut known = list(&gateway, &mut client, own).await.unwrap_or_default();
     let mut pause = FIRST_RETRY;
     // Whether the list was read again since the last pause.
     let mut read_again = false;
@@ -60,13 +59,19 @@
         }
         // An entry may have been restarted since, or one more powerful have come.
         if read_again || known.is_empty() || gateway.has_recent_proof() {
-            known = peers::list(&mut client, own).await.unwrap_or(known);
-            gateway.note_entries(known.len());
+            known = list(&gateway, &mut client, own).await.unwrap_or(known);
             search.keep(|address| known.iter().any(|peer| peer.address == *address));
         }
     }
 }
 
+/// Reads who has announced itself, and notes how many.
+async fn list(gateway: &Gateway, client: &mut Client, own: SocketAddr) -> Option<Vec<Peer>> {
+    let known = peers::list(client, own).await?;
+    gateway.note_entries(known.len());
+    Some(known)
+}
+
 /// Follows an entry, and the one that it names when it plans no more.
 async fn follow_on(gateway: &Gateway, found: Found, own: SocketAddr) {
     let mut next = Some(found);
