Prompts that are silent for longer than can be explained are sent elsewhere

Hypothesis: where answers are lost or engines hang, prompts wait until their callers leave; a second send is in time if silence is told from slowness by what the planner expects of this prompt, not by a fixed limit.

Change: a grant carries the time after which its prompt is silent (three times the expected first event and 800 ms; none from a planner that does not know yet what runs). The entry then takes a retry from the common budget and asks for other engines; what comes from the first ones before others are free is taken.

--- a/coord/src/planner/policy.rs
+++ b/coord/src/planner/policy.rs
@@ -85,7 +85,7 @@
             breakers: true,
             suspicion: true,
             mute_only: true,
-            second_sends: false,
+            second_sends: true,
             settling: true,
             salt: true,
         }
--- a/coord/tests/planner_load.rs
+++ b/coord/tests/planner_load.rs
@@ -429,3 +429,27 @@
         assert!(with.share() + 0.02 >= without.share(), "{with:?} and {without:?}");
     }
 }
+
+#[test]
+fn while_engines_hang_prompts_that_are_silent_are_in_time_elsewhere() {
+    let mut kinds = long_burst();
+    kinds[2].per_s = 3.0;
+    let hanging = (10..14, 1_000.0);
+    let with = played_with_faults(Policy::default(), &kinds, hanging.clone(), 0.0);
+    let without = played_with_faults(Policy { second_sends: false, ..Policy::default() }, &kinds, hanging, 0.0);
+    for (with, without) in with.iter().zip(&without) {
+        assert!(with.share() >= without.share() + 0.03, "{with:?} and {without:?}");
+    }
+    assert!(with[1].share() >= 0.96 && with[2].share() >= 0.94, "{with:?}");
+}
+
+#[test]
+fn while_answers_are_lost_prompts_that_are_silent_are_in_time_elsewhere() {
+    let kinds = long_burst();
+    let with = played_with_faults(Policy::default(), &kinds, (0..0, 1.0), 0.15);
+    let without = played_with_faults(Policy { second_sends: false, ..Policy::default() }, &kinds, (0..0, 1.0), 0.15);
+    assert!(with[1].share() >= without[1].share() + 0.03, "{with:?} and {without:?}");
+    for (with, without) in with.iter().zip(&without) {
+        assert!(with.share() + 0.01 >= without.share(), "{with:?} and {without:?}");
+    }
+}
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -10,7 +10,6 @@
 use platform::dialect;
 
 use super::super::attempt::{self, Connection, Failed};
-use super::super::now;
 use super::super::place::{ERROR_ANSWER, NO_ANSWER};
 use super::target::{Place, Target};
 use super::{Job, Opened};
@@ -73,8 +72,10 @@
     /// budget allows it, and others are free. Pends for ever where it may not be sent again. What comes from the first
     /// engines meanwhile is taken, so that a false alarm costs nothing while others are busy.
     async fn elsewhere(&self, place: &Place) -> Target {
-        let may = self.may_repeat() && now() < self.started + self.allowed;
-        let Some(silent_after) = place.silent_after().filter(|_| may) else { return std::future::pending().await };
+        let silent_after = match place.silent_after() {
+            Some(silent_after) if self.may_repeat() => silent_after,
+            _ => return std::future::pending().await,
+        };
         tokio::time::sleep(silent_after).await;
         if !self.gateway.take_retry(&self.service) {
             event!("retry-refused", request = %self.call.id, service = %self.service, reason = "budget");
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -69,7 +69,7 @@
 /// The engines of a prompt that may start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
-    /// They.
+    /// Who reads and who writes.
     pub team: Team,
     /// If the first event takes longer than this it will probably never come; none where that cannot be told.
     pub silent_after: Option<Duration>,
--- a/standin/tests/platform_streams.rs
+++ b/standin/tests/platform_streams.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standin::platform::{Act, Ask, KEY, Replica, Site, Spec};
+use standin::platform::{Act, Ask, KEY, Replica, Seen, Site, Spec};
 
 fn prompt(id: &str) -> Ask {
     Ask::new("POST", "/prompt/1", id, KEY).with("token-usage", "500,400").with("deadline-ms", "2500")
@@ -58,6 +58,42 @@
     site.close().expect("no invariant was breached");
 }
 
+/// Sends a prompt to an engine that takes it and says nothing; returns what its caller saw, after how long, and the
+/// engine's place.
+async fn send_to_mute(site: &Site, id: &str) -> (Seen, Duration, usize) {
+    // Entries that have just found each other do not tell yet what is too long.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // An entry prefers the same among engines that have nothing to do.
+    assert_eq!(site.send(0, &prompt("first")).await.status, 200);
+    let mute = site.engines.iter().position(|engine| engine.ran("first") > 0).expect("one ran it");
+    site.engines[mute].next([Act::Stall(5_000)]);
+    let sent = Instant::now();
+    let seen = site.send(0, &prompt(id)).await;
+    assert_eq!(site.engines[mute].ran(id), 1, "it was sent there");
+    (seen, sent.elapsed(), mute)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_from_which_nothing_comes_is_sent_to_another_engine() {
+    let site = site("streams-mute").await;
+    let (seen, took, mute) = send_to_mute(&site, "m1").await;
+    assert_eq!(seen.body, whole_stream("m1"), "{seen:?}");
+    assert!(took < Duration::from_millis(2_000), "{took:?}");
+    assert!(site.engines[mute].cancelled("m1").is_some(), "the first engine was told");
+    assert_eq!(site.engines.iter().map(|engine| engine.ran("m1")).sum::<usize>(), 2);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_that_may_run_once_is_not_sent_again_though_nothing_comes() {
+    let site = site("streams-mute-once").await;
+    site.configure(&[KEY], |config| config["routes"][0]["stream_resume"] = json!(false));
+    let (seen, _, _) = send_to_mute(&site, "m2").await;
+    assert_eq!((seen.status, seen.header("x-sorrelpass-ran")), (504, "unknown"), "{seen:?}");
+    assert_eq!(site.engines.iter().map(|engine| engine.ran("m2")).sum::<usize>(), 1);
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_goes_away_ends_the_work_before_and_after_the_first_event() {
     let site = site("streams-cancel").await;
