The desk in three parts: own prompts, the entry that plans, those planned for

Change: functions moved as they were into desk/mod.rs, desk/following.rs and desk/planning.rs; no behaviour changes.

--- a/sorrelpass/src/gateway/desk.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -2,20 +2,24 @@
 //!
 //! Each entry has a planner for every service with engines. While another entry plans for all,
 //! prompts are submitted there, and the own planner only follows what was granted, so that it can
-//! take over at once when that entry is lost.
+//! take over at once when that entry is lost. [`following`] is the way to the entry that plans, [`planning`] the one
+//! to those that this entry plans for; this module has the entry's own prompts.
+
+mod following;
+mod planning;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
 use coord::engine::Figures;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy, Refusal, Team};
+use coord::planner::{Id, Job, Planner, Policy, Team};
 use tokio::sync::{Notify, mpsc, oneshot};
 
+use self::following::Leader;
 use super::link::{Ask, Order, Placement, Report};
 use super::now;
 use crate::util;
@@ -26,12 +30,6 @@
 /// This process's own jobs carry this number in place of a connection's.
 const OWN: u64 = 0;
 
-/// The entry that plans for this one.
-struct Leader {
-    address: SocketAddr,
-    reports: mpsc::Sender<Report>,
-}
-
 /// A prompt that waits for its grant.
 struct Waiter {
     service: Name,
@@ -183,110 +181,6 @@
         self.report(Report::Failed { service: service.clone(), engine });
     }
 
-    /// The entry that plans granted one of our prompts.
-    pub fn granted(&self, number: u64, placement: Placement) {
-        if self.start(number, placement, true) {
-            return;
-        }
-        // It was withdrawn, or granted here, while the grant was on its way.
-        crate::event!("grant-unwanted", number);
-    }
-
-    /// One of our prompts gets no engines.
-    pub fn refused(&self, number: u64, retry_after: Duration) {
-        let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return };
-        // Its caller may have gone meanwhile.
-        let _ = waiter.answer.send(Err(Unplaced::Refused(retry_after)));
-    }
-
-    /// Another entry plans from now on: it gets to know what runs and what waits here.
-    pub fn link_up(&self, address: SocketAddr, reports: mpsc::Sender<Report>) {
-        *self.leader.borrow_mut() = Some(Leader { address, reports });
-        let now = now();
-        for (number, running) in &*self.running.borrow() {
-            self.report(Report::Adopt {
-                number: *number,
-                service: running.service.clone(),
-                ask: Ask::of(&running.job, now),
-                team: running.team.clone(),
-                reading: running.reading,
-            });
-        }
-        for (number, waiter) in &*self.waiting.borrow() {
-            self.planner(&waiter.service, |planner| planner.end(own(*number), now));
-            let ask = Ask::of(&waiter.job, now);
-            self.report(Report::Submit { number: *number, service: waiter.service.clone(), ask });
-        }
-    }
-
-    /// Nobody else plans for this entry any more.
-    pub fn link_down(&self) {
-        *self.leader.borrow_mut() = None;
-        self.unsettle();
-        for (number, waiter) in &*self.waiting.borrow() {
-            self.planner(&waiter.service, |planner| planner.submit(own(*number), waiter.job));
-        }
-        self.wake();
-    }
-
-    /// The entry that plans for this one, if another does.
-    pub fn leader(&self) -> Option<SocketAddr> {
-        self.leader.borrow().as_ref().map(|leader| leader.address)
-    }
-
-    /// Whether another entry plans for this one.
-    pub fn has_leader(&self) -> bool {
-        self.leader.borrow().is_some()
-    }
-
-    /// Takes in an entry to plan for; returns its number here.
-    pub fn join(&self, orders: mpsc::Sender<Order>) -> u64 {
-        let entry = self.next_entry.get();
-        self.next_entry.set(entry + 1);
-        if self.followers.borrow().is_empty() {
-            self.unsettle();
-        }
-        self.followers.borrow_mut().insert(entry, orders);
-        entry
-    }
-
-    /// Notes that this entry plans for others from now on, whose prompts it does not know yet.
-    fn unsettle(&self) {
-        self.planners.borrow_mut().values_mut().for_each(|planner| planner.unsettle(now()));
-    }
-
-    /// Forgets an entry and its prompts.
-    pub fn leave(&self, entry: u64) {
-        self.followers.borrow_mut().remove(&entry);
-        for planner in self.planners.borrow_mut().values_mut() {
-            planner.end_entry(entry, now());
-        }
-        self.wake();
-    }
-
-    /// Takes a report from an entry.
-    pub fn hear(&self, entry: u64, report: Report) {
-        let now = now();
-        let id = |number| Id { entry, number };
-        match report {
-            Report::Submit { number, service, ask } => {
-                self.planner(&service, |planner| planner.submit(id(number), ask.job(now)));
-            }
-            Report::Adopt { number, service, ask, team, reading } => {
-                self.planner(&service, |planner| planner.adopt(id(number), &ask.job(now), team, reading, now));
-            }
-            Report::FirstEvent { number, service } => {
-                self.planner(&service, |planner| planner.first_event(id(number), now));
-            }
-            Report::Silent { number, service } => self.planner(&service, |planner| planner.silent(id(number), now)),
-            Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
-            Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
-            // What is new in the store is no matter of planning.
-            Report::Sync(_) | Report::Update { .. } => return,
-        }
-        self.wake();
-    }
-
     /// Grants what may start, after whatever happens and every now and then while prompts wait.
     ///
     /// What happens at the same time is looked at together: this task has its turn behind all those that took a
@@ -343,18 +237,6 @@
         self.wake();
     }
 
-    /// Tells the entry that plans; says whether there is one.
-    fn report(&self, report: Report) -> bool {
-        let mut leader = self.leader.borrow_mut();
-        let Some(known) = &*leader else { return false };
-        if known.reports.try_send(report).is_err() {
-            // Too far behind: dropping the sender ends the link, which hands over what waits.
-            *leader = None;
-            return false;
-        }
-        true
-    }
-
     /// Lets the planner of a service act, if the service has engines.
     fn planner(&self, service: &Name, act: impl FnOnce(&mut Planner)) {
         if let Some(planner) = self.planners.borrow_mut().get_mut(service) {
@@ -398,33 +280,6 @@
         }
         more
     }
-
-    /// Tells the entry that has a prompt that it gets no engines.
-    fn turn_away(&self, refusal: Refusal) {
-        let Refusal { id, retry_after } = refusal;
-        if id.entry == OWN {
-            self.refused(id.number, retry_after);
-            return;
-        }
-        let followers = self.followers.borrow();
-        let Some(orders) = followers.get(&id.entry) else { return };
-        // An entry that is too far behind loses its connection, and looks for another that plans.
-        let _ = orders.try_send(Order::Refuse { number: id.number, retry_after });
-    }
-
-    /// Takes a grant to the entry that has the prompt.
-    fn deliver(&self, grant: Grant) {
-        let Grant { id, team, silent_after } = grant;
-        let placement = Placement { team, silent_after };
-        if id.entry == OWN {
-            self.start(id.number, placement, false);
-            return;
-        }
-        let followers = self.followers.borrow();
-        let Some(orders) = followers.get(&id.entry) else { return };
-        // An entry that is too far behind loses its connection, and with it what was granted.
-        let _ = orders.try_send(Order::Grant { number: id.number, placement });
-    }
 }
 
 fn own(number: u64) -> Id {
--- /dev/null
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -0,0 +1,85 @@
+//! The desk of an entry that plans for others: what they report, and what they are granted.
+
+use coord::planner::{Grant, Id, Refusal};
+use tokio::sync::mpsc;
+
+use super::super::link::{Order, Placement, Report};
+use super::super::now;
+use super::{Desk, OWN};
+
+impl Desk {
+    /// Takes in an entry to plan for; returns its number here.
+    pub fn join(&self, orders: mpsc::Sender<Order>) -> u64 {
+        let entry = self.next_entry.get();
+        self.next_entry.set(entry + 1);
+        if self.followers.borrow().is_empty() {
+            self.unsettle();
+        }
+        self.followers.borrow_mut().insert(entry, orders);
+        entry
+    }
+
+    /// Notes that this entry plans for others from now on, whose prompts it does not know yet.
+    pub(super) fn unsettle(&self) {
+        self.planners.borrow_mut().values_mut().for_each(|planner| planner.unsettle(now()));
+    }
+
+    /// Forgets an entry and its prompts.
+    pub fn leave(&self, entry: u64) {
+        self.followers.borrow_mut().remove(&entry);
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.end_entry(entry, now());
+        }
+        self.wake();
+    }
+
+    /// Takes a report from an entry.
+    pub fn hear(&self, entry: u64, report: Report) {
+        let now = now();
+        let id = |number| Id { entry, number };
+        match report {
+            Report::Submit { number, service, ask } => {
+                self.planner(&service, |planner| planner.submit(id(number), ask.job(now)));
+            }
+            Report::Adopt { number, service, ask, team, reading } => {
+                self.planner(&service, |planner| planner.adopt(id(number), &ask.job(now), team, reading, now));
+            }
+            Report::FirstEvent { number, service } => {
+                self.planner(&service, |planner| planner.first_event(id(number), now));
+            }
+            Report::Silent { number, service } => self.planner(&service, |planner| planner.silent(id(number), now)),
+            Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
+            Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
+            // What is new in the store is no matter of planning.
+            Report::Sync(_) | Report::Update { .. } => return,
+        }
+        self.wake();
+    }
+
+    /// Tells the entry that has a prompt that it gets no engines.
+    pub(super) fn turn_away(&self, refusal: Refusal) {
+        let Refusal { id, retry_after } = refusal;
+        if id.entry == OWN {
+            self.refused(id.number, retry_after);
+            return;
+        }
+        let followers = self.followers.borrow();
+        let Some(orders) = followers.get(&id.entry) else { return };
+        // An entry that is too far behind loses its connection, and looks for another that plans.
+        let _ = orders.try_send(Order::Refuse { number: id.number, retry_after });
+    }
+
+    /// Takes a grant to the entry that has the prompt.
+    pub(super) fn deliver(&self, grant: Grant) {
+        let Grant { id, team, silent_after } = grant;
+        let placement = Placement { team, silent_after };
+        if id.entry == OWN {
+            self.start(id.number, placement, false);
+            return;
+        }
+        let followers = self.followers.borrow();
+        let Some(orders) = followers.get(&id.entry) else { return };
+        // An entry that is too far behind loses its connection, and with it what was granted.
+        let _ = orders.try_send(Order::Grant { number: id.number, placement });
+    }
+}
