What a whole picture left out does not come back by older word

Change: a roster that has had a whole picture leaves out older news of replicas that the picture lacked.

Measured: roster_machine::one_that_a_whole_picture_left_out_... fails before and passes now.

--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -104,6 +104,8 @@
     replicas: BTreeMap<Name, Replica>,
     /// A vanished record counts as lapsed until then.
     doubtful_until: Moment,
+    /// A whole picture showed all records below this offset that still stood; what it left out was removed.
+    whole_below: u64,
 }
 
 /// A change of belief, for the log.
@@ -142,7 +144,9 @@
     fn here(&mut self, offset: u64, record: Record) -> Option<Change> {
         let id = record.id.clone();
         let known = self.replicas.get(&id);
-        if known.is_some_and(|known| offset < known.offset) {
+        // One that the whole picture left out is gone, whatever another process still believes: told again by us, it would
+        // keep that process from ever hearing of its end.
+        if offset < known.map_or(self.whole_below, |known| known.offset) {
             return None;
         }
         // An announced end is final; a vanished record may come back with its replica.
@@ -185,6 +189,7 @@
             self.replicas.values().filter(is_missing).map(|known| known.record.id.clone()).collect();
         let mut changes: Vec<Change> =
             newest.into_iter().filter_map(|sighting| self.hear(sighting.offset, sighting.news, now)).collect();
+        self.whole_below = self.whole_below.max(end);
         let last = end.saturating_sub(1);
         changes.extend(missing.iter().filter_map(|id| self.removed(last, id, now)));
         changes
--- a/coord/tests/roster_machine.rs
+++ b/coord/tests/roster_machine.rs
@@ -203,3 +203,26 @@
         prop_assert_eq!(roster.since(0).len(), 1);
     }
 }
+
+#[test]
+fn one_that_a_whole_picture_left_out_does_not_come_back_by_older_word() {
+    let now = Moment::from_millis(1_000);
+    let sighting = |offset, number| Sighting { offset, news: News::Here(record(number, false)) };
+    // It went at 50 without announcing its end; the one behind has not heard of that.
+    let mut behind = Roster::default();
+    behind.hear(10, sighting(10, 1).news, now);
+    behind.hear(11, sighting(11, 2).news, now);
+    // One that starts reads the whole picture up to 60, and is then told what the other believes.
+    let mut fresh = Roster::default();
+    fresh.replace(60, vec![sighting(11, 2)], now);
+    for told in behind.since(0) {
+        fresh.hear(told.offset, told.news, now);
+    }
+    assert!(!fresh.get("replica-1").is_some_and(|known| known.takes_work()), "{fresh:?}");
+    // The other takes its whole picture from there, and learns of the end.
+    behind.replace(60, fresh.since(0), now);
+    assert!(!behind.get("replica-1").expect("it was known").takes_work());
+    // If it comes back, that is newer.
+    fresh.hear(61, sighting(61, 1).news, now);
+    assert!(fresh.get("replica-1").expect("it is back").takes_work());
+}
