The parcels' benchmark names its fields in words of its own

Cause: two field names of the users' platform stood in the made-up configuration of coord/benches/parcel.rs.

--- a/coord/benches/parcel.rs
+++ b/coord/benches/parcel.rs
@@ -23,7 +23,7 @@
         let name = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let timeout = if number == changed { 2_000 } else { 3_000 };
         format!(
-            r#"{{"name":"{name:016x}","host":"{:08x}.example","path_prefix":"/{:06x}/","kind":"safe","timeout_ms":{timeout},"target_latency_ms":150,"priority":1,"service":"{:06x}","max_attempts":2,"public":false}}"#,
+            r#"{{"name":"{name:016x}","host":"{:08x}.example","path_begins":"/{:06x}/","kind":"safe","timeout_ms":{timeout},"wanted_latency_ms":150,"priority":1,"service":"{:06x}","max_attempts":2,"public":false}}"#,
             name >> 32,
             name & 0xff_ffff,
             number % 3,
