One place takes a retry out of the budget and logs a refusal

Cause: read again, the second send of a silent prompt had its own copy of the check of the retry budget and of its log line, beside that of next_target.

Change: Job::take_retry serves both; behaviour and log lines stay as they were.

Measured: clippy of the crate and fmt pass; platform_streams 7 of 7, platform_once 6 of 6.

--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -132,13 +132,21 @@
             Ok(target) => target,
             Err(unplaced) => return Err(self.exhausted(retry_after.max(unplaced.retry_after()))),
         };
-        if self.sends > 0 && !self.gateway.take_retry(&self.service) {
-            event!("retry-refused", request = %self.call.id, service = %self.service, reason = "budget");
+        if self.sends > 0 && !self.take_retry() {
             return Err(self.exhausted(retry_after));
         }
         Ok(target)
     }
 
+    /// Takes one more send out of the service's retry budget, if that allows it.
+    fn take_retry(&self) -> bool {
+        let allowed = self.gateway.take_retry(&self.service);
+        if !allowed {
+            event!("retry-refused", request = %self.call.id, service = %self.service, reason = "budget");
+        }
+        allowed
+    }
+
     /// As [`Job::open`] from a stream's beginning, and no longer than the final answer is due.
     async fn open_in_time(&mut self) -> Result<Opened, Failure> {
         match tokio::time::timeout(self.left(), self.open(None)).await {
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -77,8 +77,7 @@
             _ => return std::future::pending().await,
         };
         tokio::time::sleep(silent_after).await;
-        if !self.gateway.take_retry(&self.service) {
-            event!("retry-refused", request = %self.call.id, service = %self.service, reason = "budget");
+        if !self.take_retry() {
             return std::future::pending().await;
         }
         event!("silent", request = %self.call.id, peer = self.tried.last().map_or("", |id| id), after_ms = silent_after.as_millis());
