--- a/sorrelpass/src/gateway/pace.rs
+++ b/sorrelpass/src/gateway/pace.rs
@@ -12,6 +12,8 @@
 
 /// Time between two looks at who is to be asked: a sixth of the time within which a short prompt is wanted.
 const TICK: Duration = Duration::from_millis(50);
+/// The same while another entry plans, which then asks: looks cost wake-ups, and an entry may have 0.09 of a core.
+const FOLLOWING_TICK: Duration = Duration::from_millis(500);
 /// Engines that are asked at the same time.
 const AT_ONCE: usize = 16;
 /// Time for an engine's answer, which takes a few milliseconds.
@@ -29,7 +31,7 @@
     // Open connections, by engine.
     let mut open: HashMap<Name, Client> = HashMap::new();
     loop {
-        tokio::time::sleep(TICK).await;
+        tokio::time::sleep(if gateway.desk.has_leader() { FOLLOWING_TICK } else { TICK }).await;
         let due = gateway.desk.to_ask().into_iter();
         let questions: Vec<Question> = due.filter_map(|due| question(&gateway, &mut open, due)).collect();
         if questions.is_empty() {
