--- a/coord/tests/planner_load/burst.rs
+++ b/coord/tests/planner_load/burst.rs
@@ -5,7 +5,8 @@
 use coord::planner::Policy;
 
 use crate::common::figures;
-use crate::play::{Count, Kind, Play, Served};
+use crate::mix::{Count, Kind};
+use crate::play::{Play, Served};
 
 /// A burst of long prompts: short ones ebb meanwhile.
 fn long_burst() -> [Kind; 3] {
--- a/coord/tests/planner_load/main.rs
+++ b/coord/tests/planner_load/main.rs
@@ -3,5 +3,6 @@
 mod burst;
 #[path = "../common/mod.rs"]
 mod common;
+mod mix;
 mod play;
 mod turnover;
--- a/coord/tests/planner_load/turnover.rs
+++ b/coord/tests/planner_load/turnover.rs
@@ -6,7 +6,8 @@
 use coord::engine::Figures;
 use coord::planner::Policy;
 
-use crate::play::{Count, Kind, Play, Served};
+use crate::mix::{Count, Kind};
+use crate::play::{Play, Served};
 
 /// Engines of a large model, on which long prompts cost most by their pairs.
 fn figures() -> Arc<Figures> {
