A played caller who came back after a loss is not sent again by its old silence timer

Cause: read in the diff: in the played loss of power a prompt that was silent before it was submitted once more and taken off the engines that go on writing it. Change: such prompts are over for the timer.

--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -372,7 +372,8 @@
     fn send_again(&mut self, number: u64, at: u64) {
         let moment = self.moment();
         let Some(prompt) = self.prompts.get_mut(&number) else { return };
-        let is_over = prompt.events_left == 0 || prompt.sent != at;
+        // The entry that watched for a caller who came back is gone.
+        let is_over = prompt.events_left == 0 || prompt.sent != at || prompt.came_back;
         if is_over || (prompt.last_event.is_some() && !prompt.lost) {
             return;
         }
