--- a/coord/src/planner/board.rs
+++ b/coord/src/planner/board.rs
@@ -136,21 +136,27 @@
 
     /// Whether so many engines wait for a trial that too few are left without them.
     pub fn must_try(&self, policy: &Policy) -> bool {
-        self.on_trial as f64 >= self.views.len() as f64 * (1.0 - policy.least_usable)
+        self.is_too_many(self.on_trial, policy)
     }
 
-    /// Whether so many engines are slow that too few are left without them.
-    pub fn takes_slow(&self, policy: &Policy) -> bool {
-        self.slow as f64 >= self.views.len() as f64 * (1.0 - policy.least_usable)
+    /// Whether an engine is fast enough to be chosen beside others; where so many are slow that too few are left without
+    /// them, all are.
+    pub fn is_fast_enough(&self, view: &View, policy: &Policy) -> bool {
+        !view.is_slow() || self.is_too_many(self.slow, policy)
+    }
+
+    /// Whether too few engines are left without so many.
+    fn is_too_many(&self, engines: usize, policy: &Policy) -> bool {
+        engines as f64 >= self.views.len() as f64 * (1.0 - policy.least_usable)
     }
 
     /// Those among engines that have next to nothing left to read.
     pub fn open_among(&self, engines: impl Iterator<Item = usize>, policy: &Policy) -> Open {
         let tries = self.must_try(policy);
         // One that fails holds up the whole team; short prompts try it.
-        let takes_slow = self.takes_slow(policy);
         let may = |view: &View| {
-            view.pending_ms <= policy.start_pending_ms && (tries || !view.on_trial) && (takes_slow || !view.is_slow())
+            let is_open = view.pending_ms <= policy.start_pending_ms;
+            is_open && (tries || !view.on_trial) && self.is_fast_enough(view, policy)
         };
         let mut by_wait: Vec<usize> = engines.filter(|index| may(&self.views[*index])).collect();
         by_wait.sort_by(|a, b| self.views[*a].wait_ms.total_cmp(&self.views[*b].wait_ms));
--- a/coord/src/planner/place/long.rs
+++ b/coord/src/planner/place/long.rs
@@ -41,8 +41,7 @@
     fn fewest_late(&self, most: usize) -> usize {
         let left_ms = self.job().deadline.since(self.now).as_secs_f64() * 1e3 * self.policy().late_share;
         let enough = (self.prompt().read_ms / left_ms.max(1.0)).ceil() as usize;
-        let takes_slow = self.board.takes_slow(self.policy());
-        let helpful = self.engines().filter(|(_, view)| takes_slow || !view.is_slow()).count();
+        let helpful = self.engines().filter(|(_, view)| self.board.is_fast_enough(view, self.policy())).count();
         enough.clamp(1, most.min(helpful).max(1))
     }
 
--- a/coord/src/planner/place/short.rs
+++ b/coord/src/planner/place/short.rs
@@ -47,8 +47,8 @@
         if like as f64 >= all as f64 * (1.0 - self.policy().long_share) {
             return None;
         }
-        let takes_slow = self.board.takes_slow(self.policy());
-        let may = |view: &View| self.fits(view) && !self.is_like(view) && (takes_slow || !view.is_slow());
+        let is_fast_enough = |view: &View| self.board.is_fast_enough(view, self.policy());
+        let may = |view: &View| self.fits(view) && !self.is_like(view) && is_fast_enough(view);
         let engines = self.engines().filter(|(_, view)| may(view));
         engines.min_by(|a, b| self.by_opening_cost(*a, *b)).map(|(index, _)| index)
     }
