Sight: log lines say which requests are the same work, and whether a replica or a connection ended

Cause: lines carried only the caller's id of one attempt; 'broke' and 'lost' said the same of a replica's end and of a connection's. Change: a fingerprint of host, method, path, workspace and body on request, lost and broke; a probe of the replica after a broken connection, beside what goes on. No decision changed. Conclusion: identity and ends can be seen; next the fault in a test of our own.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod placement;
 pub mod planner;
 pub mod prefix;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod remembered;
--- a/sorrelpass/src/gateway/attempt.rs
+++ b/sorrelpass/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
-use platform::connection::{CONNECT_TIMEOUT, connect};
+use platform::connection::{self, CONNECT_TIMEOUT, Liveness, connect};
 use platform::dialect;
 use tokio::task::JoinHandle;
 
@@ -86,6 +86,17 @@
     Ok(request)
 }
 
+/// Looks whether a replica whose connection ended has ended itself.
+pub async fn liveness(record: &Record) -> Liveness {
+    match record.address.parse() {
+        Ok(address) => connection::liveness(address).await,
+        Err(error) => {
+            crate::warn_event!("probe", peer = %record.id, address = %record.address, error = %error);
+            Liveness::Unknown
+        }
+    }
+}
+
 /// Connects to a replica.
 async fn reach(record: &Record) -> eyre::Result<tokio::net::TcpStream> {
     let peer = &record.id;
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -17,6 +17,7 @@
 use super::super::attempt::Outgoing;
 use super::super::now;
 use super::super::state::{Gateway, Phase};
+use super::super::work;
 use super::{BUSY_RETRY, Job};
 use crate::failure::Failure;
 use crate::{event, metric};
@@ -89,7 +90,9 @@
     }
     let service = route.pick(rand::random()).cloned().ok_or_else(no_service)?;
     let deadline = started + allowed.min(route.timeout);
-    event!("request", request = %call.id, route = %route.name, service = %service, prompt_tokens = call.prompt_tokens.unwrap_or(0),
+    let outgoing = Outgoing { method: head.method, uri: head.uri, headers: head.headers, body };
+    let work = work::fingerprint(&call.host, &outgoing, workspace.as_ref().map(|workspace| &workspace.name));
+    event!("request", request = %call.id, work = %work, route = %route.name, service = %service, prompt_tokens = call.prompt_tokens.unwrap_or(0),
         version = gateway.table().version(), proof_age_ms = gateway.proof_age_ms().unwrap_or(0), allowed_ms = allowed.as_millis());
     Ok(Job {
         gateway: gateway.clone(),
@@ -97,7 +100,8 @@
         route,
         workspace,
         service,
-        outgoing: Outgoing { method: head.method, uri: head.uri, headers: head.headers, body },
+        outgoing,
+        work,
         started,
         allowed,
         deadline,
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use coord::name::{Name, Ran};
+use coord::quarantine::Work;
 use coord::roster::Record;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
@@ -53,6 +54,8 @@
     pub service: Name,
     /// What replicas get.
     pub outgoing: Outgoing,
+    /// What it asks for, the same for each repeat.
+    pub work: Work,
     /// When its head had come.
     pub started: Moment,
     /// Time that its caller gave it.
@@ -171,7 +174,8 @@
                     return Ok(answer);
                 }
                 Ok(Err(error)) => {
-                    event!("lost", request = %self.call.id, peer = %record.id, error = %format!("{error:#}"))
+                    event!("lost", request = %self.call.id, work = %self.work, peer = %record.id, error = %format!("{error:#}"));
+                    self.probe(&record);
                 }
             }
             if !self.may_repeat() {
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -54,7 +54,8 @@
             Ok((response, connection)) => self.judge(record, response, connection, place),
             Err(Failed::Lost(error)) => {
                 self.blame(&record.id, NO_ANSWER);
-                event!("lost", request = %self.call.id, peer = %record.id, error = %error);
+                event!("lost", request = %self.call.id, work = %self.work, peer = %record.id, error = %error);
+                self.probe(&record);
                 Sent::Lost
             }
             Err(Failed::Unsent(error)) => {
@@ -122,6 +123,15 @@
         Sent::Opened(Box::new(Opened { record, response, connection, place }))
     }
 
+    /// Looks, beside what goes on, whether a replica whose connection ended has ended itself.
+    pub fn probe(&self, record: &Record) {
+        let (id, work, record) = (self.call.id.clone(), self.work, record.clone());
+        tokio::task::spawn_local(async move {
+            let liveness = attempt::liveness(&record).await;
+            event!("probe", request = %id, work = %work, peer = %record.id, liveness = liveness.as_str());
+        });
+    }
+
     /// Notes that a replica failed the request; for a plain service `share` tells how far that is its fault.
     pub(super) fn blame(&self, replica: &Name, share: f64) {
         if self.has_engines() {
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod stream;
 mod topic;
 mod watch;
+mod work;
 
 use std::path::PathBuf;
 use std::rc::Rc;
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! Passing a stream on as it comes, and going on at another replica when it breaks off.
 
 use bytes::Bytes;
+use coord::roster::Record;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
@@ -68,7 +69,7 @@
         loop {
             let end = self.pass(&mut opened).await;
             opened.connection.close();
-            match self.settle(end, &opened.record.id).await {
+            match self.settle(end, &opened.record).await {
                 Some(next) => opened = next,
                 None => break,
             }
@@ -128,7 +129,8 @@
     }
 
     /// Ends the stream, or opens its rest at another replica.
-    async fn settle(&mut self, end: End, peer: &str) -> Option<Opened> {
+    async fn settle(&mut self, end: End, record: &Record) -> Option<Opened> {
+        let peer = &*record.id;
         let id = self.job.call.id.clone();
         let after_ms = now().since(self.job.started).as_millis();
         match end {
@@ -147,7 +149,8 @@
                 self.break_off("deadline").await
             }
             End::Broke(error) => {
-                event!("broke", request = %id, peer, events = self.events, after_ms, error = %error);
+                event!("broke", request = %id, work = %self.job.work, peer, events = self.events, silent = self.fresh, after_ms, error = %error);
+                self.job.probe(record);
                 self.job.gateway.desk.failed(&self.job.service, peer);
                 self.resume().await
             }
