--- a/standin/src/platform/replica.rs
+++ b/standin/src/platform/replica.rs
@@ -14,6 +14,7 @@
 use futures_util::stream;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 
 /// What a replica does with a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -60,6 +61,8 @@
 const EVENTS: u64 = 8;
 /// Largest body that is read, in bytes: far more than any test sends.
 const MOST_BODY_BYTES: usize = 64 << 20;
+/// Time from the start of fatal work to the end of the process.
+const FATAL_AFTER: Duration = Duration::from_millis(15);
 
 /// What a replica is told to do, and what it has noted.
 #[derive(Default)]
@@ -79,6 +82,19 @@
     orders: Vec<Value>,
     /// The address that its record names, if not its own.
     front: Option<String>,
+    /// Work that ends its process.
+    fatal: Option<Fatal>,
+    /// How often its process ended.
+    ends: usize,
+}
+
+/// Work under which a replica's process ends.
+#[derive(Clone, Debug)]
+struct Fatal {
+    /// What the body of such a request holds.
+    marker: String,
+    /// Time from the end of the process to its next start.
+    down: Duration,
 }
 
 /// Memory set aside.
@@ -97,21 +113,81 @@
     /// Time that an answer, or an event of a stream, takes.
     takes: Duration,
     inner: Mutex<Inner>,
+    /// What its process is: its connections and its listener end with it. None while it is down.
+    process: Mutex<Option<Runtime>>,
 }
 
 impl Replica {
     /// Starts a replica on loopback whose answers, and each event of whose streams, take `takes`.
     pub async fn start(id: &str, takes: Duration) -> std::io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?.to_string();
-        let replica = Arc::new(Self { id: id.to_owned(), address, takes, inner: Mutex::default() });
+        let replica =
+            Arc::new(Self { id: id.to_owned(), address, takes, inner: Mutex::default(), process: Mutex::default() });
+        replica.run(listener)?;
+        Ok(replica)
+    }
+
+    /// Starts its process.
+    fn run(self: &Arc<Self>, listener: std::net::TcpListener) -> std::io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
         let router = Router::new()
             .route("/order", post(order))
             .route("/report", get(report))
             .fallback(call)
-            .with_state(replica.clone());
-        tokio::spawn(async move { axum::serve(listener, router).await });
-        Ok(replica)
+            .with_state(self.clone());
+        listener.set_nonblocking(true)?;
+        let entered = runtime.enter();
+        let listener = TcpListener::from_std(listener)?;
+        drop(entered);
+        runtime.spawn(async move { axum::serve(listener, router).await });
+        *self.process.lock().unwrap_or_else(PoisonError::into_inner) = Some(runtime);
+        Ok(())
+    }
+
+    /// Ends its process, with all its connections.
+    pub fn end(&self) {
+        let process = self.process.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(process) = process {
+            process.shutdown_background();
+        }
+    }
+
+    /// Has its process end whenever it runs work whose body holds `marker`, and start again after `down` under the same
+    /// identity, without memory of what it held.
+    pub fn end_under(&self, marker: &str, down: Duration) {
+        self.lock().fatal = Some(Fatal { marker: marker.to_owned(), down });
+    }
+
+    /// How often its process ended under fatal work.
+    pub fn ends(&self) -> usize {
+        self.lock().ends
+    }
+
+    /// The fatal work that a body holds, if it does.
+    fn fatal(&self, body: &[u8]) -> Option<Fatal> {
+        let fatal = self.lock().fatal.clone()?;
+        let marker = fatal.marker.as_bytes();
+        body.windows(marker.len()).any(|part| part == marker).then_some(fatal)
+    }
+
+    /// Ends its process soon, and starts it again.
+    fn die_of(self: &Arc<Self>, fatal: Fatal) {
+        let replica = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(FATAL_AFTER);
+            if replica.process.lock().unwrap_or_else(PoisonError::into_inner).is_none() {
+                return;
+            }
+            replica.lock().ends += 1;
+            replica.end();
+            std::thread::sleep(fatal.down);
+            replica.lock().memory.clear();
+            // Its port is its own; only a site that has ended meanwhile may have lost it.
+            if let Ok(listener) = std::net::TcpListener::bind(&replica.address) {
+                let _ = replica.run(listener);
+            }
+        });
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -263,9 +339,14 @@
     let id = header(&head.headers, "request-id").to_owned();
     let streaming = head.headers.contains_key("token-usage");
     let after: u64 = header(&head.headers, "last-event-id").parse().unwrap_or(0);
+    let fatal = replica.fatal(&body);
     let Some(act) = replica.note(&id, head, body) else {
         return (StatusCode::MISDIRECTED_REQUEST, [("replica-id", replica.id.clone())]).into_response();
     };
+    if let Some(fatal) = fatal {
+        replica.die_of(fatal);
+        return signed(silent_body(), &replica, act, &id);
+    }
     let mut watch = Watch { replica: replica.clone(), id: id.clone(), over: false };
     if let Act::Stall(millis) = act {
         tokio::time::sleep(Duration::from_millis(millis)).await;
@@ -308,6 +389,11 @@
     Body::from_stream(pieces).into_response()
 }
 
+/// An answer that is opened, and of which nothing more comes.
+fn silent_body() -> Response {
+    Body::from_stream(stream::pending::<std::io::Result<Bytes>>()).into_response()
+}
+
 /// A stream that goes on behind event `after`.
 fn events(watch: Watch, takes: Duration, after: u64, act: Act) -> Response {
     let last = match act {
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -337,6 +337,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        self.engines.iter().chain(&self.plain).for_each(|replica| replica.end());
     }
 }
 
