Work under which three replicas ended is sent no more, by any entry, also after a loss of all

Root cause: attempts, breakers and retries are counted for a request, an entry and a replica, never for the work; a request that ends what runs it is blamed on one replica after the other and starts from zero with each repeat. Class: a bound kept for each part that must hold for the whole.

Change: coord::quarantine, a register without I/O (evidence, points, verdict, lift); evidence where a connection ended and the replica listens no more; one gate behind all waits, at each send; suspects apart from others and never twice at once; news between entries by way of the one that plans; verdicts in the store.

--- a/coord/benches/planner.rs
+++ b/coord/benches/planner.rs
@@ -47,7 +47,7 @@
 fn job(prompt: u64, now: Moment) -> Job {
     let (aim, gap_ms) = if prompt < 30_000 { (300, 250.0) } else { (4_000, 1_000.0) };
     let aim = now + Duration::from_millis(aim);
-    Job { prompt, output: 1_000, aim, gap_ms, deadline: now + Duration::from_secs(10), priority: 1 }
+    Job { prompt, output: 1_000, aim, gap_ms, deadline: now + Duration::from_secs(10), priority: 1, work: None }
 }
 
 /// Makes both kinds of planner busy in the same way.
--- a/coord/src/planner/board.rs
+++ b/coord/src/planner/board.rs
@@ -34,6 +34,8 @@
     pub admits: bool,
     /// Whether the next request to it is a trial.
     pub on_trial: bool,
+    /// Whether it has a prompt that is suspected of ending engines.
+    pub has_suspect: bool,
     /// How many times as long as it should everything takes there.
     pub pace: f64,
 }
@@ -58,6 +60,7 @@
             has_slot: (engine.seats() as f64) < f64::from(figures.slots) * policy.slot_share,
             admits: engine.breaker.is_none_or(|breaker| breaker.admits(now)),
             on_trial: engine.breaker.is_some_and(|breaker| breaker.is_on_trial(now)),
+            has_suspect: engine.has_suspect(),
             pace: engine.pace(),
         }
     }
@@ -97,6 +100,8 @@
     admitted: usize,
     /// Engines whose next request is a trial.
     on_trial: usize,
+    /// Engines that have a prompt which is suspected of ending engines.
+    with_suspect: usize,
     /// Engines that are slow.
     slow: usize,
     /// For prompts of entries that reach all engines.
@@ -111,6 +116,7 @@
         self.admitted = self.views.iter().filter(|view| view.admits).count();
         self.on_trial = self.views.iter().filter(|view| view.on_trial).count();
         self.slow = self.views.iter().filter(|view| view.is_slow()).count();
+        self.with_suspect = self.views.iter().filter(|view| view.has_suspect).count();
         self.open.take();
     }
 
@@ -120,6 +126,7 @@
         let old = std::mem::replace(&mut self.views[index], view);
         self.admitted = self.admitted + usize::from(view.admits) - usize::from(old.admits);
         self.on_trial = self.on_trial + usize::from(view.on_trial) - usize::from(old.on_trial);
+        self.with_suspect = self.with_suspect + usize::from(view.has_suspect) - usize::from(old.has_suspect);
         self.open.take();
     }
 
@@ -134,6 +141,11 @@
         self.admitted as f64 > self.views.len() as f64 * policy.least_usable
     }
 
+    /// Whether engines with a suspect are left to it: as long as that leaves most of them.
+    pub fn leaves_suspects_alone(&self, policy: &Policy) -> bool {
+        self.with_suspect > 0 && !self.is_too_many(self.with_suspect, policy)
+    }
+
     /// Whether so many engines wait for a trial that too few are left without them.
     pub fn must_try(&self, policy: &Policy) -> bool {
         self.is_too_many(self.on_trial, policy)
@@ -169,7 +181,11 @@
     pub fn open(&self, policy: &Policy) -> &Open {
         self.open.get_or_init(|| {
             let leaves_out = self.leaves_out(policy);
-            let usable = |index: &usize| !leaves_out || self.views[*index].admits;
+            let alone = self.leaves_suspects_alone(policy);
+            let usable = |index: &usize| {
+                let view = &self.views[*index];
+                (!leaves_out || view.admits) && !(alone && view.has_suspect)
+            };
             self.open_among((0..self.views.len()).filter(usable), policy)
         })
     }
--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -28,6 +28,8 @@
     pub gap_ms: f64,
     /// Whether its prompt is a short one.
     pub short: bool,
+    /// Whether its prompt is suspected of ending engines.
+    pub suspect: bool,
 }
 
 /// Sums over the answers that an engine writes, kept so that a look at all engines does not add them up each time.
@@ -41,6 +43,8 @@
     pass_ms: f64,
     /// Answers to short prompts.
     short_seats: usize,
+    /// Whether one of them is to a prompt that is suspected of ending engines.
+    has_suspect: bool,
 }
 
 /// What the planner believes of one engine.
@@ -83,7 +87,7 @@
             parts: VecDeque::new(),
             front_since: Moment::ZERO,
             seats: BTreeMap::new(),
-            sums: Sums { context: 0, gap_ms: f64::INFINITY, pass_ms: 0.0, short_seats: 0 },
+            sums: Sums { context: 0, gap_ms: f64::INFINITY, pass_ms: 0.0, short_seats: 0, has_suspect: false },
         }
     }
 
@@ -130,6 +134,11 @@
         self.sums.short_seats
     }
 
+    /// Whether it has a prompt that is suspected of ending engines.
+    pub fn has_suspect(&self) -> bool {
+        self.sums.has_suspect
+    }
+
     /// The shortest pause that anyone who writes here wants, in milliseconds.
     pub fn gap_ms(&self) -> f64 {
         self.sums.gap_ms
@@ -212,6 +221,7 @@
         let writers = self.seats.len() as u32;
         let pass_ms = if writers == 0 { 0.0 } else { self.figures.pass_ms(writers, context) };
         let short_seats = self.seats.values().filter(|seat| seat.short).count();
-        self.sums = Sums { context, gap_ms, pass_ms, short_seats };
+        let has_suspect = self.seats.values().any(|seat| seat.suspect);
+        self.sums = Sums { context, gap_ms, pass_ms, short_seats, has_suspect };
     }
 }
--- a/coord/src/planner/job.rs
+++ b/coord/src/planner/job.rs
@@ -6,6 +6,7 @@
 
 use super::policy::LIKELY_OUTPUT;
 use crate::name::Name;
+use crate::quarantine::Work;
 use crate::time::Moment;
 
 /// Identity of a job: the entry that has it, and the entry's number for it.
@@ -32,6 +33,8 @@
     pub deadline: Moment,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
+    /// What it asks for, if that is known.
+    pub work: Option<Work>,
 }
 
 impl Job {
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -25,6 +25,7 @@
 mod silence;
 mod waiting;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use self::board::Board;
@@ -41,6 +42,7 @@
 use self::waiting::{Turn, Waiting};
 use crate::engine::Figures;
 use crate::name::Name;
+use crate::quarantine::Work;
 use crate::time::Moment;
 
 /// The planner of one service.
@@ -58,6 +60,8 @@
     waiting: Waiting,
     granted: Granted,
     pressure: Pressure,
+    /// Work that is suspected of ending engines.
+    suspects: BTreeSet<Work>,
 }
 
 impl Planner {
@@ -112,12 +116,13 @@
                 engine.add_part(id, ms, now);
             }
         }
-        let seat = |tokens| Seat { tokens, gap_ms: job.gap_ms, short: prompt.short };
-        self.seat(&team.writer, id, seat(job.needs().saturating_sub(held)));
+        let suspect = self.is_suspect(job);
+        let seat = |tokens, suspect| Seat { tokens, gap_ms: job.gap_ms, short: prompt.short, suspect };
+        self.seat(&team.writer, id, seat(job.needs().saturating_sub(held), suspect));
         for helper in team.helpers.iter().filter(|helper| helper.holds > 0) {
-            self.seat(&helper.engine, id, seat(helper.holds));
+            self.seat(&helper.engine, id, seat(helper.holds, false));
         }
-        self.granted.insert(id, Grantee::new(team, expected_ms, now), reading);
+        self.granted.insert(id, Grantee::new(team, expected_ms, now, job.work), reading);
         expected_ms
     }
 
@@ -153,6 +158,24 @@
         }
     }
 
+    /// Sets whether work is suspected of ending engines. A suspect is placed apart, and never twice at once.
+    pub fn set_suspect(&mut self, work: Work, suspect: bool) {
+        if suspect {
+            self.suspects.insert(work);
+        } else {
+            self.suspects.remove(&work);
+        }
+    }
+
+    fn is_suspect(&self, job: &Job) -> bool {
+        job.work.is_some_and(|work| self.suspects.contains(&work))
+    }
+
+    /// Whether a job must wait for the end of another of the same work that is under suspicion.
+    fn waits_for_its_like(&self, job: &Job) -> bool {
+        self.is_suspect(job) && job.work.is_some_and(|work| self.granted.runs(work))
+    }
+
     /// Notes that a job is over, or no longer waits.
     pub fn end(&mut self, id: Id, now: Moment) {
         self.waiting.remove(id);
@@ -211,10 +234,18 @@
                 true => break,
                 false => Reach::All,
             };
+            if self.waits_for_its_like(&turn.prompt.job) {
+                continue;
+            }
             let unreached = self.unreached(turn.id.entry, now);
-            let is_hopeless = unreached.is_empty() && hopeless.covers(&turn.prompt, reach);
+            // What is found for a suspect, or not, says nothing of others.
+            let is_suspect = self.is_suspect(&turn.prompt.job);
+            let is_hopeless = !is_suspect && unreached.is_empty() && hopeless.covers(&turn.prompt, reach);
             let placed = if is_hopeless { None } else { self.place(turn, reach, &unreached, now) };
             let Some(team) = placed else {
+                if is_suspect {
+                    continue;
+                }
                 held_back = true;
                 timely_wait |= !turn.late;
                 if unreached.is_empty() && !is_hopeless {
--- a/coord/src/planner/place/mod.rs
+++ b/coord/src/planner/place/mod.rs
@@ -1,5 +1,6 @@
 //! The choice of engines for one prompt.
 
+mod apart;
 mod hopeless;
 mod long;
 mod short;
@@ -35,6 +36,8 @@
     unreached: &'a [usize],
     /// Whether engines that failed of late are left out.
     leaves_out: bool,
+    /// Whether engines with a suspect are left to it.
+    leaves_suspects_alone: bool,
     now: Moment,
 }
 
@@ -58,7 +61,8 @@
     /// Engines that may be chosen, with their places in the fleet.
     fn engines(&self) -> impl Iterator<Item = (usize, &'a View)> {
         let views = self.board.views().iter().enumerate();
-        views.filter(|(index, view)| (!self.leaves_out || view.admits) && !self.unreached.contains(index))
+        let may = |view: &View| (!self.leaves_out || view.admits) && !(self.leaves_suspects_alone && view.has_suspect);
+        views.filter(move |(index, view)| may(view) && !self.unreached.contains(index))
     }
 
     /// Engines that may read a part of a long prompt now.
@@ -76,11 +80,16 @@
     pub(super) fn place(&self, turn: &Turn, reach: Reach, unreached: &[usize], now: Moment) -> Option<Team> {
         let leaves_out = self.board.leaves_out(&self.policy);
         let board = &self.board;
-        let mut choice = Choice { planner: self, board, turn, reach, unreached, leaves_out, now };
+        let leaves_suspects_alone = board.leaves_suspects_alone(&self.policy);
+        let mut choice =
+            Choice { planner: self, board, turn, reach, unreached, leaves_out, leaves_suspects_alone, now };
         if choice.engines().next().is_none() {
             // Rather one that it may not reach than none.
             choice.unreached = &[];
         }
+        if self.is_suspect(&turn.prompt.job) && choice.may_be_alone() {
+            return choice.apart().map(|index| Team::alone(choice.name(index)));
+        }
         if turn.prompt.short {
             return choice.short().map(|index| Team::alone(choice.name(index)));
         }
--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -288,6 +288,7 @@
             gap_ms: told.gap_ms,
             deadline: self.moment() + PATIENCE,
             priority: 1,
+            work: None,
         };
         self.next += 1;
         let number = self.next;
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -37,6 +37,7 @@
         gap_ms,
         deadline: now + Duration::from_millis(patience),
         priority: 1,
+        work: None,
     }
 }
 
--- a/coord/tests/planner_plain.rs
+++ b/coord/tests/planner_plain.rs
@@ -62,6 +62,7 @@
         gap_ms,
         deadline: now + millis(patience) - spent,
         priority: 1 + (hurry % 5 / 4) as u32,
+        work: None,
     }
 }
 
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use coord::name::{Name, Ran};
-use coord::quarantine::Work;
+use coord::quarantine::{Weight, Work};
 use coord::roster::Record;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
@@ -28,6 +28,7 @@
 use super::answer::{self, Answer};
 use super::attempt::{Connection, Outgoing};
 use super::place::NO_ANSWER;
+use super::quarantine::{self, Lost};
 use super::state::{Gateway, InFlight};
 use super::{now, relay};
 use crate::failure::Failure;
@@ -86,6 +87,8 @@
     pub connection: Connection,
     /// Its place there.
     pub place: Place,
+    /// When the request was sent there.
+    pub sent: Moment,
 }
 
 impl Job {
@@ -113,12 +116,16 @@
         let mut retry_after = None;
         let mut next = None;
         loop {
+            if self.is_condemned() {
+                return Err(self.condemned());
+            }
             let target = match next.take() {
                 Some(target) => target,
                 None => self.next_target(retry_after).await?,
             };
             match self.send(target, after_event).await {
                 Sent::Opened(opened) => return Ok(*opened),
+                Sent::Condemned => return Err(self.condemned()),
                 Sent::Silent(target) => next = Some(*target),
                 Sent::NotRun(after) => retry_after = retry_after.max(after),
                 Sent::Lost if self.may_repeat() => {}
@@ -129,6 +136,25 @@
         }
     }
 
+    /// Whether replicas end under what the request asks for.
+    fn is_condemned(&self) -> bool {
+        self.gateway.quarantine.is_condemned(self.work)
+    }
+
+    /// Why a request under whose like replicas end is not sent. Not a status that promises that it did not run: it may have
+    /// been sent before; nor one that asks to come back, or a delay: there is none after which it would help.
+    fn condemned(&self) -> Failure {
+        metric::refused_condemned();
+        let ran = if self.runs == 0 { Ran::No } else { Ran::Unknown };
+        Failure::new(StatusCode::BAD_GATEWAY, "condemned", "replicas end under this request").ran(ran)
+    }
+
+    /// Notes that the connection to a replica ended, and waits a little for word whether the replica did.
+    pub async fn connection_lost(&self, record: &Record, sent: Moment, weight: Weight) {
+        let (request, work) = (self.call.id.clone(), self.work);
+        Lost { request, work, record: record.clone(), sent, weight }.look(&self.gateway).await;
+    }
+
     /// Where the request goes next, if it may go anywhere.
     async fn next_target(&self, retry_after: Option<Duration>) -> Result<Target, Failure> {
         let target = match self.target().await {
@@ -164,18 +190,19 @@
             if self.route.streaming && opened.response.status().is_success() {
                 return Ok(relay::start(self, opened));
             }
-            let record = opened.record.clone();
+            let (record, sent) = (opened.record.clone(), opened.sent);
             match tokio::time::timeout(self.left(), whole(opened)).await {
                 Err(_) => return Err(self.timed_out()),
                 Ok(Ok(answer)) => {
                     let (status, after_ms) = (answer.status().as_u16(), now().since(self.started).as_millis());
                     event!("done", request = %self.call.id, peer = %record.id, status, after_ms);
                     metric::request("ok");
+                    quarantine::cleared(&self.gateway, self.work);
                     return Ok(answer);
                 }
                 Ok(Err(error)) => {
                     event!("lost", request = %self.call.id, work = %self.work, peer = %record.id, error = %format!("{error:#}"));
-                    self.probe(&record);
+                    self.connection_lost(&record, sent, Weight::Strong).await;
                 }
             }
             if !self.may_repeat() {
@@ -187,6 +214,9 @@
 
     /// No further try may be made.
     fn exhausted(&self, retry_after: Option<Duration>) -> Failure {
+        if self.is_condemned() {
+            return self.condemned();
+        }
         if self.runs == 0 {
             let wait = retry_after.unwrap_or(BUSY_RETRY);
             return Failure::busy("overloaded", "no replica takes this now", wait);
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -4,12 +4,13 @@
 
 use coord::invariant;
 use coord::name::Name;
+use coord::quarantine::Weight;
 use coord::roster::Record;
-use hyper::body::Incoming;
-use hyper::{Response, StatusCode};
+use hyper::StatusCode;
 use platform::dialect;
 
-use super::super::attempt::{self, Connection, Failed};
+use super::super::attempt::{self, Failed};
+use super::super::now;
 use super::super::place::{ERROR_ANSWER, NO_ANSWER};
 use super::target::{Place, Target};
 use super::{Job, Opened};
@@ -25,6 +26,8 @@
     Lost,
     /// The replica never saw it.
     Unsent,
+    /// It was not sent: replicas end under what it asks for.
+    Condemned,
     /// Nothing came for longer than can be explained, and it goes here next; the retry is counted already.
     Silent(Box<Target>),
 }
@@ -32,7 +35,12 @@
 impl Job {
     /// One send to one replica.
     pub(super) async fn send(&mut self, target: Target, after_event: Option<u64>) -> Sent {
+        // The one place that every send passes, behind all waits.
+        if self.is_condemned() {
+            return Sent::Condemned;
+        }
         let Target { record, helpers, place } = target;
+        let begun = now();
         self.tried.push(record.id.clone());
         let head = self.head(&record, helpers, after_event);
         event!("send", request = %self.call.id, peer = %record.id, helpers = head.helpers.len(), number = self.sends + 1, left_ms = head.left.as_millis(),
@@ -51,11 +59,13 @@
             self.gateway.note_first(&self.service);
         }
         match sent {
-            Ok((response, connection)) => self.judge(record, response, connection, place),
+            Ok((response, connection)) => self.judge(Opened { record, response, connection, place, sent: begun }),
             Err(Failed::Lost(error)) => {
                 self.blame(&record.id, NO_ANSWER);
                 event!("lost", request = %self.call.id, work = %self.work, peer = %record.id, error = %error);
-                self.probe(&record);
+                // An engine opens its answer when it begins; a plain replica may run for long before it does.
+                let weight = if self.has_engines() { Weight::Faint } else { Weight::Strong };
+                self.connection_lost(&record, begun, weight).await;
                 Sent::Lost
             }
             Err(Failed::Unsent(error)) => {
@@ -102,13 +112,14 @@
     }
 
     /// Whether an answer head is one to pass on.
-    fn judge(&mut self, record: Record, response: Response<Incoming>, connection: Connection, place: Place) -> Sent {
-        let answer = dialect::answer(response.status(), response.headers(), &self.call.id);
+    fn judge(&mut self, opened: Opened) -> Sent {
+        let answer = dialect::answer(opened.response.status(), opened.response.headers(), &self.call.id);
+        let record = &opened.record;
         if let Some(load) = answer.load {
             self.gateway.placer.borrow_mut().told(&record.id, load);
         }
         if answer.not_run {
-            return self.refused(&record, &answer);
+            return self.refused(record, &answer);
         }
         let (usable, error) = (is_usable(&answer), answer.status.is_server_error());
         match (usable, error) {
@@ -120,16 +131,7 @@
             event!("lost", request = %self.call.id, peer = %record.id, status = answer.status.as_u16(), ours = answer.ours, sealed = answer.sealed);
             return Sent::Lost;
         }
-        Sent::Opened(Box::new(Opened { record, response, connection, place }))
-    }
-
-    /// Looks, beside what goes on, whether a replica whose connection ended has ended itself.
-    pub fn probe(&self, record: &Record) {
-        let (id, work, record) = (self.call.id.clone(), self.work, record.clone());
-        tokio::task::spawn_local(async move {
-            let liveness = attempt::liveness(&record).await;
-            event!("probe", request = %id, work = %work, peer = %record.id, liveness = liveness.as_str());
-        });
+        Sent::Opened(Box::new(opened))
     }
 
     /// Notes that a replica failed the request; for a plain service `share` tells how far that is its fault.
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -129,6 +129,7 @@
             let lease = tokio::select! {
                 placed = self.gateway.desk.place(&self.service, prompt) => placed,
                 () = tokio::time::sleep(left) => return Err(Unplaced::Exhausted),
+                () = self.gateway.quarantine.condemned(self.work) => return Err(Unplaced::Exhausted),
                 // Refused while its caller can still go elsewhere; a broken stream waits on, it has no other way.
                 () = self.gateway.reached(Phase::Closing), if self.sends == 0 => return Err(Unplaced::Exhausted),
             };
@@ -168,6 +169,7 @@
             gap_ms: self.route.gap_aim.as_secs_f64() * 1e3,
             deadline: self.deadline.min(self.started + self.route.patience()),
             priority: own_priority.unwrap_or(self.route.priority),
+            work: Some(self.work),
         }
     }
 
--- a/sorrelpass/src/gateway/desk/following.rs
+++ b/sorrelpass/src/gateway/desk/following.rs
@@ -73,7 +73,7 @@
     }
 
     /// Tells the entry that plans; says whether there is one.
-    pub(super) fn report(&self, report: Report) -> bool {
+    pub fn report(&self, report: Report) -> bool {
         let mut leader = self.leader.borrow_mut();
         let Some(known) = &*leader else { return false };
         if known.reports.try_send(report).is_err() {
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -9,7 +9,7 @@
 mod planning;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 use coord::engine::Figures;
 use coord::name::Name;
 use coord::planner::{Id, Job, Planner, Policy, Team};
+use coord::quarantine::Work;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use self::following::Leader;
@@ -73,6 +74,8 @@
     policy: Policy,
     /// By service.
     planners: RefCell<HashMap<Name, Planner>>,
+    /// Work that is suspected of ending engines.
+    suspects: RefCell<HashSet<Work>>,
     /// This process's prompts that wait, by number.
     waiting: RefCell<HashMap<u64, Waiter>>,
     /// This process's prompts that were granted, by number.
@@ -135,6 +138,7 @@
         Rc::new(Self {
             policy,
             planners: RefCell::default(),
+            suspects: RefCell::default(),
             waiting: RefCell::default(),
             running: RefCell::default(),
             leader: RefCell::default(),
@@ -149,11 +153,26 @@
     pub fn set_engines(&self, service: &Name, figures: &Arc<Figures>, engines: impl Iterator<Item = Name>) {
         let engines: Vec<(Name, Arc<Figures>)> = engines.map(|name| (name, figures.clone())).collect();
         let mut planners = self.planners.borrow_mut();
-        let planner =
-            planners.entry(service.clone()).or_insert_with(|| Planner::new(self.policy, util::incarnation().0));
+        let planner = planners.entry(service.clone()).or_insert_with(|| self.new_planner());
         planner.set_engines(engines);
     }
 
+    fn new_planner(&self) -> Planner {
+        let mut planner = Planner::new(self.policy, util::incarnation().0);
+        self.suspects.borrow().iter().for_each(|work| planner.set_suspect(*work, true));
+        planner
+    }
+
+    /// Sets whether work is suspected of ending engines.
+    pub fn set_suspect(&self, work: Work, suspect: bool) {
+        let mut suspects = self.suspects.borrow_mut();
+        let changed = if suspect { suspects.insert(work) } else { suspects.remove(&work) };
+        if changed {
+            self.planners.borrow_mut().values_mut().for_each(|planner| planner.set_suspect(work, suspect));
+            self.wake();
+        }
+    }
+
     /// Waits until a prompt may start. Dropping the future withdraws it.
     pub async fn place(self: &Rc<Self>, service: &Name, job: Job) -> Result<Lease, Unplaced> {
         let number = self.next_number.get();
--- a/sorrelpass/src/gateway/desk/planning.rs
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -50,12 +50,25 @@
             Report::Silent { number, service } => self.planner(&service, |planner| planner.silent(id(number), now)),
             Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
             Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
-            // What is new in the store is no matter of planning.
-            Report::Sync(_) | Report::Update { .. } => return,
+            // What is new in the store, or under quarantine, is no matter of planning.
+            Report::Sync(_) | Report::Update { .. } | Report::Quarantine(_) => return,
         }
         self.wake();
     }
 
+    /// Tells all entries that this one plans for.
+    pub fn tell_all(&self, order: &Order) {
+        for orders in self.followers.borrow().values() {
+            // An entry that is too far behind loses its connection, and hears all of it when it joins again.
+            let _ = orders.try_send(order.clone());
+        }
+    }
+
+    /// Whether this entry plans for itself only.
+    pub fn is_alone(&self) -> bool {
+        !self.has_leader() && self.followers.borrow().is_empty()
+    }
+
     /// Tells the entry that has a prompt that it gets no engines.
     pub(super) fn turn_away(&self, refusal: Refusal) {
         let Refusal { id, retry_after } = refusal;
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -13,6 +13,7 @@
 use super::facts::{self, Asked};
 use super::link::{self, Link, Order, Report, SILENCE};
 use super::peers::{self, Found, Peer, Round};
+use super::quarantine::{self, Source};
 use super::state::{Gateway, Phase};
 use crate::{event, warn_event};
 
@@ -152,6 +153,7 @@
     fn drop(&mut self) {
         self.0.set_seeking(true);
         self.0.desk.link_down();
+        self.0.quarantine.wake();
     }
 }
 
@@ -163,6 +165,9 @@
     let period = SYNC.min(bounds.config_apply.min(bounds.drain) / SYNCS_PER_BOUND);
     let mut sync_at = Instant::now();
     let mut asked = Asked::default();
+    for news in gateway.quarantine.messages() {
+        link.send(Report::Quarantine(news), &mut waiting).await?;
+    }
     loop {
         tokio::select! {
             order = link.receive() => {
@@ -177,6 +182,7 @@
                         let update = facts::update(gateway, question);
                         link.send(Report::Update { number: question.number, update }, &mut waiting).await?;
                     }
+                    Order::Quarantine(news) => quarantine::hear(gateway, news, Source::Leader),
                     Order::Welcome { leader: Some(leader), .. } => return Ok(leader),
                     Order::Update { .. } | Order::Beat | Order::Welcome { .. } => {}
                 }
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -10,6 +10,7 @@
 
 use super::facts::{self, Asked};
 use super::link::{self, BEAT, Link, Order, Report};
+use super::quarantine::{self, Source};
 use super::state::{Gateway, Phase};
 use super::watch;
 use crate::{event, util};
@@ -75,6 +76,9 @@
 async fn exchange(gateway: &Gateway, entry: u64, link: &mut Link, waiting: &mut mpsc::Receiver<Order>) -> Result<()> {
     let welcome = Order::Welcome { incarnation: util::incarnation().to_string(), leader: None };
     link.send(welcome, waiting).await?;
+    for news in gateway.quarantine.messages() {
+        link.send(Order::Quarantine(news), waiting).await?;
+    }
     let mut asked = Asked::default();
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -93,6 +97,7 @@
                 Report::Update { number, update } if number == asked.question.number => {
                     facts::take_in(gateway, update, asked.at);
                 }
+                Report::Quarantine(news) => quarantine::hear(gateway, news, Source::Follower),
                 report => gateway.desk.hear(entry, report),
             },
             Some(order) = waiting.recv() => link.send(order, waiting).await?,
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -7,6 +7,7 @@
 use coord::name::Name;
 use coord::parcel::Parcel;
 use coord::planner::{self, Team};
+use coord::quarantine::{News, Work};
 use coord::roster::Sighting;
 use coord::time::Moment;
 use eyre::{Result, WrapErr, eyre};
@@ -38,6 +39,7 @@
     gap_ms: f64,
     left: Duration,
     priority: u32,
+    work: Option<Work>,
 }
 
 impl Ask {
@@ -50,6 +52,7 @@
             gap_ms: job.gap_ms,
             left: job.deadline.since(now),
             priority: job.priority,
+            work: job.work,
         }
     }
 
@@ -62,6 +65,7 @@
             gap_ms: self.gap_ms,
             deadline: now + self.left,
             priority: self.priority,
+            work: self.work,
         }
     }
 }
@@ -178,6 +182,8 @@
         /// The answer.
         update: Update,
     },
+    /// What the entry learned of work under which replicas end.
+    Quarantine(Vec<News>),
 }
 
 /// From the entry that plans to another, or from one that names it.
@@ -215,6 +221,8 @@
     Sync(Question),
     /// The planner is alive.
     Beat,
+    /// What is known of work under which replicas end.
+    Quarantine(Vec<News>),
 }
 
 /// A connection that carries messages both ways.
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod pace;
 mod peers;
 mod place;
+mod quarantine;
 mod reader;
 mod relay;
 mod serve;
@@ -61,6 +62,7 @@
     tokio::task::spawn_local(gateway.desk.clone().run());
     tokio::task::spawn_local(reload(gateway.clone(), file, hangup));
     tokio::task::spawn_local(pace::run(gateway.clone()));
+    tokio::task::spawn_local(quarantine::store::run(gateway.clone()));
     if let Some(own) = gateway.settings.peer_listen {
         let peers = http::listen(own)?;
         tokio::task::spawn_local(lead::run(gateway.clone(), peers));
--- /dev/null
+++ b/sorrelpass/src/gateway/quarantine/mod.rs
@@ -0,0 +1,137 @@
+//! What this entry knows of work under which replicas end, and passing that on.
+//!
+//! Evidence is gathered where a connection to a replica ends ([`evidence`]). Every entry has a register of its own, and
+//! hears from the others by way of the one that plans for all. What must outlast a loss of all entries stands in the
+//! store ([`record`], [`store`]).
+
+mod evidence;
+mod record;
+pub mod store;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use coord::name::Name;
+use coord::quarantine::{News, Register, Standing, Work};
+use coord::time::Moment;
+use tokio::sync::{Notify, watch};
+
+pub use self::evidence::Lost;
+use self::record::Entry;
+use super::link::{Order, Report};
+use super::state::Gateway;
+use super::topic::Topic;
+use crate::{event, metric, warn_event};
+
+/// News in one message: some 50 bytes each, so a message stays below 32 KB.
+const NEWS_A_MESSAGE: usize = 512;
+
+/// Who told this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// Nobody: it saw it itself, or read it in the store.
+    Own,
+    /// The entry that plans for this one.
+    Leader,
+    /// An entry that this one plans for.
+    Follower,
+}
+
+/// The quarantine as this entry knows it.
+#[derive(Default)]
+pub struct Quarantine {
+    register: RefCell<Register>,
+    /// How far its topic of the store is known.
+    topic: Topic,
+    /// What stands in the store, as far as is known.
+    stored: RefCell<HashMap<Work, Entry>>,
+    /// Ends of replicas that this entry has seen.
+    ends: RefCell<HashMap<Name, Ends>>,
+    /// Told when something may have to be written.
+    unwritten: Notify,
+    /// Changes with each verdict.
+    verdicts: watch::Sender<u64>,
+}
+
+/// Ends of one replica's processes under the same identity.
+#[derive(Clone, Copy, Default)]
+struct Ends {
+    count: u32,
+    /// When the last one was noted.
+    at: Moment,
+}
+
+impl Quarantine {
+    /// Whether work is sent no more.
+    pub fn is_condemned(&self, work: Work) -> bool {
+        self.register.borrow().standing(work) == Standing::Condemned
+    }
+
+    /// Waits until work is condemned.
+    pub async fn condemned(&self, work: Work) {
+        // Fails only if the sender is gone, which lives as long as this.
+        let _ = self.verdicts.subscribe().wait_for(|_| self.is_condemned(work)).await;
+    }
+
+    /// Has what must last be looked at: who writes it may have changed.
+    pub fn wake(&self) {
+        self.unwritten.notify_one();
+    }
+
+    /// All that another entry should know, in messages.
+    pub fn messages(&self) -> Vec<Vec<News>> {
+        self.register.borrow().all().chunks(NEWS_A_MESSAGE).map(<[News]>::to_vec).collect()
+    }
+}
+
+/// Takes news in, and passes on what others should hear.
+pub fn hear(gateway: &Gateway, news: Vec<News>, source: Source) {
+    let quarantine = &gateway.quarantine;
+    if source == Source::Own && gateway.desk.has_leader() {
+        gateway.desk.report(Report::Quarantine(news.clone()));
+    }
+    let mut told = Vec::new();
+    for item in news {
+        told.extend(quarantine.register.borrow_mut().hear(item));
+    }
+    if told.is_empty() {
+        return;
+    }
+    told.iter().for_each(|news| note(gateway, news));
+    metric::quarantine(
+        quarantine.register.borrow().suspects().count(),
+        quarantine.register.borrow().condemned().count(),
+    );
+    if source != Source::Leader {
+        gateway.desk.tell_all(&Order::Quarantine(told));
+    }
+    quarantine.wake();
+}
+
+/// Notes that work came to a whole answer.
+pub fn cleared(gateway: &Gateway, work: Work) {
+    let is_suspect = gateway.quarantine.register.borrow().evidence(work).next().is_some();
+    if is_suspect {
+        hear(gateway, vec![News::Cleared(work)], Source::Own);
+    }
+}
+
+/// Logs one change and has prompts placed by it.
+fn note(gateway: &Gateway, news: &News) {
+    let work = news.work();
+    let quarantine = &gateway.quarantine;
+    gateway.desk.set_suspect(work, quarantine.register.borrow().standing(work) == Standing::Suspect);
+    match news {
+        News::Ended { run, weight, .. } => {
+            let ends = quarantine.register.borrow().evidence(work).count();
+            event!("suspect", work = %work, run = %run, weight = ?weight, ends);
+        }
+        News::Cleared(_) => event!("suspect-cleared", work = %work),
+        News::Condemned(_) => {
+            warn_event!("condemned", work = %work);
+            metric::condemned();
+            quarantine.verdicts.send_modify(|verdicts| *verdicts += 1);
+        }
+        News::Lifted(_) => event!("quarantine-lifted", work = %work),
+    }
+}
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -1,7 +1,9 @@
 //! Passing a stream on as it comes, and going on at another replica when it breaks off.
 
 use bytes::Bytes;
+use coord::quarantine::Weight;
 use coord::roster::Record;
+use coord::time::Moment;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
@@ -11,8 +13,8 @@
 
 use super::answer::{Answer, Broken};
 use super::call::{Job, Opened, Place};
-use super::now;
 use super::stream::Splitter;
+use super::{now, quarantine};
 use crate::{event, metric};
 
 /// Events that may wait for a caller that reads slowly; then the replica is held up.
@@ -69,7 +71,7 @@
         loop {
             let end = self.pass(&mut opened).await;
             opened.connection.close();
-            match self.settle(end, &opened.record).await {
+            match self.settle(end, &opened.record, opened.sent).await {
                 Some(next) => opened = next,
                 None => break,
             }
@@ -129,7 +131,7 @@
     }
 
     /// Ends the stream, or opens its rest at another replica.
-    async fn settle(&mut self, end: End, record: &Record) -> Option<Opened> {
+    async fn settle(&mut self, end: End, record: &Record, sent: Moment) -> Option<Opened> {
         let peer = &*record.id;
         let id = self.job.call.id.clone();
         let after_ms = now().since(self.job.started).as_millis();
@@ -137,6 +139,7 @@
             End::Whole => {
                 event!("done", request = %id, peer, events = self.events, after_ms);
                 metric::request("ok");
+                quarantine::cleared(&self.job.gateway, self.job.work);
                 None
             }
             End::CallerGone => {
@@ -150,8 +153,9 @@
             }
             End::Broke(error) => {
                 event!("broke", request = %id, work = %self.job.work, peer, events = self.events, silent = self.fresh, after_ms, error = %error);
-                self.job.probe(record);
                 self.job.gateway.desk.failed(&self.job.service, peer);
+                let weight = if self.fresh { Weight::Strong } else { Weight::Faint };
+                self.job.connection_lost(record, sent, weight).await;
                 self.resume().await
             }
         }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::facts::Facts;
 use super::now;
 use super::place::Placer;
+use super::quarantine::Quarantine;
 use crate::config::{self, Bounds};
 
 /// Part of `revoke` for which a proof is good. The rest covers drift between two steady clocks.
@@ -74,6 +75,8 @@
     pub placer: RefCell<Placer>,
     /// Where prompts go.
     pub desk: Rc<Desk>,
+    /// Work under which replicas end.
+    pub quarantine: Quarantine,
     budgets: RefCell<HashMap<Name, Windowed>>,
     /// Entries that there may be, at least.
     entries: Cell<usize>,
@@ -100,6 +103,7 @@
             roster: RefCell::default(),
             placer: RefCell::new(placer),
             desk,
+            quarantine: Quarantine::default(),
             budgets: RefCell::default(),
             entries: Cell::new(LEAST_ENTRIES),
             seeking: Cell::new(seeking),
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -8,6 +8,7 @@
 
 use coord::parcel::Version;
 use coord::roster::Sighting;
+use coord::time::Moment;
 use eyre::{Result, eyre};
 use platform::store::Keyed;
 use platform::{replica, table};
@@ -63,6 +64,13 @@
     gateway.facts.replicas.is_proven_within(records_serve(&gateway.bounds()))
 }
 
+/// Waits until the replicas' records are to be read here: nobody reads them for this entry, or what was passed on is too
+/// old. Before anything is known, it waits until `first_by` at most.
+pub async fn reads_replicas(gateway: &Gateway, first_by: Moment) {
+    let serves = records_serve(&gateway.bounds());
+    gateway.facts.due(&gateway.facts.replicas, serves, first_by, || gateway.has_reader()).await;
+}
+
 /// Keeps the routing table the newest.
 pub async fn configuration(gateway: Rc<Gateway>) {
     let mut reader = Reader::new(&gateway, table::TOPIC);
@@ -118,9 +126,7 @@
     loop {
         let drain = gateway.bounds().drain;
         let period = drain / READS_PER_DRAIN;
-        let serves = records_serve(&gateway.bounds());
-        let first_by = gateway.first_from_others_by();
-        gateway.facts.due(&gateway.facts.replicas, serves, first_by, || gateway.has_reader()).await;
+        reads_replicas(&gateway, gateway.first_from_others_by()).await;
         let outcome = read_replicas(&gateway, &mut reader).await;
         reader.note(&outcome);
         belief::expire(&gateway);
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -17,6 +17,10 @@
     retries: Counter<u64>,
     rings_full: Counter<u64>,
     old_proofs: Counter<u64>,
+    replicas_ended: Counter<u64>,
+    condemned: Counter<u64>,
+    refused_condemned: Counter<u64>,
+    quarantine: Gauge<u64>,
     ttft: Histogram<f64>,
     first_event: Histogram<f64>,
     revision: Gauge<u64>,
@@ -44,6 +48,10 @@
         retries: meter.u64_counter("sorrelpass_retries").build(),
         rings_full: meter.u64_counter("sorrelpass_ring_full").build(),
         old_proofs: meter.u64_counter("sorrelpass_served_on_old_proof").build(),
+        replicas_ended: meter.u64_counter("sorrelpass_replicas_ended").build(),
+        condemned: meter.u64_counter("sorrelpass_work_condemned").build(),
+        refused_condemned: meter.u64_counter("sorrelpass_refused_condemned").build(),
+        quarantine: meter.u64_gauge("sorrelpass_quarantine").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BOUNDS.to_vec()).build(),
         first_event: meter
             .f64_histogram("sorrelpass_first_event_seconds")
@@ -86,6 +94,29 @@
     with(|on| on.old_proofs.add(1, &[]));
 }
 
+/// The process of a replica ended under a request.
+pub fn replica_ended() {
+    with(|on| on.replicas_ended.add(1, &[]));
+}
+
+/// Work was condemned, here or elsewhere.
+pub fn condemned() {
+    with(|on| on.condemned.add(1, &[]));
+}
+
+/// A request was not sent, or not sent again, since its work is condemned.
+pub fn refused_condemned() {
+    with(|on| on.refused_condemned.add(1, &[]));
+}
+
+/// Pieces of work that are suspected, and condemned.
+pub fn quarantine(suspects: usize, condemned: usize) {
+    with(|on| {
+        on.quarantine.record(suspects as u64, &[KeyValue::new("standing", "suspect")]);
+        on.quarantine.record(condemned as u64, &[KeyValue::new("standing", "condemned")]);
+    });
+}
+
 /// A first token came after `ttft`, for a prompt of length class `class`.
 pub fn ttft(class: usize, ttft: Duration) {
     with(|on| on.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
