A replica is known by identity and start; a record of another writer names no replica

Hypothesis: an announced end, a breaker or a seat of an earlier run must not bind the next one under the same identity, and late word of the earlier one must change nothing. Cause: the roster took an identity for one run; every state but ready counted as an announced end; what could not be decoded left the older belief in force, and one key that is no text failed a whole page. Change: born in the record, later runs end earlier ones, planner and placer forget what was of another run; a typed decoder (usable, leaving, unusable with its fault), fields checked as replicas write them; odd keys and values cost no other record.

--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -29,7 +29,7 @@
 use std::sync::Arc;
 
 use self::board::Board;
-use self::engine::Seat;
+use self::engine::{Engine, Seat};
 use self::evidence::Evidence;
 use self::fleet::Fleet;
 use self::granted::{Granted, Grantee};
@@ -215,6 +215,15 @@
         known.breaker.get_or_insert_default().failed(share, now);
     }
 
+    /// Notes that an engine started again under its name: it holds and reads nothing of before, and what was known of its
+    /// failures and its pace was of another run.
+    pub fn restarted(&mut self, engine: &Name) {
+        self.evidence.keep(|name| name != engine);
+        if let Some(known) = self.fleet.get_mut(engine) {
+            *known = Engine::new(engine.clone(), known.sound().clone());
+        }
+    }
+
     /// Grants what may start now.
     pub fn pump(&mut self, now: Moment) -> Vec<Grant> {
         self.look_for_slow(now);
--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -1,7 +1,7 @@
 //! What a process believes of the replicas of all services, from the records that they keep in a store.
 //!
-//! Three things make this more than a map. A replica that announced its end never takes work
-//! again. A record may vanish because its replica left, or because the store could not be reached
+//! Some things make this more than a map. A run of a replica that announced its end never takes work
+//! again; a later run under the same identity does, and late word of the earlier one changes nothing. A record may vanish because its replica left, or because the store could not be reached
 //! for so long that records lapsed: after an outage a vanished record counts as *lapsed* for a
 //! while before it counts as gone. And a store that answers with an older state than was already
 //! seen does not take anything back.
@@ -17,8 +17,10 @@
 /// A replica as its record tells.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// Identity of this run of the replica; never used twice.
+    /// Its identity. A replica that starts again may keep it; then `born` tells its runs apart.
     pub id: Name,
+    /// When this run of it started, in Unix milliseconds, if it tells.
+    pub born: Option<u64>,
     /// The service it belongs to.
     pub service: Name,
     /// Where it listens, `ip:port`.
@@ -38,6 +40,8 @@
     Here(Record),
     /// The record was removed.
     Removed(Name),
+    /// What stands there names no replica to use: it is not the replica's own writing.
+    Unusable(Name),
 }
 
 impl News {
@@ -45,7 +49,7 @@
     pub fn id(&self) -> &Name {
         match self {
             News::Here(record) => &record.id,
-            News::Removed(id) => id,
+            News::Removed(id) | News::Unusable(id) => id,
         }
     }
 }
@@ -64,6 +68,8 @@
 pub enum Standing {
     /// It takes work.
     Ready,
+    /// Another wrote its record; it takes no work until it writes there again.
+    Unusable,
     /// Its record vanished right after an outage of the store; it takes work until `Moment`.
     Lapsed(Moment),
     /// It is leaving or gone, and takes no new work.
@@ -88,12 +94,16 @@
 impl Replica {
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
-        self.standing != Standing::Gone
+        matches!(self.standing, Standing::Ready | Standing::Lapsed(_))
     }
 
     /// The newest news of it that changed anything.
     fn sighting(&self) -> Sighting {
-        let news = if self.listed { News::Here(self.record.clone()) } else { News::Removed(self.record.id.clone()) };
+        let news = match (self.listed, self.standing) {
+            (true, Standing::Unusable) => News::Unusable(self.record.id.clone()),
+            (true, _) => News::Here(self.record.clone()),
+            (false, _) => News::Removed(self.record.id.clone()),
+        };
         Sighting { offset: self.changed_at, news }
     }
 }
@@ -115,6 +125,8 @@
     pub id: Name,
     /// Its standing from now on.
     pub standing: Standing,
+    /// Whether it started again since it was last heard of: what ran there and what it held is lost.
+    pub restarted: bool,
 }
 
 impl Roster {
@@ -138,6 +150,7 @@
         match news {
             News::Here(record) => self.here(offset, record),
             News::Removed(id) => self.removed(offset, &id, now),
+            News::Unusable(id) => self.unusable(offset, &id),
         }
     }
 
@@ -149,15 +162,37 @@
         if offset < known.map_or(self.whole_below, |known| known.offset) {
             return None;
         }
-        // An announced end is final; a vanished record may come back with its replica.
-        let leaving = record.leaving || known.is_some_and(|known| known.record.leaving);
+        let (known_born, born) = (known.and_then(|known| known.record.born), record.born);
+        if known_born.zip(born).is_some_and(|(known, new)| new < known) {
+            // Late word of an earlier run.
+            return None;
+        }
+        let restarted = known_born.zip(born).is_some_and(|(known, new)| new > known);
+        // An announced end is final for the run that announced it; a vanished record may come back with its replica.
+        let leaving = record.leaving || (!restarted && known.is_some_and(|known| known.record.leaving));
         let standing = if leaving { Standing::Gone } else { Standing::Ready };
-        let record = Record { leaving, ..record };
-        let changed = known.is_none_or(|known| known.standing != standing);
+        let record = Record { leaving, born: born.or(known_born), ..record };
+        let changed = restarted || known.is_none_or(|known| known.standing != standing);
         let same = known.filter(|known| known.listed && known.record == record && !changed);
         let changed_at = same.map_or(offset, |known| known.changed_at);
         self.replicas.insert(id.clone(), Replica { record, standing, offset, changed_at, listed: true });
-        changed.then_some(Change { id, standing })
+        changed.then_some(Change { id, standing, restarted })
+    }
+
+    fn unusable(&mut self, offset: u64, id: &Name) -> Option<Change> {
+        let known = self.replicas.get_mut(id)?;
+        if offset < known.offset {
+            return None;
+        }
+        known.offset = offset;
+        if known.listed && known.standing == Standing::Unusable {
+            return None;
+        }
+        known.listed = true;
+        known.changed_at = offset;
+        let changed = known.standing != Standing::Unusable;
+        known.standing = Standing::Unusable;
+        changed.then(|| Change { id: id.clone(), standing: Standing::Unusable, restarted: false })
     }
 
     fn removed(&mut self, offset: u64, id: &Name, now: Moment) -> Option<Change> {
@@ -178,7 +213,7 @@
         };
         let changed = known.standing != standing;
         known.standing = standing;
-        changed.then(|| Change { id: id.clone(), standing })
+        changed.then(|| Change { id: id.clone(), standing, restarted: false })
     }
 
     /// Takes a whole picture whose newest offset is below `end`: what it leaves out was removed.
@@ -201,7 +236,7 @@
         for (id, replica) in &mut self.replicas {
             if matches!(replica.standing, Standing::Lapsed(until) if until <= now) {
                 replica.standing = Standing::Gone;
-                changes.push(Change { id: id.clone(), standing: Standing::Gone });
+                changes.push(Change { id: id.clone(), standing: Standing::Gone, restarted: false });
             }
         }
         changes
@@ -212,7 +247,7 @@
         let known = self.replicas.get_mut(id)?;
         let changed = known.standing != Standing::Gone;
         known.standing = Standing::Gone;
-        changed.then(|| Change { id: known.record.id.clone(), standing: Standing::Gone })
+        changed.then(|| Change { id: known.record.id.clone(), standing: Standing::Gone, restarted: false })
     }
 
     /// A replica by identity.
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -464,3 +464,19 @@
     assert!(!grants.is_empty());
     assert!(grants.iter().all(|grant| grant.team.engines().all(|engine| &**engine != "engine-00")), "{grants:?}");
 }
+
+#[test]
+fn an_engine_that_starts_again_under_its_name_holds_nothing_of_before() {
+    let mut planner = planner(1);
+    let now = Moment::from_millis(10_000);
+    let mut granted = 0;
+    for number in 0..40 {
+        planner.submit(id(number), job(5_000, now));
+        granted += planner.pump(now).len();
+    }
+    assert!(granted > 0 && granted < 40, "{granted} of 40 fit");
+    planner.failed(0, &"engine-00".into(), now);
+    planner.restarted(&"engine-00".into());
+    let again = planner.pump(now + Duration::from_millis(1)).len();
+    assert!(again >= granted, "{again} after {granted}");
+}
--- a/coord/tests/roster_machine.rs
+++ b/coord/tests/roster_machine.rs
@@ -40,6 +40,7 @@
 fn record(number: u8, leaving: bool) -> Record {
     Record {
         id: name(number),
+        born: None,
         service: "service".into(),
         address: "10.0.0.1:1".into(),
         failure_domain: "here".into(),
@@ -226,3 +227,91 @@
     fresh.hear(61, sighting(61, 1).news, now);
     assert!(fresh.get("replica-1").expect("it is back").takes_work());
 }
+
+/// A record of the run of replica 1 that was born at `born`.
+fn of_run(born: u64, leaving: bool) -> News {
+    News::Here(Record { born: Some(born), ..record(1, leaving) })
+}
+
+#[test]
+fn a_later_run_ends_the_earlier_one_and_is_told_once() {
+    let mut roster = Roster::default();
+    let now = Moment::from_millis(10_000);
+    roster.hear(1, of_run(1_000, false), now);
+    let change = roster.hear(2, of_run(2_000, false), now).expect("a change");
+    assert!(change.restarted && change.standing == Standing::Ready);
+    assert!(roster.hear(3, of_run(2_000, false), now).is_none(), "a heartbeat");
+}
+
+#[test]
+fn a_record_of_another_writer_names_no_replica_and_its_own_is_used_again_at_once() {
+    let mut roster = Roster::default();
+    let now = Moment::from_millis(10_000);
+    roster.hear(1, News::Here(record(1, false)), now);
+    let change = roster.hear(2, News::Unusable(name(1)), now).expect("a change");
+    assert_eq!(change.standing, Standing::Unusable);
+    assert!(roster.hear(3, News::Unusable(name(1)), now).is_none(), "told once");
+    assert_eq!(roster.usable("service").count(), 0);
+    assert!(roster.hear(1, News::Here(record(1, false)), now).is_none(), "older news");
+    roster.hear(4, News::Here(record(1, false)), now);
+    assert_eq!(roster.usable("service").count(), 1);
+    assert!(roster.hear(5, News::Unusable(name(7)), now).is_none(), "nobody that is known");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_024, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Runs begin one after the other; word of them comes from the log, from a process that reads it, late and more than
+    /// once, and from other writers.
+    #[test]
+    fn whoever_tells_and_however_late_the_newest_run_decides(
+        steps in prop::collection::vec((0..6u8, 0..3u8, any::<prop::sample::Index>()), 1..80),
+    ) {
+        let (mut reader, mut told) = (Roster::default(), Roster::default());
+        let now = Moment::from_millis(10_000);
+        let mut log: Vec<News> = Vec::new();
+        let mut born: u64 = 1;
+        let mut ended = BTreeSet::new();
+        let mut told_up_to = 0;
+        for (step, late_by, index) in steps {
+            match step {
+                0 => born += 1,
+                1 => log.push(News::Unusable(name(1))),
+                2 => log.push(News::Removed(name(1))),
+                // An earlier run's word that is written late.
+                3 => log.push(of_run(born.saturating_sub(late_by.into()), false)),
+                4 => {
+                    ended.insert(born);
+                    log.push(of_run(born, true));
+                }
+                _ => {
+                    let sightings = reader.since(told_up_to);
+                    for sighting in sightings.iter().chain(&sightings) {
+                        told.hear(sighting.offset, sighting.news.clone(), now);
+                    }
+                    told_up_to = log.len() as u64;
+                }
+            }
+            for (offset, news) in log.iter().enumerate() {
+                reader.hear(offset as u64, news.clone(), now);
+            }
+            if !log.is_empty() {
+                // Once more, whatever it is.
+                let offset = index.index(log.len());
+                reader.hear(offset as u64, log[offset].clone(), now);
+            }
+            let Some(known) = reader.get("replica-1") else { continue };
+            let newest = known.record.born.unwrap_or(0);
+            prop_assert!(newest <= born);
+            if ended.contains(&newest) {
+                prop_assert!(!known.takes_work(), "run {newest} announced its end");
+            }
+            if step == 5 {
+                let other = told.get("replica-1").map(|known| (known.standing, known.record.born));
+                // Who came and went unheard is as good as gone.
+                let takes_work = other.is_some_and(|(standing, _)| standing == Standing::Ready);
+                prop_assert_eq!(takes_work, known.takes_work());
+            }
+        }
+    }
+}
--- a/sorrelpass/src/gateway/belief.rs
+++ b/sorrelpass/src/gateway/belief.rs
@@ -1,7 +1,7 @@
 //! Taking in what the store says, whoever read it: a configuration, and news of replicas.
 
 use coord::parcel::Version;
-use coord::roster::{Change, Sighting, Standing};
+use coord::roster::{Change, Replica, Sighting, Standing};
 use platform::table;
 
 use super::now;
@@ -29,6 +29,11 @@
     }
 }
 
+/// Whether a replica takes work, as far as is known.
+pub fn is_usable(gateway: &Gateway, id: &str) -> bool {
+    gateway.roster.borrow().get(id).is_some_and(Replica::takes_work)
+}
+
 /// Takes in what the log says.
 pub fn hear(gateway: &Gateway, sightings: Vec<Sighting>) {
     let now = now();
@@ -57,10 +62,15 @@
     for change in changes {
         let standing = match change.standing {
             Standing::Ready => "ready",
+            Standing::Unusable => "unusable",
             Standing::Lapsed(_) => "lapsed",
             Standing::Gone => "gone",
         };
         event!("replica", peer = %change.id, standing);
+        if change.restarted {
+            event!("replica-restarted", peer = %change.id);
+            gateway.restarted(&change.id);
+        }
     }
     if !changes.is_empty() {
         gateway.refresh_engines();
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -163,6 +163,12 @@
         planner
     }
 
+    /// Notes that an engine started again under its name.
+    pub fn restarted(&self, service: &Name, engine: &Name) {
+        self.planner(service, |planner| planner.restarted(engine));
+        self.wake();
+    }
+
     /// Sets whether work is suspected of ending engines.
     pub fn set_suspect(&self, work: Work, suspect: bool) {
         let mut suspects = self.suspects.borrow_mut();
--- a/sorrelpass/src/gateway/place.rs
+++ b/sorrelpass/src/gateway/place.rs
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Forgets what requests have told of a replica, which another run of it has the identity of.
+    pub fn forget(&mut self, replica: &Name) {
+        self.breakers.remove(replica);
+        if let Some(load) = self.loads.get_mut(replica) {
+            load.told = 0;
+        }
+    }
+
     /// Notes a request sent.
     pub fn begin(&mut self, replica: &Name) {
         if let Some(breaker) = self.breakers.get_mut(replica) {
--- a/sorrelpass/src/gateway/quarantine/evidence.rs
+++ b/sorrelpass/src/gateway/quarantine/evidence.rs
@@ -57,25 +57,30 @@
         if known.unwrap_or(self.record.leaving) {
             return;
         }
-        let run = gateway.quarantine.ended(gateway, &self.record.id, self.sent);
+        let run = gateway.quarantine.ended(gateway, &self.record, self.sent);
         hear(gateway, vec![News::Ended { work: self.work, run, weight: self.weight }], Source::Own);
     }
 }
 
 impl Quarantine {
     /// Notes that the process of a replica ended to which a request was sent at `sent`; returns a name for that run of it.
-    /// A replica may start again under its identity: what was sent after an end was sent to the next run.
-    fn ended(&self, gateway: &Gateway, replica: &Name, sent: Moment) -> Name {
+    /// A replica may start again under its identity, and its record tells that late: what was sent after an end was sent to
+    /// the next run.
+    fn ended(&self, gateway: &Gateway, record: &Record, sent: Moment) -> Name {
+        let replica: Name = match record.born {
+            Some(born) => format!("{}@{born}", record.id).into(),
+            None => record.id.clone(),
+        };
         let mut ends = self.ends.borrow_mut();
         if ends.len() > MANY_ENDS {
             let roster = gateway.roster.borrow();
-            ends.retain(|id, _| roster.get(id).is_some());
+            ends.retain(|run, _| roster.get(run.split('@').next().unwrap_or(run)).is_some());
         }
         let known = ends.entry(replica.clone()).or_default();
         if known.count == 0 || sent > known.at {
             *known = Ends { count: known.count + 1, at: now() };
             metric::replica_ended();
         }
-        if known.count == 1 { replica.clone() } else { format!("{replica}/{}", known.count).into() }
+        if known.count == 1 { replica } else { format!("{replica}/{}", known.count).into() }
     }
 }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -152,6 +152,15 @@
         }
     }
 
+    /// Notes that a replica started again under its identity: what was known of its load and its failures was of another run.
+    pub fn restarted(&self, id: &Name) {
+        self.placer.borrow_mut().forget(id);
+        let service = self.roster.borrow().get(id).map(|replica| replica.record.service.clone());
+        if let Some(service) = service {
+            self.desk.restarted(&service, id);
+        }
+    }
+
     /// Tells the desk which engines take work.
     pub fn refresh_engines(&self) {
         let roster = self.roster.borrow();
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -35,6 +35,8 @@
 const RETURN_GRACE: Duration = Duration::from_secs(2);
 /// Reads of the replicas' records in the time in which a leaving replica must be left alone.
 const READS_PER_DRAIN: u32 = 4;
+/// Characters of a fault that are logged.
+const FAULT_CHARS: usize = 120;
 /// Part of that time after which an entry that gets the records from another reads them itself.
 const RECORDS_SERVE: f64 = 0.5;
 
@@ -146,7 +148,7 @@
     let page = reader.read_on(topic, from, Duration::ZERO).await?;
     note_return(gateway, reader);
     let Some(page) = page else { return Ok(()) };
-    belief::hear(gateway, sightings(&page.records));
+    belief::hear(gateway, sightings(gateway, &page.records));
     topic.advance(page.next);
     topic.prove(sent);
     Ok(())
@@ -156,7 +158,7 @@
 async fn read_all_replicas(gateway: &Gateway, reader: &mut Reader) -> Result<()> {
     let sent = now();
     let whole = reader.read_all().await?;
-    let newest = sightings(&whole.records);
+    let newest = sightings(gateway, &whole.records);
     note_return(gateway, reader);
     belief::replace(gateway, whole.next, newest);
     gateway.facts.replicas.advance(whole.next);
@@ -172,14 +174,16 @@
     }
 }
 
-/// Decodes records; one that cannot be decoded says nothing.
-fn sightings(records: &[Keyed]) -> Vec<Sighting> {
+/// Decodes records. Why one names no replica is logged where it changes what is believed of that replica.
+fn sightings(gateway: &Gateway, records: &[Keyed]) -> Vec<Sighting> {
     let mut sightings = Vec::with_capacity(records.len());
     for record in records {
-        match replica::decode(record) {
-            Ok(news) => sightings.push(Sighting { offset: record.offset, news }),
-            Err(error) => warn_event!("replica", offset = record.offset, error = %format!("{error:#}")),
+        let replica::Decoded { news, fault } = replica::decode(record);
+        if let Some(fault) = fault.filter(|_| belief::is_usable(gateway, &record.key)) {
+            let fault: String = fault.chars().take(FAULT_CHARS).collect();
+            warn_event!("replica-record", peer = %record.key, offset = record.offset, fault = %fault);
         }
+        sightings.push(Sighting { offset: record.offset, news });
     }
     sightings
 }
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -38,7 +38,7 @@
 /// One record; a key without a value was removed.
 #[derive(Clone, Debug)]
 struct Record {
-    key: String,
+    key: Vec<u8>,
     value: Bytes,
 }
 
@@ -49,7 +49,7 @@
     first: u64,
     records: Vec<Record>,
     /// Newest records of keys from before that, with their offsets.
-    compacted: BTreeMap<String, (u64, Bytes)>,
+    compacted: BTreeMap<Vec<u8>, (u64, Bytes)>,
 }
 
 impl Topic {
@@ -59,7 +59,7 @@
     }
 
     /// The newest record of each key, with its offset.
-    fn newest(&self) -> BTreeMap<String, (u64, Bytes)> {
+    fn newest(&self) -> BTreeMap<Vec<u8>, (u64, Bytes)> {
         let mut newest = self.compacted.clone();
         for (index, record) in self.records.iter().enumerate() {
             if record.value.is_empty() {
@@ -114,9 +114,14 @@
 
     /// Writes the newest record of a key; an empty value removes it.
     pub fn put(&self, topic: &str, key: &str, value: impl Into<Bytes>) -> u64 {
+        self.put_raw(topic, key.as_bytes(), value)
+    }
+
+    /// The same under a key that may be no text.
+    pub fn put_raw(&self, topic: &str, key: &[u8], value: impl Into<Bytes>) -> u64 {
         let mut topics = lock(&self.topics);
         let topic = topics.entry(topic.to_owned()).or_default();
-        topic.records.push(Record { key: key.to_owned(), value: value.into() });
+        topic.records.push(Record { key: key.to_vec(), value: value.into() });
         let end = topic.end();
         drop(topics);
         self.changed.notify_waiters();
@@ -232,7 +237,7 @@
         let len = 1 + record.key.len() + record.value.len();
         out.extend_from_slice(&u32::try_from(len).unwrap_or(u32::MAX).to_be_bytes());
         out.push(u8::try_from(record.key.len()).unwrap_or(u8::MAX));
-        out.extend_from_slice(record.key.as_bytes());
+        out.extend_from_slice(&record.key);
         out.extend_from_slice(&record.value);
     }
     Some(Body::from(out).into_response())
@@ -249,7 +254,7 @@
     let items: Vec<_> = topic
         .newest()
         .into_iter()
-        .map(|(key, (offset, value))| json!({ "tls_key": key, "value": STANDARD.encode(value), "offset": offset }))
+        .map(|(key, (offset, value))| json!({ "tls_key": String::from_utf8_lossy(&key), "value": STANDARD.encode(value), "offset": offset }))
         .collect();
     axum::Json(json!({ "items": items, "more": false, "end": topic.end() })).into_response()
 }
