--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -126,6 +126,7 @@
             match self.send(target, after_event).await {
                 Sent::Opened(opened) => return Ok(*opened),
                 Sent::Condemned => return Err(self.condemned()),
+                Sent::Late => return Err(self.timed_out()),
                 Sent::Silent(target) => next = Some(*target),
                 Sent::NotRun(after) => retry_after = retry_after.max(after),
                 Sent::Lost if self.may_repeat() => {}
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -26,6 +26,8 @@
     Lost,
     /// The replica never saw it.
     Unsent,
+    /// It was not sent: its time is over.
+    Late,
     /// It was not sent: replicas end under what it asks for.
     Condemned,
     /// Nothing came for longer than can be explained, and it goes here next; the retry is counted already.
@@ -39,6 +41,10 @@
         if self.is_condemned() {
             return Sent::Condemned;
         }
+        // Timers do not run while a VM is suspended; what is due by then is late all the same.
+        if self.left().is_zero() {
+            return Sent::Late;
+        }
         let Target { record, helpers, place } = target;
         let begun = now();
         self.tried.push(record.id.clone());
@@ -54,6 +60,8 @@
         let sent = tokio::select! {
             sent = attempt::send(&record, &self.outgoing, &head) => sent,
             next = self.elsewhere(&place) => return Sent::Silent(Box::new(next)),
+            // Called back before the replica begins with it, that one does not end.
+            () = self.gateway.quarantine.condemned(self.work) => return Sent::Condemned,
         };
         if first && !matches!(sent, Err(Failed::Unsent(_))) {
             self.gateway.note_first(&self.service);
--- a/sorrelpass/src/util.rs
+++ b/sorrelpass/src/util.rs
@@ -3,20 +3,28 @@
 use std::future::Future;
 use std::sync::OnceLock;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use coord::name::{Attempt, Incarnation};
 use coord::time::Moment;
 use eyre::{Result, WrapErr};
 
-static START: OnceLock<Instant> = OnceLock::new();
+static START: OnceLock<Duration> = OnceLock::new();
 static INCARNATION: OnceLock<Incarnation> = OnceLock::new();
 
-/// Monotonic time since this process first asked.
+/// Time since this process first asked, on a clock that never goes back and also counts while the VM is suspended: on
+/// [`std::time::Instant`], which does not, a proof of a key that was taken away meanwhile would look young after it.
 pub fn now() -> Moment {
-    let start = START.get_or_init(Instant::now);
+    let now = since_boot();
+    let elapsed = now.saturating_sub(*START.get_or_init(|| now));
     // An hour's head start keeps moments before the start representable.
-    Moment::from_micros(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)) + Duration::from_secs(3_600)
+    Moment::from_micros(coord::time::micros(elapsed)) + Duration::from_secs(3_600)
+}
+
+/// Time since the VM was booted, suspension included.
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(u64::try_from(time.tv_sec).unwrap_or(0), u32::try_from(time.tv_nsec).unwrap_or(0))
 }
 
 /// Wall-clock time since the Unix epoch.
--- a/standin/tests/platform_lifetimes.rs
+++ b/standin/tests/platform_lifetimes.rs
@@ -70,9 +70,12 @@
     site.close().expect("no invariant was breached");
 }
 
+/// Makes an odd record of a sound one.
+type Make = Box<dyn Fn(Value) -> Bytes>;
+
 /// Records that no replica of ours writes, by what is odd about them; each is made from the sound record of an engine.
-fn odd_records() -> Vec<(String, Box<dyn Fn(Value) -> Bytes>)> {
-    let mut odd: Vec<(String, Box<dyn Fn(Value) -> Bytes>)> = vec![
+fn odd_records() -> Vec<(String, Make)> {
+    let mut odd: Vec<(String, Make)> = vec![
         ("no JSON".into(), Box::new(|_| "{".into())),
         ("no text".into(), Box::new(|_| Bytes::from_static(&[0xff, 0xfe, 0]))),
         ("a list".into(), Box::new(|_| "[1, 2]".into())),
@@ -109,7 +112,7 @@
 }
 
 /// A record with one field changed.
-fn changed(field: &'static str, value: Value) -> (String, Box<dyn Fn(Value) -> Bytes>) {
+fn changed(field: &'static str, value: Value) -> (String, Make) {
     let label = format!("{field} {value}");
     let make = move |mut record: Value| {
         record[field] = value.clone();
