--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -39,16 +39,15 @@
     loop {
         let first_by = gateway.first_from_others_by();
         watch::reads_replicas(&gateway, first_by).await;
-        let outcome = tokio::select! {
-            outcome = read(&gateway, &mut reader) => outcome,
-            () = gateway.quarantine.unwritten.notified() => Ok(()),
+        let read = tokio::select! {
+            outcome = read(&gateway, &mut reader) => {
+                reader.note(&outcome);
+                outcome.is_ok()
+            }
+            () = gateway.quarantine.unwritten.notified() => true,
         };
-        reader.note(&outcome);
-        let outcome = match outcome {
-            Ok(()) => write(&gateway, &mut writer).await,
-            Err(error) => Err(error),
-        };
-        if outcome.is_err() {
+        // A write that fails has its line in the log.
+        if !read || write(&gateway, &mut writer).await.is_err() {
             reader.back_off(&gateway, &gateway.facts.replicas).await;
         }
     }
