--- /dev/null
+++ b/coord/tests/planner_ends.rs
@@ -0,0 +1,74 @@
+//! The planner where engines end: those that start again under their names, and prompts suspected of ending them.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use common::figures;
+use coord::name::Name;
+use coord::planner::{Id, Job, Planner, Policy};
+use coord::quarantine::Work;
+use coord::time::Moment;
+
+fn planner(engines: usize) -> Planner {
+    let mut planner = Planner::new(Policy::default(), 0);
+    planner.set_engines((0..engines).map(|index| (format!("engine-{index:02}").into(), figures(16, 46))));
+    planner
+}
+
+/// A short prompt.
+fn job(prompt: u64, now: Moment) -> Job {
+    Job {
+        prompt,
+        output: 2_000,
+        aim: now + Duration::from_millis(300),
+        gap_ms: 200.0,
+        deadline: now + Duration::from_millis(2_000),
+        priority: 1,
+        work: None,
+    }
+}
+
+fn id(number: u64) -> Id {
+    Id { entry: number % 3, number }
+}
+
+#[test]
+fn an_engine_that_starts_again_under_its_name_holds_nothing_of_before() {
+    let mut planner = planner(1);
+    let now = Moment::from_millis(10_000);
+    let mut granted = 0;
+    for number in 0..40 {
+        planner.submit(id(number), job(5_000, now));
+        granted += planner.pump(now).len();
+    }
+    assert!(granted > 0 && granted < 40, "{granted} of 40 fit");
+    planner.failed(0, &"engine-00".into(), now);
+    planner.restarted(&"engine-00".into());
+    let again = planner.pump(now + Duration::from_millis(1)).len();
+    assert!(again >= granted, "{again} after {granted}");
+}
+
+/// Engines of `number` short prompts of the same work.
+fn writers(planner: &mut Planner, first: u64, number: u64, work: Option<Work>, now: Moment) -> Vec<Name> {
+    (first..first + number).for_each(|number| planner.submit(id(number), Job { work, ..job(3_000, now) }));
+    planner.pump(now).into_iter().map(|grant| grant.team.writer).collect()
+}
+
+#[test]
+fn a_suspect_is_placed_apart_and_its_repeats_beside_it() {
+    let mut planner = planner(8);
+    let now = Moment::from_millis(10_000);
+    let others: BTreeSet<Name> = writers(&mut planner, 0, 12, None, now).into_iter().collect();
+    let work = |number: u8| Some(Work([number; 16]));
+    planner.set_suspects([1, 2].map(|number| Work([number; 16])));
+    let first = writers(&mut planner, 100, 5, work(1), now);
+    assert_eq!(first.len(), 5, "work that many ask for is served while it is suspected");
+    let first: BTreeSet<Name> = first.into_iter().collect();
+    assert!(first.len() == 1 && first.is_disjoint(&others), "{first:?} beside {others:?}");
+    let second: BTreeSet<Name> = writers(&mut planner, 200, 1, work(2), now).into_iter().collect();
+    assert!(second.is_disjoint(&first) && second.is_disjoint(&others), "{second:?}");
+    let later: BTreeSet<Name> = writers(&mut planner, 300, 20, None, now).into_iter().collect();
+    assert!(later.is_disjoint(&first) && later.is_disjoint(&second), "{later:?}");
+}
