Sight: what replicas say of the requests that they take is decoded, logged when it changes, and counted

A typed word of a replica (rate, when asked, when heard), a register in coord that says which of two words is the later one, a line step=limit at each change, a gauge of replicas that name a limit. Nothing is decided on it yet.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fence;
 pub mod intent;
 pub mod invariant;
+pub mod limit;
 pub mod membership;
 pub mod memory;
 pub mod name;
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -10,8 +10,8 @@
 use platform::dialect;
 
 use super::super::attempt::{self, Failed};
-use super::super::now;
 use super::super::place::{ERROR_ANSWER, NO_ANSWER};
+use super::super::{limits, now};
 use super::target::{Place, Target};
 use super::{Job, Opened};
 use crate::event;
@@ -123,6 +123,7 @@
     fn judge(&mut self, opened: Opened) -> Sent {
         let answer = dialect::answer(opened.response.status(), opened.response.headers(), &self.call.id);
         let record = &opened.record;
+        limits::said(&self.gateway, record, &answer, opened.sent);
         if let Some(load) = answer.load {
             self.gateway.placer.borrow_mut().told(&record.id, load);
         }
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod health;
 mod hold;
 mod lead;
+mod limits;
 mod link;
 mod pace;
 mod peers;
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -15,6 +15,7 @@
 
 use super::desk::Desk;
 use super::facts::Facts;
+use super::limits::Limits;
 use super::now;
 use super::place::Placer;
 use super::quarantine::Quarantine;
@@ -77,6 +78,8 @@
     pub desk: Rc<Desk>,
     /// Work under which replicas end.
     pub quarantine: Quarantine,
+    /// Limits that replicas name.
+    pub limits: Limits,
     budgets: RefCell<HashMap<Name, Windowed>>,
     /// Entries that there may be, at least.
     entries: Cell<usize>,
@@ -104,6 +107,7 @@
             placer: RefCell::new(placer),
             desk,
             quarantine: Quarantine::default(),
+            limits: Limits::default(),
             budgets: RefCell::default(),
             entries: Cell::new(LEAST_ENTRIES),
             seeking: Cell::new(seeking),
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -21,6 +21,7 @@
     condemned: Counter<u64>,
     refused_condemned: Counter<u64>,
     quarantine: Gauge<u64>,
+    limited: Gauge<u64>,
     ttft: Histogram<f64>,
     first_event: Histogram<f64>,
     revision: Gauge<u64>,
@@ -52,6 +53,7 @@
         condemned: meter.u64_counter("sorrelpass_work_condemned").build(),
         refused_condemned: meter.u64_counter("sorrelpass_refused_condemned").build(),
         quarantine: meter.u64_gauge("sorrelpass_quarantine").build(),
+        limited: meter.u64_gauge("sorrelpass_replicas_limited").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BOUNDS.to_vec()).build(),
         first_event: meter
             .f64_histogram("sorrelpass_first_event_seconds")
@@ -117,6 +119,11 @@
     });
 }
 
+/// Replicas that name a limit of their own.
+pub fn limited(replicas: usize) {
+    with(|on| on.limited.record(replicas as u64, &[]));
+}
+
 /// A first token came after `ttft`, for a prompt of length class `class`.
 pub fn ttft(class: usize, ttft: Duration) {
     with(|on| on.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
--- a/standin/src/platform/replica.rs
+++ b/standin/src/platform/replica.rs
@@ -84,6 +84,8 @@
     orders: Vec<Value>,
     /// The proxy whose address its record names, if not its own.
     front: Option<Arc<Proxy>>,
+    /// What its answers say of the requests that it takes, as it stands in their heads.
+    limit: Option<String>,
     /// Work that ends its process.
     fatal: Option<Fatal>,
     /// How often its process ended.
@@ -265,6 +267,11 @@
         self.lock().pace = Some(pace);
     }
 
+    /// Has its answers name the requests a second that it takes from all entries together, or no longer.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.lock().limit = limit.map(str::to_owned);
+    }
+
     /// How often it was asked what it does.
     pub fn reports(&self) -> usize {
         self.lock().reports
@@ -395,6 +402,9 @@
         set(&mut answer, "response-seal", &format!("seal-of-{}", replica.id));
     }
     set(&mut answer, "replica-load", "1,0,16");
+    if let Some(limit) = &replica.lock().limit {
+        set(&mut answer, "server-limit", limit);
+    }
     answer
 }
 
