Limits that replicas name hold for all entries together

Cause: nothing read what an answer says of the requests that a replica takes; and what each entry had kept for itself would not have held for all. Class: a bound for the whole that each part keeps for itself, or does not hear.

Change: what one entry hears goes to the entry that plans, and from there to all. An entry that decides for k of n entries uses k/n of a limit, so that halves of a cut, and entries between two leaders, stay within it together. Where all replicas name limits, what does not fit in time is refused at once.

--- a/coord/src/limit/mod.rs
+++ b/coord/src/limit/mod.rs
@@ -3,10 +3,19 @@
 //! [`Register`] holds what replicas say, whoever heard it. A replica says it in each of its answers, and answers cross
 //! on their way: which of two words is the later one is known only where one was asked for after the other had come.
 //! Where it is not known the stricter one holds; the next answer settles it.
+//!
+//! [`Allowance`] counts what may still be sent to one such replica, [`Group`] tells which share of all that the entries may
+//! use for whom one of them decides.
+
+mod allowance;
+mod group;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+pub use self::allowance::Allowance;
+pub use self::group::Group;
+
 use crate::name::Name;
 use crate::time::Moment;
 
--- a/coord/src/planner/board.rs
+++ b/coord/src/planner/board.rs
@@ -35,6 +35,8 @@
     pub admits: bool,
     /// Whether the next request to it is a trial.
     pub on_trial: bool,
+    /// Whether it takes one more request now by the limit that it names, if it names one.
+    pub within_limit: bool,
     /// Work that it has and that is suspected of ending engines.
     pub suspect: Option<Work>,
     /// How many times as long as it should everything takes there.
@@ -61,6 +63,7 @@
             has_slot: (engine.seats() as f64) < f64::from(figures.slots) * policy.slot_share,
             admits: engine.breaker.is_none_or(|breaker| breaker.admits(now)),
             on_trial: engine.breaker.is_some_and(|breaker| breaker.is_on_trial(now)),
+            within_limit: engine.limit.is_none_or(|limit| limit.admits(now)),
             suspect: engine.suspect(),
             pace: engine.pace(),
         }
@@ -186,7 +189,7 @@
             let alone = self.leaves_suspects_alone(policy);
             let usable = |index: &usize| {
                 let view = &self.views[*index];
-                (!leaves_out || view.admits) && !(alone && view.suspect.is_some())
+                view.within_limit && (!leaves_out || view.admits) && !(alone && view.suspect.is_some())
             };
             self.open_among((0..self.views.len()).filter(usable), policy)
         })
--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -8,6 +8,7 @@
 use super::policy::{LEAST_LEFT, OVERDUE};
 use crate::breaker::Breaker;
 use crate::engine::Figures;
+use crate::limit::Allowance;
 use crate::name::Name;
 use crate::quarantine::Work;
 use crate::time::Moment;
@@ -55,6 +56,8 @@
     pub name: Name,
     /// What requests have told of it, once one went badly.
     pub breaker: Option<Breaker>,
+    /// What may still be sent to it, if it names a limit of its own.
+    pub limit: Option<Allowance>,
     /// When something last came from it in time.
     pub answered_at: Moment,
     /// Its sizes and speeds, when it is as fast as it should be.
@@ -80,6 +83,7 @@
         Self {
             name,
             breaker: None,
+            limit: None,
             answered_at: Moment::ZERO,
             sound: figures.clone(),
             figures,
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -22,6 +22,7 @@
 mod place;
 mod policy;
 mod pressure;
+mod rationed;
 mod silence;
 mod waiting;
 
@@ -41,7 +42,9 @@
 pub use self::pressure::Refusal;
 use self::waiting::{Turn, Waiting};
 use crate::engine::Figures;
+use crate::limit::Allowance;
 use crate::name::Name;
+use crate::pick::rendezvous;
 use crate::quarantine::Work;
 use crate::time::Moment;
 
@@ -216,6 +219,30 @@
         }
     }
 
+    /// Sets which engines name a limit of their own, in requests a second, and which `share` of it is granted here. What
+    /// helps to read a prompt counts as much as what writes its answer.
+    pub fn set_limits(&mut self, rate: impl Fn(&Name) -> Option<f64>, share: f64, now: Moment) {
+        let salt = self.salt;
+        for engine in self.fleet.engines_mut() {
+            match (rate(&engine.name), &mut engine.limit) {
+                (None, limit) => *limit = None,
+                (Some(rate), Some(limit)) => limit.set(rate, share, now),
+                (Some(rate), limit) => *limit = Some(Allowance::new(rate, share, start(salt, &engine.name), now)),
+            }
+        }
+    }
+
+    /// Notes that this planner grants in place of another: what that one granted of late it does not know, so that
+    /// nothing is saved up.
+    pub fn restart_limits(&mut self, now: Moment) {
+        let salt = self.salt;
+        for engine in self.fleet.engines_mut() {
+            if let Some(limit) = &mut engine.limit {
+                limit.restart(start(salt, &engine.name), now);
+            }
+        }
+    }
+
     /// Grants what may start now.
     pub fn pump(&mut self, now: Moment) -> Vec<Grant> {
         self.look_for_slow(now);
@@ -269,6 +296,9 @@
             if let Some(breaker) = self.fleet.get_mut(name).and_then(|engine| engine.breaker.as_mut()) {
                 breaker.begin(now);
             }
+            if let Some(limit) = self.fleet.get_mut(name).and_then(|engine| engine.limit.as_mut()) {
+                limit.take(now);
+            }
             self.board.update(index, &self.fleet.engines()[index], &self.policy, now);
         }
         // While not all have told what runs, the expectation is no measure.
@@ -277,3 +307,8 @@
         Grant { id: turn.id, team, silent_after }
     }
 }
+
+/// The part of the first request to an engine that is there when its allowance begins: another at each planner.
+fn start(salt: u64, engine: &Name) -> f64 {
+    rendezvous(salt, engine) as f64 / u64::MAX as f64
+}
--- a/coord/src/planner/place/mod.rs
+++ b/coord/src/planner/place/mod.rs
@@ -61,8 +61,11 @@
     /// Engines that may be chosen, with their places in the fleet.
     fn engines(&self) -> impl Iterator<Item = (usize, &'a View)> {
         let views = self.board.views().iter().enumerate();
-        let may =
-            |view: &View| (!self.leaves_out || view.admits) && !(self.leaves_suspects_alone && view.suspect.is_some());
+        let may = |view: &View| {
+            view.within_limit
+                && (!self.leaves_out || view.admits)
+                && !(self.leaves_suspects_alone && view.suspect.is_some())
+        };
         views.filter(move |(index, view)| may(view) && !self.unreached.contains(index))
     }
 
--- a/coord/src/planner/pressure.rs
+++ b/coord/src/planner/pressure.rs
@@ -19,7 +19,7 @@
 const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Part of the time that it has left after which a refused caller should come back: callers wait no longer than a third,
 /// and the later it comes back, the likelier the burst is over.
-const COME_BACK: f64 = 0.33;
+pub(super) const COME_BACK: f64 = 0.33;
 
 /// A prompt that gets no engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,9 +83,18 @@
 impl Planner {
     /// Takes out those that wait in vain; their callers are to be told.
     pub fn refuse(&mut self, now: Moment) -> Vec<Refusal> {
-        if !self.policy.refuse_early || !self.pressure.lasts(now) {
+        if !self.policy.refuse_early {
             return Vec::new();
         }
+        let mut refusals = self.refuse_rationed(now);
+        if self.pressure.lasts(now) {
+            refusals.extend(self.refuse_late(now));
+        }
+        refusals
+    }
+
+    /// Takes out those that are late and have more before them than their callers will wait for.
+    fn refuse_late(&mut self, now: Moment) -> Vec<Refusal> {
         let (mut ahead_short, mut ahead_long) = (0.0, 0.0);
         let mut refusals = Vec::new();
         for turn in self.waiting.late_turns(now) {
@@ -106,7 +115,7 @@
     }
 
     /// For how many seconds more a prompt may wait and still be read before its caller gives up.
-    fn useful_s(&self, turn: &Turn, now: Moment) -> f64 {
+    pub(super) fn useful_s(&self, turn: &Turn, now: Moment) -> f64 {
         turn.prompt.job.deadline.since(now).as_secs_f64() * self.policy.late_share
     }
 }
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -10,11 +10,14 @@
 
 use super::super::desk::{Lease, Unplaced};
 use super::super::hold::{self, Hold};
-use super::super::now;
 use super::super::state::{Gateway, Phase};
+use super::super::{limits, now};
 use super::Job;
-use crate::event;
+use crate::{event, metric};
 
+/// Part of the time in which its caller wants an answer that a call may wait for its turn at a replica that names a limit;
+/// the rest is for the replica: plain ones were seen to take a third of it.
+const WAIT_SHARE: f64 = 0.5;
 /// Pause before a prompt is planned anew whose memory could not be had, or whose engines are gone.
 const REPLAN_PAUSE: Duration = Duration::from_millis(50);
 /// Least time that a prompt has to find an engine, however long it was held up before: an engine that is free is
@@ -101,7 +104,7 @@
     pub(super) async fn target(&self) -> Result<Target, Unplaced> {
         match self.call.prompt_tokens {
             Some(tokens) if self.has_engines() => self.engine(tokens).await,
-            _ => self.plain().ok_or(Unplaced::Exhausted),
+            _ => self.plain().await,
         }
     }
 
@@ -109,11 +112,60 @@
         self.gateway.table().service(&self.service).is_some_and(|service| service.engine.is_some())
     }
 
-    fn plain(&self) -> Option<Target> {
+    /// The best replica. One that names a limit gets the call if it has a turn for it at once; where all name one, the
+    /// call waits for the first turn that is still in time, or is refused.
+    async fn plain(&self) -> Result<Target, Unplaced> {
+        // Replicas that have no turn now.
+        let mut full: Vec<Name> = Vec::new();
+        loop {
+            let Some(record) = self.pick(&full) else { return self.rationed(full).await };
+            if !self.gateway.limits.is_limited(&record.id) {
+                return Ok(self.at(record));
+            }
+            let replica = record.id.clone();
+            match limits::take(&self.gateway, vec![replica.clone()], Duration::ZERO).await {
+                Ok(_) => return Ok(self.at(record)),
+                Err(_) => full.push(replica),
+            }
+        }
+    }
+
+    /// The best replica that was not tried and is not among `full`.
+    fn pick(&self, full: &[Name]) -> Option<Record> {
         let roster = self.gateway.roster.borrow();
-        let record = self.gateway.placer.borrow().pick(&roster, &self.service, self.route.repeat, &self.tried)?;
+        let left_out: Vec<Name> = self.tried.iter().chain(full).cloned().collect();
+        self.gateway.placer.borrow().pick(&roster, &self.service, self.route.repeat, &left_out)
+    }
+
+    /// Its place at a plain replica.
+    fn at(&self, record: Record) -> Target {
         let place = Place::Plain { _count: Outstanding::begin(&self.gateway, &record.id) };
-        Some(Target { record, helpers: Vec::new(), place })
+        Target { record, helpers: Vec::new(), place }
+    }
+
+    /// Waits for a turn at one of `full`, all of which name limits, if there is one in time.
+    async fn rationed(&self, full: Vec<Name>) -> Result<Target, Unplaced> {
+        if full.is_empty() {
+            return Err(Unplaced::Exhausted);
+        }
+        let most_wait = (self.started + self.route.aim.mul_f64(WAIT_SHARE)).since(now());
+        match limits::take(&self.gateway, full, most_wait).await {
+            Ok(turn) => {
+                event!("limit-wait", request = %self.call.id, peer = %turn.replica, wait_ms = turn.after.as_millis());
+                metric::limit_wait();
+                tokio::time::sleep(turn.after).await;
+                let roster = self.gateway.roster.borrow();
+                let replica = roster.get(&turn.replica).filter(|replica| replica.takes_work());
+                let record = replica.map(|replica| replica.record.clone());
+                record.map(|record| self.at(record)).ok_or(Unplaced::Exhausted)
+            }
+            Err(after) => {
+                event!("limit-refused", request = %self.call.id, service = %self.service, next_ms = after.as_millis());
+                metric::limit_refusal();
+                // Not all at the same moment: there is one turn then.
+                Err(Unplaced::Refused(after.mul_f64(rand::random_range(1.0..2.0))))
+            }
+        }
     }
 
     /// Waits for engines, for as long as the caller may be kept waiting.
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -169,6 +169,19 @@
         self.wake();
     }
 
+    /// Sets which engines name a limit, in requests a second, and the part of it that is granted here.
+    pub fn set_limits(&self, rate: impl Fn(&Name) -> Option<f64>, share: f64) {
+        let now = now();
+        self.planners.borrow_mut().values_mut().for_each(|planner| planner.set_limits(&rate, share, now));
+        self.wake();
+    }
+
+    /// Notes that this entry grants in place of another, whose grants of late it does not know.
+    pub fn restart_limits(&self) {
+        let now = now();
+        self.planners.borrow_mut().values_mut().for_each(|planner| planner.restart_limits(now));
+    }
+
     /// Sets which work is suspected of ending engines.
     pub fn set_suspects(&self, suspects: Vec<Work>) {
         let mut planners = self.planners.borrow_mut();
--- a/sorrelpass/src/gateway/desk/planning.rs
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -50,8 +50,9 @@
             Report::Silent { number, service } => self.planner(&service, |planner| planner.silent(id(number), now)),
             Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
             Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
-            // What is new in the store, or under quarantine, is no matter of planning.
+            // What is new in the store, under quarantine or at plain replicas is no matter of planning.
             Report::Sync(_) | Report::Update { .. } | Report::Quarantine(_) => return,
+            Report::Limits(_) | Report::Turn { .. } => return,
         }
         self.wake();
     }
@@ -64,6 +65,11 @@
         }
     }
 
+    /// Entries that this one plans for, itself among them.
+    pub fn entries(&self) -> usize {
+        self.followers.borrow().len() + 1
+    }
+
     /// Whether this entry plans for itself only.
     pub fn is_alone(&self) -> bool {
         !self.has_leader() && self.followers.borrow().is_empty()
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::facts::{self, Asked};
+use super::limits;
 use super::link::{self, Link, Order, Report, SILENCE};
 use super::peers::{self, Found, Peer, Round};
 use super::quarantine::{self, Source};
@@ -70,6 +71,9 @@
 async fn list(gateway: &Gateway, client: &mut Client, own: SocketAddr) -> Option<Vec<Peer>> {
     let known = peers::list(client, own).await?;
     gateway.note_entries(known.len());
+    gateway.limits.note_known(known.len());
+    // The part of a limit that may be used here changes with time, too.
+    limits::apply(gateway);
     Some(known)
 }
 
@@ -153,6 +157,7 @@
     fn drop(&mut self) {
         self.0.set_seeking(true);
         self.0.desk.link_down();
+        limits::alone(self.0);
         self.0.quarantine.wake();
     }
 }
@@ -168,6 +173,9 @@
     for news in gateway.quarantine.messages() {
         link.send(Report::Quarantine(news), &mut waiting).await?;
     }
+    for news in gateway.limits.messages() {
+        link.send(Report::Limits(news), &mut waiting).await?;
+    }
     loop {
         tokio::select! {
             order = link.receive() => {
@@ -184,7 +192,10 @@
                     }
                     Order::Quarantine(news) => quarantine::hear(gateway, news, Source::Leader),
                     Order::Welcome { leader: Some(leader), .. } => return Ok(leader),
-                    Order::Update { .. } | Order::Beat | Order::Welcome { .. } => {}
+                    Order::Limits(news) => limits::hear(gateway, news, Source::Leader),
+                    Order::Turn { number, turn } => gateway.limits.answered(number, turn),
+                    Order::Beat { entries } => gateway.limits.note_group(entries),
+                    Order::Update { .. } | Order::Welcome { .. } => {}
                 }
             }
             report = waiting.recv() => {
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::facts::{self, Asked};
+use super::limits;
 use super::link::{self, BEAT, Link, Order, Report};
 use super::quarantine::{self, Source};
 use super::state::{Gateway, Phase};
@@ -50,6 +51,7 @@
     let desk = &gateway.desk;
     let (orders, mut waiting) = mpsc::channel(link::RING);
     let entry = desk.join(orders);
+    limits::apply(&gateway);
     event!("peer-joined", peer = %peer, entry);
     let mut link = Link::new(stream);
     let outcome = tokio::select! {
@@ -60,6 +62,7 @@
         name_leader(&mut link, leader).await;
     }
     desk.leave(entry);
+    limits::apply(&gateway);
     let reason = outcome.err().map_or_else(|| "stopping".to_owned(), |error| format!("{error:#}"));
     event!("peer-left", peer = %peer, entry, reason);
 }
@@ -79,6 +82,9 @@
     for news in gateway.quarantine.messages() {
         link.send(Order::Quarantine(news), waiting).await?;
     }
+    for news in gateway.limits.messages() {
+        link.send(Order::Limits(news), waiting).await?;
+    }
     let mut asked = Asked::default();
     let mut beat = tokio::time::interval(BEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -98,6 +104,11 @@
                     facts::take_in(gateway, update, asked.at);
                 }
                 Report::Quarantine(news) => quarantine::hear(gateway, news, Source::Follower),
+                Report::Limits(news) => limits::hear(gateway, news, Source::Follower),
+                Report::Turn { number, replicas, most_wait } => {
+                    let turn = gateway.limits.turn(&replicas, most_wait);
+                    link.send(Order::Turn { number, turn }, waiting).await?;
+                }
                 report => gateway.desk.hear(entry, report),
             },
             Some(order) = waiting.recv() => link.send(order, waiting).await?,
@@ -105,7 +116,7 @@
                 if let Some(leader) = gateway.desk.leader() {
                     return Err(eyre!("step=beat: this entry follows {leader} now"));
                 }
-                link.send(Order::Beat, waiting).await?;
+                link.send(Order::Beat { entries: gateway.desk.entries() }, waiting).await?;
             }
         }
     }
--- a/sorrelpass/src/gateway/limits/mod.rs
+++ b/sorrelpass/src/gateway/limits/mod.rs
@@ -1,21 +1,105 @@
-//! Limits that replicas name: what this entry knows of them.
+//! Limits that replicas name: what this entry knows of them, passing that on, and keeping to them.
+//!
+//! Every entry has a register of what replicas say, and hears from the others by way of the one that plans for all. A limit
+//! holds for all entries together, so one entry keeps count: for engines the one that plans, with each grant
+//! ([`coord::planner`]); for replicas of plain services the same one, which gives out turns ([`turn`]). Calls to
+//! replicas that name no limit ask nobody.
 
-use std::cell::RefCell;
+mod turn;
 
-use coord::limit::{Register, Word};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::time::Duration;
+
+use coord::limit::{Allowance, Group, News, Register, Word};
 use coord::name::Name;
 use coord::roster::Record;
 use coord::time::Moment;
 use platform::dialect;
 
+use self::turn::Wishes;
+pub use self::turn::take;
+use super::link::{Order, Report, Turn};
 use super::now;
+use super::quarantine::Source;
 use super::state::Gateway;
 use crate::{event, metric, warn_event};
 
+/// News in one message: some 30 bytes each, so a message stays below 32 KB.
+const NEWS_A_MESSAGE: usize = 512;
+
 /// What this entry knows of limits.
 #[derive(Default)]
 pub struct Limits {
     register: RefCell<Register>,
+    /// What may still be sent to plain replicas, while this entry gives out the turns.
+    allowances: RefCell<HashMap<Name, Allowance>>,
+    /// Replicas that have no turn for this entry until then.
+    held: RefCell<HashMap<Name, Moment>>,
+    /// Turns that this entry has asked for.
+    wishes: Wishes,
+    /// The entries that were together of late.
+    group: Cell<Group>,
+    /// Entries that the store knows, as of the last reading.
+    known: Cell<usize>,
+}
+
+impl Limits {
+    /// Whether a replica names a limit.
+    pub fn is_limited(&self, replica: &str) -> bool {
+        self.register.borrow().rate(replica).is_some()
+    }
+
+    /// Notes that so many entries are together.
+    pub fn note_group(&self, entries: usize) {
+        let mut group = self.group.get();
+        group.note(entries, now());
+        self.group.set(group);
+    }
+
+    /// Notes how many entries the store knows.
+    pub fn note_known(&self, entries: usize) {
+        self.known.set(entries);
+    }
+
+    /// Forgets what a replica said that has started again.
+    pub fn restarted(&self, replica: &Name) {
+        if self.register.borrow_mut().restarted(replica, now()) {
+            event!("limit", peer = %replica, rate = ?None::<f64>, reason = "restarted");
+        }
+    }
+
+    /// Forgets all replicas but these.
+    pub fn keep(&self, stays: impl Fn(&Name) -> bool) {
+        self.register.borrow_mut().keep(stays);
+    }
+
+    /// All that another entry should know, in messages.
+    pub fn messages(&self) -> Vec<Vec<News>> {
+        self.register.borrow().all(now()).chunks(NEWS_A_MESSAGE).map(<[News]>::to_vec).collect()
+    }
+
+    /// A turn at the first of `replicas` that has one within `most_wait`, or the time until there is one. One that names no
+    /// limit as far as this entry knows takes any request.
+    pub fn turn(&self, replicas: &[Name], most_wait: Duration) -> Result<Turn, Duration> {
+        let now = now();
+        let mut allowances = self.allowances.borrow_mut();
+        let wait = |name: &Name| allowances.get(name).map_or(Duration::ZERO, |allowance| allowance.wait(now));
+        let soonest = replicas.iter().map(|name| (wait(name), name)).min_by_key(|(wait, _)| *wait);
+        let Some((after, replica)) = soonest else { return Err(Duration::ZERO) };
+        if after > most_wait {
+            return Err(after);
+        }
+        if let Some(allowance) = allowances.get_mut(replica) {
+            allowance.take(now);
+        }
+        Ok(Turn { replica: replica.clone(), after })
+    }
+
+    /// The answer to one of our wishes has come.
+    pub fn answered(&self, number: u64, turn: Result<Turn, Duration>) {
+        self.wishes.answer(number, turn);
+    }
 }
 
 /// Takes in what an answer of a replica says, to a request that was sent at `asked`.
@@ -25,19 +109,75 @@
     }
     let replica = &record.id;
     match answer.limit {
-        Ok(rate) => hear(gateway, replica, Word { rate, asked, heard: now() }),
+        Ok(rate) if rate.is_none() && !gateway.limits.is_limited(replica) => {}
+        Ok(rate) => {
+            let word = Word { rate, asked, heard: now() };
+            hear(gateway, vec![News::of(replica, &word, now())], Source::Own);
+        }
         // It says something, who knows what: what it said before stands.
         Err(error) => warn_event!("limit", peer = %replica, error = %error.0),
     }
 }
 
-/// Takes a word of a replica in.
-fn hear(gateway: &Gateway, replica: &Name, word: Word) {
-    let mut register = gateway.limits.register.borrow_mut();
-    let before = register.rate(replica);
-    if !register.hear(replica, word) {
+/// Takes words of replicas in, and passes on what is new.
+pub fn hear(gateway: &Gateway, news: Vec<News>, source: Source) {
+    let limits = &gateway.limits;
+    let now = now();
+    let mut changed = Vec::new();
+    for item in news {
+        let mut register = limits.register.borrow_mut();
+        let before = register.rate(&item.replica);
+        if register.hear(&item.replica, item.word(now)) {
+            let age_ms = item.heard_ago.as_millis();
+            event!("limit", peer = %item.replica, rate = ?item.rate, before = ?before, source = ?source, age_ms);
+            changed.push(item);
+        }
+    }
+    if changed.is_empty() {
         return;
     }
-    event!("limit", peer = %replica, rate = ?register.rate(replica), before = ?before, age_ms = now().since(word.heard).as_millis());
-    metric::limited(register.limited().count());
+    metric::limited(limits.register.borrow().limited().count());
+    limits.held.borrow_mut().retain(|replica, _| changed.iter().all(|news| news.replica != *replica));
+    apply(gateway);
+    match source {
+        Source::Own if gateway.desk.has_leader() => drop(gateway.desk.report(Report::Limits(changed))),
+        Source::Own | Source::Follower => gateway.desk.tell_all(&Order::Limits(changed)),
+        Source::Leader => {}
+    }
+}
+
+/// Puts in force what is known: which replicas name which limit, and which share of it may be used here.
+pub fn apply(gateway: &Gateway) {
+    let limits = &gateway.limits;
+    let now = now();
+    let entries = gateway.desk.entries();
+    let mut group = limits.group.get();
+    if !gateway.desk.has_leader() {
+        group.note(entries, now);
+        limits.group.set(group);
+    }
+    // One that decides for others knows of the rest from them; one that is alone from the store only.
+    let known = if entries == 1 { limits.known.get() } else { 0 };
+    let share = group.share(entries, known, now);
+    let register = limits.register.borrow();
+    gateway.desk.set_limits(|replica| register.rate(replica), share);
+    let mut allowances = limits.allowances.borrow_mut();
+    allowances.retain(|replica, _| register.rate(replica).is_some());
+    for (replica, rate) in register.limited() {
+        let fresh = || Allowance::new(rate, share, rand::random_range(0.0..1.0), now);
+        allowances.entry(replica.clone()).or_insert_with(fresh).set(rate, share, now);
+    }
+}
+
+/// Notes that this entry decides in place of another, whose grants of late it does not know.
+pub fn alone(gateway: &Gateway) {
+    let limits = &gateway.limits;
+    limits.wishes.clear();
+    limits.held.borrow_mut().clear();
+    gateway.desk.restart_limits();
+    let now = now();
+    let mut allowances = limits.allowances.borrow_mut();
+    allowances.values_mut().for_each(|allowance| allowance.restart(rand::random_range(0.0..1.0), now));
+    drop(allowances);
+    apply(gateway);
 }
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coord::limit;
 use coord::name::Name;
 use coord::parcel::Parcel;
 use coord::planner::{self, Team};
@@ -184,6 +185,17 @@
     },
     /// What the entry learned of work under which replicas end.
     Quarantine(Vec<News>),
+    /// What the entry learned of limits that replicas name.
+    Limits(Vec<limit::News>),
+    /// The entry wants to send a request to one of these replicas, all of which name limits.
+    Turn {
+        /// The entry's number for it.
+        number: u64,
+        /// The replicas, the best first.
+        replicas: Vec<Name>,
+        /// How long it may wait at most.
+        most_wait: Duration,
+    },
 }
 
 /// From the entry that plans to another, or from one that names it.
@@ -219,10 +231,31 @@
     },
     /// The entry that plans wants to know what is new in the store: its own readings are too old.
     Sync(Question),
-    /// The planner is alive.
-    Beat,
+    /// The planner is alive, and plans for so many entries, itself among them.
+    Beat {
+        /// That number.
+        entries: usize,
+    },
     /// What is known of work under which replicas end.
     Quarantine(Vec<News>),
+    /// What is known of limits that replicas name.
+    Limits(Vec<limit::News>),
+    /// The answer to a wish to send to a replica that names a limit.
+    Turn {
+        /// The entry's number for the wish.
+        number: u64,
+        /// The turn, or the time after which there would be one.
+        turn: Result<Turn, Duration>,
+    },
+}
+
+/// A turn at a replica that names a limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Turn {
+    /// The replica.
+    pub replica: Name,
+    /// When the request may be sent there.
+    pub after: Duration,
 }
 
 /// A connection that carries messages both ways.
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -15,7 +15,7 @@
 
 use super::desk::Desk;
 use super::facts::Facts;
-use super::limits::Limits;
+use super::limits::{self, Limits};
 use super::now;
 use super::place::Placer;
 use super::quarantine::Quarantine;
@@ -159,6 +159,7 @@
     /// Notes that a replica started again under its identity: what was known of its load and its failures was of another run.
     pub fn restarted(&self, id: &Name) {
         self.placer.borrow_mut().forget(id);
+        self.limits.restarted(id);
         let service = self.roster.borrow().get(id).map(|replica| replica.record.service.clone());
         if let Some(service) = service {
             self.desk.restarted(&service, id);
@@ -173,6 +174,8 @@
             let engines = roster.usable(&service.name).map(|record| record.id.clone());
             self.desk.set_engines(&service.name, figures, engines);
         }
+        self.limits.keep(|replica| roster.get(replica).is_some());
+        limits::apply(self);
     }
 
     /// Age of the proof that the table in force is the newest, in milliseconds, if there is any.
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -22,6 +22,8 @@
     refused_condemned: Counter<u64>,
     quarantine: Gauge<u64>,
     limited: Gauge<u64>,
+    limit_waits: Counter<u64>,
+    limit_refusals: Counter<u64>,
     ttft: Histogram<f64>,
     first_event: Histogram<f64>,
     revision: Gauge<u64>,
@@ -54,6 +56,8 @@
         refused_condemned: meter.u64_counter("sorrelpass_refused_condemned").build(),
         quarantine: meter.u64_gauge("sorrelpass_quarantine").build(),
         limited: meter.u64_gauge("sorrelpass_replicas_limited").build(),
+        limit_waits: meter.u64_counter("sorrelpass_limit_waits").build(),
+        limit_refusals: meter.u64_counter("sorrelpass_limit_refusals").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BOUNDS.to_vec()).build(),
         first_event: meter
             .f64_histogram("sorrelpass_first_event_seconds")
@@ -124,6 +128,16 @@
     with(|on| on.limited.record(replicas as u64, &[]));
 }
 
+/// A call waits for its turn at a replica that names a limit.
+pub fn limit_wait() {
+    with(|on| on.limit_waits.add(1, &[]));
+}
+
+/// A call was refused since all replicas of its service name limits, and more comes than these allow.
+pub fn limit_refusal() {
+    with(|on| on.limit_refusals.add(1, &[]));
+}
+
 /// A first token came after `ttft`, for a prompt of length class `class`.
 pub fn ttft(class: usize, ttft: Duration) {
     with(|on| on.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
