--- a/coord/benches/planner.rs
+++ b/coord/benches/planner.rs
@@ -33,6 +33,9 @@
     &[(18, 10), (150, 20), (150, 100), (150, 1_000), (1_000, 100), (12_000, 100), (12_000, 1_000)];
 /// Those at which the plain form ends in a reasonable time.
 const PLAIN_SIZES: &[(usize, u64)] = &[(18, 10), (150, 20), (150, 100), (150, 1_000), (1_000, 100)];
+/// Engines, prompts that wait, engines that name a limit.
+const LIMITED_SIZES: &[(usize, u64, usize)] =
+    &[(150, 20, 0), (150, 20, 40), (150, 20, 150), (12_000, 100, 0), (12_000, 100, 100), (12_000, 100, 3_000)];
 /// The entry whose prompts run already.
 const OTHER: u64 = 1;
 
@@ -89,6 +92,35 @@
     });
 }
 
+/// The same beside engines that name a limit, while time goes on.
+#[divan::bench(args = LIMITED_SIZES)]
+fn limited(bencher: Bencher, (engines, waiting, limited): (usize, u64, usize)) {
+    let mut now = Moment::from_millis(10_000);
+    let mut planner = busy!(Planner::new(Policy::default(), 0), (engines, waiting), now);
+    (0..limited).for_each(|index| planner.set_limit(&name(index), Some(2.0), 1.0, now));
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        now = now + Duration::from_micros(100);
+        planner.submit(event(number), job(3_000, now));
+        black_box(planner.pump(now));
+        black_box(planner.refuse(now));
+        planner.end(event(number), now);
+    });
+}
+
+/// One more limit that is heard of.
+#[divan::bench(args = [150, 12_000])]
+fn limit_heard(bencher: Bencher, engines: usize) {
+    let now = Moment::from_millis(10_000);
+    let mut planner = busy!(Planner::new(Policy::default(), 0), (engines, 0), now);
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        planner.set_limit(&name(number % engines), Some(2.0), 1.0, now);
+    });
+}
+
 #[divan::bench(args = PLAIN_SIZES, sample_count = 10)]
 fn plain(bencher: Bencher, size: (usize, u64)) {
     let now = Moment::from_millis(10_000);
--- a/coord/src/planner/board.rs
+++ b/coord/src/planner/board.rs
@@ -96,6 +96,29 @@
     }
 }
 
+/// Which engines may be chosen now.
+#[derive(Clone, Copy, Debug)]
+pub struct Choosable {
+    /// Whether those that failed of late are left out.
+    leaves_out: bool,
+    /// Whether those with a suspect are left to it.
+    leaves_suspects_alone: bool,
+}
+
+impl Choosable {
+    /// The same for a suspect, which may go where it or its like is.
+    pub fn for_suspect(self) -> Self {
+        Self { leaves_suspects_alone: false, ..self }
+    }
+
+    /// Whether an engine may be chosen. One that has used up the limit that it names may not, however many others are left.
+    pub fn admits(&self, view: &View) -> bool {
+        view.within_limit
+            && (!self.leaves_out || view.admits)
+            && !(self.leaves_suspects_alone && view.suspect.is_some())
+    }
+}
+
 /// All engines at one moment.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -140,14 +163,19 @@
         &self.views
     }
 
+    /// Which engines may be chosen.
+    pub fn choosable(&self, policy: &Policy) -> Choosable {
+        Choosable { leaves_out: self.leaves_out(policy), leaves_suspects_alone: self.leaves_suspects_alone(policy) }
+    }
+
     /// Whether engines that failed of late are left out: as long as that leaves most of them. What strikes many at once
     /// is no fault of theirs.
-    pub fn leaves_out(&self, policy: &Policy) -> bool {
+    fn leaves_out(&self, policy: &Policy) -> bool {
         self.admitted as f64 > self.views.len() as f64 * policy.least_usable
     }
 
     /// Whether engines with a suspect are left to it: as long as that leaves most of them.
-    pub fn leaves_suspects_alone(&self, policy: &Policy) -> bool {
+    fn leaves_suspects_alone(&self, policy: &Policy) -> bool {
         self.with_suspect > 0 && !self.is_too_many(self.with_suspect, policy)
     }
 
@@ -185,13 +213,9 @@
     /// The same among all that may be chosen, worked out once between two grants.
     pub fn open(&self, policy: &Policy) -> &Open {
         self.open.get_or_init(|| {
-            let leaves_out = self.leaves_out(policy);
-            let alone = self.leaves_suspects_alone(policy);
-            let usable = |index: &usize| {
-                let view = &self.views[*index];
-                view.within_limit && (!leaves_out || view.admits) && !(alone && view.suspect.is_some())
-            };
-            self.open_among((0..self.views.len()).filter(usable), policy)
+            let choosable = self.choosable(policy);
+            let may = |index: &usize| choosable.admits(&self.views[*index]);
+            self.open_among((0..self.views.len()).filter(may), policy)
         })
     }
 }
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -219,16 +219,15 @@
         }
     }
 
-    /// Sets which engines name a limit of their own, in requests a second, and which `share` of it is granted here. What
-    /// helps to read a prompt counts as much as what writes its answer.
-    pub fn set_limits(&mut self, rate: impl Fn(&Name) -> Option<f64>, share: f64, now: Moment) {
+    /// Sets the limit that an engine names, in requests a second, if it names one, and which `share` of it is granted here.
+    /// What helps to read a prompt counts as much as what writes its answer.
+    pub fn set_limit(&mut self, engine: &Name, rate: Option<f64>, share: f64, now: Moment) {
         let salt = self.salt;
-        for engine in self.fleet.engines_mut() {
-            match (rate(&engine.name), &mut engine.limit) {
-                (None, limit) => *limit = None,
-                (Some(rate), Some(limit)) => limit.set(rate, share, now),
-                (Some(rate), limit) => *limit = Some(Allowance::new(rate, share, start(salt, &engine.name), now)),
-            }
+        let Some(engine) = self.fleet.get_mut(engine) else { return };
+        match (rate, &mut engine.limit) {
+            (None, limit) => *limit = None,
+            (Some(rate), Some(limit)) => limit.set(rate, share, now),
+            (Some(rate), limit) => *limit = Some(Allowance::new(rate, share, start(salt, &engine.name), now)),
         }
     }
 
--- a/coord/src/planner/place/mod.rs
+++ b/coord/src/planner/place/mod.rs
@@ -9,7 +9,7 @@
 
 pub(super) use self::hopeless::Hopeless;
 use super::Planner;
-use super::board::{Board, Open, View};
+use super::board::{Board, Choosable, Open, View};
 use super::job::{Job, Team};
 use super::policy::Policy;
 use super::waiting::{Prompt, Turn};
@@ -34,10 +34,8 @@
     reach: Reach,
     /// Places of the engines that its entry does not reach, as far as is known.
     unreached: &'a [usize],
-    /// Whether engines that failed of late are left out.
-    leaves_out: bool,
-    /// Whether engines with a suspect are left to it.
-    leaves_suspects_alone: bool,
+    /// Which engines may be chosen at all.
+    choosable: Choosable,
     now: Moment,
 }
 
@@ -61,12 +59,7 @@
     /// Engines that may be chosen, with their places in the fleet.
     fn engines(&self) -> impl Iterator<Item = (usize, &'a View)> {
         let views = self.board.views().iter().enumerate();
-        let may = |view: &View| {
-            view.within_limit
-                && (!self.leaves_out || view.admits)
-                && !(self.leaves_suspects_alone && view.suspect.is_some())
-        };
-        views.filter(move |(index, view)| may(view) && !self.unreached.contains(index))
+        views.filter(move |(index, view)| self.choosable.admits(view) && !self.unreached.contains(index))
     }
 
     /// Engines that may read a part of a long prompt now.
@@ -82,17 +75,15 @@
     /// Engines for a prompt that has its turn; none if it must wait. `unreached` are the places of engines that its
     /// entry does not reach.
     pub(super) fn place(&self, turn: &Turn, reach: Reach, unreached: &[usize], now: Moment) -> Option<Team> {
-        let leaves_out = self.board.leaves_out(&self.policy);
         let board = &self.board;
-        let leaves_suspects_alone = board.leaves_suspects_alone(&self.policy);
-        let mut choice =
-            Choice { planner: self, board, turn, reach, unreached, leaves_out, leaves_suspects_alone, now };
+        let choosable = board.choosable(&self.policy);
+        let mut choice = Choice { planner: self, board, turn, reach, unreached, choosable, now };
         if choice.engines().next().is_none() {
             // Rather one that it may not reach than none.
             choice.unreached = &[];
         }
         if let Some(work) = self.suspected_work(&turn.prompt.job).filter(|_| choice.may_be_alone()) {
-            choice.leaves_suspects_alone = false;
+            choice.choosable = choosable.for_suspect();
             return choice.apart(work).map(|index| Team::alone(choice.name(index)));
         }
         if turn.prompt.short {
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -169,10 +169,10 @@
         self.wake();
     }
 
-    /// Sets which engines name a limit, in requests a second, and the part of it that is granted here.
-    pub fn set_limits(&self, rate: impl Fn(&Name) -> Option<f64>, share: f64) {
+    /// Sets the limit that an engine names, in requests a second, and the part of it that is granted here.
+    pub fn set_limit(&self, engine: &Name, rate: Option<f64>, share: f64) {
         let now = now();
-        self.planners.borrow_mut().values_mut().for_each(|planner| planner.set_limits(&rate, share, now));
+        self.planners.borrow_mut().values_mut().for_each(|planner| planner.set_limit(engine, rate, share, now));
         self.wake();
     }
 
--- a/sorrelpass/src/gateway/limits/mod.rs
+++ b/sorrelpass/src/gateway/limits/mod.rs
@@ -8,7 +8,7 @@
 mod turn;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use coord::limit::{Allowance, Group, News, Register, Word};
@@ -36,6 +36,8 @@
     allowances: RefCell<HashMap<Name, Allowance>>,
     /// Replicas that have no turn for this entry until then.
     held: RefCell<HashMap<Name, Moment>>,
+    /// Replicas whose word could not be read.
+    unreadable: RefCell<HashSet<Name>>,
     /// Turns that this entry has asked for.
     wishes: Wishes,
     /// The entries that were together of late.
@@ -71,6 +73,8 @@
 
     /// Forgets all replicas but these.
     pub fn keep(&self, stays: impl Fn(&Name) -> bool) {
+        self.unreadable.borrow_mut().retain(&stays);
+        self.held.borrow_mut().retain(|replica, _| stays(replica));
         self.register.borrow_mut().keep(stays);
     }
 
@@ -114,8 +118,11 @@
             let word = Word { rate, asked, heard: now() };
             hear(gateway, vec![News::of(replica, &word, now())], Source::Own);
         }
-        // It says something, who knows what: what it said before stands.
-        Err(error) => warn_event!("limit", peer = %replica, error = %error.0),
+        // It says something, who knows what: what it said before stands. Logged once, not for each answer.
+        Err(error) if gateway.limits.unreadable.borrow_mut().insert(replica.clone()) => {
+            warn_event!("limit", peer = %replica, error = %error.0);
+        }
+        Err(_) => {}
     }
 }
 
@@ -137,8 +144,11 @@
         return;
     }
     metric::limited(limits.register.borrow().limited().count());
-    limits.held.borrow_mut().retain(|replica, _| changed.iter().all(|news| news.replica != *replica));
-    apply(gateway);
+    let share = share(gateway);
+    for news in &changed {
+        limits.held.borrow_mut().remove(&news.replica);
+        set(gateway, &news.replica, news.rate, share);
+    }
     match source {
         Source::Own if gateway.desk.has_leader() => drop(gateway.desk.report(Report::Limits(changed))),
         Source::Own | Source::Follower => gateway.desk.tell_all(&Order::Limits(changed)),
@@ -146,27 +156,37 @@
     }
 }
 
-/// Puts in force what is known: which replicas name which limit, and which share of it may be used here.
+/// Puts in force all that is known: which replicas name which limit, and which share of it may be used here.
 pub fn apply(gateway: &Gateway) {
-    let limits = &gateway.limits;
+    let share = share(gateway);
+    let register = gateway.limits.register.borrow();
+    gateway.limits.allowances.borrow_mut().retain(|replica, _| register.rate(replica).is_some());
+    register.limited().for_each(|(replica, rate)| set(gateway, replica, Some(rate), share));
+}
+
+/// Puts the limit of one replica in force.
+fn set(gateway: &Gateway, replica: &Name, rate: Option<f64>, share: f64) {
+    gateway.desk.set_limit(replica, rate, share);
+    let mut allowances = gateway.limits.allowances.borrow_mut();
+    let Some(rate) = rate else {
+        allowances.remove(replica);
+        return;
+    };
     let now = now();
+    let fresh = || Allowance::new(rate, share, rand::random_range(0.0..1.0), now);
+    allowances.entry(replica.clone()).or_insert_with(fresh).set(rate, share, now);
+}
+
+/// The share of each limit that may be used here: that of the entries for which this one decides.
+fn share(gateway: &Gateway) -> f64 {
+    let limits = &gateway.limits;
     let entries = gateway.desk.entries();
-    let mut group = limits.group.get();
     if !gateway.desk.has_leader() {
-        group.note(entries, now);
-        limits.group.set(group);
+        limits.note_group(entries);
     }
     // One that decides for others knows of the rest from them; one that is alone from the store only.
     let known = if entries == 1 { limits.known.get() } else { 0 };
-    let share = group.share(entries, known, now);
-    let register = limits.register.borrow();
-    gateway.desk.set_limits(|replica| register.rate(replica), share);
-    let mut allowances = limits.allowances.borrow_mut();
-    allowances.retain(|replica, _| register.rate(replica).is_some());
-    for (replica, rate) in register.limited() {
-        let fresh = || Allowance::new(rate, share, rand::random_range(0.0..1.0), now);
-        allowances.entry(replica.clone()).or_insert_with(fresh).set(rate, share, now);
-    }
+    limits.group.get().share(entries, known, now())
 }
 
 /// Notes that this entry decides in place of another, whose grants of late it does not know.
--- a/standin/src/cmd/site_soak.rs
+++ b/standin/src/cmd/site_soak.rs
@@ -1,6 +1,6 @@
 //! Runs a small site of the users' platform under random faults from a seed, and prints every breach.
 //!
-//! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N] [--fatal]
+//! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N] [--fatal] [--limits]
 //!
 //! Entries are killed, paused, stopped and told to reload; the ways from callers, to the store and to replicas
 //! are delayed, reset, cut one way or silenced; the store and the replicas answer badly; keys change. It ends
@@ -42,6 +42,8 @@
     callers: usize,
     /// Have one more caller come again and again with work under which engines end
     fatal: bool,
+    /// Have an engine and a plain replica name a limit of requests a second
+    limits: bool,
 }
 
 /// Runs the subcommand.
@@ -55,6 +57,7 @@
         entries: args.entries,
         callers: args.callers,
         fatal: args.fatal,
+        limits: args.limits,
     };
     let seeds = stream::iter(args.seed..args.seed + args.seeds);
     let mut reports =
--- a/standin/src/platform/soak/judge.rs
+++ b/standin/src/platform/soak/judge.rs
@@ -7,18 +7,23 @@
 
 use super::caller::{FATAL, Line, Phase, Route};
 use super::injector::Injector;
-use super::{RECOVERY, REVOKE, Report};
+use super::{LIMIT, Plan, RECOVERY, REVOKE, Report, limited};
+use crate::platform::replica::Replica;
 use crate::platform::site::Site;
 
 /// A replica that announced its end gets nothing after this; the entries' default bound, and time for the way.
 const DRAIN: Duration = Duration::from_millis(2_500);
 /// Sends of fatal work: three, three after them, and as many by entries that are cut off or have just begun.
 const MOST_FATAL: usize = 9;
+/// A limit holds from so long after the first request …
+const CONTACT: Duration = Duration::from_secs(3);
+/// … in every window of this length, with half of it and five requests more.
+const WINDOW: Duration = Duration::from_secs(4);
 /// Engine memory is free so long after the last request.
 const FREE: Duration = Duration::from_secs(5);
 
 /// Checks the promises.
-pub async fn judge(injector: Injector, lines: &[Line]) -> Result<Report> {
+pub async fn judge(injector: Injector, lines: &[Line], plan: &Plan) -> Result<Report> {
     let Injector { site, faults, revoked, drained, mut breaches, .. } = injector;
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     for replica in site.engines.iter().chain(&site.plain) {
@@ -45,6 +50,11 @@
     if fatal_sends > MOST_FATAL {
         breaches.push(format!("fatal work was sent {fatal_sends} times, {ends} engines ended"));
     }
+    let most_limited = if plan.limits { most_limited(&site) } else { 0 };
+    let allowed = (LIMIT * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize;
+    if most_limited > allowed {
+        breaches.push(format!("a replica that takes {LIMIT} a second got {most_limited} requests in 4 s"));
+    }
     let quiet = Instant::now();
     let held = || site.engines.iter().map(|engine| engine.memory()).sum::<u64>();
     while held() > 0 && quiet.elapsed() < FREE {
@@ -59,7 +69,19 @@
     } else {
         breaches.push(format!("logs are in {}", site.keep_logs().display()));
     }
-    Ok(Report { statuses, faults, fatal_sends, ends, breaches })
+    Ok(Report { statuses, faults, fatal_sends, ends, most_limited, breaches })
+}
+
+/// The most requests in a window at a replica that names a limit, of all entries: also those that have just begun, or were
+/// frozen, which the users' rule leaves out.
+fn most_limited(site: &Site) -> usize {
+    let most = |replica: &Replica| {
+        let at: Vec<Instant> = replica.seen().iter().map(|run| run.at).collect();
+        let counted = at.iter().filter(|begin| **begin >= at[0] + CONTACT);
+        let within = |begin: &Instant| at.iter().filter(|at| **at >= *begin && **at < *begin + WINDOW).count();
+        counted.map(within).max().unwrap_or(0)
+    };
+    limited(site).map(|replica| most(replica)).max().unwrap_or(0)
 }
 
 /// How often fatal work was sent.
--- a/standin/src/platform/soak/mod.rs
+++ b/standin/src/platform/soak/mod.rs
@@ -24,6 +24,7 @@
 use self::injector::Injector;
 pub use self::injector::Kind;
 use self::judge::judge;
+use super::replica::Replica;
 use super::site::{Site, Spec};
 
 /// Time after the last fault within which everything works again.
@@ -36,6 +37,14 @@
 /// An engine that ended under fatal work is back after this.
 const DOWN: Duration = Duration::from_millis(1_000);
 
+/// Requests a second that replicas which name a limit take, of the dozens that come.
+const LIMIT: f64 = 3.0;
+
+/// The replicas that name a limit: one of each kind, so that others have room; the last, since the first announce ends.
+fn limited(site: &Site) -> impl Iterator<Item = &Arc<Replica>> {
+    site.engines.last().into_iter().chain(site.plain.last())
+}
+
 /// What a soak is made of.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -51,6 +60,8 @@
     pub callers: usize,
     /// Whether one more caller comes again and again with work under which engines end.
     pub fatal: bool,
+    /// Whether an engine and a plain replica name a limit from the beginning.
+    pub limits: bool,
 }
 
 /// What came of a soak.
@@ -64,6 +75,8 @@
     pub fatal_sends: usize,
     /// Engines that ended under it.
     pub ends: usize,
+    /// The most requests in a window at a replica that names a limit.
+    pub most_limited: usize,
     /// Promises that were broken.
     pub breaches: Vec<String>,
 }
@@ -73,6 +86,7 @@
         writeln!(out, "answers: {:?}", self.statuses)?;
         writeln!(out, "faults: {:?}", self.faults)?;
         writeln!(out, "sends of fatal work: {}, ends of engines under it: {}", self.fatal_sends, self.ends)?;
+        writeln!(out, "most requests in 4 s at a replica that takes {LIMIT} a second: {}", self.most_limited)?;
         self.breaches.iter().try_for_each(|breach| writeln!(out, "breach: {breach}"))
     }
 }
@@ -98,6 +112,9 @@
         let random = SmallRng::seed_from_u64(seeds.random());
         callers.push(tokio::spawn(fatal_caller(shared.clone(), site.addresses.clone(), random)));
     }
+    if plan.limits {
+        limited(&site).for_each(|replica| replica.name_limit(Some(&LIMIT.to_string())));
+    }
     let mut injector = Injector::new(site, shared.clone(), seeds);
     for round in 0..plan.rounds {
         injector.round(plan, round % 2 == 1).await?;
@@ -106,5 +123,5 @@
     for caller in callers {
         caller.await.map_err(|error| eyre!("step=join-caller: {error}"))?;
     }
-    judge(injector, &shared.lines()).await
+    judge(injector, &shared.lines(), plan).await
 }
--- a/standin/tests/platform_limits.rs
+++ b/standin/tests/platform_limits.rs
@@ -111,6 +111,7 @@
         assert!(most <= calm(rate), "{} got {most} where it takes {}", engine.id, calm(rate));
     }
     assert_eq!(served(&seen), seen.len(), "others have room for all");
+    assert_nothing_is_blamed(&site);
     site.close().expect("no invariant was breached");
 }
 
@@ -125,9 +126,18 @@
     let most = most(busiest, since);
     assert!(most <= calm(1.0), "it got {most} where it takes {}", calm(1.0));
     assert_eq!(served(&seen), seen.len(), "others have room for all");
+    assert_nothing_is_blamed(&site);
     site.close().expect("no invariant was breached");
 }
 
+/// A replica in need has not failed: nobody leaves it alone for it, and nothing is sent a second time.
+fn assert_nothing_is_blamed(site: &Site) {
+    for entry in 0..site.addresses.len() {
+        let log = site.log(entry);
+        assert!(!log.contains("step=doubt") && !log.contains("number=2"), "entry {entry}: {log}");
+    }
+}
+
 /// What is allowed at each, what came to an end in time, and what was refused at once with a time to come back.
 fn assert_fits(replicas: &[Arc<Replica>], rate: f64, seen: &[Seen], since: Instant, lasts: Duration) {
     for replica in replicas {
@@ -191,6 +201,27 @@
     site.close().expect("no invariant was breached");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_limit_holds_after_a_loss_of_all_entries() {
+    let mut site = site("limits-loss", Spec { entries: 4, ..fleet() }).await;
+    site.engines.iter().for_each(|replica| replica.name_limit(Some("2")));
+    site.plain.iter().for_each(|replica| replica.name_limit(Some("2")));
+    let since = Instant::now() + CONTACT;
+    tokio::join!(load(&site, 30, Duration::from_secs(4), prompt), load(&site, 20, Duration::from_secs(4), look));
+    for entry in 0..site.addresses.len() {
+        site.restart(entry).await.expect("it starts again");
+    }
+    for entry in 0..site.addresses.len() {
+        site.wait_ready(entry, true).await.expect("it is ready");
+    }
+    tokio::join!(load(&site, 30, Duration::from_secs(5), prompt), load(&site, 20, Duration::from_secs(5), look));
+    for replica in site.engines.iter().chain(&site.plain) {
+        let most = most(replica, since);
+        assert!(most <= troubled(2.0), "{} got {most} where it takes {}", replica.id, troubled(2.0));
+    }
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_that_is_named_no_longer_binds_no_longer() {
     let site = site("limits-over", Spec { engines: 2, plain: 2, ..fleet() }).await;
--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -13,11 +13,15 @@
 use standin::platform::soak::{self, Plan};
 
 async fn kept(seed: u64) {
-    play(seed, false).await;
+    play(plan(seed)).await;
 }
 
-async fn play(seed: u64, fatal: bool) {
-    let plan = Plan { seed, rounds: 2, faults: Duration::from_secs(5), entries: 3, callers: 16, fatal };
+fn plan(seed: u64) -> Plan {
+    let faults = Duration::from_secs(5);
+    Plan { seed, rounds: 2, faults, entries: 3, callers: 16, fatal: false, limits: false }
+}
+
+async fn play(plan: Plan) {
     let report = soak::run(&plan).await.expect("it runs");
     assert!(report.breaches.is_empty(), "{report}");
     assert!(report.statuses.get(&200).is_some_and(|served| *served > 100), "{report}");
@@ -40,10 +44,15 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_31_with_work_under_which_engines_end() {
-    play(31, true).await;
+    play(Plan { fatal: true, ..plan(31) }).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_107_with_work_under_which_engines_end() {
-    play(107, true).await;
+    play(Plan { fatal: true, ..plan(107) }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_201_beside_replicas_that_name_a_limit() {
+    play(Plan { limits: true, ..plan(201) }).await;
 }
