--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -160,7 +160,8 @@
                 record.map(|record| self.at(record)).ok_or(Unplaced::Exhausted)
             }
             Err(after) => {
-                event!("limit-refused", request = %self.call.id, service = %self.service, next_ms = after.as_millis());
+                let (limited, of) = self.in_need();
+                event!("limit-refused", request = %self.call.id, service = %self.service, next_ms = after.as_millis(), limited, of);
                 metric::limit_refusal();
                 // Not all at the same moment: there is one turn then.
                 Err(Unplaced::Refused(after.mul_f64(rand::random_range(1.0..2.0))))
@@ -193,7 +194,8 @@
                     continue;
                 }
                 Err(unplaced) => {
-                    event!("unplaced", request = %self.call.id, reason = ?unplaced, waited_ms = now().since(self.started).as_millis());
+                    let (limited, of) = self.in_need();
+                    event!("unplaced", request = %self.call.id, reason = ?unplaced, waited_ms = now().since(self.started).as_millis(), limited, of);
                     return Err(unplaced);
                 }
             };
@@ -211,6 +213,13 @@
         }
     }
 
+    /// How many replicas of the service name a limit, of how many that take work.
+    fn in_need(&self) -> (usize, usize) {
+        let roster = self.gateway.roster.borrow();
+        let limited = roster.usable(&self.service).filter(|record| self.gateway.limits.is_limited(&record.id)).count();
+        (limited, roster.usable(&self.service).count())
+    }
+
     /// What the planner gets to know of the prompt.
     fn prompt(&self, tokens: u64) -> planner::Job {
         let own_priority = self.workspace.as_ref().and_then(|workspace| workspace.priority);
