--- a/coord/src/limit/mod.rs
+++ b/coord/src/limit/mod.rs
@@ -131,8 +131,8 @@
         was_limited
     }
 
-    /// Forgets all replicas but these.
-    pub fn keep(&mut self, stays: impl Fn(&Name) -> bool) {
-        self.0.retain(|replica, _| stays(replica));
+    /// Forgets a replica that is gone.
+    pub fn forget(&mut self, replica: &str) {
+        self.0.remove(replica);
     }
 }
--- a/coord/src/planner/board.rs
+++ b/coord/src/planner/board.rs
@@ -119,6 +119,25 @@
     }
 }
 
+/// How many engines are in which state, to explain why prompts wait.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// All engines.
+    pub engines: usize,
+    /// Those that may be chosen.
+    pub choosable: usize,
+    /// Those that failed too much of late to be sent anything.
+    pub failing: usize,
+    /// Those whose next request is a trial.
+    pub on_trial: usize,
+    /// Those that have used up the limit that they name.
+    pub limited: usize,
+    /// Those all of whose slots are granted.
+    pub full: usize,
+    /// Those that have something left to read, as far as is known.
+    pub reading: usize,
+}
+
 /// All engines at one moment.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -163,6 +182,21 @@
         &self.views
     }
 
+    /// How many engines are in which state.
+    pub fn tally(&self, policy: &Policy) -> Tally {
+        let choosable = self.choosable(policy);
+        let count = |is: &dyn Fn(&View) -> bool| self.views.iter().filter(|view| is(view)).count();
+        Tally {
+            engines: self.views.len(),
+            choosable: count(&|view| choosable.admits(view)),
+            failing: self.views.len() - self.admitted,
+            on_trial: self.on_trial,
+            limited: count(&|view| !view.within_limit),
+            full: count(&|view| !view.has_slot),
+            reading: count(&|view| view.pending_ms > 0.0),
+        }
+    }
+
     /// Which engines may be chosen.
     pub fn choosable(&self, policy: &Policy) -> Choosable {
         Choosable { leaves_out: self.leaves_out(policy), leaves_suspects_alone: self.leaves_suspects_alone(policy) }
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -28,8 +28,10 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use self::board::Board;
+pub use self::board::Tally;
 use self::engine::{Engine, Seat};
 use self::evidence::Evidence;
 use self::fleet::Fleet;
@@ -287,6 +289,12 @@
         grants
     }
 
+    /// For how long prompts that could be in time have found no engines, how many wait, and what the engines were like at
+    /// the last pump.
+    pub fn held(&self, now: Moment) -> (Duration, usize, Tally) {
+        (self.pressure.held_for(now), self.waiting.ids().count(), self.board.tally(&self.policy))
+    }
+
     /// Gives a prompt its engines.
     fn grant(&mut self, turn: &Turn, team: Team, now: Moment) -> Grant {
         let expected_ms = self.take_in(turn.id, &turn.prompt.job, team.clone(), true, now);
--- a/coord/src/planner/pressure.rs
+++ b/coord/src/planner/pressure.rs
@@ -75,6 +75,11 @@
         pace.add(prompt.read_ms, now);
     }
 
+    /// For how long prompts that could be in time have found no engines without a break.
+    pub fn held_for(&self, now: Moment) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     fn lasts(&self, now: Moment) -> bool {
         self.since.is_some_and(|since| now.since(since) >= PRESSED)
     }
--- a/sorrelpass/src/gateway/belief.rs
+++ b/sorrelpass/src/gateway/belief.rs
@@ -67,6 +67,9 @@
             Standing::Gone => "gone",
         };
         event!("replica", peer = %change.id, standing);
+        if change.standing == Standing::Gone {
+            gateway.limits.forget(&change.id);
+        }
         if change.restarted {
             event!("replica-restarted", peer = %change.id);
             gateway.restarted(&change.id);
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -18,6 +18,7 @@
 use coord::name::Name;
 use coord::planner::{Id, Job, Planner, Policy, Team};
 use coord::quarantine::Work;
+use coord::time::Moment;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use self::following::Leader;
@@ -28,6 +29,10 @@
 /// How often waiting prompts are looked at when nothing else happens: engines free up by the
 /// model's reckoning, which is good to some milliseconds.
 const TICK: Duration = Duration::from_millis(10);
+/// Prompts that wait for so long without a break wait for a reason worth a line: longer than a pass of a full engine.
+const HELD: Duration = Duration::from_millis(200);
+/// Time between two such lines.
+const EXPLAINED: Duration = Duration::from_millis(500);
 /// This process's own jobs carry this number in place of a connection's.
 const OWN: u64 = 0;
 
@@ -86,6 +91,8 @@
     followers: RefCell<HashMap<u64, mpsc::Sender<Order>>>,
     next_number: Cell<u64>,
     next_entry: Cell<u64>,
+    /// When it was last said why prompts wait.
+    explained: Cell<Moment>,
     /// Told when something happened that prompts may start after.
     woken: Notify,
 }
@@ -145,6 +152,7 @@
             followers: RefCell::default(),
             next_number: Cell::new(0),
             next_entry: Cell::new(OWN + 1),
+            explained: Cell::default(),
             woken: Notify::new(),
         })
     }
@@ -327,6 +335,7 @@
                 more |= planner.has_waiting();
             }
         }
+        self.explain();
         for grant in grants {
             self.deliver(grant);
         }
@@ -335,6 +344,21 @@
         }
         more
     }
+
+    /// Says every now and then why prompts wait, while they do.
+    fn explain(&self) {
+        let now = now();
+        if now.since(self.explained.get()) < EXPLAINED {
+            return;
+        }
+        for (service, planner) in &*self.planners.borrow() {
+            let (held, waiting, tally) = planner.held(now);
+            if held >= HELD {
+                self.explained.set(now);
+                crate::event!("held", service = %service, held_ms = held.as_millis(), waiting, tally = ?tally);
+            }
+        }
+    }
 }
 
 fn own(number: u64) -> Id {
--- a/sorrelpass/src/gateway/limits/mod.rs
+++ b/sorrelpass/src/gateway/limits/mod.rs
@@ -71,11 +71,12 @@
         }
     }
 
-    /// Forgets all replicas but these.
-    pub fn keep(&self, stays: impl Fn(&Name) -> bool) {
-        self.unreadable.borrow_mut().retain(&stays);
-        self.held.borrow_mut().retain(|replica, _| stays(replica));
-        self.register.borrow_mut().keep(stays);
+    /// Forgets a replica that is gone. One that is not known yet is another matter: an entry that starts hears of limits
+    /// before it has read which replicas there are.
+    pub fn forget(&self, replica: &Name) {
+        self.unreadable.borrow_mut().remove(replica);
+        self.held.borrow_mut().remove(replica);
+        self.register.borrow_mut().forget(replica);
     }
 
     /// All that another entry should know, in messages.
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -174,7 +174,6 @@
             let engines = roster.usable(&service.name).map(|record| record.id.clone());
             self.desk.set_engines(&service.name, figures, engines);
         }
-        self.limits.keep(|replica| roster.get(replica).is_some());
         limits::apply(self);
     }
 
--- a/standin/tests/platform_limits.rs
+++ b/standin/tests/platform_limits.rs
@@ -222,6 +222,21 @@
     site.close().expect("no invariant was breached");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_is_told_of_limits_and_keeps_them() {
+    let mut site = site("limits-start", fleet()).await;
+    site.plain.iter().for_each(|replica| replica.name_limit(Some("2")));
+    load(&site, 20, Duration::from_secs(1), look).await;
+    let follower = (planner(&site) + 1) % site.addresses.len();
+    let heard_itself = |site: &Site| site.log(follower).matches("before=None source=Own").count();
+    let before = heard_itself(&site);
+    site.restart(follower).await.expect("it starts again");
+    site.wait_ready(follower, true).await.expect("it is ready");
+    load(&site, 20, Duration::from_secs(2), look).await;
+    assert_eq!(heard_itself(&site), before, "{}", site.log(follower));
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_that_is_named_no_longer_binds_no_longer() {
     let site = site("limits-over", Spec { engines: 2, plain: 2, ..fleet() }).await;
