--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -56,3 +56,10 @@
 async fn seed_201_beside_replicas_that_name_a_limit() {
     play(Plan { limits: true, ..plan(201) }).await;
 }
+
+/// Once, beside load, six short prompts were held for 0.9 s and refused in the calm: one engine of four was given prompts,
+/// one at a time. The cause is not known.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_326_beside_replicas_that_name_a_limit() {
+    play(Plan { limits: true, ..plan(326) }).await;
+}
