A grant goes back when whoever waited for it gives up in the same moment

Cause: the lease of a grant was made by the task that hears of it. Where that task's select took another branch in the same turn (the end of its patience, a caller that left, a verdict), the grant was neither waiting nor leased: its engines counted as reading, its seats as taken, for as long as the process lived, and each new leader was told of it anew. An entry that wakes from a freeze finds the timer and the grant due together and takes either. Evidence: played (leader killed, a long prompt that waits for the new one to settle, a freeze longer than its patience): the long prompt is answered 503 without a send line, then 'held ... reading: 3', one prompt at a time at one engine of three, 6 of 12 short ones refused. Ruled out there: breakers, trials, limits (tally all 0).

Change: the lease is made where the prompt is granted and travels with the answer; whoever drops the answer ends it. Looked for elsewhere: the sidecar's offers (a start that nobody hears is taken back, as it was), turns at limited replicas (a turn that nobody takes is one request not sent; left).

--- a/sorrelpass/src/gateway/desk/following.rs
+++ b/sorrelpass/src/gateway/desk/following.rs
@@ -1,6 +1,7 @@
 //! The desk of an entry for which another plans: what goes there, and what comes back.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -17,7 +18,7 @@
 
 impl Desk {
     /// The entry that plans granted one of our prompts.
-    pub fn granted(&self, number: u64, placement: Placement) {
+    pub fn granted(self: &Rc<Self>, number: u64, placement: Placement) {
         if self.start(number, placement, true) {
             return;
         }
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -40,7 +40,7 @@
 struct Waiter {
     service: Name,
     job: Job,
-    answer: oneshot::Sender<Result<Placement, Unplaced>>,
+    answer: oneshot::Sender<Result<Lease, Unplaced>>,
 }
 
 /// Why a prompt got no engines.
@@ -98,6 +98,9 @@
 }
 
 /// A granted prompt; dropping it tells the planner that the prompt is over.
+///
+/// It is made where the prompt is granted and not where that is heard: whoever waited may be gone by then, or give up at
+/// the same moment, and the engines would count as taken for as long as the process lives.
 pub struct Lease {
     desk: Weak<Desk>,
     number: u64,
@@ -212,7 +215,7 @@
         }
         let answer = answered.await.map_err(|_| Unplaced::Withdrawn)?;
         drop(withdraw);
-        answer.map(|placement| Lease { desk: Rc::downgrade(self), number, placement })
+        answer
     }
 
     /// Engines that should be asked for their pace, with their services. Only an entry that plans asks.
@@ -309,7 +312,7 @@
 
     /// Hands one of our prompts its engines; says whether it was still waiting. One that was granted
     /// `elsewhere` is not known to the planner here.
-    fn start(&self, number: u64, placement: Placement, elsewhere: bool) -> bool {
+    fn start(self: &Rc<Self>, number: u64, placement: Placement, elsewhere: bool) -> bool {
         let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return false };
         let Waiter { service, job, answer } = waiter;
         let team = placement.team.clone();
@@ -317,14 +320,14 @@
             self.planner(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
         }
         self.running.borrow_mut().insert(number, Running { service, job, team, reading: true });
-        if answer.send(Ok(placement)).is_err() {
-            self.over(number);
-        }
+        let lease = Lease { desk: Rc::downgrade(self), number, placement };
+        // One that nobody takes any more ends here.
+        drop(answer.send(Ok(lease)));
         true
     }
 
     /// Grants what may start; says whether prompts are left waiting.
-    fn pump(&self) -> bool {
+    fn pump(self: &Rc<Self>) -> bool {
         let mut grants = Vec::new();
         let mut refusals = Vec::new();
         let mut more = false;
--- a/sorrelpass/src/gateway/desk/planning.rs
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -1,5 +1,7 @@
 //! The desk of an entry that plans for others: what they report, and what they are granted.
 
+use std::rc::Rc;
+
 use coord::planner::{Grant, Id, Refusal};
 use tokio::sync::mpsc;
 
@@ -89,7 +91,7 @@
     }
 
     /// Takes a grant to the entry that has the prompt.
-    pub(super) fn deliver(&self, grant: Grant) {
+    pub(super) fn deliver(self: &Rc<Self>, grant: Grant) {
         let Grant { id, team, silent_after } = grant;
         let placement = Placement { team, silent_after };
         if id.entry == OWN {
--- /dev/null
+++ b/standin/tests/platform_grants.rs
@@ -0,0 +1,67 @@
+//! What a prompt was granted goes back when nobody waits for it any more.
+//!
+//! The story: short prompts were held for 0.9 s and refused while the planner gave one engine one prompt at a time and the
+//! others none. A prompt that gives up waiting in the very moment in which it is granted left its grant behind: the planner
+//! counted its engines as reading, and its answer as being written, though nothing had been sent. An entry that wakes from
+//! a freeze finds both due at once, the grant and the end of the wait, and takes either. A long prompt of that kind takes
+//! its writer and the engines that hold memory for it out altogether; an engine that only reads for it gets one prompt
+//! whenever nothing else is written there. What showed it: `held` with `reading` at the number of all engines, for seconds
+//! after the only long prompt had been answered 503, and no `send` line of that prompt.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rustix::process::Signal;
+use standin::platform::{Ask, KEY, Seen, Site, Spec};
+
+/// Short prompts that are sent at the same time: fewer than one engine has slots for.
+const AT_ONCE: usize = 12;
+/// Longer than a prompt waits for its engines.
+const FROZEN: Duration = Duration::from_millis(1_500);
+/// Rounds: which of two things that have come about at the same moment an entry sees first is left to chance.
+const ROUNDS: usize = 8;
+
+fn prompt(id: &str, tokens: u64) -> Ask {
+    let usage = format!("{tokens},400");
+    Ask::new("POST", "/prompt/1", id, KEY).with("token-usage", &usage).with("deadline-ms", "2500")
+}
+
+/// Sends short prompts at the same time.
+async fn at_once(site: &Site, entry: usize, name: &str) -> Vec<Seen> {
+    let asks: Vec<Ask> = (0..AT_ONCE).map(|number| prompt(&format!("{name}-{number}"), 500)).collect();
+    join_all(asks.iter().map(|ask| site.send(entry, ask))).await
+}
+
+/// The entry that plans for both.
+fn leader(site: &Site) -> usize {
+    (0..2).max_by_key(|entry| site.log(*entry).matches("step=peer-joined").count()).expect("two entries")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_granted_to_a_prompt_that_has_stopped_waiting_serve_others() {
+    // An entry that comes back from a freeze trusts its keys still.
+    let bounds = "revoke_ms = 20000".to_owned();
+    let mut site = Site::start(Spec { bounds, ..Spec::small("grants-frozen") }).await.expect("it starts");
+    for round in 0..ROUNDS {
+        let lost = if round == 0 { leader(&site) } else { round % 2 };
+        let left = 1 - lost;
+        site.signal(lost, Signal::KILL).expect("it gets it");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        // It waits: whoever has just begun to plan gives no engines to long prompts.
+        let long = prompt(&format!("long-{round}"), 700_000);
+        let freeze = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            site.signal(left, Signal::STOP).expect("it stops");
+            tokio::time::sleep(FROZEN).await;
+            site.signal(left, Signal::CONT).expect("it goes on");
+        };
+        let (answer, ()) = tokio::join!(site.send(left, &long), freeze);
+        let after = at_once(&site, left, &format!("after-{round}")).await;
+        let served = after.iter().filter(|seen| seen.whole && seen.status == 200).count();
+        assert_eq!(served, AT_ONCE, "round {round}, the long prompt: {answer:?}\n{}", site.log(left));
+        site.restart(lost).await.expect("it starts again");
+        site.wait_ready(lost, true).await.expect("it is ready");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    site.close().expect("no invariant was breached");
+}
