What is heard late behind an own freeze is not held against engines

Cause: an entry that was frozen finds the first events of all its prompts overdue when it wakes, though they lie ready. Each counted as a failure of the engine in full: 15 of them open its breaker for the longest time, 8 s. The same at the entry that plans, for what an entry reports that was frozen too shortly to be given up.

Change: a process looks every 100 ms whether it runs; one that did not for 300 ms expects first events later by as long, and tells the entry that plans, which does so for that entry's prompts. An engine that is silent all the same is left out in the end.

--- a/coord/src/planner/granted.rs
+++ b/coord/src/planner/granted.rs
@@ -1,6 +1,7 @@
 //! Jobs that have their engines, and when their first events are overdue.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::job::{Id, Team};
 use super::policy::{SLOW, SLOW_BY_MS};
@@ -60,6 +61,17 @@
         self.jobs.get(&id)
     }
 
+    /// Expects the first events of the jobs of some entries so much later.
+    pub fn postpone(&mut self, is_late: impl Fn(&Id) -> bool, by: Duration) {
+        for (id, job) in self.jobs.iter_mut().filter(|(id, _)| is_late(id)) {
+            let was_watched = self.watched.remove(&(job.overdue_after, *id));
+            job.overdue_after = job.overdue_after + by;
+            if was_watched {
+                self.watched.insert((job.overdue_after, *id));
+            }
+        }
+    }
+
     /// Takes a job out.
     pub fn remove(&mut self, id: Id) -> Option<Grantee> {
         let job = self.jobs.remove(&id)?;
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -163,6 +163,13 @@
         }
     }
 
+    /// Notes that an entry did not run for so long, or this process where none is named. What came meanwhile is heard late,
+    /// and that says nothing of the engines: 15 prompts that an engine had answered in time, heard of behind a freeze,
+    /// left it out for 8 s.
+    pub fn absent(&mut self, entry: Option<u64>, by: Duration) {
+        self.granted.postpone(|id| entry.is_none_or(|entry| entry == id.entry), by);
+    }
+
     /// Sets which work is suspected of ending engines, and is placed apart.
     pub fn set_suspects(&mut self, suspects: impl IntoIterator<Item = Work>) {
         self.suspects = suspects.into_iter().collect();
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -22,7 +22,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use self::following::Leader;
-use super::link::{Ask, Order, Placement, Report};
+use super::link::{Ask, BEAT, Order, Placement, Report};
 use super::now;
 use crate::util;
 
@@ -33,6 +33,10 @@
 const HELD: Duration = Duration::from_millis(200);
 /// Time between two such lines.
 const EXPLAINED: Duration = Duration::from_millis(500);
+/// How often a process looks whether it runs.
+const LOOK: Duration = Duration::from_millis(100);
+/// One that did not look for so long did not run. Those that it plans for give it up after a beat more.
+const ABSENT: Duration = BEAT.saturating_mul(2);
 /// This process's own jobs carry this number in place of a connection's.
 const OWN: u64 = 0;
 
@@ -93,6 +97,8 @@
     next_entry: Cell<u64>,
     /// When it was last said why prompts wait.
     explained: Cell<Moment>,
+    /// When this process last looked at anything here.
+    looked: Cell<Moment>,
     /// Told when something happened that prompts may start after.
     woken: Notify,
 }
@@ -156,6 +162,7 @@
             next_number: Cell::new(0),
             next_entry: Cell::new(OWN + 1),
             explained: Cell::default(),
+            looked: Cell::new(now()),
             woken: Notify::new(),
         })
     }
@@ -264,6 +271,26 @@
         }
     }
 
+    /// Looks whether this process runs, for as long as it does.
+    pub async fn keep_looking(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            self.look();
+        }
+    }
+
+    /// Notes that this process runs. Behind a freeze all that came meanwhile is found at once, and all of it late.
+    fn look(&self) {
+        let now = now();
+        let absent = now.since(self.looked.replace(now));
+        if absent < ABSENT {
+            return;
+        }
+        crate::event!("absent", for_ms = absent.as_millis());
+        self.planners.borrow_mut().values_mut().for_each(|planner| planner.absent(None, absent));
+        self.report(Report::Absent(absent));
+    }
+
     /// Has what may start be granted soon.
     fn wake(&self) {
         self.woken.notify_one();
@@ -305,6 +332,7 @@
 
     /// Lets the planner of a service act, if the service has engines.
     fn planner(&self, service: &Name, act: impl FnOnce(&mut Planner)) {
+        self.look();
         if let Some(planner) = self.planners.borrow_mut().get_mut(service) {
             act(planner);
         }
@@ -328,6 +356,7 @@
 
     /// Grants what may start; says whether prompts are left waiting.
     fn pump(self: &Rc<Self>) -> bool {
+        self.look();
         let mut grants = Vec::new();
         let mut refusals = Vec::new();
         let mut more = false;
--- a/sorrelpass/src/gateway/desk/planning.rs
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -51,6 +51,9 @@
             }
             Report::Silent { number, service } => self.planner(&service, |planner| planner.silent(id(number), now)),
             Report::End { number, service } => self.planner(&service, |planner| planner.end(id(number), now)),
+            Report::Absent(by) => {
+                self.planners.borrow_mut().values_mut().for_each(|planner| planner.absent(Some(entry), by));
+            }
             Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
             // What is new in the store, under quarantine or at plain replicas is no matter of planning.
             Report::Sync(_) | Report::Update { .. } | Report::Quarantine(_) => return,
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -160,6 +160,8 @@
         /// Its service.
         service: Name,
     },
+    /// The entry's process did not run for so long: what it reports now may have come long before.
+    Absent(Duration),
     /// A prompt is over or withdrawn.
     End {
         /// The entry's number for it.
--- a/standin/tests/platform_grants.rs
+++ b/standin/tests/platform_grants.rs
@@ -8,11 +8,12 @@
 //! whenever nothing else is written there. What showed it: `held` with `reading` at the number of all engines, for seconds
 //! after the only long prompt had been answered 503, and no `send` line of that prompt.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use rustix::process::Signal;
-use standin::platform::{Ask, KEY, Seen, Site, Spec};
+use standin::platform::{Ask, KEY, Replica, Seen, Site, Spec};
 
 /// Short prompts that are sent at the same time: fewer than one engine has slots for.
 const AT_ONCE: usize = 12;
@@ -32,6 +33,12 @@
     join_all(asks.iter().map(|ask| site.send(entry, ask))).await
 }
 
+/// The engines that got requests whose ids begin with `name`.
+fn engines(site: &Site, name: &str) -> Vec<String> {
+    let got = |engine: &&Arc<Replica>| engine.seen().iter().any(|run| run.id.starts_with(name));
+    site.engines.iter().filter(got).map(|engine| engine.id.clone()).collect()
+}
+
 /// The entry that plans for both.
 fn leader(site: &Site) -> usize {
     (0..2).max_by_key(|entry| site.log(*entry).matches("step=peer-joined").count()).expect("two entries")
@@ -65,3 +72,27 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+/// An engine that had answered 12 prompts while the entry that plans was frozen was left out for 8 s, the longest time for
+/// which a breaker opens: each first event was heard late, and counted as one more failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_answered_while_its_entry_was_frozen_gets_more() {
+    let takes = Duration::from_millis(100);
+    for frozen in 0..2 {
+        let spec = Spec { entries: 2, takes, ..Spec::small(&format!("grants-answered-{frozen}")) };
+        let site = Site::start(spec).await.expect("it starts");
+        let freeze = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            site.signal(frozen, Signal::STOP).expect("it stops");
+            // Too short for the other entry to give it up.
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            site.signal(frozen, Signal::CONT).expect("it goes on");
+        };
+        let (before, ()) = tokio::join!(at_once(&site, frozen, "before"), freeze);
+        assert!(before.iter().all(|seen| seen.whole), "{before:?}");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        at_once(&site, frozen, "after").await;
+        assert_eq!(engines(&site, "after"), engines(&site, "before"), "{}", site.log(frozen));
+        site.close().expect("no invariant was breached");
+    }
+}
