Of what has come and the end of its time, what has come counts

Callers saw: a stream of which every event had come in time was broken off by an entry that woke from a freeze; prompts were refused with their engines granted.

Cause: where an answer and the end of a wait are both due, select took either by chance; and a body hands over one part a turn, so that behind a freeze the end of the time came between the first two. Change: grants, answer heads and parts of streams are looked at first; when a stream's time is over, what is there already (5 ms) is passed on.

--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -58,6 +58,8 @@
         self.sends += 1;
         self.runs += 1;
         let sent = tokio::select! {
+            // An answer that has come counts, also if it was given up by now.
+            biased;
             sent = attempt::send(&record, &self.outgoing, &head) => sent,
             next = self.elsewhere(&place) => return Sent::Silent(Box::new(next)),
             // Called back before the replica begins with it, that one does not end.
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -180,6 +180,8 @@
             }
             let left = until.since(now());
             let lease = tokio::select! {
+                // Engines that were granted are used, also if the wait is over by now.
+                biased;
                 placed = self.gateway.desk.place(&self.service, prompt) => placed,
                 () = tokio::time::sleep(left) => return Err(Unplaced::Exhausted),
                 () = self.gateway.quarantine.condemned(self.work) => return Err(Unplaced::Exhausted),
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -1,5 +1,7 @@
 //! Passing a stream on as it comes, and going on at another replica when it breaks off.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use coord::quarantine::Weight;
 use coord::roster::Record;
@@ -20,6 +22,9 @@
 /// Events that may wait for a caller that reads slowly; then the replica is held up.
 const RING: usize = 16;
 
+/// A part of an answer that takes no longer than this was there already: some turns of this process.
+const READY: Duration = Duration::from_millis(5);
+
 /// A part of the caller's answer; an error breaks its connection.
 type Piece = Result<Frame<Bytes>, Broken>;
 
@@ -87,9 +92,16 @@
         let deadline = tokio::time::Instant::now() + self.job.left();
         loop {
             let frame = tokio::select! {
+                biased;
                 frame = opened.response.body_mut().frame() => frame,
                 () = self.pieces.closed() => return End::CallerGone,
-                () = tokio::time::sleep_until(deadline) => return End::Late,
+                // What has come by then is passed on: behind a freeze it is found together with the end of its time.
+                () = tokio::time::sleep_until(deadline) => {
+                    match tokio::time::timeout(READY, opened.response.body_mut().frame()).await {
+                        Ok(frame) => frame,
+                        Err(_) => return End::Late,
+                    }
+                }
             };
             let data = match frame {
                 None => return self.finish().await,
--- a/standin/tests/platform_grants.rs
+++ b/standin/tests/platform_grants.rs
@@ -96,3 +96,24 @@
         site.close().expect("no invariant was breached");
     }
 }
+
+/// Of an answer that lies there and the end of its time, both found behind a freeze, either was taken by chance: a stream
+/// was broken off of which every event had come in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_came_in_time_is_passed_on_by_an_entry_that_was_frozen() {
+    let takes = Duration::from_millis(50);
+    let site = Site::start(Spec { entries: 1, takes, ..Spec::small("grants-late") }).await.expect("it starts");
+    for round in 0..ROUNDS {
+        let freeze = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            site.signal(0, Signal::STOP).expect("it stops");
+            tokio::time::sleep(FROZEN).await;
+            site.signal(0, Signal::CONT).expect("it goes on");
+        };
+        let id = format!("stream-{round}");
+        let ask = Ask::new("POST", "/prompt/1", &id, KEY).with("token-usage", "500,400").with("deadline-ms", "1000");
+        let (seen, ()) = tokio::join!(site.send(0, &ask), freeze);
+        assert!(seen.whole && seen.status == 200, "round {round}: {seen:?}\n{}", site.log(0));
+    }
+    site.close().expect("no invariant was breached");
+}
