The line held names for each engine the first rule that keeps short prompts from it

Sight only: no decision changes. Measured: nothing; planner_left::what_keeps_prompts_... checks the names.

--- a/coord/src/planner/board.rs
+++ b/coord/src/planner/board.rs
@@ -124,6 +124,37 @@
     }
 }
 
+/// The first rule that keeps short prompts from an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bar {
+    /// It has used up the limit that it names.
+    Limited,
+    /// It failed too much of late to be sent anything.
+    Failing,
+    /// A trial is under way there.
+    OnTrial,
+    /// It runs work that is suspected of ending engines.
+    Suspect,
+    /// All its slots are granted.
+    Full,
+    /// What it has left to read would hold up someone who writes there.
+    Reading,
+}
+
+impl Bar {
+    /// Its name in log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Bar::Limited => "limited",
+            Bar::Failing => "failing",
+            Bar::OnTrial => "on-trial",
+            Bar::Suspect => "suspect",
+            Bar::Full => "full",
+            Bar::Reading => "reading",
+        }
+    }
+}
+
 /// How many engines are in which state, to explain why prompts wait.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -202,6 +233,21 @@
         }
     }
 
+    /// The first rule that keeps short prompts from each engine, by its place in the fleet.
+    pub fn bars(&self, policy: &Policy) -> impl Iterator<Item = (usize, Bar)> {
+        let Choosable { leaves_out, leaves_suspects_alone } = self.choosable(policy);
+        let bar = move |view: &View| match view {
+            _ if !view.within_limit => Some(Bar::Limited),
+            _ if leaves_out && !view.admits && view.seats > 0 && view.on_trial => Some(Bar::OnTrial),
+            _ if leaves_out && !view.admits => Some(Bar::Failing),
+            _ if leaves_suspects_alone && view.suspect.is_some() => Some(Bar::Suspect),
+            _ if !view.has_slot => Some(Bar::Full),
+            _ if view.room_ms <= 0.0 => Some(Bar::Reading),
+            _ => None,
+        };
+        self.views.iter().enumerate().filter_map(move |(index, view)| Some((index, bar(view)?)))
+    }
+
     /// Which engines may be chosen.
     pub fn choosable(&self, policy: &Policy) -> Choosable {
         Choosable { leaves_out: self.leaves_out(policy), leaves_suspects_alone: self.leaves_suspects_alone(policy) }
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -31,7 +31,7 @@
 use std::time::Duration;
 
 use self::board::Board;
-pub use self::board::Tally;
+pub use self::board::{Bar, Tally};
 use self::engine::{Engine, Seat};
 use self::evidence::Evidence;
 use self::fleet::Fleet;
@@ -50,6 +50,9 @@
 use crate::quarantine::Work;
 use crate::time::Moment;
 
+/// Engines that are named to explain why prompts wait: a line of some 300 bytes.
+const MOST_BARS: usize = 12;
+
 /// The planner of one service.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -302,6 +305,13 @@
         (self.pressure.held_for(now), self.waiting.ids().count(), self.board.tally(&self.policy))
     }
 
+    /// The first rule that kept short prompts from each engine at the last pump, for some engines.
+    pub fn bars(&self) -> Vec<(&Name, Bar)> {
+        let engines = self.fleet.engines();
+        let named = self.board.bars(&self.policy).filter_map(|(index, bar)| Some((&engines.get(index)?.name, bar)));
+        named.take(MOST_BARS).collect()
+    }
+
     /// Gives a prompt its engines.
     fn grant(&mut self, turn: &Turn, team: Team, now: Moment) -> Grant {
         let expected_ms = self.take_in(turn.id, &turn.prompt.job, team.clone(), true, now);
--- a/coord/tests/planner_left.rs
+++ b/coord/tests/planner_left.rs
@@ -11,7 +11,7 @@
 
 use common::figures;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy};
+use coord::planner::{Bar, Grant, Id, Job, Planner, Policy};
 use coord::quarantine::Work;
 use coord::time::Moment;
 
@@ -157,3 +157,14 @@
     let granted = grants(&mut planner, 12, now);
     assert_eq!(granted.len(), 12, "{granted:?}");
 }
+
+/// Why prompts wait is told for each engine.
+#[test]
+fn what_keeps_prompts_from_each_engine_is_named() {
+    let states = [State::Limited, State::Full, State::Suspect, State::Open, State::Free];
+    let (mut planner, now) = planner(&states);
+    assert_eq!(grants(&mut planner, 1, now).len(), 1);
+    let bars: Vec<(Name, Bar)> = planner.bars().into_iter().map(|(engine, bar)| (engine.clone(), bar)).collect();
+    let expected = [(0, Bar::Limited), (1, Bar::Full), (2, Bar::Suspect), (3, Bar::Failing)];
+    assert_eq!(bars, expected.map(|(index, bar)| (name(index), bar)));
+}
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -387,7 +387,9 @@
             let (held, waiting, tally) = planner.held(now);
             if held >= HELD {
                 self.explained.set(now);
-                crate::event!("held", service = %service, held_ms = held.as_millis(), waiting, tally = ?tally);
+                let bars: Vec<String> =
+                    planner.bars().iter().map(|(engine, bar)| format!("{engine}:{}", bar.as_str())).collect();
+                crate::event!("held", service = %service, held_ms = held.as_millis(), waiting, tally = ?tally, bars = bars.join(" "));
             }
         }
     }
