A body that does not fit beside others waits for a moment before it is refused

Callers saw: a large request refused as one too many, with half a second to come back, beside a short prompt that was over some milliseconds later; where short ones come all the time, again and again.

Cause: a body's part of the budget was taken at once or not at all. The test that failed at times left the order of its two requests to chance. Evidence: both orders enforced by half-sent requests; the large one second is refused at once on the code before, each time; the large one first is rightly what holds the budget. Change: a body of which nothing was read waits for up to 250 ms for others to be over, without a place in a queue.

--- a/sorrelpass/src/entry/body.rs
+++ b/sorrelpass/src/entry/body.rs
@@ -1,50 +1,36 @@
 //! Callers' bodies: bounded one by one and together, read once, never copied again.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use axum::body::Body;
 use axum::http::{HeaderMap, StatusCode, header};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::oneshot;
 
+use super::budget::{self, Budget, Share};
 use super::prompt::{self, Form, Prompt};
 use crate::config::Entry;
 use crate::failure::Failure;
 use crate::ring;
 
-/// Bytes that one permit of the body budget stands for.
-const PERMIT_BYTES: usize = 1_024;
 /// First piece of memory for a body of unknown length.
 const FIRST_BYTES: usize = 4 * 1_024;
 /// Bodies above this size are read on the `parse` thread, so that short ones do not wait.
 const LARGE_BYTES: usize = 64 * 1_024;
 /// A body that makes no progress for so long is given up.
 const STALL: Duration = Duration::from_secs(10);
-/// When to come back if too many bodies are held.
-const BUDGET_RETRY: Duration = Duration::from_millis(500);
-
-/// Permits for a budget of `bytes`.
-pub const fn permits(bytes: usize) -> usize {
-    bytes / PERMIT_BYTES
-}
 
 /// A body held in memory, with its part of the budget.
 pub struct Held {
     /// The bytes.
     pub bytes: Bytes,
     /// Freed with the body.
-    pub permit: OwnedSemaphorePermit,
+    pub share: Share,
 }
 
 /// Reads a caller's body.
-pub async fn read(
-    settings: &Entry,
-    budget: &Arc<Semaphore>,
-    headers: &HeaderMap,
-    mut body: Body,
-) -> Result<Held, Failure> {
+pub async fn read(settings: &Entry, budget: &Budget, headers: &HeaderMap, mut body: Body) -> Result<Held, Failure> {
     let too_large = || {
         let message = format!("the body exceeds {} bytes", settings.max_body_bytes);
         Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
@@ -54,7 +40,7 @@
     if said.is_some_and(|length| length > settings.max_body_bytes) {
         return Err(too_large());
     }
-    let mut permit = take(budget, said.unwrap_or(FIRST_BYTES))?;
+    let mut share = budget.take_soon(said.unwrap_or(FIRST_BYTES)).await?;
     let mut bytes = BytesMut::with_capacity(said.unwrap_or(FIRST_BYTES));
     loop {
         let frame = match tokio::time::timeout(STALL, body.frame()).await {
@@ -67,19 +53,13 @@
         if bytes.len() + data.len() > settings.max_body_bytes {
             return Err(too_large());
         }
-        let held = permit.num_permits() * PERMIT_BYTES;
+        let held = share.bytes();
         if bytes.len() + data.len() > held {
-            permit.merge(take(budget, data.len().max(held))?);
+            share.grow(data.len().max(held))?;
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(Held { bytes: bytes.freeze(), permit })
-}
-
-fn take(budget: &Arc<Semaphore>, bytes: usize) -> Result<OwnedSemaphorePermit, Failure> {
-    let permits = u32::try_from(bytes.div_ceil(PERMIT_BYTES)).unwrap_or(u32::MAX);
-    let busy = |_| Failure::busy("bodies_in_flight", "too many large bodies are in flight", BUDGET_RETRY);
-    budget.clone().try_acquire_many_owned(permits).map_err(busy)
+    Ok(Held { bytes: bytes.freeze(), share })
 }
 
 /// A large body to be read on the `parse` thread.
@@ -94,7 +74,7 @@
     if body.len() <= LARGE_BYTES {
         return prompt::parse(form, body);
     }
-    let stopped = || Failure::busy("stopping", "the entry is stopping", BUDGET_RETRY);
+    let stopped = || Failure::busy("stopping", "the entry is stopping", budget::RETRY);
     let (reply, answer) = oneshot::channel();
     ring.send(Parse { form, body: body.clone(), reply }).await.map_err(|_| stopped())?;
     answer.await.map_err(|_| stopped())?
--- a/sorrelpass/src/entry/callers.rs
+++ b/sorrelpass/src/entry/callers.rs
@@ -163,7 +163,7 @@
         deadline,
         parts,
         admitted,
-        _budget: held.permit,
+        _budget: held.share,
     });
     reply::prompt(id, &prompt, parts).await
 }
@@ -249,7 +249,7 @@
         deadline,
         parts,
         admitted,
-        _budget: held.permit,
+        _budget: held.share,
     });
     reply::call(parts).await
 }
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! processes of the system, `parse` reads large bodies.
 
 mod body;
+mod budget;
 mod callers;
 mod claims;
 mod controller;
@@ -31,8 +32,9 @@
 use coord::name::Name;
 use coord::placement::Order;
 use eyre::{Result, eyre};
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 
+use self::budget::Budget;
 use crate::config::Entry;
 use crate::http::{self, Caller};
 use crate::plugin::{self, LogPlugin, VmListPlugin};
@@ -64,7 +66,7 @@
     /// Demand on the limits that this entry owns.
     pub exchange: Mutex<limits::Exchange>,
     /// Bytes of bodies that may still be held.
-    pub body_budget: Arc<Semaphore>,
+    pub body_budget: Budget,
     /// Whether this entry has been told to stop.
     pub stopping: watch::Receiver<bool>,
 }
@@ -108,7 +110,7 @@
     let (orders_out, orders) = watch::channel(Arc::default());
     let (stop, stopping) = watch::channel(false);
     let (close, closed) = watch::channel(false);
-    let body_budget = Arc::new(Semaphore::new(body::permits(settings.body_budget_bytes)));
+    let body_budget = Budget::new(settings.body_budget_bytes);
     let shared = Arc::new(Shared {
         settings,
         kernel: kernel_ring,
--- a/sorrelpass/src/entry/route/mod.rs
+++ b/sorrelpass/src/entry/route/mod.rs
@@ -12,10 +12,11 @@
 use coord::prefix::Chain;
 use coord::scheduler::Refusal;
 use coord::time::{Moment, micros};
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 
 use self::ending::{CALLER, LOST, PLAIN_RETRY, UNKNOWN, lost, outcome_unknown, rejected, stopping};
 use super::App;
+use super::budget::Share;
 use super::claims;
 use super::gang;
 use super::kernel::{Admitted, Command, Search, Target};
@@ -69,7 +70,7 @@
     /// Where its parts go.
     pub parts: mpsc::Sender<Result<Part, Failure>>,
     /// The body's part of the budget, freed with the request.
-    pub _budget: OwnedSemaphorePermit,
+    pub _budget: Share,
 }
 
 /// A prompt in the form that a gang of engines needs.
--- a/standin/tests/bad_input.rs
+++ b/standin/tests/bad_input.rs
@@ -9,6 +9,7 @@
 use standin::client::Seen;
 use standin::fleet::{Fleet, Spec, workspace_key};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 async fn post(fleet: &Fleet, body: &str, more: &[(&str, &str)]) -> Seen {
     let mut headers = call_headers(None);
@@ -113,6 +114,92 @@
     close(fleet).await;
 }
 
+/// An entry that holds 200 kB of bodies at most.
+async fn with_small_budget(name: &str) -> Fleet {
+    let settings = "max_body_bytes = 200000\nbody_budget_bytes = 200000\n".to_owned();
+    start(Spec { entry_settings: settings, ..Spec::small(name) }).await
+}
+
+/// A connection whose request has a body of so many bytes, of which all but the first are still to come.
+async fn half_sent(fleet: &Fleet, bytes: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(&fleet.entries[0]).await.expect("connected");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\ncontent-length: {bytes}\r\n\r\n{{",
+        workspace_key(0)
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream
+}
+
+/// The answer's first line, if one comes within `patience`.
+async fn status_line(stream: &mut TcpStream, patience: Duration) -> Option<String> {
+    let mut line = vec![0; 64];
+    let read = tokio::time::timeout(patience, stream.read(&mut line)).await.ok()?.expect("it is readable");
+    Some(String::from_utf8_lossy(&line[..read]).lines().next().unwrap_or_default().to_owned())
+}
+
+/// In one order: a body that came first holds its part, what does not fit beside it is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_beside_one_that_holds_the_budget_is_refused() {
+    let fleet = with_small_budget("budget-held").await;
+    let mut first = half_sent(&fleet, 190_000).await;
+    assert_eq!(status_line(&mut first, Duration::from_millis(500)).await, None, "it was taken in");
+    let mut second = half_sent(&fleet, 40_000).await;
+    let line = status_line(&mut second, Duration::from_secs(5)).await.expect("an answer");
+    assert!(line.starts_with("HTTP/1.1 503"), "{line}");
+    assert_eq!(status_line(&mut first, Duration::from_millis(100)).await, None, "the first one is still taken in");
+    drop(first);
+    close(fleet).await;
+}
+
+/// In the other order: a body that does not fit beside one that is over in a moment waits for that moment. Its caller would
+/// come back half a second later and send all of it again; where short prompts come all the time, again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_beside_one_that_is_over_in_a_moment_is_taken_in() {
+    let fleet = with_small_budget("budget-moment").await;
+    for _ in 0..5 {
+        let mut first = half_sent(&fleet, 40_000).await;
+        assert_eq!(status_line(&mut first, Duration::from_millis(100)).await, None, "it was taken in");
+        let mut second = half_sent(&fleet, 190_000).await;
+        assert_eq!(status_line(&mut second, Duration::from_millis(50)).await, None, "it waits");
+        drop(first);
+        assert_eq!(status_line(&mut second, Duration::from_millis(600)).await, None, "it was taken in");
+        let seen = fleet.client.prompt(&fleet.entries[0], &prompt(10_000, 3, 1)).await;
+        assert_eq!(seen.code(), "bodies_in_flight", "the second one holds the budget: {seen:?}");
+        drop(second);
+        until("the budget is back", || async {
+            fleet.client.prompt(&fleet.entries[0], &prompt(10_000, 3, 1)).await.ended
+        })
+        .await;
+    }
+    close(fleet).await;
+}
+
+/// One that waits keeps nothing from those that fit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_waits_holds_up_no_smaller_one() {
+    let fleet = with_small_budget("budget-smaller").await;
+    let mut first = half_sent(&fleet, 60_000).await;
+    assert_eq!(status_line(&mut first, Duration::from_millis(100)).await, None, "it was taken in");
+    let mut waiting = Vec::new();
+    for _ in 0..20 {
+        waiting.push(half_sent(&fleet, 190_000).await);
+        let seen = fleet.client.prompt(&fleet.entries[0], &prompt(1_000, 3, 1)).await;
+        assert!(seen.ended, "{seen:?}");
+    }
+    for stream in &mut waiting {
+        let line = status_line(stream, Duration::from_secs(5)).await.expect("an answer");
+        assert!(line.starts_with("HTTP/1.1 503"), "{line}");
+    }
+    drop((first, waiting));
+    close(fleet).await;
+}
+
+/// The story: beside load the budget was never seen used up. The half-sent request, which is to use it up, had been refused
+/// as one too many, since a prompt of the loop below was being read at that moment; that one was over some milliseconds
+/// later, and nothing used the budget up any more. The order of the two is left to chance here; both orders stand above,
+/// and in the second the refusal was wrong for callers. What showed it: the entry's only line with `bodies_in_flight`,
+/// before 1,000 prompts were served.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_over_the_budget_are_refused_and_the_budget_comes_back() {
     let settings = "max_body_bytes = 200000\nbody_budget_bytes = 200000\n".to_owned();
