--- a/coord/tests/planner_absent.rs
+++ b/coord/tests/planner_absent.rs
@@ -1,13 +1,15 @@
 //! The planner behind a freeze of its process, or of an entry: what is heard late says nothing of the engines.
 
 mod common;
+#[path = "common/short.rs"]
+mod short;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use common::figures;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy};
+use coord::planner::{Grant, Id, Planner, Policy};
 use coord::time::Moment;
 
 /// Prompts at one engine when the freeze comes.
@@ -20,21 +22,9 @@
     planner
 }
 
-fn job(now: Moment) -> Job {
-    Job {
-        prompt: 500,
-        output: 400,
-        aim: now + Duration::from_millis(300),
-        gap_ms: 200.0,
-        deadline: now + Duration::from_millis(2_000),
-        priority: 1,
-        work: None,
-    }
-}
-
 /// Grants prompts of an entry, numbered from `first`.
 fn grant(planner: &mut Planner, entry: u64, first: u64, now: Moment) -> Vec<Grant> {
-    (first..first + RUNNING).for_each(|number| planner.submit(Id { entry, number }, job(now)));
+    (first..first + RUNNING).for_each(|number| planner.submit(Id { entry, number }, short::job(500, now)));
     planner.pump(now)
 }
 
--- a/coord/tests/planner_ends.rs
+++ b/coord/tests/planner_ends.rs
@@ -1,6 +1,8 @@
 //! The planner where engines end: those that start again under their names, and prompts suspected of ending them.
 
 mod common;
+#[path = "common/short.rs"]
+mod short;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -17,19 +19,6 @@
     planner
 }
 
-/// A short prompt.
-fn job(prompt: u64, now: Moment) -> Job {
-    Job {
-        prompt,
-        output: 2_000,
-        aim: now + Duration::from_millis(300),
-        gap_ms: 200.0,
-        deadline: now + Duration::from_millis(2_000),
-        priority: 1,
-        work: None,
-    }
-}
-
 fn id(number: u64) -> Id {
     Id { entry: number % 3, number }
 }
@@ -40,7 +29,7 @@
     let now = Moment::from_millis(10_000);
     let mut granted = 0;
     for number in 0..40 {
-        planner.submit(id(number), job(5_000, now));
+        planner.submit(id(number), short::job(5_000, now));
         granted += planner.pump(now).len();
     }
     assert!(granted > 0 && granted < 40, "{granted} of 40 fit");
@@ -52,7 +41,7 @@
 
 /// Engines of `number` short prompts of the same work.
 fn writers(planner: &mut Planner, first: u64, number: u64, work: Option<Work>, now: Moment) -> Vec<Name> {
-    (first..first + number).for_each(|number| planner.submit(id(number), Job { work, ..job(3_000, now) }));
+    (first..first + number).for_each(|number| planner.submit(id(number), Job { work, ..short::job(3_000, now) }));
     planner.pump(now).into_iter().map(|grant| grant.team.writer).collect()
 }
 
--- a/coord/tests/planner_left.rs
+++ b/coord/tests/planner_left.rs
@@ -6,6 +6,8 @@
 //! eight engines in all states.
 
 mod common;
+#[path = "common/short.rs"]
+mod short;
 
 use std::time::Duration;
 
@@ -43,18 +45,6 @@
 
 const STATES: [State; 6] = [State::Free, State::Open, State::Unreached, State::Limited, State::Suspect, State::Full];
 
-fn job(now: Moment) -> Job {
-    Job {
-        prompt: 500,
-        output: 400,
-        aim: now + Duration::from_millis(300),
-        gap_ms: 200.0,
-        deadline: now + Duration::from_millis(2_000),
-        priority: 1,
-        work: None,
-    }
-}
-
 fn name(index: usize) -> Name {
     format!("engine-{index}").into()
 }
@@ -76,7 +66,7 @@
         planner.failed(OWN, &name(index), unreached);
         // Behind the time for which it was left out, a prompt of another entry is served.
         let later = unreached + Duration::from_millis(900);
-        let id = adopt(&mut planner, OTHER, index, &job(later), later);
+        let id = adopt(&mut planner, OTHER, index, &short::job(500, later), later);
         planner.first_event(id, later);
         planner.end(id, later);
     }
@@ -86,10 +76,10 @@
             State::Open => planner.failed(OTHER, &name(index), now),
             State::Limited => planner.set_limit(&name(index), Some(0.0), 0.1, now),
             State::Suspect => {
-                adopt(&mut planner, OTHER, index, &Job { work: Some(SUSPECT), ..job(now) }, now);
+                adopt(&mut planner, OTHER, index, &Job { work: Some(SUSPECT), ..short::job(500, now) }, now);
             }
             State::Full => (0..16).for_each(|_| {
-                let id = adopt(&mut planner, OTHER, index, &job(now), now);
+                let id = adopt(&mut planner, OTHER, index, &short::job(500, now), now);
                 planner.first_event(id, now);
             }),
             State::Free | State::Unreached => {}
@@ -100,7 +90,7 @@
 
 /// Grants for `count` short prompts of the entry.
 fn grants(planner: &mut Planner, count: u64, now: Moment) -> Vec<Grant> {
-    (0..count).for_each(|number| planner.submit(Id { entry: OWN, number }, job(now)));
+    (0..count).for_each(|number| planner.submit(Id { entry: OWN, number }, short::job(500, now)));
     planner.pump(now)
 }
 
--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -57,8 +57,12 @@
     play(Plan { limits: true, ..plan(201) }).await;
 }
 
-/// Once, beside load, six short prompts were held for 0.9 s and refused in the calm: one engine of four was given prompts,
-/// one at a time. The cause is not known.
+/// The story: once, beside load, six short prompts were held for 0.9 s and refused in the calm: one engine of four was given
+/// prompts, one at a time, the others none. An entry that plans had woken from a freeze. A long prompt that gave up in the
+/// moment of its grant had left that behind, which takes the writer and the holders of a team out and leaves a mere reader
+/// one prompt at a time; and the engine that had served the most before the freeze was held to have failed, for 8 s, since
+/// its answers were heard late. `platform_grants` brings both about by their parts, `planner_left` has the rules that
+/// leave engines out; the log of this one had no line that tells which rule left out which engine.
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_326_beside_replicas_that_name_a_limit() {
     play(Plan { limits: true, ..plan(326) }).await;
