A stream whose time is over passes on what lies ready for 100 ms at most; a new message stands behind the others

Cause: the look for ready parts had no end where a replica writes faster than every 5 ms; a message between entries was put before others, which renumbers them for an entry of another version.

--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -162,8 +162,6 @@
         /// Its service.
         service: Name,
     },
-    /// The entry's process did not run for so long: what it reports now may have come long before.
-    Absent(Duration),
     /// A prompt is over or withdrawn.
     End {
         /// The entry's number for it.
@@ -200,6 +198,8 @@
         /// How long it may wait at most.
         most_wait: Duration,
     },
+    /// The entry's process did not run for so long: what it reports now may have come long before.
+    Absent(Duration),
 }
 
 /// From the entry that plans to another, or from one that names it.
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use hyper::body::Frame;
 use platform::dialect;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::answer::{Answer, Broken};
 use super::call::{Job, Opened, Place};
@@ -24,6 +25,8 @@
 
 /// A part of an answer that takes no longer than this was there already: some turns of this process.
 const READY: Duration = Duration::from_millis(5);
+/// For how long such parts are passed on once the end of the time was seen: far longer than a whole answer takes.
+const LAST: Duration = Duration::from_millis(100);
 
 /// A part of the caller's answer; an error breaks its connection.
 type Piece = Result<Frame<Bytes>, Broken>;
@@ -89,8 +92,12 @@
     /// Passes on what one replica sends.
     async fn pass(&mut self, opened: &mut Opened) -> End {
         self.fresh = true;
-        let deadline = tokio::time::Instant::now() + self.job.left();
+        let deadline = Instant::now() + self.job.left();
+        let mut late_since = None;
         loop {
+            if Instant::now() >= deadline && late_since.get_or_insert_with(Instant::now).elapsed() > LAST {
+                return End::Late;
+            }
             let frame = tokio::select! {
                 biased;
                 frame = opened.response.body_mut().frame() => frame,
