--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -58,12 +58,19 @@
 }
 
 /// The story: once, beside load, six short prompts were held for 0.9 s and refused in the calm: one engine of four was given
-/// prompts, one at a time, the others none. An entry that plans had woken from a freeze. A long prompt that gave up in the
-/// moment of its grant had left that behind, which takes the writer and the holders of a team out and leaves a mere reader
-/// one prompt at a time; and the engine that had served the most before the freeze was held to have failed, for 8 s, since
-/// its answers were heard late. `platform_grants` brings both about by their parts, `planner_left` has the rules that
-/// leave engines out; the log of this one had no line that tells which rule left out which engine.
+/// prompts, each when another was over, the others none. One had announced its end. One had served 15 prompts whose first
+/// events were heard late, behind a freeze; each counted as a failure, and it was left out for 8 s. One took 3 a second by
+/// the limit that it names, and counted as one that is left all the same. So each rule left most engines, and all together
+/// left one, which was full. What showed it, with more callers (the next test): `held` with `engines: 3, choosable: 1,
+/// failing: 1, limited: 1, full: 1` for the whole time, and 15 first events 0.64 s after their sends 8 s before its end.
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_326_beside_replicas_that_name_a_limit() {
     play(Plan { limits: true, ..plan(326) }).await;
 }
+
+/// The same, made to come by more callers: of seeds 301 to 316 with 48 callers 303, 310 and 315 had prompts refused in the
+/// calm.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_303_with_many_callers_beside_replicas_that_name_a_limit() {
+    play(Plan { limits: true, callers: 48, ..plan(303) }).await;
+}
