--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -167,8 +167,8 @@
     }
 
     /// Notes that an entry did not run for so long, or this process where none is named. What came meanwhile is heard late,
-    /// and that says nothing of the engines: 15 prompts that an engine had answered in time, heard of behind a freeze,
-    /// left it out for 8 s.
+    /// and that says nothing of the engines: each first event that was answered in time and heard of behind a freeze would
+    /// count as a failure, and some of them leave an engine out for the longest time.
     pub fn absent(&mut self, entry: Option<u64>, by: Duration) {
         self.granted.postpone(|id| entry.is_none_or(|entry| entry == id.entry), by);
     }
