--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -97,8 +97,10 @@
     next_entry: Cell<u64>,
     /// When it was last said why prompts wait.
     explained: Cell<Moment>,
-    /// When this process last looked at anything here.
-    looked: Cell<Moment>,
+    /// When this process last looked whether it runs; none while nothing is expected of engines.
+    looked: Cell<Option<Moment>>,
+    /// Told when something is expected of engines.
+    expecting: Notify,
     /// Told when something happened that prompts may start after.
     woken: Notify,
 }
@@ -162,7 +164,8 @@
             next_number: Cell::new(0),
             next_entry: Cell::new(OWN + 1),
             explained: Cell::default(),
-            looked: Cell::new(now()),
+            looked: Cell::default(),
+            expecting: Notify::new(),
             woken: Notify::new(),
         })
     }
@@ -271,18 +274,31 @@
         }
     }
 
-    /// Looks whether this process runs, for as long as it does.
+    /// Looks whether this process runs, while first events are expected. The rest of the time nothing is to be told late,
+    /// and an entry may have little of a core.
     pub async fn keep_looking(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(LOOK).await;
-            self.look();
+            self.expecting.notified().await;
+            self.looked.set(Some(now()));
+            while self.expects() {
+                tokio::time::sleep(LOOK).await;
+                self.look();
+            }
+            self.looked.set(None);
         }
     }
 
+    /// Whether first events are expected, of engines or by way of those that this entry plans for.
+    fn expects(&self) -> bool {
+        !self.followers.borrow().is_empty() || self.running.borrow().values().any(|running| running.reading)
+    }
+
     /// Notes that this process runs. Behind a freeze all that came meanwhile is found at once, and all of it late.
     fn look(&self) {
+        let Some(looked) = self.looked.get() else { return };
         let now = now();
-        let absent = now.since(self.looked.replace(now));
+        self.looked.set(Some(now));
+        let absent = now.since(looked);
         if absent < ABSENT {
             return;
         }
@@ -348,6 +364,7 @@
             self.planner(&service, |planner| planner.adopt(own(number), &job, team.clone(), true, now()));
         }
         self.running.borrow_mut().insert(number, Running { service, job, team, reading: true });
+        self.expecting.notify_one();
         let lease = Lease { desk: Rc::downgrade(self), number, placement };
         // One that nobody takes any more ends here.
         drop(answer.send(Ok(lease)));
--- a/sorrelpass/src/gateway/desk/planning.rs
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -18,6 +18,7 @@
             self.unsettle();
         }
         self.followers.borrow_mut().insert(entry, orders);
+        self.expecting.notify_one();
         entry
     }
 
--- a/standin/src/platform/replica.rs
+++ b/standin/src/platform/replica.rs
@@ -101,6 +101,8 @@
     marker: String,
     /// Time from the end of the process to its next start.
     down: Duration,
+    /// Time from the end of the work's connection to that of the process.
+    lingers: Duration,
 }
 
 /// Memory set aside.
@@ -165,7 +167,12 @@
     /// Has its process end whenever it runs work whose body holds `marker`, and start again after `down` under the same
     /// identity, without memory of what it held.
     pub fn end_under(&self, marker: &str, down: Duration) {
-        self.lock().fatal = Some(Fatal { marker: marker.to_owned(), down });
+        self.lock().fatal = Some(Fatal { marker: marker.to_owned(), down, lingers: Duration::ZERO });
+    }
+
+    /// The same, but its process listens for a moment longer than the connection of that work lives.
+    pub fn linger_under(&self, marker: &str, down: Duration, lingers: Duration) {
+        self.lock().fatal = Some(Fatal { marker: marker.to_owned(), down, lingers });
     }
 
     /// Starts its process again at its address; a connection of someone else may have its port for a moment.
@@ -197,7 +204,7 @@
         let replica = self.clone();
         let start = self.lock().starts;
         std::thread::spawn(move || {
-            std::thread::sleep(FATAL_AFTER);
+            std::thread::sleep(FATAL_AFTER + fatal.lingers);
             if replica.lock().starts != start {
                 return;
             }
@@ -380,8 +387,9 @@
         return (StatusCode::MISDIRECTED_REQUEST, [("replica-id", replica.id.clone())]).into_response();
     };
     if let Some(fatal) = fatal {
+        let body = if fatal.lingers.is_zero() { silent_body() } else { silent_until(FATAL_AFTER) };
         replica.die_of(fatal);
-        return signed(silent_body(), &replica, act, &id);
+        return signed(body, &replica, act, &id);
     }
     let mut watch = Watch { replica: replica.clone(), id: id.clone(), over: false };
     if let Act::Stall(millis) = act {
@@ -433,6 +441,15 @@
     Body::from_stream(stream::pending::<std::io::Result<Bytes>>()).into_response()
 }
 
+/// An answer that is opened, and whose connection ends after a while without anything more.
+fn silent_until(end: Duration) -> Response {
+    let error = async move {
+        tokio::time::sleep(end).await;
+        Err::<Bytes, _>(std::io::Error::other("ended"))
+    };
+    Body::from_stream(stream::once(error)).into_response()
+}
+
 /// A stream that goes on behind event `after`.
 fn events(watch: Watch, takes: Duration, after: u64, act: Act) -> Response {
     let last = match act {
--- a/standin/tests/platform_crashes.rs
+++ b/standin/tests/platform_crashes.rs
@@ -371,6 +371,18 @@
     (0..site.addresses.len()).find(|entry| site.log(*entry).contains("step=peer-joined")).expect("one plans")
 }
 
+/// A process that ends closes its connections and its listener one after the other; on a busy machine a look right after the
+/// first found it listening, and its end was no evidence. That was the other half of what the test of the lost leader
+/// showed beside load: `probe ... listening` for an engine that had ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_listen_a_moment_longer_are_seen_to_have_ended() {
+    let site = site("crashes-linger").await;
+    site.engines.iter().for_each(|engine| engine.linger_under(MARKER, DOWN, Duration::from_millis(5)));
+    repeat(&site, 12, prompt).await;
+    assert!(arrivals(&site.engines) <= 3 + MOST_AFTER, "sent {} times", arrivals(&site.engines));
+    site.close().expect("no invariant was breached");
+}
+
 /// Sends fatal work twice to a replica of its own, which is back before the second would end it; returns its ends, if both
 /// came to its first run.
 async fn ends_under_two() -> Option<usize> {
