--- a/standin/tests/platform_crashes.rs
+++ b/standin/tests/platform_crashes.rs
@@ -282,7 +282,8 @@
 /// that followed; the one that took over had heard of them only, sent the work to the same two engines again, by chance, and
 /// they ended again. Where records tell no start of a replica its runs were told apart by the ends that an entry saw
 /// itself, so that it took the second ends for the first, which count once. What showed it: two `probe ... ended` lines of
-/// that entry without a `suspect` line behind them.
+/// that entry without a `suspect` line behind them. Beside load there was a second cause: an engine that had ended was found
+/// still listening, and its end was no evidence; `probe ... listening` showed that.
 #[tokio::test(flavor = "multi_thread")]
 async fn what_each_entry_saw_counts_when_the_one_that_plans_is_lost_meanwhile() {
     for signal in [Signal::KILL, Signal::STOP] {
