Signals are watched before anyone can reach a process; a refusal of an unread body says that its connection ends

Cause, known red 1: sidecars and entries of the product's own form listened before their signal handlers were set, and the fleet's close sent SIGTERM to a process that had just been launched: either ended it by the signal. Mended: the handlers are set before the first listener, and close waits for the line with which a process begins. Cause, known red 2, by a test now: behind an answer to a request whose body was not read HTTP/1 connections end, and the answer did not say so; the next request on it was lost. Mended in both forms of the entry: such an answer carries 'connection: close'. New tests, both red on (the process at run 0 of 30; the head of the 413 without the word), green with this.

--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -101,6 +101,7 @@
 pub fn run(settings: Entry) -> Result<()> {
     timeline::init(&settings.process.name, &settings.process.log_level);
     metric::init()?;
+    let termination = util::Termination::watch()?;
     let (kernel_ring, kernel_commands) = ring::pair("kernel", RING);
     let (log_ring, log_commands) = ring::pair("log", RING);
     let (claims_ring, claims_commands) = ring::pair("claims", RING);
@@ -175,7 +176,7 @@
     }
     event!("start", role = "entry", listen = %settings.listen);
 
-    util::block_until_signal()?;
+    termination.wait();
     event!("stop", role = "entry", reason = "signal");
     let _ = stop.send(true);
     std::thread::sleep(LAME_DUCK);
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -20,6 +20,7 @@
 use super::super::work;
 use super::{BUSY_RETRY, Job};
 use crate::failure::Failure;
+use crate::unread::Watched;
 use crate::{event, metric};
 
 /// Time for which a request may be held where neither caller nor route names one.
@@ -34,7 +35,7 @@
 /// A request as it came.
 struct Arrival {
     call: dialect::Call,
-    request: Request<Incoming>,
+    request: Request<Watched<Incoming>>,
     /// When its head had come.
     at: Moment,
     /// Counts it at its caller's connection until it is over.
@@ -44,6 +45,8 @@
 /// Takes a request to its answer. `busy` is dropped once the request is over.
 pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>, busy: Box<dyn Any>) -> Answer {
     let started = now();
+    let request = request.map(Watched::new);
+    let unread = request.body().unread();
     let (id, outcome) = match dialect::decode(request.headers()) {
         Err(malformed) => (Name::default(), Err(Failure::bad_request("malformed", malformed.0))),
         Ok(call) => (call.id.clone(), serve(&gateway, Arrival { call, request, at: started, busy }).await),
@@ -52,7 +55,7 @@
         Ok(answer) => answer,
         Err(failure) => give_up(failure, &id, started),
     };
-    if gateway.phase() != Phase::Serving {
+    if gateway.phase() != Phase::Serving || unread.get() {
         answer::close_after(&mut answer);
     }
     answer
@@ -115,7 +118,7 @@
 }
 
 /// Reads the whole body, so that it can be sent again and a broken one reaches no replica.
-async fn read_body(gateway: &Gateway, body: Incoming, allowed: Duration) -> Result<Bytes, Failure> {
+async fn read_body(gateway: &Gateway, body: Watched<Incoming>, allowed: Duration) -> Result<Bytes, Failure> {
     let most = gateway.table().limits().map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
     match tokio::time::timeout(allowed, Limited::new(body, most).collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -10,7 +10,8 @@
 use eyre::{Result, WrapErr, eyre};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response, Version};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -21,6 +22,7 @@
 
 use crate::linger::Linger;
 use crate::timeline;
+use crate::unread::Watched;
 
 /// A body that we send.
 pub type Sent = BoxBody<Bytes, Infallible>;
@@ -193,6 +195,19 @@
     graceful.shutdown().await;
 }
 
+/// Answers one request. Where its body was not read to the end, the connection ends with the answer, and the answer says
+/// so: a caller that sent its next request on it would lose that one.
+async fn answer(router: Router, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let closes = request.version() <= Version::HTTP_11;
+    let request = request.map(Watched::new);
+    let unread = request.body().unread();
+    let mut response = router.oneshot(request.map(Body::new)).await?;
+    if closes && unread.get() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
 async fn connection(
     stream: TcpStream,
     router: Router,
@@ -202,10 +217,7 @@
     let _ = stream.set_nodelay(true);
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(patience));
-    let service = hyper::service::service_fn(move |request: Request<Incoming>| {
-        let router = router.clone();
-        async move { router.oneshot(request.map(Body::new)).await }
-    });
+    let service = hyper::service::service_fn(move |request: Request<Incoming>| answer(router.clone(), request));
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(CONNECTION_BUFFER);
     builder
--- a/sorrelpass/src/main.rs
+++ b/sorrelpass/src/main.rs
@@ -16,6 +16,7 @@
 mod secret;
 mod sidecar;
 mod timeline;
+mod unread;
 mod util;
 mod wire;
 
--- a/sorrelpass/src/sidecar/mod.rs
+++ b/sorrelpass/src/sidecar/mod.rs
@@ -37,6 +37,7 @@
 pub fn run(settings: Sidecar) -> Result<()> {
     timeline::init(&settings.process.name, &settings.process.log_level);
     metric::init()?;
+    let termination = util::Termination::watch()?;
     let listener_address = settings.listen;
     let (commands, receiver) = ring::pair("kernel", KERNEL_RING);
     let shared = Arc::new(Shared { settings, kernel: commands });
@@ -63,7 +64,7 @@
     })?;
     event!("start", role = "sidecar", endpoint = %shared.settings.endpoint, listen = %listener_address);
 
-    util::block_until_signal()?;
+    termination.wait();
     event!("stop", role = "sidecar", reason = "signal");
     close(shared, &stop)?;
     for thread in [work, control, kernel] {
--- a/sorrelpass/src/util.rs
+++ b/sorrelpass/src/util.rs
@@ -8,6 +8,8 @@
 use coord::name::{Attempt, Incarnation};
 use coord::time::Moment;
 use eyre::{Result, WrapErr};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 static START: OnceLock<Duration> = OnceLock::new();
 static INCARNATION: OnceLock<Incarnation> = OnceLock::new();
@@ -77,20 +79,38 @@
 
 /// Runs a future to its end on a runtime of its own, for a plain thread.
 pub fn with_runtime<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().wrap_err("step=start-runtime")?;
-    runtime.block_on(future)
+    runtime()?.block_on(future)
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub fn block_until_signal() -> Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    with_runtime(async {
-        let mut terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
-        let mut interrupt = signal(SignalKind::interrupt()).wrap_err("step=watch-signals")?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok(())
-    })
+fn runtime() -> Result<Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().wrap_err("step=start-runtime")
+}
+
+/// SIGTERM and SIGINT, noted from the moment this is made: before it, either ends the process where it stands.
+pub struct Termination {
+    runtime: Runtime,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Termination {
+    /// Watches for both signals. To be made before anyone can reach the process.
+    pub fn watch() -> Result<Self> {
+        let runtime = runtime()?;
+        let entered = runtime.enter();
+        let terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
+        let interrupt = signal(SignalKind::interrupt()).wrap_err("step=watch-signals")?;
+        drop(entered);
+        Ok(Self { runtime, terminate, interrupt })
+    }
+
+    /// Waits for one of them; one that has come already counts.
+    pub fn wait(mut self) {
+        self.runtime.block_on(async {
+            tokio::select! {
+                _ = self.terminate.recv() => {}
+                _ = self.interrupt.recv() => {}
+            }
+        });
+    }
 }
--- a/standin/src/fleet/control.rs
+++ b/standin/src/fleet/control.rs
@@ -1,6 +1,7 @@
 //! Starting, signalling and ending a fleet's processes, by id.
 
 use std::fmt::Write as _;
+use std::io::{Read as _, Seek as _, SeekFrom};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -13,6 +14,10 @@
 
 /// How long a process may take to end after SIGTERM.
 const END: Duration = Duration::from_secs(10);
+/// How long a process may take from its launch to its first line.
+const BEGIN: Duration = Duration::from_secs(10);
+/// Time between two looks at a process.
+const POLL: Duration = Duration::from_millis(10);
 
 impl Fleet {
     pub(super) fn write_settings(&self, name: &str, text: &str) -> Result<String> {
@@ -23,8 +28,13 @@
 
     pub(super) fn spawn(&mut self, name: &str, program: &str, args: Vec<String>) -> Result<()> {
         let program = binary(program)?;
+        self.run(name, program, args)
+    }
+
+    fn run(&mut self, name: &str, program: PathBuf, args: Vec<String>) -> Result<()> {
+        let logged_before = std::fs::metadata(self.log_file(name)).map_or(0, |log| log.len());
         let child = self.launch(name, &program, &args)?;
-        self.processes.insert(name.to_owned(), Process { child, program, args });
+        self.processes.insert(name.to_owned(), Process { child, program, args, logged_before });
         Ok(())
     }
 
@@ -83,9 +93,22 @@
     pub fn restart(&mut self, name: &str) -> Result<()> {
         let process = self.processes.get(name).ok_or_else(|| eyre!("step=restart: no process {name}"))?;
         let (program, args) = (process.program.clone(), process.args.clone());
-        let child = self.launch(name, &program, &args)?;
-        self.processes.insert(name.to_owned(), Process { child, program, args });
-        Ok(())
+        self.run(name, program, args)
+    }
+
+    /// Waits until a process has come so far that a signal to end finds it watching for one, or has ended.
+    pub async fn wait_begun(&mut self, name: &str) -> Result<()> {
+        let log = self.log_file(name);
+        let process = self.processes.get_mut(name).ok_or_else(|| eyre!("step=wait-begun: no process {name}"))?;
+        let start = std::time::Instant::now();
+        while start.elapsed() < BEGIN {
+            let has_ended = process.child.try_wait().wrap_err("step=wait-begun")?.is_some();
+            if has_ended || has_begun(&log, process.logged_before)? {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(eyre!("step=wait-begun: {name} has not begun"))
     }
 
     /// Waits until a process has ended by itself; whether it ended in time and well.
@@ -96,7 +119,7 @@
             if let Some(status) = process.child.try_wait().wrap_err("step=wait-end")? {
                 return Ok(status.success());
             }
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(POLL).await;
         }
         Ok(false)
     }
@@ -107,6 +130,7 @@
         let ours = |name: &&String| name.starts_with("entry-") || name.starts_with("sidecar-");
         for name in names.iter().filter(ours) {
             let _ = self.signal(name, Signal::CONT);
+            self.wait_begun(name).await?;
             let _ = self.signal(name, Signal::TERM);
         }
         let mut stuck = String::new();
@@ -121,3 +145,12 @@
         Ok(stuck)
     }
 }
+
+/// Whether a log has the line with which a process begins, behind what earlier runs wrote.
+fn has_begun(log: &Path, logged_before: u64) -> Result<bool> {
+    let mut file = std::fs::File::open(log).wrap_err_with(|| format!("step=open-log path={}", log.display()))?;
+    file.seek(SeekFrom::Start(logged_before)).wrap_err("step=read-log")?;
+    let mut text = Vec::new();
+    file.read_to_end(&mut text).wrap_err("step=read-log")?;
+    Ok(String::from_utf8_lossy(&text).contains("step=start "))
+}
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -102,6 +102,8 @@
     child: Child,
     program: PathBuf,
     args: Vec<String>,
+    /// Bytes of its log that earlier runs of it wrote.
+    logged_before: u64,
 }
 
 /// A running fleet.
--- a/standin/tests/bad_input.rs
+++ b/standin/tests/bad_input.rs
@@ -114,6 +114,21 @@
     close(fleet).await;
 }
 
+/// A caller that sent its next request on the connection would lose it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_of_an_unread_body_says_that_its_connection_ends() {
+    let settings = "max_body_bytes = 200000\n".to_owned();
+    let fleet = start(Spec { entry_settings: settings, ..Spec::small("unread") }).await;
+    let mut stream = half_sent(&fleet, 200_001).await;
+    let mut head = vec![0; 1_024];
+    let read = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut head)).await.expect("in time");
+    let head = String::from_utf8_lossy(&head[..read.expect("it is readable")]).into_owned();
+    assert!(head.starts_with("HTTP/1.1 413"), "{head}");
+    assert!(head.to_ascii_lowercase().contains("connection: close"), "{head}");
+    drop(stream);
+    close(fleet).await;
+}
+
 /// An entry that holds 200 kB of bodies at most.
 async fn with_small_budget(name: &str) -> Fleet {
     let settings = "max_body_bytes = 200000\nbody_budget_bytes = 200000\n".to_owned();
--- a/standin/tests/leaving.rs
+++ b/standin/tests/leaving.rs
@@ -106,3 +106,22 @@
     assert!(started.elapsed() < LEAVING);
     close(fleet).await;
 }
+
+/// From the moment in which others can reach a process, a signal to end lets it end in peace.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_told_to_end_as_soon_as_it_listens_ends_by_itself() {
+    let mut fleet = fleet("leaving-early").await;
+    let name = "sidecar-market-advisor-0";
+    let address = fleet.addresses[name].clone();
+    for run in 0..30 {
+        fleet.kill(name).expect("killed");
+        fleet.restart(name).expect("started again");
+        while std::net::TcpStream::connect(&address).is_err() {
+            std::thread::yield_now();
+        }
+        fleet.signal(name, Signal::TERM).expect("signalled");
+        assert!(fleet.wait_end(name, Duration::from_secs(10)).await.expect("awaited"), "run {run} did not end well");
+    }
+    fleet.restart(name).expect("started again");
+    close(fleet).await;
+}
