Failure domains that operators empty get nothing new; cold replicas get what they bear, from all entries together

Cause: nothing read op/evacuate, cold_remaining_ms or cold_per_s. Change: evacuations are decoded in platform/, known as a picture as of an offset (coord::evacuation), read with the configuration's topic, passed on with each update, and looked at where replicas are chosen and once more before each send. What waits for a service without other replicas is refused at once. A cold replica counts as one that names a limit until it is warm: one mechanism (gateway::limits::cold); a domain that returns counts as cold before its replicas say so.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod end;
 pub mod engine;
 pub mod estimate;
+pub mod evacuation;
 pub mod fence;
 pub mod intent;
 pub mod invariant;
--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -4,9 +4,10 @@
 //! again; a later run under the same identity does, and late word of the earlier one changes nothing. A record may vanish because its replica left, or because the store could not be reached
 //! for so long that records lapsed: after an outage a vanished record counts as *lapsed* for a
 //! while before it counts as gone. And a store that answers with an older state than was already
-//! seen does not take anything back.
+//! seen does not take anything back. Which failure domains are emptied is not in the records: replicas there live on, end
+//! what they have, and get nothing new.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,8 @@
     pub slots: u32,
     /// Whether it announced its end.
     pub leaving: bool,
+    /// Time left, when this was said, during which it takes fewer requests than it will.
+    pub cold: Duration,
 }
 
 /// What the store says of a replica at one offset.
@@ -89,6 +92,8 @@
     changed_at: u64,
     /// Whether its record stands in the store.
     listed: bool,
+    /// Until when it takes fewer requests than it will.
+    cold_until: Moment,
 }
 
 impl Replica {
@@ -97,11 +102,11 @@
         matches!(self.standing, Standing::Ready | Standing::Lapsed(_))
     }
 
-    /// The newest news of it that changed anything.
-    fn sighting(&self) -> Sighting {
+    /// The newest news of it that changed anything, as it is told at `now`.
+    fn sighting(&self, now: Moment) -> Sighting {
         let news = match (self.listed, self.standing) {
             (true, Standing::Unusable) => News::Unusable(self.record.id.clone()),
-            (true, _) => News::Here(self.record.clone()),
+            (true, _) => News::Here(Record { cold: self.cold_until.since(now), ..self.record.clone() }),
             (false, _) => News::Removed(self.record.id.clone()),
         };
         Sighting { offset: self.changed_at, news }
@@ -116,8 +121,15 @@
     doubtful_until: Moment,
     /// A whole picture showed all records below this offset that still stood; what it left out was removed.
     whole_below: u64,
+    /// Failure domains whose replicas get nothing new.
+    emptied: BTreeSet<Name>,
+    /// Failure domains that were emptied once, and when that was taken back.
+    returned: BTreeMap<Name, Moment>,
 }
 
+/// A replica that says it is cold for so much longer than it said before has turned cold again.
+const COLD_AGAIN: Duration = Duration::from_secs(1);
+
 /// A change of belief, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -127,6 +139,14 @@
     pub standing: Standing,
     /// Whether it started again since it was last heard of: what ran there and what it held is lost.
     pub restarted: bool,
+    /// Whether it takes fewer requests now than it will.
+    pub cold: bool,
+}
+
+impl Change {
+    fn of(id: &Name, standing: Standing) -> Self {
+        Self { id: id.clone(), standing, restarted: false, cold: false }
+    }
 }
 
 impl Roster {
@@ -141,20 +161,21 @@
     }
 
     /// What changed at offset `from` or later, one piece of news a replica.
-    pub fn since(&self, from: u64) -> Vec<Sighting> {
-        self.replicas.values().filter(|known| known.changed_at >= from).map(Replica::sighting).collect()
+    pub fn since(&self, from: u64, now: Moment) -> Vec<Sighting> {
+        let changed = self.replicas.values().filter(|known| known.changed_at >= from);
+        changed.map(|known| known.sighting(now)).collect()
     }
 
     /// Takes one piece of news at its offset; older news than known is left out.
     pub fn hear(&mut self, offset: u64, news: News, now: Moment) -> Option<Change> {
         match news {
-            News::Here(record) => self.here(offset, record),
+            News::Here(record) => self.here(offset, record, now),
             News::Removed(id) => self.removed(offset, &id, now),
             News::Unusable(id) => self.unusable(offset, &id),
         }
     }
 
-    fn here(&mut self, offset: u64, record: Record) -> Option<Change> {
+    fn here(&mut self, offset: u64, record: Record, now: Moment) -> Option<Change> {
         let id = record.id.clone();
         let known = self.replicas.get(&id);
         // One that the whole picture left out is gone, whatever another process still believes: told again by us, it would
@@ -171,12 +192,19 @@
         // An announced end is final for the run that announced it; a vanished record may come back with its replica.
         let leaving = record.leaving || (!restarted && known.is_some_and(|known| known.record.leaving));
         let standing = if leaving { Standing::Gone } else { Standing::Ready };
-        let record = Record { leaving, born: born.or(known_born), ..record };
-        let changed = restarted || known.is_none_or(|known| known.standing != standing);
+        let cold_until = now + record.cold;
+        let cold = cold_until > now;
+        let turned = known.is_some_and(|known| {
+            let was_cold = known.cold_until > now;
+            cold != was_cold || (cold && cold_until > known.cold_until + COLD_AGAIN)
+        });
+        // How long it stays cold is kept as a moment: told again it is less, which is no change.
+        let record = Record { leaving, born: born.or(known_born), cold: Duration::ZERO, ..record };
+        let changed = restarted || turned || known.is_none_or(|known| known.standing != standing);
         let same = known.filter(|known| known.listed && known.record == record && !changed);
         let changed_at = same.map_or(offset, |known| known.changed_at);
-        self.replicas.insert(id.clone(), Replica { record, standing, offset, changed_at, listed: true });
-        changed.then_some(Change { id, standing, restarted })
+        self.replicas.insert(id.clone(), Replica { record, standing, offset, changed_at, listed: true, cold_until });
+        changed.then_some(Change { id, standing, restarted, cold })
     }
 
     fn unusable(&mut self, offset: u64, id: &Name) -> Option<Change> {
@@ -192,7 +220,7 @@
         known.changed_at = offset;
         let changed = known.standing != Standing::Unusable;
         known.standing = Standing::Unusable;
-        changed.then(|| Change { id: id.clone(), standing: Standing::Unusable, restarted: false })
+        changed.then(|| Change::of(id, Standing::Unusable))
     }
 
     fn removed(&mut self, offset: u64, id: &Name, now: Moment) -> Option<Change> {
@@ -213,7 +241,7 @@
         };
         let changed = known.standing != standing;
         known.standing = standing;
-        changed.then(|| Change { id: id.clone(), standing, restarted: false })
+        changed.then(|| Change::of(id, standing))
     }
 
     /// Takes a whole picture whose newest offset is below `end`: what it leaves out was removed.
@@ -236,7 +264,7 @@
         for (id, replica) in &mut self.replicas {
             if matches!(replica.standing, Standing::Lapsed(until) if until <= now) {
                 replica.standing = Standing::Gone;
-                changes.push(Change { id: id.clone(), standing: Standing::Gone, restarted: false });
+                changes.push(Change::of(id, Standing::Gone));
             }
         }
         changes
@@ -247,7 +275,7 @@
         let known = self.replicas.get_mut(id)?;
         let changed = known.standing != Standing::Gone;
         known.standing = Standing::Gone;
-        changed.then(|| Change { id: known.record.id.clone(), standing: Standing::Gone, restarted: false })
+        changed.then(|| Change::of(&known.record.id, Standing::Gone))
     }
 
     /// A replica by identity.
@@ -255,9 +283,52 @@
         self.replicas.get(id)
     }
 
+    /// Sets the failure domains whose replicas get nothing new.
+    pub fn set_emptied(&mut self, domains: BTreeSet<Name>, now: Moment) {
+        let returned = self.emptied.difference(&domains);
+        self.returned.extend(returned.map(|domain| (domain.clone(), now)));
+        self.emptied = domains;
+    }
+
+    /// Whether new work may go to a replica.
+    pub fn takes(&self, replica: &Replica) -> bool {
+        replica.takes_work() && !self.emptied.contains(&replica.record.failure_domain)
+    }
+
+    /// The record of the replica `id`, if new work may go there.
+    pub fn usable_one(&self, id: &str) -> Option<&Record> {
+        self.replicas.get(id).filter(|replica| self.takes(replica)).map(|replica| &replica.record)
+    }
+
+    /// Replicas of `service` that live, whether or not they get new work.
+    pub fn living<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Replica> {
+        let fits = move |replica: &&Replica| replica.takes_work() && *replica.record.service == *service;
+        self.replicas.values().filter(fits)
+    }
+
     /// Replicas of `service` that take new work.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Record> {
-        let fits = move |replica: &&Replica| replica.takes_work() && *replica.record.service == *service;
-        self.replicas.values().filter(fits).map(|replica| &replica.record)
+        self.living(service).filter(|replica| self.takes(replica)).map(|replica| &replica.record)
+    }
+
+    /// Whether `service` has replicas, all of which stand in emptied failure domains.
+    pub fn is_emptied(&self, service: &str) -> bool {
+        self.living(service).next().is_some() && self.usable(service).next().is_none()
+    }
+
+    /// Replicas of `service` that take fewer requests now than they will, and until when. One whose failure domain was
+    /// emptied may have turned cold meanwhile and not have said so yet: it counts as cold for `lasts` after its return.
+    pub fn cold<'a>(
+        &'a self,
+        service: &'a str,
+        lasts: Duration,
+        now: Moment,
+    ) -> impl Iterator<Item = (&'a Name, Moment)> {
+        let until = move |replica: &Replica| {
+            let returned = self.returned.get(&replica.record.failure_domain);
+            replica.cold_until.max(returned.map_or(Moment::ZERO, |returned| *returned + lasts))
+        };
+        let cold = self.living(service).map(move |replica| (&replica.record.id, until(replica)));
+        cold.filter(move |(_, until)| *until > now)
     }
 }
--- a/coord/src/route.rs
+++ b/coord/src/route.rs
@@ -102,6 +102,17 @@
     pub max_connections: u32,
     /// Sizes and speeds of its engines; none for a plain service.
     pub engine: Option<Arc<Figures>>,
+    /// What a replica takes while it is cold; none if it takes no less than later.
+    pub cold: Option<Cold>,
+}
+
+/// What a replica takes that is cold: for a while after its start, and whenever it says so.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests a second from all entries together.
+    pub rate: f64,
+    /// How long it stays cold after its start.
+    pub lasts: Duration,
 }
 
 /// Who a key stands for.
--- a/coord/tests/roster_machine.rs
+++ b/coord/tests/roster_machine.rs
@@ -46,6 +46,7 @@
         failure_domain: "here".into(),
         slots: 1,
         leaving,
+        cold: Duration::ZERO,
     }
 }
 
@@ -178,7 +179,7 @@
                 Step::Return | Step::Replace | Step::Wait(_) => {}
             }
             if pass_on {
-                for sighting in reader.since(told_up_to) {
+                for sighting in reader.since(told_up_to, now) {
                     told.hear(sighting.offset, sighting.news, now);
                 }
                 told_up_to = offset;
@@ -200,8 +201,8 @@
         for offset in 0..beats {
             roster.hear(offset, News::Here(record(1, false)), now);
         }
-        prop_assert_eq!(roster.since(1), vec![]);
-        prop_assert_eq!(roster.since(0).len(), 1);
+        prop_assert_eq!(roster.since(1, now), vec![]);
+        prop_assert_eq!(roster.since(0, now).len(), 1);
     }
 }
 
@@ -216,12 +217,12 @@
     // One that starts reads the whole picture up to 60, and is then told what the other believes.
     let mut fresh = Roster::default();
     fresh.replace(60, vec![sighting(11, 2)], now);
-    for told in behind.since(0) {
+    for told in behind.since(0, now) {
         fresh.hear(told.offset, told.news, now);
     }
     assert!(!fresh.get("replica-1").is_some_and(|known| known.takes_work()), "{fresh:?}");
     // The other takes its whole picture from there, and learns of the end.
-    behind.replace(60, fresh.since(0), now);
+    behind.replace(60, fresh.since(0, now), now);
     assert!(!behind.get("replica-1").expect("it was known").takes_work());
     // If it comes back, that is newer.
     fresh.hear(61, sighting(61, 1).news, now);
@@ -285,7 +286,7 @@
                     log.push(of_run(born, true));
                 }
                 _ => {
-                    let sightings = reader.since(told_up_to);
+                    let sightings = reader.since(told_up_to, now);
                     for sighting in sightings.iter().chain(&sightings) {
                         told.hear(sighting.offset, sighting.news.clone(), now);
                     }
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -75,6 +75,8 @@
     pub revoke_strict: bool,
     /// A configuration is in force everywhere this long after the store has taken it.
     pub config_apply: Duration,
+    /// Nothing goes to the replicas of a failure domain this long after the store has taken that it is to be emptied.
+    pub evacuate: Duration,
     /// Retries per first try that all entries may make together.
     pub retry_share: f64,
     /// Window over which retries are counted.
@@ -90,6 +92,11 @@
 }
 
 impl Bounds {
+    /// Within this time what operators say must be in force everywhere.
+    pub fn apply(&self) -> Duration {
+        self.config_apply.min(self.evacuate)
+    }
+
     /// For how long engine memory is held at once.
     pub fn hold(&self) -> Duration {
         self.free.min(self.idle).mul_f64(HOLD_SHARE).min(self.hold_max)
@@ -186,6 +193,7 @@
         revoke: reader.millis("bounds", "revoke_ms", 1..=DAY_MS, 5_000),
         revoke_strict: reader.flag("bounds", "revoke_strict", true),
         config_apply: reader.millis("bounds", "config_apply_ms", 1..=DAY_MS, 2_000),
+        evacuate: reader.millis("bounds", "evacuate_ms", 1..=DAY_MS, 5_000),
         retry_share: reader.number("bounds", "retry_share", 0.0..=1.0, 0.2),
         retry_window: seconds(reader, "retry_window_s", 10.0),
         retry_allowance: reader.number("bounds", "retry_allowance", 0.0..=1e9, 0.0),
--- a/sorrelpass/src/gateway/belief.rs
+++ b/sorrelpass/src/gateway/belief.rs
@@ -1,12 +1,20 @@
 //! Taking in what the store says, whoever read it: a configuration, and news of replicas.
 
+use std::time::Duration;
+
+use coord::evacuation::{News, Picture};
 use coord::parcel::Version;
 use coord::roster::{Change, Replica, Sighting, Standing};
-use platform::table;
+use platform::{evacuation, table};
 
 use super::now;
+use super::reader::Page;
 use super::state::Gateway;
-use crate::{event, warn_event};
+use crate::{event, metric, warn_event};
+
+/// When callers should come back whose service has replicas in emptied failure domains only: operators take that back
+/// after seconds at the least.
+pub const EMPTIED_RETRY: Duration = Duration::from_secs(2);
 
 /// Puts one configuration in force. One that cannot be decoded changes nothing, and proves nothing.
 pub fn apply(gateway: &Gateway, document: Version) -> bool {
@@ -29,6 +37,43 @@
     }
 }
 
+/// Takes in what operators say of failure domains in records of their topic, `whole` if these are all that stand there.
+pub fn hear_operators(gateway: &Gateway, page: &Page, whole: bool) {
+    let mut register = gateway.evacuations.borrow_mut();
+    let news = page.records.iter().filter_map(|record| Some((record.offset, evacuation::decode(record)?)));
+    let changed = if whole {
+        let begun = news.filter_map(|(_, news)| if let News::Begun(domain) = news { Some(domain) } else { None });
+        register.replace(Picture { next: page.next, domains: begun.collect() })
+    } else {
+        news.fold(false, |changed, (offset, news)| register.hear(offset, news) || changed)
+    };
+    drop(register);
+    if changed {
+        empty(gateway);
+    }
+}
+
+/// Takes in which failure domains another entry knows to be emptied.
+pub fn hear_evacuations(gateway: &Gateway, picture: Picture) {
+    if gateway.evacuations.borrow_mut().replace(picture) {
+        empty(gateway);
+    }
+}
+
+/// Puts in force which failure domains are emptied. What waits for a service that has replicas nowhere else is refused.
+fn empty(gateway: &Gateway) {
+    let domains = gateway.evacuations.borrow().picture().domains.clone();
+    event!("evacuations", emptied = domains.iter().map(|domain| &**domain).collect::<Vec<_>>().join(","));
+    metric::emptied(&domains);
+    gateway.roster.borrow_mut().set_emptied(domains, now());
+    gateway.refresh_engines();
+    for service in gateway.table().services() {
+        if gateway.roster.borrow().is_emptied(&service.name) {
+            gateway.desk.refuse_all(&service.name, EMPTIED_RETRY);
+        }
+    }
+}
+
 /// Whether a replica takes work, as far as is known.
 pub fn is_usable(gateway: &Gateway, id: &str) -> bool {
     gateway.roster.borrow().get(id).is_some_and(Replica::takes_work)
@@ -66,7 +111,7 @@
             Standing::Lapsed(_) => "lapsed",
             Standing::Gone => "gone",
         };
-        event!("replica", peer = %change.id, standing);
+        event!("replica", peer = %change.id, standing, cold = change.cold);
         if change.standing == Standing::Gone {
             gateway.limits.forget(&change.id);
         }
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -115,18 +115,22 @@
     pub async fn open(&mut self, after_event: Option<u64>) -> Result<Opened, Failure> {
         let mut retry_after = None;
         let mut next = None;
+        // Whether a further send was taken out of the retry budget and not made.
+        let mut is_paid = false;
         loop {
             if self.is_condemned() {
                 return Err(self.condemned());
             }
             let target = match next.take() {
                 Some(target) => target,
-                None => self.next_target(retry_after).await?,
+                None => self.next_target(retry_after, is_paid).await?,
             };
+            is_paid = false;
             match self.send(target, after_event).await {
                 Sent::Opened(opened) => return Ok(*opened),
                 Sent::Condemned => return Err(self.condemned()),
                 Sent::Late => return Err(self.timed_out()),
+                Sent::Emptied => is_paid = true,
                 Sent::Silent(target) => next = Some(*target),
                 Sent::NotRun(after) => retry_after = retry_after.max(after),
                 Sent::Lost if self.may_repeat() => {}
@@ -156,13 +160,13 @@
         Lost { request, work, record: record.clone(), sent, weight }.look(&self.gateway).await;
     }
 
-    /// Where the request goes next, if it may go anywhere.
-    async fn next_target(&self, retry_after: Option<Duration>) -> Result<Target, Failure> {
+    /// Where the request goes next, if it may go anywhere; `is_paid` if a further send is out of the retry budget already.
+    async fn next_target(&self, retry_after: Option<Duration>, is_paid: bool) -> Result<Target, Failure> {
         let target = match self.target().await {
             Ok(target) => target,
             Err(unplaced) => return Err(self.exhausted(retry_after.max(unplaced.retry_after()))),
         };
-        if self.sends > 0 && !self.take_retry() {
+        if self.sends > 0 && !is_paid && !self.take_retry() {
             return Err(self.exhausted(retry_after));
         }
         Ok(target)
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -14,7 +14,7 @@
 use super::super::{limits, now};
 use super::target::{Place, Target};
 use super::{Job, Opened};
-use crate::event;
+use crate::{event, metric, util};
 
 /// What one send came to.
 pub(super) enum Sent {
@@ -28,6 +28,8 @@
     Unsent,
     /// It was not sent: its time is over.
     Late,
+    /// It was not sent: nothing new may go to its replicas any more.
+    Emptied,
     /// It was not sent: replicas end under what it asks for.
     Condemned,
     /// Nothing came for longer than can be explained, and it goes here next; the retry is counted already.
@@ -45,7 +47,12 @@
         if self.left().is_zero() {
             return Sent::Late;
         }
+        if self.gateway.roster.borrow().usable_one(&target.record.id).is_none() {
+            event!("not-sent", request = %self.call.id, peer = %target.record.id);
+            return Sent::Emptied;
+        }
         let Target { record, helpers, place } = target;
+        metric::sent(&record.failure_domain, util::wall());
         let begun = now();
         self.tried.push(record.id.clone());
         let head = self.head(&record, helpers, after_event);
@@ -171,7 +178,7 @@
         let roster = self.gateway.roster.borrow();
         let named = answer.at_fault.as_ref().and_then(|address| {
             let of_address = |record: &&Record| record.address == *address || record.id == *address;
-            roster.usable(&self.service).find(of_address)
+            roster.living(&self.service).map(|replica| &replica.record).find(of_address)
         });
         named.unwrap_or(record).id.clone()
     }
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -8,6 +8,7 @@
 use coord::roster::Record;
 use platform::dialect;
 
+use super::super::belief::EMPTIED_RETRY;
 use super::super::desk::{Lease, Unplaced};
 use super::super::hold::{self, Hold};
 use super::super::state::{Gateway, Phase};
@@ -146,7 +147,7 @@
     /// Waits for a turn at one of `full`, all of which name limits, if there is one in time.
     async fn rationed(&self, full: Vec<Name>) -> Result<Target, Unplaced> {
         if full.is_empty() {
-            return Err(Unplaced::Exhausted);
+            return Err(self.without_replicas());
         }
         let most_wait = (self.started + self.route.aim.mul_f64(WAIT_SHARE)).since(now());
         match limits::take(&self.gateway, full, most_wait).await {
@@ -155,8 +156,7 @@
                 metric::limit_wait();
                 tokio::time::sleep(turn.after).await;
                 let roster = self.gateway.roster.borrow();
-                let replica = roster.get(&turn.replica).filter(|replica| replica.takes_work());
-                let record = replica.map(|replica| replica.record.clone());
+                let record = roster.usable_one(&turn.replica).cloned();
                 record.map(|record| self.at(record)).ok_or(Unplaced::Exhausted)
             }
             Err(after) => {
@@ -176,7 +176,7 @@
         let until = (self.started + patience).max(now() + LEAST_WAIT);
         loop {
             if self.gateway.roster.borrow().usable(&self.service).next().is_none() {
-                return Err(Unplaced::Exhausted);
+                return Err(self.without_replicas());
             }
             let left = until.since(now());
             let lease = tokio::select! {
@@ -215,6 +215,12 @@
         }
     }
 
+    /// No replica of the service takes work.
+    fn without_replicas(&self) -> Unplaced {
+        let is_emptied = self.gateway.roster.borrow().is_emptied(&self.service);
+        if is_emptied { Unplaced::Refused(EMPTIED_RETRY) } else { Unplaced::Exhausted }
+    }
+
     /// How many replicas of the service name a limit, of how many that take work.
     fn in_need(&self) -> (usize, usize) {
         let roster = self.gateway.roster.borrow();
@@ -239,7 +245,7 @@
     /// The replicas of a team: its writer and its helpers; none if its writer or a holder takes no work any more.
     fn locate(&self, team: &Team) -> Option<(Record, Vec<Found>)> {
         let roster = self.gateway.roster.borrow();
-        let usable = |id: &Name| roster.get(id).filter(|replica| replica.takes_work()).map(|replica| &replica.record);
+        let usable = |id: &Name| roster.usable_one(id);
         let mut found = Vec::new();
         for helper in &team.helpers {
             match usable(&helper.engine) {
--- a/sorrelpass/src/gateway/desk/mod.rs
+++ b/sorrelpass/src/gateway/desk/mod.rs
@@ -228,6 +228,19 @@
         answer
     }
 
+    /// Refuses all of this entry's prompts that wait for engines of a service.
+    pub fn refuse_all(&self, service: &Name, retry_after: Duration) {
+        let of_service = |waiter: &Waiter| waiter.service == *service;
+        let waiting = self.waiting.borrow();
+        let numbers: Vec<u64> =
+            waiting.iter().filter(|(_, waiter)| of_service(waiter)).map(|(number, _)| *number).collect();
+        drop(waiting);
+        for number in numbers {
+            self.refused(number, retry_after);
+            self.end(service, number);
+        }
+    }
+
     /// Engines that should be asked for their pace, with their services. Only an entry that plans asks.
     pub fn to_ask(&self) -> Vec<(Name, Name)> {
         if self.has_leader() {
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -182,7 +182,8 @@
         parcel,
         too_large,
         replicas: facts.replicas.known(),
-        sightings: roster.since(from),
+        evacuations: gateway.evacuations.borrow().picture().clone(),
+        sightings: roster.since(from, now()),
         whole,
         doubt_left: roster.doubt_left(now()),
         entries: gateway.entries(),
@@ -193,6 +194,7 @@
 pub fn take_in(gateway: &Gateway, update: Update, asked: Moment) {
     gateway.note_entries(update.entries);
     let facts = &gateway.facts;
+    belief::hear_evacuations(gateway, update.evacuations);
     let sound =
         update.parcel.is_none_or(|parcel| facts.open(&parcel).is_some_and(|document| belief::apply(gateway, document)));
     match update.configuration {
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -167,7 +167,7 @@
 async fn exchange(gateway: &Gateway, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<SocketAddr> {
     let mut heard = Instant::now();
     let bounds = gateway.bounds();
-    let period = SYNC.min(bounds.config_apply.min(bounds.drain) / SYNCS_PER_BOUND);
+    let period = SYNC.min(bounds.apply().min(bounds.drain) / SYNCS_PER_BOUND);
     let mut sync_at = Instant::now();
     let mut asked = Asked::default();
     for news in gateway.quarantine.messages() {
--- a/sorrelpass/src/gateway/limits/mod.rs
+++ b/sorrelpass/src/gateway/limits/mod.rs
@@ -5,10 +5,11 @@
 //! ([`coord::planner`]); for replicas of plain services the same one, which gives out turns ([`turn`]). Calls to
 //! replicas that name no limit ask nobody.
 
+mod cold;
 mod turn;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use coord::limit::{Allowance, Group, News, Register, Word};
@@ -16,7 +17,9 @@
 use coord::roster::Record;
 use coord::time::Moment;
 use platform::dialect;
+use tokio::sync::Notify;
 
+pub use self::cold::thaw;
 use self::turn::Wishes;
 pub use self::turn::take;
 use super::link::{Order, Report, Turn};
@@ -32,6 +35,10 @@
 #[derive(Default)]
 pub struct Limits {
     register: RefCell<Register>,
+    /// Replicas that are cold, with the requests a second that they take until they are not.
+    cold: RefCell<BTreeMap<Name, f64>>,
+    /// Told when replicas may have turned cold.
+    chilled: Notify,
     /// What may still be sent to plain replicas, while this entry gives out the turns.
     allowances: RefCell<HashMap<Name, Allowance>>,
     /// Replicas that have no turn for this entry until then.
@@ -47,9 +54,17 @@
 }
 
 impl Limits {
-    /// Whether a replica names a limit.
+    /// Whether a replica takes a limited number of requests now.
     pub fn is_limited(&self, replica: &str) -> bool {
-        self.register.borrow().rate(replica).is_some()
+        self.rate(replica).is_some()
+    }
+
+    /// The requests a second that a replica takes from all entries together: what it names, and what it takes while it is
+    /// cold, whichever is less.
+    fn rate(&self, replica: &str) -> Option<f64> {
+        let named = self.register.borrow().rate(replica);
+        let cold = self.cold.borrow().get(replica).copied();
+        named.into_iter().chain(cold).reduce(f64::min)
     }
 
     /// Notes that so many entries are together.
@@ -148,7 +163,7 @@
     let share = share(gateway);
     for news in &changed {
         limits.held.borrow_mut().remove(&news.replica);
-        set(gateway, &news.replica, news.rate, share);
+        set(gateway, &news.replica, limits.rate(&news.replica), share);
     }
     match source {
         Source::Own if gateway.desk.has_leader() => drop(gateway.desk.report(Report::Limits(changed))),
@@ -157,12 +172,17 @@
     }
 }
 
-/// Puts in force all that is known: which replicas name which limit, and which share of it may be used here.
+/// Puts in force all that is known: which replicas take how much, and which share of it may be used here.
 pub fn apply(gateway: &Gateway) {
+    let limits = &gateway.limits;
     let share = share(gateway);
-    let register = gateway.limits.register.borrow();
-    gateway.limits.allowances.borrow_mut().retain(|replica, _| register.rate(replica).is_some());
-    register.limited().for_each(|(replica, rate)| set(gateway, replica, Some(rate), share));
+    let warm = cold::refresh(gateway);
+    limits.allowances.borrow_mut().retain(|replica, _| limits.is_limited(replica));
+    let named: Vec<Name> = limits.register.borrow().limited().map(|(replica, _)| replica.clone()).collect();
+    let cold: Vec<Name> = limits.cold.borrow().keys().cloned().collect();
+    for replica in warm.iter().chain(&named).chain(&cold) {
+        set(gateway, replica, limits.rate(replica), share);
+    }
 }
 
 /// Puts the limit of one replica in force.
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coord::evacuation;
 use coord::limit;
 use coord::name::Name;
 use coord::parcel::Parcel;
@@ -111,6 +112,8 @@
     pub parcel: Option<Parcel>,
     /// Whether there is one that is too large for that.
     pub too_large: bool,
+    /// Failure domains that operators have emptied.
+    pub evacuations: evacuation::Picture,
     /// How far the replicas' records are known.
     pub replicas: Option<Known>,
     /// What changed there, or all that is there.
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -63,6 +63,7 @@
     tokio::task::spawn_local(gateway.desk.clone().run());
     tokio::task::spawn_local(gateway.desk.clone().keep_looking());
     tokio::task::spawn_local(reload(gateway.clone(), file, hangup));
+    tokio::task::spawn_local(limits::thaw(gateway.clone()));
     tokio::task::spawn_local(pace::run(gateway.clone()));
     tokio::task::spawn_local(quarantine::store::run(gateway.clone()));
     if let Some(own) = gateway.settings.peer_listen {
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use coord::budget::{self, Windowed};
+use coord::evacuation;
 use coord::name::Name;
 use coord::roster::Roster;
 use coord::route::Table;
@@ -72,6 +73,8 @@
     pub facts: Facts,
     /// The replicas.
     pub roster: RefCell<Roster>,
+    /// Failure domains that operators have emptied.
+    pub evacuations: RefCell<evacuation::Register>,
     /// Where plain requests go.
     pub placer: RefCell<Placer>,
     /// Where prompts go.
@@ -104,6 +107,7 @@
             table: RefCell::default(),
             facts,
             roster: RefCell::default(),
+            evacuations: RefCell::default(),
             placer: RefCell::new(placer),
             desk,
             quarantine: Quarantine::new(),
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -42,12 +42,12 @@
 
 /// For how long the store holds a read of the configuration.
 fn long_read(bounds: &Bounds) -> Duration {
-    bounds.revoke.mul_f64(LONG_READ_SHARE).min(bounds.config_apply.mul_f64(LONG_READ_APPLY_SHARE))
+    bounds.revoke.mul_f64(LONG_READ_SHARE).min(bounds.apply().mul_f64(LONG_READ_APPLY_SHARE))
 }
 
 /// For how long a configuration that another entry passed on serves before it is read here.
 fn configuration_serves(bounds: &Bounds) -> Duration {
-    bounds.revoke.mul_f64(SERVES_SHARE).min(bounds.config_apply.mul_f64(SERVES_APPLY_SHARE))
+    bounds.revoke.mul_f64(SERVES_SHARE).min(bounds.apply().mul_f64(SERVES_APPLY_SHARE))
 }
 
 /// For how long what is known of the replicas serves before their records are read here.
@@ -96,6 +96,7 @@
     let topic = &gateway.facts.configuration;
     let held = long_read(&gateway.bounds());
     let sent = now();
+    let whole = topic.next().is_none();
     let page = match topic.next() {
         None => reader.read_all().await?,
         Some(from) => match reader.read_on(topic, from, held).await? {
@@ -103,6 +104,7 @@
             None => return Ok(()),
         },
     };
+    belief::hear_operators(gateway, &page, whole);
     // Only the newest decides: what it replaces need not have been sound.
     let mut sound = true;
     for record in page.records.into_iter().filter(|record| &*record.key == table::KEY) {
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -1,8 +1,11 @@
 //! Metrics by opentelemetry, shown in the Prometheus text form at `/metrics`.
 
-use std::sync::OnceLock;
+use std::collections::BTreeSet;
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
+use coord::name::Name;
+use coord::time::Moment;
 use eyre::{Result, WrapErr};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -21,6 +24,10 @@
     condemned: Counter<u64>,
     refused_condemned: Counter<u64>,
     quarantine: Gauge<u64>,
+    emptied: Gauge<u64>,
+    /// Failure domains that the gauge has named.
+    emptied_shown: Mutex<BTreeSet<Name>>,
+    last_send: Gauge<f64>,
     limited: Gauge<u64>,
     limit_waits: Counter<u64>,
     limit_refusals: Counter<u64>,
@@ -55,6 +62,9 @@
         condemned: meter.u64_counter("sorrelpass_work_condemned").build(),
         refused_condemned: meter.u64_counter("sorrelpass_refused_condemned").build(),
         quarantine: meter.u64_gauge("sorrelpass_quarantine").build(),
+        emptied_shown: Mutex::default(),
+        emptied: meter.u64_gauge("sorrelpass_domain_emptied").build(),
+        last_send: meter.f64_gauge("sorrelpass_last_send_seconds").build(),
         limited: meter.u64_gauge("sorrelpass_replicas_limited").build(),
         limit_waits: meter.u64_counter("sorrelpass_limit_waits").build(),
         limit_refusals: meter.u64_counter("sorrelpass_limit_refusals").build(),
@@ -123,6 +133,23 @@
     });
 }
 
+/// The failure domains that operators have emptied; one that was named before and is not any more shows 0.
+pub fn emptied(domains: &BTreeSet<Name>) {
+    let named = |domain: &Name| [KeyValue::new("failure_domain", domain.to_string())];
+    with(|on| {
+        let mut shown = on.emptied_shown.lock().unwrap_or_else(PoisonError::into_inner);
+        shown.difference(domains).for_each(|domain| on.emptied.record(0, &named(domain)));
+        domains.iter().for_each(|domain| on.emptied.record(1, &named(domain)));
+        shown.extend(domains.iter().cloned());
+    });
+}
+
+/// A request was sent to a replica of a failure domain, at this time of day.
+pub fn sent(failure_domain: &str, at: Moment) {
+    let seconds = at.as_micros() as f64 / 1e6;
+    with(|on| on.last_send.record(seconds, &[KeyValue::new("failure_domain", failure_domain.to_owned())]));
+}
+
 /// Replicas that name a limit of their own.
 pub fn limited(replicas: usize) {
     with(|on| on.limited.record(replicas as u64, &[]));
--- a/standin/src/cmd/site_soak.rs
+++ b/standin/src/cmd/site_soak.rs
@@ -1,6 +1,6 @@
 //! Runs a small site of the users' platform under random faults from a seed, and prints every breach.
 //!
-//! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N] [--fatal] [--limits]
+//! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N] [--fatal] [--limits] [--evacuations]
 //!
 //! Entries are killed, paused, stopped and told to reload; the ways from callers, to the store and to replicas
 //! are delayed, reset, cut one way or silenced; the store and the replicas answer badly; keys change. It ends
@@ -44,6 +44,8 @@
     fatal: bool,
     /// Have an engine and a plain replica name a limit of requests a second
     limits: bool,
+    /// Empty a failure domain every now and then, and take that back
+    evacuations: bool,
 }
 
 /// Runs the subcommand.
@@ -58,6 +60,7 @@
         callers: args.callers,
         fatal: args.fatal,
         limits: args.limits,
+        evacuations: args.evacuations,
     };
     let seeds = stream::iter(args.seed..args.seed + args.seeds);
     let mut reports =
--- a/standin/src/platform/replica.rs
+++ b/standin/src/platform/replica.rs
@@ -86,6 +86,10 @@
     front: Option<Arc<Proxy>>,
     /// What its answers say of the requests that it takes, as it stands in their heads.
     limit: Option<String>,
+    /// The failure domain that its record names, if not the usual one.
+    domain: Option<String>,
+    /// For how long it is cold, and what it takes meanwhile.
+    cold: Option<Cold>,
     /// Work that ends its process.
     fatal: Option<Fatal>,
     /// How often its process ended.
@@ -105,6 +109,19 @@
     lingers: Duration,
 }
 
+/// A time in which a replica takes fewer requests.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    until: Instant,
+    /// Requests that may come in one second; with one more its process ends.
+    most: usize,
+}
+
+/// A second, over which a cold replica counts.
+const SECOND: Duration = Duration::from_secs(1);
+/// How long a replica is down that fell over while it was cold.
+const FALLEN: Duration = Duration::from_millis(500);
+
 /// Memory set aside.
 #[derive(Clone, Copy, Debug)]
 struct Hold {
@@ -287,6 +304,24 @@
         self.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Has its record name another failure domain than the usual one.
+    pub fn stand_in(&self, domain: &str) {
+        self.lock().domain = Some(domain.to_owned());
+    }
+
+    /// Turns it cold for so long: with more than `most` requests in one second its process ends, and starts again.
+    pub fn turn_cold(&self, lasts: Duration, most: usize) {
+        self.lock().cold = Some(Cold { until: Instant::now() + lasts, most });
+    }
+
+    /// Whether it falls over now: more has come within a second than it bears while it is cold.
+    fn is_overrun(&self) -> bool {
+        let inner = self.lock();
+        let now = Instant::now();
+        let Some(cold) = inner.cold.filter(|cold| cold.until > now) else { return false };
+        inner.runs.iter().rev().take_while(|run| now - run.at < SECOND).filter(|run| run.ran).count() > cold.most
+    }
+
     /// How often it was asked what it does.
     pub fn reports(&self) -> usize {
         self.lock().reports
@@ -306,11 +341,14 @@
 
     /// Its record in the store.
     pub fn record(&self, service: &str, state: &str) -> String {
-        let front = self.lock().front.as_ref().map(|proxy| proxy.address.clone());
+        let inner = self.lock();
+        let front = inner.front.as_ref().map(|proxy| proxy.address.clone());
         let address = front.unwrap_or_else(|| self.address.clone());
+        let domain = inner.domain.as_deref().unwrap_or("here");
+        let cold = inner.cold.map_or(Duration::ZERO, |cold| cold.until.saturating_duration_since(Instant::now()));
         let record = json!({
-            "service": service, "address": address, "zone": "here", "version": "v1", "slots": 16,
-            "state": state, "cold_remaining_ms": 0, "sequence": 1,
+            "service": service, "address": address, "zone": domain, "version": "v1", "slots": 16,
+            "state": state, "cold_remaining_ms": cold.as_millis() as u64, "sequence": 1,
         });
         record.to_string()
     }
@@ -386,6 +424,11 @@
     let Some(act) = replica.note(&id, head, body) else {
         return (StatusCode::MISDIRECTED_REQUEST, [("replica-id", replica.id.clone())]).into_response();
     };
+    if replica.is_overrun() {
+        let fallen = Fatal { marker: String::new(), down: FALLEN, lingers: Duration::ZERO };
+        replica.die_of(fallen);
+        return signed(silent_body(), &replica, act, &id);
+    }
     if let Some(fatal) = fatal {
         let body = if fatal.lingers.is_zero() { silent_body() } else { silent_until(FATAL_AFTER) };
         replica.die_of(fatal);
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -236,6 +236,16 @@
         version
     }
 
+    /// Has operators say that a failure domain is to be emptied.
+    pub fn evacuate(&self, domain: &str) {
+        self.store.put("keyed.op", &format!("evacuate/{domain}"), "{}");
+    }
+
+    /// Has operators take that back.
+    pub fn end_evacuation(&self, domain: &str) {
+        self.store.put("keyed.op", &format!("evacuate/{domain}"), "");
+    }
+
     /// Writes the record of every replica.
     pub fn announce_all(&self) {
         for (service, replicas) in [("advisor", &self.engines), ("ledger", &self.plain)] {
--- a/standin/src/platform/soak/injector.rs
+++ b/standin/src/platform/soak/injector.rs
@@ -12,7 +12,7 @@
 use rustix::process::Signal;
 
 use super::caller::{Phase, Shared, key};
-use super::{Plan, RECOVERY};
+use super::{EMPTIED, Plan, RECOVERY};
 use crate::platform::proxy::Way;
 use crate::platform::replica::{Act, Replica};
 use crate::platform::site::Site;
@@ -52,6 +52,8 @@
     Keys,
     /// A replica announces its end.
     Drain,
+    /// A failure domain is emptied, or that is taken back.
+    Evacuate,
 }
 
 const PLANNED: [Kind; 4] = [Kind::Stop, Kind::Reload, Kind::Keys, Kind::Compact];
@@ -92,6 +94,8 @@
     pub revoked: BTreeMap<u64, Instant>,
     /// Replicas that announced their end, and when.
     pub drained: Vec<(Arc<Replica>, Instant)>,
+    /// When the failure domain [`EMPTIED`] was emptied, and when that was taken back.
+    pub evacuations: Vec<(Instant, Option<Instant>)>,
     /// Promises that were seen broken while faults went on.
     pub breaches: Vec<String>,
 }
@@ -107,6 +111,7 @@
             faults: BTreeMap::new(),
             revoked: BTreeMap::new(),
             drained: Vec::new(),
+            evacuations: Vec::new(),
             breaches: Vec::new(),
         }
     }
@@ -160,6 +165,7 @@
             Kind::Answers => self.bad_answers(),
             Kind::Keys => self.change_keys(),
             Kind::Drain => self.drain(),
+            Kind::Evacuate => self.evacuate(),
         }
         Ok(())
     }
@@ -231,6 +237,18 @@
         self.drained.push((replica, Instant::now()));
     }
 
+    /// Empties the failure domain, or takes that back.
+    fn evacuate(&mut self) {
+        let now = Instant::now();
+        if let Some((_, ended @ None)) = self.evacuations.last_mut() {
+            *ended = Some(now);
+            self.site.end_evacuation(EMPTIED);
+        } else {
+            self.evacuations.push((now, None));
+            self.site.evacuate(EMPTIED);
+        }
+    }
+
     /// Takes back what is due; everything if `all`.
     async fn take_back(&mut self, all: bool) -> Result<()> {
         let now = Instant::now();
@@ -260,7 +278,10 @@
 
     /// One round: faults, healing, a calm that is checked.
     pub async fn round(&mut self, plan: &Plan, planned: bool) -> Result<()> {
-        let kinds: &[Kind] = if planned { &PLANNED } else { &ALL };
+        let mut kinds = if planned { PLANNED.to_vec() } else { ALL.to_vec() };
+        if plan.evacuations {
+            kinds.push(Kind::Evacuate);
+        }
         self.shared.enter(if planned { Phase::Planned } else { Phase::Faults });
         self.shared.stale_keys.store(true, Ordering::Relaxed);
         let end = Instant::now() + plan.faults;
--- a/standin/src/platform/soak/judge.rs
+++ b/standin/src/platform/soak/judge.rs
@@ -7,8 +7,8 @@
 
 use super::caller::{FATAL, Line, Phase, Route};
 use super::injector::Injector;
-use super::{LIMIT, Plan, RECOVERY, REVOKE, Report, limited};
-use crate::platform::replica::Replica;
+use super::{LIMIT, Plan, RECOVERY, REVOKE, Report, emptied, limited};
+use crate::platform::replica::{Replica, Run};
 use crate::platform::site::Site;
 
 /// A replica that announced its end gets nothing after this; the entries' default bound, and time for the way.
@@ -24,7 +24,7 @@
 
 /// Checks the promises.
 pub async fn judge(injector: Injector, lines: &[Line], plan: &Plan) -> Result<Report> {
-    let Injector { site, faults, revoked, drained, mut breaches, .. } = injector;
+    let Injector { site, faults, revoked, drained, evacuations, mut breaches, .. } = injector;
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     for replica in site.engines.iter().chain(&site.plain) {
         for run in replica.seen().iter().filter(|run| run.ran) {
@@ -45,6 +45,14 @@
             breaches.push(format!("{late} requests went to {} long after it announced its end", replica.id));
         }
     }
+    for (begun, ended) in evacuations {
+        let binds =
+            |run: &Run| run.ran && run.at > begun + DRAIN + RECOVERY && ended.is_none_or(|ended| run.at < ended);
+        let late = emptied(&site).flat_map(|replica| replica.seen()).filter(binds).count();
+        if late > 0 {
+            breaches.push(format!("{late} requests went into a failure domain long after it was to be emptied"));
+        }
+    }
     let fatal_sends = fatal_sends(&site);
     let ends = site.engines.iter().map(|engine| engine.ends()).sum();
     if fatal_sends > MOST_FATAL {
--- a/standin/src/platform/soak/mod.rs
+++ b/standin/src/platform/soak/mod.rs
@@ -45,6 +45,9 @@
     site.engines.last().into_iter().chain(site.plain.last())
 }
 
+/// The failure domain that is emptied.
+const EMPTIED: &str = "there";
+
 /// What a soak is made of.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -62,6 +65,8 @@
     pub fatal: bool,
     /// Whether an engine and a plain replica name a limit from the beginning.
     pub limits: bool,
+    /// Whether a failure domain is emptied every now and then.
+    pub evacuations: bool,
 }
 
 /// What came of a soak.
@@ -91,12 +96,21 @@
     }
 }
 
+/// The replicas that stand in the failure domain which is emptied: one of each service, so that others are left.
+fn emptied(site: &Site) -> impl Iterator<Item = &Arc<Replica>> {
+    site.engines.last().into_iter().chain(site.plain.last())
+}
+
 /// Runs a soak and checks all that its callers and replicas saw.
 pub async fn run(plan: &Plan) -> Result<Report> {
     let bounds = format!("revoke_ms = {}", REVOKE.as_millis());
     let name = format!("soak-{}", plan.seed);
     let spec = Spec { entries: plan.entries, engines: 4, plain: 3, proxied: true, bounds, ..Spec::small(&name) };
     let site = Site::start(spec).await?;
+    if plan.evacuations {
+        emptied(&site).for_each(|replica| replica.stand_in(EMPTIED));
+        site.announce_all();
+    }
     let shared = Arc::new(Shared::default());
     let first = key(0);
     site.configure(&[first.as_str()], |_| {});
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the fleet tests share: a small fleet, prompts and calls against it.
 #![allow(dead_code)]
 
+pub mod load;
+
 use std::io::{Read, Write};
 use std::process::Command;
 use std::time::{Duration, Instant};
--- a/standin/tests/platform_limits.rs
+++ b/standin/tests/platform_limits.rs
@@ -6,11 +6,14 @@
 //! have looked no different to its callers. What proved the cause: the rate at both engines is the same before and after
 //! they named their limits, every request there was a first send, and no part of the code decodes the header.
 
+mod common;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use common::load::{load, look, most, prompt, served};
 use rustix::process::Signal;
-use standin::platform::{Ask, HOST, KEY, Replica, Seen, Site, Spec, send};
+use standin::platform::{Replica, Seen, Site, Spec};
 
 /// The bound holds in every window of this length.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -22,9 +25,6 @@
 /// was under way when the limit was named.
 const SLACK: f64 = 3.0;
 
-/// How long a caller waits for an answer.
-const PATIENCE: Duration = Duration::from_millis(2_500);
-
 /// What is allowed to reach a replica in a window while nothing fails.
 fn calm(rate: f64) -> usize {
     (rate * WINDOW.as_secs_f64() + SLACK) as usize
@@ -35,49 +35,6 @@
     (1.5 * rate * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
-/// The most requests that reached a replica in a window that begins at `since` or later.
-fn most(replica: &Replica, since: Instant) -> usize {
-    let at: Vec<Instant> = replica.seen().iter().map(|run| run.at).collect();
-    let begins = at.iter().filter(|at| **at >= since);
-    begins.map(|begin| at.iter().filter(|at| **at >= *begin && **at < *begin + WINDOW).count()).max().unwrap_or(0)
-}
-
-fn prompt(id: &str) -> Ask {
-    Ask::new("POST", "/prompt/1", id, KEY).with("token-usage", "500,400").with("deadline-ms", "2500")
-}
-
-/// A call that may be repeated.
-fn look(id: &str) -> Ask {
-    Ask::new("GET", "/look/1", id, KEY).with("deadline-ms", "2500")
-}
-
-/// Sends `ask` so often a second, to one entry after the other, whatever comes back; returns what came.
-async fn load(site: &Site, a_second: u32, lasts: Duration, ask: fn(&str) -> Ask) -> Vec<Seen> {
-    let addresses: Arc<[String]> = site.addresses.clone().into();
-    let mut ticks = tokio::time::interval(Duration::from_secs(1) / a_second);
-    let mut sent = Vec::new();
-    let until = Instant::now() + lasts;
-    let mut number = 0;
-    while Instant::now() < until {
-        ticks.tick().await;
-        let (addresses, mut asked) = (addresses.clone(), ask(&format!("load-{number}")));
-        // A frozen entry never answers.
-        asked.leave_after = Some(PATIENCE);
-        let entry = number % addresses.len();
-        sent.push(tokio::spawn(async move { send(&addresses[entry], HOST, &asked).await.unwrap_or_default() }));
-        number += 1;
-    }
-    let mut seen = Vec::new();
-    for sent in sent {
-        seen.push(sent.await.expect("it was sent"));
-    }
-    seen
-}
-
-fn served(seen: &[Seen]) -> usize {
-    seen.iter().filter(|seen| seen.status == 200 && seen.whole).count()
-}
-
 async fn site(name: &str, spec: Spec) -> Site {
     Site::start(Spec { name: name.to_owned(), ..spec }).await.expect("the site starts")
 }
@@ -107,7 +64,7 @@
     let since = Instant::now() + KNOWN_AFTER;
     let seen = load(&site, 20, Duration::from_secs(9), prompt).await;
     for (engine, rate) in [(busiest[0], 2.3), (busiest[1], 1.0)] {
-        let most = most(engine, since);
+        let most = most(engine, since, WINDOW);
         assert!(most <= calm(rate), "{} got {most} where it takes {}", engine.id, calm(rate));
     }
     assert_eq!(served(&seen), seen.len(), "others have room for all");
@@ -123,7 +80,7 @@
     busiest.name_limit(Some("1"));
     let since = Instant::now() + KNOWN_AFTER;
     let seen = load(&site, 30, Duration::from_secs(9), look).await;
-    let most = most(busiest, since);
+    let most = most(busiest, since, WINDOW);
     assert!(most <= calm(1.0), "it got {most} where it takes {}", calm(1.0));
     assert_eq!(served(&seen), seen.len(), "others have room for all");
     assert_nothing_is_blamed(&site);
@@ -141,7 +98,7 @@
 /// What is allowed at each, what came to an end in time, and what was refused at once with a time to come back.
 fn assert_fits(replicas: &[Arc<Replica>], rate: f64, seen: &[Seen], since: Instant, lasts: Duration) {
     for replica in replicas {
-        let most = most(replica, since + KNOWN_AFTER);
+        let most = most(replica, since + KNOWN_AFTER, WINDOW);
         assert!(most <= calm(rate), "{} got {most} where it takes {}", replica.id, calm(rate));
     }
     let fits = rate * replicas.len() as f64 * lasts.as_secs_f64();
@@ -195,7 +152,7 @@
     site.restart(killed).await.expect("it starts again");
     tokio::join!(load(&site, 30, Duration::from_secs(4), prompt), load(&site, 20, Duration::from_secs(4), look));
     for replica in site.engines.iter().chain(&site.plain) {
-        let most = most(replica, since);
+        let most = most(replica, since, WINDOW);
         assert!(most <= troubled(2.0), "{} got {most} where it takes {}", replica.id, troubled(2.0));
     }
     site.close().expect("no invariant was breached");
@@ -216,7 +173,7 @@
     }
     tokio::join!(load(&site, 30, Duration::from_secs(5), prompt), load(&site, 20, Duration::from_secs(5), look));
     for replica in site.engines.iter().chain(&site.plain) {
-        let most = most(replica, since);
+        let most = most(replica, since, WINDOW);
         assert!(most <= troubled(2.0), "{} got {most} where it takes {}", replica.id, troubled(2.0));
     }
     site.close().expect("no invariant was breached");
--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -18,7 +18,7 @@
 
 fn plan(seed: u64) -> Plan {
     let faults = Duration::from_secs(5);
-    Plan { seed, rounds: 2, faults, entries: 3, callers: 16, fatal: false, limits: false }
+    Plan { seed, rounds: 2, faults, entries: 3, callers: 16, fatal: false, limits: false, evacuations: false }
 }
 
 async fn play(plan: Plan) {
@@ -74,3 +74,8 @@
 async fn seed_303_with_many_callers_beside_replicas_that_name_a_limit() {
     play(Plan { limits: true, callers: 48, ..plan(303) }).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_that_is_emptied_and_taken_back() {
+    play(Plan { evacuations: true, ..plan(401) }).await;
+}
