Entries join by way of those that lead, who announce them together and name who leads next

Pictures of 3,000 replicas for 300 entries take the store longer than anyone waits for an answer, and giving up began anew. Change: an entry asks those that its settings name, follows whom they follow, and reads nothing while it hears of it there. The one that leads announces newcomers many in a call, publishes the eight next to lead, and hands over to a more powerful one that follows it. Only the next to lead reads at once when a leader is lost; what is too old to be passed on is read without being held; a whole picture gets more time after a failure. sorrelpass_store_calls counts calls by kind and topic. Found by the new test on the way: a read was held so long (0.35 of config_apply) that each follower of a sound leader read the configuration for itself once; 0.22 now.

--- a/coord/src/standing.rs
+++ b/coord/src/standing.rs
@@ -2,6 +2,8 @@
 
 use std::cmp::Reverse;
 
+use serde::{Deserialize, Serialize};
+
 /// Least share of a core that counts, and what powers are multiples of.
 const LEAST_CORES: f64 = 0.01;
 /// Least link that counts, in Mbit/s: as much as 0.01 of a core can make use of where both were seen to be scarce
@@ -12,7 +14,7 @@
 ///
 /// Coarse on purpose: one that comes back takes over from one that has half of its power or less, and not from one that
 /// is about as good.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Power(pub u8);
 
 impl Power {
@@ -24,7 +26,7 @@
 }
 
 /// What the order of succession goes by; the least comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Standing {
     power: Reverse<Power>,
     announced: u64,
@@ -35,4 +37,9 @@
     pub fn new(power: Power, announced: u64) -> Self {
         Self { power: Reverse(power), announced }
     }
+
+    /// Its power.
+    pub fn power(&self) -> Power {
+        self.power.0
+    }
 }
--- a/sorrelpass/src/gateway/belief.rs
+++ b/sorrelpass/src/gateway/belief.rs
@@ -111,7 +111,10 @@
             Standing::Lapsed(_) => "lapsed",
             Standing::Gone => "gone",
         };
-        event!("replica", peer = %change.id, standing, cold = change.cold);
+        event!("replica", peer = %change.id, standing);
+        if change.cold {
+            event!("replica-cold", peer = %change.id);
+        }
         if change.standing == Standing::Gone {
             gateway.limits.forget(&change.id);
         }
--- a/sorrelpass/src/gateway/desk/planning.rs
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -58,7 +58,7 @@
             Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
             // What is new in the store, under quarantine or at plain replicas is no matter of planning.
             Report::Sync(_) | Report::Update { .. } | Report::Quarantine(_) => return,
-            Report::Limits(_) | Report::Turn { .. } => return,
+            Report::Limits(_) | Report::Turn { .. } | Report::Announce(_) => return,
         }
         self.wake();
     }
@@ -71,6 +71,19 @@
         }
     }
 
+    /// Tells one entry that this one plans for.
+    pub fn tell(&self, entry: u64, order: Order) {
+        if let Some(orders) = self.followers.borrow().get(&entry) {
+            // As above.
+            let _ = orders.try_send(order);
+        }
+    }
+
+    /// Whether this entry plans for another.
+    pub fn leads(&self, entry: u64) -> bool {
+        self.followers.borrow().contains_key(&entry)
+    }
+
     /// Entries that this one plans for, itself among them.
     pub fn entries(&self) -> usize {
         self.followers.borrow().len() + 1
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -153,11 +153,13 @@
 
 impl Asked {
     /// The next question on the same connection, asked now.
-    pub fn next(&self, facts: &Facts) -> Self {
+    pub fn next(&self, gateway: &Gateway) -> Self {
+        let facts = &gateway.facts;
         let question = Question {
             number: self.question.number + 1,
             configuration: facts.configuration.next(),
             replicas: facts.replicas.next(),
+            successors: gateway.members.revision(),
         };
         Self { question, at: now() }
     }
@@ -187,6 +189,7 @@
         whole,
         doubt_left: roster.doubt_left(now()),
         entries: gateway.entries(),
+        successors: gateway.members.news(question.successors),
     }
 }
 
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -13,6 +13,8 @@
 use super::facts::{self, Asked};
 use super::limits;
 use super::link::{self, Link, Order, Report, SILENCE};
+use super::members::{self, ANNOUNCE_PAUSE, Newcomer};
+use super::now;
 use super::peers::{self, Found, Peer, Round};
 use super::quarantine::{self, Source};
 use super::state::{Gateway, Phase};
@@ -33,55 +35,160 @@
 /// question may be lost with its connection, and what the other entry knows is itself some time old.
 const SYNCS_PER_BOUND: u32 = 6;
 
+/// Part of the time between two questions after which one that knows nothing asks again: whom it follows may be about to
+/// know.
+const UNKNOWING_SHARE: f64 = 0.3;
+/// The rank of the entry that leads next, behind the one that is lost.
+const NEXT: usize = 1;
+/// Rounds in vain after which an entry reads the list: by then most have found the next leader, whom they know already.
+const VAIN_ROUNDS: u32 = 2;
+/// Pause between two looks for somebody to follow, for an entry that has just started.
+const JOIN_PAUSE: Duration = Duration::from_millis(100);
+
 /// Follows the entry that plans, for as long as the process lives.
 pub async fn run(gateway: Rc<Gateway>, own: SocketAddr) {
-    let announced = peers::announce(&gateway, own);
-    seek(&gateway, own, announced).await;
-    let mut client = Client::new(gateway.settings.store);
-    let mut search = Search::default();
-    let mut known = list(&gateway, &mut client, own).await.unwrap_or_default();
-    let mut pause = FIRST_RETRY;
-    // Whether the list was read again since the last pause.
-    let mut read_again = false;
-    loop {
-        let ahead = &known[..rank(&gateway, &known, own)];
-        match peers::reach(&mut search, ahead, own).await {
-            Round::Found(found) => {
-                pause = FIRST_RETRY;
-                follow_on(&gateway, *found, own).await;
-                continue;
+    if gateway.joins() {
+        join(&gateway, own).await;
+    }
+    if gateway.members.successors().is_empty() {
+        let announced = announce(&gateway, own);
+        seek(&gateway, own, announced).await;
+    }
+    Succession::new(gateway, own).run().await;
+}
+
+/// Looks for the entry that plans among those next to lead, follows it, and looks again when it is lost.
+struct Succession {
+    gateway: Rc<Gateway>,
+    own: SocketAddr,
+    client: Client,
+    search: Search<SocketAddr>,
+    /// Entries in the order of succession.
+    known: Vec<Peer>,
+    /// Rounds since the last in which somebody was found.
+    vain: u32,
+    /// Pause after the next round in vain.
+    pause: Duration,
+    /// Whether this entry announces itself, since it has found nobody who would.
+    announcing: bool,
+}
+
+impl Succession {
+    fn new(gateway: Rc<Gateway>, own: SocketAddr) -> Self {
+        let client = Client::new(gateway.settings.store);
+        let known = gateway.members.successors();
+        Self { gateway, own, client, search: Search::default(), known, vain: 0, pause: FIRST_RETRY, announcing: false }
+    }
+
+    async fn run(mut self) {
+        loop {
+            if self.must_list() {
+                self.list().await;
             }
-            // All of them may have been restarted, and look for each other now: a new list says who is first.
-            Round::Outdated if !read_again => read_again = true,
-            Round::Outdated | Round::Vain => {
-                gateway.set_seeking(false);
-                pause = rest(&gateway, &mut search, ahead.is_empty(), pause).await;
-                read_again = false;
+            let rank = rank(&self.gateway, &self.known, self.own);
+            let round = peers::reach(&mut self.search, &self.known[..rank], self.own).await;
+            // Those ahead lead nobody: who follows this entry need not look for them.
+            if rank < self.known.len() {
+                self.gateway.members.set_known(&self.known[rank..]);
+            }
+            match round {
+                Round::Found(found) => self.follow(*found).await,
+                Round::Led(heir) => self.hand_over(heir).await,
+                Round::Vain => self.wait(rank).await,
             }
         }
-        // An entry may have been restarted since, or one more powerful have come.
-        if read_again || known.is_empty() || gateway.has_recent_proof() {
-            known = list(&gateway, &mut client, own).await.unwrap_or(known);
-            search.keep(|address| known.iter().any(|peer| peer.address == *address));
+    }
+
+    /// Whether the list must be read: by whoever leads, every now and then, since one more powerful may have come; by others
+    /// where none of those that they know of was found, nor was a new leader of theirs in the time in which most find one.
+    fn must_list(&self) -> bool {
+        let leads = rank(&self.gateway, &self.known, self.own) == 0;
+        let proven = self.gateway.has_recent_proof();
+        self.known.is_empty() || (proven && (leads || !self.gateway.desk.is_alone() || self.vain >= VAIN_ROUNDS))
+    }
+
+    /// Reads who is announced.
+    async fn list(&mut self) {
+        let Some(known) = peers::list(&mut self.client, self.own).await else { return };
+        let gateway = &self.gateway;
+        gateway.note_entries(known.len());
+        gateway.limits.note_known(known.len());
+        // The part of a limit that may be used here changes with time, too.
+        limits::apply(gateway);
+        self.search.keep(|address| known.iter().any(|peer| peer.address == *address));
+        self.known = known;
+    }
+
+    /// Follows an entry until it is lost.
+    async fn follow(&mut self, found: Found) {
+        self.vain = 0;
+        self.pause = FIRST_RETRY;
+        follow_on(&self.gateway, found, self.own).await;
+        self.known = self.gateway.members.successors();
+    }
+
+    /// Lets a more powerful entry that follows this one know that it is to lead, and gives it a moment to do so.
+    async fn hand_over(&mut self, heir: SocketAddr) {
+        let from = self.known.iter().position(|peer| peer.address == heir).unwrap_or(0);
+        self.gateway.members.set_known(&self.known[from..]);
+        self.gateway.facts.pause(FIRST_RETRY).await;
+    }
+
+    /// Nobody ahead leads: this entry does if none is ahead, or asks the seeds, and looks again after a pause.
+    async fn wait(&mut self, rank: usize) {
+        let leads = rank == 0;
+        // Whoever is to lead next reads the store, for itself and those who will follow it. The others do so once what they
+        // know is too old: most find the next leader before that.
+        let is_next = rank <= NEXT && rank < self.known.len();
+        self.gateway.set_seeking(!is_next && self.gateway.desk.is_alone());
+        self.vain += 1;
+        if !leads && self.gateway.desk.is_alone() && self.gateway.phase() == Phase::Serving {
+            if let Some(found) = peers::reach_any(&self.gateway.settings.seeds, self.own).await {
+                return self.follow(found).await;
+            }
+            if !self.gateway.members.is_announced() && !self.announcing {
+                self.announcing = true;
+                // Nothing waits for it here.
+                drop(announce(&self.gateway, self.own));
+            }
         }
+        self.pause = rest(&self.gateway, &mut self.search, leads, self.pause).await;
     }
 }
 
-/// Reads who has announced itself, and notes how many.
-async fn list(gateway: &Gateway, client: &mut Client, own: SocketAddr) -> Option<Vec<Peer>> {
-    let known = peers::list(client, own).await?;
-    gateway.note_entries(known.len());
-    gateway.limits.note_known(known.len());
-    // The part of a limit that may be used here changes with time, too.
-    limits::apply(gateway);
-    Some(known)
+/// Follows whom the seeds follow or know to plan, without a call to the store. Ends once that one is lost, or if none is found
+/// by the time at which all that start together have come up.
+async fn join(gateway: &Gateway, own: SocketAddr) {
+    while now() < gateway.joins_by() {
+        if let Some(found) = peers::reach_any(&gateway.settings.seeds, own).await {
+            follow_on(gateway, found, own).await;
+            return;
+        }
+        tokio::time::sleep(JOIN_PAUSE.mul_f64(rand::random_range(0.75..1.25))).await;
+    }
+}
+
+/// Announces this entry until the store has taken it; then the receiver is told.
+fn announce(gateway: &Rc<Gateway>, own: SocketAddr) -> oneshot::Receiver<()> {
+    let gateway = gateway.clone();
+    let (done, announced) = oneshot::channel();
+    tokio::task::spawn_local(async move {
+        let mut client = Client::new(gateway.settings.store);
+        // Whoever is followed meanwhile may have announced it.
+        while !gateway.members.is_announced() && !members::announce(&gateway, &mut client, own).await {
+            tokio::time::sleep(ANNOUNCE_PAUSE).await;
+        }
+        // Nobody waits any more only if the process ends.
+        let _ = done.send(());
+    });
+    announced
 }
 
 /// Follows an entry, and the one that it names when it plans no more.
 async fn follow_on(gateway: &Gateway, found: Found, own: SocketAddr) {
     let mut next = Some(found);
     while let Some(found) = next {
-        let moved_to = follow(gateway, found).await;
+        let moved_to = follow(gateway, found, own).await;
         next = match moved_to.filter(|leader| *leader != own) {
             Some(leader) => peers::planner(leader).await,
             None => None,
@@ -91,7 +198,7 @@
 
 /// How many of `known` are ahead of this entry in the order of succession.
 fn rank(gateway: &Gateway, known: &[Peer], own: SocketAddr) -> usize {
-    let rank = known.iter().position(|peer| peer.address == own);
+    let rank = known.iter().position(|peer| peer.is_this(own));
     // An entry that is about to end looks to those behind it too.
     rank.filter(|_| gateway.phase() == Phase::Serving).unwrap_or(known.len())
 }
@@ -100,9 +207,11 @@
 async fn rest(gateway: &Gateway, search: &mut Search<SocketAddr>, first: bool, pause: Duration) -> Duration {
     if first && gateway.phase() == Phase::Serving {
         // None is ahead of the first; once it is to end it follows the next at once.
-        let ending = gateway.reached(Phase::Stopping);
-        // Only the time is wanted.
-        let _ = tokio::time::timeout(LIST_PERIOD, ending).await;
+        tokio::select! {
+            () = gateway.reached(Phase::Stopping) => {}
+            () = gateway.members.outdated() => {}
+            () = tokio::time::sleep(LIST_PERIOD) => {}
+        }
         return FIRST_RETRY;
     }
     let was_sure = gateway.has_recent_proof();
@@ -124,13 +233,13 @@
         let Some(found) = peers::reach_any(&gateway.settings.seeds, own).await else { continue };
         tokio::select! {
             _ = &mut announced => return,
-            _ = follow(gateway, found) => {}
+            _ = follow(gateway, found, own) => {}
         }
     }
 }
 
 /// Follows one entry until it is lost, or follows another itself; returns that one.
-async fn follow(gateway: &Gateway, found: Found) -> Option<SocketAddr> {
+async fn follow(gateway: &Gateway, found: Found, own: SocketAddr) -> Option<SocketAddr> {
     let desk = &gateway.desk;
     let Found { address: peer, link } = found;
     event!("following", peer = %peer);
@@ -138,7 +247,7 @@
     desk.link_up(peer, reports);
     gateway.set_seeking(false);
     let _followed = Followed(gateway);
-    match exchange(gateway, link, waiting).await {
+    match exchange(gateway, link, waiting, own).await {
         Ok(leader) => {
             event!("leader-left", peer = %peer, leader = %leader);
             Some(leader)
@@ -164,12 +273,20 @@
 
 /// Sends reports and takes orders until the other entry names the one that it follows now; ends with an error when the
 /// connection does, at the latest when beats are missed.
-async fn exchange(gateway: &Gateway, mut link: Link, mut waiting: mpsc::Receiver<Report>) -> Result<SocketAddr> {
+async fn exchange(
+    gateway: &Gateway,
+    mut link: Link,
+    mut waiting: mpsc::Receiver<Report>,
+    own: SocketAddr,
+) -> Result<SocketAddr> {
     let mut heard = Instant::now();
     let bounds = gateway.bounds();
     let period = SYNC.min(bounds.apply().min(bounds.drain) / SYNCS_PER_BOUND);
     let mut sync_at = Instant::now();
     let mut asked = Asked::default();
+    if !gateway.members.is_announced() {
+        link.send(Report::Announce(Newcomer::this(gateway, own)), &mut waiting).await?;
+    }
     for news in gateway.quarantine.messages() {
         link.send(Report::Quarantine(news), &mut waiting).await?;
     }
@@ -183,9 +300,18 @@
                 match order? {
                     Order::Grant { number, placement } => gateway.desk.granted(number, placement),
                     Order::Refuse { number, retry_after } => gateway.desk.refused(number, retry_after),
-                    Order::Update { number, update } if number == asked.question.number => {
+                    Order::Update { number, mut update } if number == asked.question.number => {
+                        let successors = update.successors.take();
                         facts::take_in(gateway, update, asked.at);
+                        if let Some(successors) = successors {
+                            gateway.members.set_successors(successors);
+                        }
+                        // Who leads may be less powerful than one that has joined, and waits for it to lead.
+                        if gateway.members.is_first(own) && gateway.phase() == Phase::Serving {
+                            return Ok(own);
+                        }
                     }
+                    Order::Announced => gateway.members.note_announced(own),
                     Order::Sync(question) => {
                         let update = facts::update(gateway, question);
                         link.send(Report::Update { number: question.number, update }, &mut waiting).await?;
@@ -205,9 +331,13 @@
             () = tokio::time::sleep_until(sync_at), if gateway.settings.policy.passing_on => {
                 // Those that began to follow together do not go on asking together: the answers to 100 of them, with a
                 // configuration of 20 KB, held up grants on a link of 200 Mbit/s for 110 ms.
-                let share = if asked.question.number == 0 { rand::random_range(0.0..1.0) } else { 1.0 };
+                let share = match asked.question.number {
+                    _ if gateway.facts.configuration.age().is_none() => UNKNOWING_SHARE,
+                    0 => rand::random_range(0.0..1.0),
+                    _ => 1.0,
+                };
                 sync_at = Instant::now() + period.mul_f64(share);
-                asked = asked.next(&gateway.facts);
+                asked = asked.next(gateway);
                 link.send(Report::Sync(asked.question), &mut waiting).await?;
             }
             () = tokio::time::sleep_until(heard + SILENCE) => return Err(eyre!("step=receive: no beat")),
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -96,13 +96,14 @@
                     link.send(Order::Update { number: question.number, update }, waiting).await?;
                     // Whoever follows reads for itself once what it hears is too old, and may know more.
                     if watch::is_stale(gateway) && gateway.settings.policy.passing_on {
-                        asked = asked.next(&gateway.facts);
+                        asked = asked.next(gateway);
                         link.send(Order::Sync(asked.question), waiting).await?;
                     }
                 }
                 Report::Update { number, update } if number == asked.question.number => {
                     facts::take_in(gateway, update, asked.at);
                 }
+                Report::Announce(newcomer) => gateway.members.arrive(entry, newcomer),
                 Report::Quarantine(news) => quarantine::receive(gateway, news, Source::Follower),
                 Report::Limits(news) => limits::hear(gateway, news, Source::Follower),
                 Report::Turn { number, replicas, most_wait } => {
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -20,6 +20,8 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use super::members::Newcomer;
+use super::peers::Peer;
 use super::quarantine::Told;
 
 /// Largest message, in bytes: room for an update about some thousands of replicas.
@@ -101,6 +103,8 @@
     pub configuration: Option<u64>,
     /// How far who asks knows the replicas' topic.
     pub replicas: Option<u64>,
+    /// What who asks knows of successors.
+    pub successors: u64,
 }
 
 /// What one entry knows from the store that another does not, and how old it is.
@@ -124,6 +128,8 @@
     pub doubt_left: Duration,
     /// How many entries there may be.
     pub entries: usize,
+    /// Who is next to lead, if the other knows something else.
+    pub successors: Option<Vec<Peer>>,
 }
 
 /// From an entry to the one that plans.
@@ -201,6 +207,8 @@
         /// How long it may wait at most.
         most_wait: Duration,
     },
+    /// The entry wants to be announced in the store.
+    Announce(Newcomer),
     /// The entry's process did not run for so long: what it reports now may have come long before.
     Absent(Duration),
 }
@@ -238,6 +246,8 @@
     },
     /// The entry that plans wants to know what is new in the store: its own readings are too old.
     Sync(Question),
+    /// The store has the entry's announcement.
+    Announced,
     /// The planner is alive, and plans for so many entries, itself among them.
     Beat {
         /// That number.
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod lead;
 mod limits;
 mod link;
+mod members;
 mod pace;
 mod peers;
 mod place;
@@ -70,6 +71,7 @@
         let peers = http::listen(own)?;
         tokio::task::spawn_local(lead::run(gateway.clone(), peers));
         tokio::task::spawn_local(follow::run(gateway.clone(), own));
+        tokio::task::spawn_local(members::announce_followers(gateway.clone()));
     }
     tokio::task::spawn_local(serve::run(gateway.clone(), listener));
 
--- a/sorrelpass/src/gateway/peers.rs
+++ b/sorrelpass/src/gateway/peers.rs
@@ -1,9 +1,8 @@
-//! The other entries: announcing this one in the store, the list of all, and reaching one of them.
+//! The other entries: the list of all in the store, and reaching one of them.
 //!
-//! Entries announce themselves in the store, each under its address, with what they can take on. The most powerful of
-//! them plans, and among equals the one whose announcement is the oldest; a restarted entry announces itself anew and so
-//! comes last among those like it. Everyone knows all that were there before, for it reads the list after its own
-//! announcement. Two that plan at the same time, in a cut, grant less well and break nothing.
+//! Entries are announced in the store, each under its address, with what they can take on ([`super::members`]). The most
+//! powerful of them plans, and among equals the one whose announcement is the oldest; a restarted entry is announced anew and
+//! so comes last among those like it. Whoever plans reads the list again every few seconds. Two that plan at the same time, in a cut, grant less well and break nothing.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,21 +12,19 @@
 use eyre::eyre;
 use platform::connection::connect;
 use platform::store::{self, Client};
-use tokio::sync::oneshot;
+use serde::{Deserialize, Serialize};
 
 use super::link::{Link, Order};
 use super::now;
-use super::state::Gateway;
-use crate::{event, util, warn_event};
+use crate::{event, metric, util, warn_event};
 
 /// Time for a connection to another entry: a few times the way across a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for an answer of the store.
-const PATIENCE: Duration = Duration::from_millis(1_000);
-/// Pause after a failed announcement.
-const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
+pub const PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// An entry as it announced itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Peer {
     /// Where it listens for other entries.
     pub address: SocketAddr,
@@ -37,6 +34,13 @@
     standing: Standing,
 }
 
+impl Peer {
+    /// Whether it is this run of this process, which listens at `own`.
+    pub fn is_this(&self, own: SocketAddr) -> bool {
+        self.address == own && self.incarnation == util::incarnation().to_string()
+    }
+}
+
 /// An entry that plans, and the way to it.
 pub struct Found {
     /// Where it listens for other entries.
@@ -61,27 +65,11 @@
     }
 }
 
-/// Announces this entry until the store has taken it; then the receiver is told.
-pub fn announce(gateway: &Gateway, own: SocketAddr) -> oneshot::Receiver<()> {
-    let mut client = Client::new(gateway.settings.store);
-    let power = gateway.settings.power;
-    let (done, announced) = oneshot::channel();
-    tokio::task::spawn_local(async move {
-        let value = format!("{} {}", util::incarnation(), power.0);
-        while let Err(error) = client.put(store::PEERS, &own.to_string(), value.as_bytes(), PATIENCE).await {
-            warn_event!("announced", error = %format!("{error:#}"));
-            tokio::time::sleep(ANNOUNCE_PAUSE).await;
-        }
-        event!("announced", address = %own);
-        // Nobody waits any more only if the process ends.
-        let _ = done.send(());
-    });
-    announced
-}
-
 /// All announced entries, in the order of succession.
 pub async fn list(client: &mut Client, own: SocketAddr) -> Option<Vec<Peer>> {
-    match client.newest(store::PEERS, PATIENCE).await {
+    let outcome = client.newest(store::PEERS, PATIENCE).await;
+    metric::store_calls("newest", store::PEERS, outcome.as_ref().map_or(1, |whole| whole.pages));
+    match outcome {
         Ok(whole) => {
             let mut peers: Vec<Peer> = whole.records.iter().filter_map(peer).collect();
             peers.sort_by_key(|peer| peer.standing);
@@ -110,15 +98,14 @@
 pub enum Round {
     /// Here is one that plans.
     Found(Box<Found>),
-    /// One was restarted since it announced itself: the list is out of date.
-    Outdated,
+    /// None plans, and this one, which is ahead, follows this entry.
+    Led(SocketAddr),
     /// None of those that were tried plans, or knows one that does.
     Vain,
 }
 
 /// Looks for one that plans among the few of `peers` that are tried now, and those whom they follow.
 pub async fn reach(search: &mut Search<SocketAddr>, peers: &[Peer], own: SocketAddr) -> Round {
-    let mut outcome = Round::Vain;
     let others = peers.iter().filter(|peer| peer.address != own);
     for address in search.round(others.map(|peer| peer.address), now()) {
         let Some(peer) = peers.iter().find(|peer| peer.address == address) else { continue };
@@ -127,12 +114,12 @@
                 search.reached(&address);
                 return Round::Found(found);
             }
-            Round::Outdated => outcome = Round::Outdated,
+            Round::Led(heir) => return Round::Led(heir),
             Round::Vain => {}
         }
         search.failed(address, rand::random_range(0.75..1.25), now());
     }
-    outcome
+    Round::Vain
 }
 
 /// Looks whether an entry plans, or the one that it follows.
@@ -143,9 +130,10 @@
         // It is the youngest now.
         None => {
             event!("peer-unreached", peer = %peer.address, error = "another run of the process");
-            Round::Outdated
+            Round::Vain
         }
-        // This entry is to lead it, and others.
+        Some(leader) if leader == own && greeting.is_of(peer) => Round::Led(peer.address),
+        // It was started again, and will be announced anew.
         Some(leader) if leader == own => Round::Vain,
         Some(leader) => {
             event!("peer-redirects", peer = %peer.address, leader = %leader);
@@ -159,6 +147,10 @@
     for seed in seeds.iter().filter(|seed| **seed != own) {
         let Some(greeting) = greet(*seed).await else { continue };
         let Some(leader) = greeting.leader else { return Some(greeting.found) };
+        // It has yet to notice that this process was started again.
+        if leader == own {
+            continue;
+        }
         if let Some(found) = planner(leader).await {
             return Some(found);
         }
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -17,7 +17,7 @@
 use super::super::watch;
 use super::record::{self, Entry};
 use super::{Source, hear};
-use crate::{event, warn_event};
+use crate::{event, metric, warn_event};
 
 /// For how long the store holds a read if nothing changes. An entry that hears nothing from others knows of a verdict
 /// within this time also after a connection went silent: with the time for an answer, less than the 3 s in which sends
@@ -99,6 +99,7 @@
     while let Some(change) = next_change(gateway) {
         let value = change.entry.as_ref().map_or(Ok(Vec::new()), Entry::encode)?;
         let work = change.work;
+        metric::store_calls("append", QUARANTINE, 1);
         if let Err(error) = client.put(QUARANTINE, &work.to_string(), &value, PATIENCE).await {
             warn_event!("quarantine-write", work = %work, error = %format!("{error:#}"));
             return Err(error);
--- a/sorrelpass/src/gateway/reader.rs
+++ b/sorrelpass/src/gateway/reader.rs
@@ -8,10 +8,12 @@
 
 use super::state::Gateway;
 use super::topic::Topic;
-use crate::{event, warn_event};
+use crate::{event, metric, warn_event};
 
 /// Time for an answer of the store, which takes a few milliseconds and on bad days 60 times that.
 const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Doublings of that time for a whole picture.
+const MOST_DOUBLINGS: u32 = 2;
 /// Pause after a failed call, at first.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pauses after failed calls: every call has a price, also one that fails, and a second is short beside an outage.
@@ -87,6 +89,7 @@
 
     /// Reads on from offset `from`; none if the store no longer keeps that, or answers with an older state.
     pub async fn read_on(&mut self, topic: &Topic, from: u64, wait: Duration) -> Result<Option<Page>> {
+        metric::store_calls("read", self.name, 1);
         match self.client.read(self.name, from, wait, PATIENCE).await? {
             Read::Trimmed => {
                 event!("store-trimmed", topic = self.name, from);
@@ -103,9 +106,13 @@
         }
     }
 
-    /// Reads the newest record of each key.
+    /// Reads the newest record of each key. A store that is slow since many read all at once is given more time after each
+    /// failure: giving up begins anew, and helps nobody.
     pub async fn read_all(&mut self) -> Result<Page> {
-        let whole = self.client.newest(self.name, PATIENCE).await?;
+        let patience = PATIENCE * 2u32.pow(self.failures.min(MOST_DOUBLINGS));
+        let outcome = self.client.newest(self.name, patience).await;
+        metric::store_calls("newest", self.name, outcome.as_ref().map_or(1, |whole| whole.pages));
+        let whole = outcome?;
         Ok(Page { records: whole.records, next: whole.end })
     }
 }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::desk::Desk;
 use super::facts::Facts;
 use super::limits::{self, Limits};
+use super::members::Members;
 use super::now;
 use super::place::Placer;
 use super::quarantine::Quarantine;
@@ -31,9 +32,12 @@
 /// Time after its start in which an entry that knows nothing yet keeps requests waiting for what it will know. Most
 /// learn all within some tens of milliseconds; one that does not by then is cut off, and callers go elsewhere.
 const LEARNING: Duration = Duration::from_secs(2);
-/// Time after its start in which an entry leaves reading the store to the one that it will follow. Where one
-/// leads it is found within some 20 ms; where none does, as after a kill of all, longer would hold up the first answers.
+/// Time after its start in which an entry leaves reading the store to the one that it will follow, if it is among those whom
+/// others ask first. Where one leads it is found within some 20 ms; where none does, longer would hold up all of them.
 const FIRST_FROM_OTHERS: Duration = Duration::from_millis(60);
+/// The same for the others: within it the processes that start together have come up, and one has read the store for all.
+/// If all of them read it, pictures of 3,000 replicas for 300 entries take longer than anyone waits for an answer.
+const JOINING: Duration = Duration::from_millis(1_500);
 /// Part of the common retry share that entries use, so that a window's edge never overdraws it.
 const RETRY_SHARE_USED: f64 = 0.9;
 /// Entries among which the common retry allowance is divided as long as fewer are known.
@@ -71,6 +75,8 @@
     table: RefCell<Arc<Table>>,
     /// How far the store is known.
     pub facts: Facts,
+    /// The other entries.
+    pub members: Members,
     /// The replicas.
     pub roster: RefCell<Roster>,
     /// Failure domains that operators have emptied.
@@ -106,6 +112,7 @@
             bounds,
             table: RefCell::default(),
             facts,
+            members: Members::default(),
             roster: RefCell::default(),
             evacuations: RefCell::default(),
             placer: RefCell::new(placer),
@@ -205,7 +212,19 @@
 
     /// Until when an entry that knows nothing yet waits for another to tell it, rather than read the store.
     pub fn first_from_others_by(&self) -> Moment {
-        self.started + FIRST_FROM_OTHERS
+        self.started + if self.joins() { JOINING } else { FIRST_FROM_OTHERS }
+    }
+
+    /// Whether this entry looks for others by way of those that its settings name, before it turns to the store.
+    pub fn joins(&self) -> bool {
+        let Some(own) = self.settings.peer_listen else { return false };
+        let seeds = &self.settings.seeds;
+        self.settings.policy.passing_on && !seeds.is_empty() && !seeds.contains(&own)
+    }
+
+    /// Until when this entry looks for others before it turns to the store.
+    pub fn joins_by(&self) -> Moment {
+        self.started + JOINING / 2
     }
 
     /// Entries that there may be, as far as is known.
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -22,9 +22,9 @@
 /// Part of the bound on taken keys for which the store holds a read of the configuration if nothing changes:
 /// a proof is as old as its read when that is answered, and serves until the next one is.
 const LONG_READ_SHARE: f64 = 0.15;
-/// The same for the bound within which a configuration must be in force. With the pause between two questions it
+/// The same for the bound within which a configuration must be in force. Twice that, with the pause between two questions,
 /// stays below the next share, so that an entry that follows a sound one has no need to read.
-const LONG_READ_APPLY_SHARE: f64 = 0.35;
+const LONG_READ_APPLY_SHARE: f64 = 0.22;
 /// Part of the bound on taken keys after which an entry that gets the configuration from another reads it itself:
 /// three times that for which a read is held, since a proof is up to two holds old before the next one comes.
 const SERVES_SHARE: f64 = 3.0 * LONG_READ_SHARE;
@@ -94,7 +94,9 @@
 /// Reads what is new in the configuration's topic, and takes it as proof if nothing newer was unsound.
 async fn read_configuration(gateway: &Gateway, reader: &mut Reader) -> Result<()> {
     let topic = &gateway.facts.configuration;
-    let held = long_read(&gateway.bounds());
+    // What is too old to be passed on must be proven at once.
+    let is_old = topic.serves_for(configuration_serves(&gateway.bounds())).is_zero();
+    let held = if is_old { Duration::ZERO } else { long_read(&gateway.bounds()) };
     let sent = now();
     let whole = topic.next().is_none();
     let page = match topic.next() {
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -24,6 +24,7 @@
     condemned: Counter<u64>,
     refused_condemned: Counter<u64>,
     quarantine: Gauge<u64>,
+    store_calls: Counter<u64>,
     emptied: Gauge<u64>,
     /// Failure domains that the gauge has named.
     emptied_shown: Mutex<BTreeSet<Name>>,
@@ -62,6 +63,7 @@
         condemned: meter.u64_counter("sorrelpass_work_condemned").build(),
         refused_condemned: meter.u64_counter("sorrelpass_refused_condemned").build(),
         quarantine: meter.u64_gauge("sorrelpass_quarantine").build(),
+        store_calls: meter.u64_counter("sorrelpass_store_calls").build(),
         emptied_shown: Mutex::default(),
         emptied: meter.u64_gauge("sorrelpass_domain_emptied").build(),
         last_send: meter.f64_gauge("sorrelpass_last_send_seconds").build(),
@@ -133,6 +135,11 @@
     });
 }
 
+/// So many calls were made to the store, of one kind and for one topic.
+pub fn store_calls(kind: &'static str, topic: &'static str, calls: u64) {
+    with(|on| on.store_calls.add(calls, &[KeyValue::new("kind", kind), KeyValue::new("topic", topic)]));
+}
+
 /// The failure domains that operators have emptied; one that was named before and is not any more shows 0.
 pub fn emptied(domains: &BTreeSet<Name>) {
     let named = |domain: &Name| [KeyValue::new("failure_domain", domain.to_string())];
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -21,6 +21,8 @@
 pub const HOST: &str = "site.example";
 /// The key that a new site knows.
 pub const KEY: &str = "key-of-workspace-0";
+/// Entries that the settings of another name at most.
+const MOST_SEEDS: usize = 3;
 /// How long a process may take to come up or to end.
 const PATIENCE: Duration = Duration::from_secs(15);
 /// How often a process is looked at meanwhile.
@@ -169,7 +171,8 @@
     async fn add_entry(&mut self, index: usize, spec: &Spec) -> Result<()> {
         let door = self.store.door().await?;
         let (listen, ready, peer) = (free_address()?, free_address()?, free_address()?);
-        let seeds = if spec.seeded { self.peers.join(",") } else { String::new() };
+        let known = &self.peers[..self.peers.len().min(MOST_SEEDS)];
+        let seeds = if spec.seeded { known.join(",") } else { String::new() };
         self.peers.push(peer.clone());
         let bounds = &spec.bounds;
         let (mut store, mut reached_at) = (door.address.clone(), listen.clone());
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -15,6 +15,7 @@
 use axum::routing::{get, post};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use bytes::Buf;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -175,7 +176,7 @@
     params.get("topic").cloned().unwrap_or_default()
 }
 
-/// Appends one record.
+/// Appends records, all or none.
 async fn append(State(door): State<Arc<Door>>, params: Params, body: Bytes) -> Response {
     let fault = match door.enter().await {
         Ok(fault) => fault,
@@ -184,19 +185,28 @@
     if topic(&params) == "keyed.servers" {
         return StatusCode::FORBIDDEN.into_response();
     }
-    let Some((key, value)) = decode(&body) else { return StatusCode::BAD_REQUEST.into_response() };
-    let end = door.store.put(&topic(&params), &key, value);
+    let Some(records) = decode(body) else { return StatusCode::BAD_REQUEST.into_response() };
+    let mut end = 0;
+    for (key, value) in records {
+        end = door.store.put(&topic(&params), &key, value);
+    }
     if fault == Fault::LostAnswers {
         std::future::pending::<()>().await;
     }
     axum::Json(json!({ "offset": end - 1, "end": end })).into_response()
 }
 
-/// The key and value of a body that holds one record.
-fn decode(body: &Bytes) -> Option<(String, Bytes)> {
-    let key_len = usize::from(*body.get(4)?);
-    let key = body.get(5..5 + key_len)?;
-    Some((String::from_utf8(key.to_vec()).ok()?, body.slice(5 + key_len..)))
+/// The keys and values of a body's records, of which there is one at least.
+fn decode(mut body: Bytes) -> Option<Vec<(String, Bytes)>> {
+    let mut records = Vec::new();
+    while !body.is_empty() {
+        let len = usize::try_from(body.try_get_u32().ok()?).ok()?;
+        let mut record = (len <= body.len()).then(|| body.split_to(len))?;
+        let key_len = usize::from(record.try_get_u8().ok()?);
+        let key = (key_len <= record.len()).then(|| record.split_to(key_len))?;
+        records.push((String::from_utf8(key.to_vec()).ok()?, record));
+    }
+    (!records.is_empty()).then_some(records)
 }
 
 /// Reads from an offset on, and waits for a record if there is none yet.
