A follower's announcement has its line at that entry; the test of one that came back looks into the store

The test an_entry_that_comes_back_while_the_store_is_away_... asked for the entry's own reading of the list, which it no longer makes.

--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -214,6 +214,11 @@
         Ok(())
     }
 
+    /// Where an entry listens for the others.
+    pub fn peer_address(&self, index: usize) -> &str {
+        &self.peers[index]
+    }
+
     /// Where an entry logs to.
     pub fn log_file(&self, index: usize) -> PathBuf {
         self.dir.join(format!("entry-{index}.log"))
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -129,6 +129,15 @@
         end
     }
 
+    /// The keys of a topic that have a value, the one written last at the end.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let topics = lock(&self.topics);
+        let newest = topics.get(topic).map(Topic::newest).unwrap_or_default();
+        let mut keys: Vec<(u64, Vec<u8>)> = newest.into_iter().map(|(key, (offset, _))| (offset, key)).collect();
+        keys.sort();
+        keys.into_iter().map(|(_, key)| String::from_utf8_lossy(&key).into_owned()).collect()
+    }
+
     /// Forgets all records of a topic but the newest of each key, which only `newest` shows.
     pub fn compact(&self, topic: &str) {
         let mut topics = lock(&self.topics);
