News of replicas goes compressed, and has one line in a follower's log

Cause: an update with 10,000 replicas exceeds the largest message (512 KB): its follower was lost and asked again, 4.7 MB/s from the one that leads at 1,002 entries. Change: news goes as one compressed block, made once for all who start together, without those that are gone; a follower has one line for all changes of an update ('replica' lines are those of whoever read the store, elsewhere at debug). Bytes and messages between entries are counted (sorrelpass_peer_bytes, sorrelpass_peer_messages). Tests: 24,000 replicas in under 40 bytes each, without a call of the newcomer; the test of odd records reads the same lines at debug (Spec::verbose), its checks unchanged.

--- a/coord/src/roster.rs
+++ b/coord/src/roster.rs
@@ -160,9 +160,11 @@
         self.doubtful_until.since(now)
     }
 
-    /// What changed at offset `from` or later, one piece of news a replica.
+    /// What changed at offset `from` or later, one piece of news a replica. Who knows nothing yet does not hear of those that
+    /// are gone: there are ever more of them.
     pub fn since(&self, from: u64, now: Moment) -> Vec<Sighting> {
-        let changed = self.replicas.values().filter(|known| known.changed_at >= from);
+        let matters = |known: &&Replica| known.changed_at >= from && (from > 0 || known.listed);
+        let changed = self.replicas.values().filter(matters);
         changed.map(|known| known.sighting(now)).collect()
     }
 
--- a/sorrelpass/src/gateway/belief.rs
+++ b/sorrelpass/src/gateway/belief.rs
@@ -10,7 +10,7 @@
 use super::now;
 use super::reader::Page;
 use super::state::Gateway;
-use crate::{event, metric, warn_event};
+use crate::{debug_event, event, metric, warn_event};
 
 /// When callers should come back whose service has replicas in emptied failure domains only: operators take that back
 /// after seconds at the least.
@@ -79,31 +79,45 @@
     gateway.roster.borrow().get(id).is_some_and(Replica::takes_work)
 }
 
+/// Where news of replicas comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This entry has read it in the store.
+    Store,
+    /// Another entry has told it, whose log has a line for each change.
+    Peer,
+}
+
 /// Takes in what the log says.
-pub fn hear(gateway: &Gateway, sightings: Vec<Sighting>) {
+pub fn hear(gateway: &Gateway, sightings: Vec<Sighting>, source: Source) {
     let now = now();
     let mut roster = gateway.roster.borrow_mut();
     let changes: Vec<Change> =
         sightings.into_iter().filter_map(|Sighting { offset, news }| roster.hear(offset, news, now)).collect();
     drop(roster);
     // Once for all of them: engines are chosen anew each time, which takes longer the more there are.
-    tell(gateway, &changes);
+    tell(gateway, &changes, source);
 }
 
 /// Takes in a whole picture whose newest offset is below `end`: what it leaves out was removed.
-pub fn replace(gateway: &Gateway, end: u64, newest: Vec<Sighting>) {
+pub fn replace(gateway: &Gateway, end: u64, newest: Vec<Sighting>, source: Source) {
     let changes = gateway.roster.borrow_mut().replace(end, newest, now());
-    tell(gateway, &changes);
+    tell(gateway, &changes, source);
 }
 
 /// Gives up replicas whose records are still missing when their time is over.
-pub fn expire(gateway: &Gateway) {
+pub fn expire(gateway: &Gateway, source: Source) {
     let changes = gateway.roster.borrow_mut().expire(now());
-    tell(gateway, &changes);
+    tell(gateway, &changes, source);
 }
 
-/// Logs changes of belief and passes them to those who choose engines.
-fn tell(gateway: &Gateway, changes: &[Change]) {
+/// Logs changes of belief and passes them to those who choose engines. A line for each replica at each entry would be more
+/// than anyone can read or pay for: where another entry has told of them there is one for all.
+fn tell(gateway: &Gateway, changes: &[Change], source: Source) {
+    if source == Source::Peer && !changes.is_empty() {
+        let ready = changes.iter().filter(|change| change.standing == Standing::Ready).count();
+        event!("replicas", changed = changes.len(), ready);
+    }
     for change in changes {
         let standing = match change.standing {
             Standing::Ready => "ready",
@@ -111,7 +125,10 @@
             Standing::Lapsed(_) => "lapsed",
             Standing::Gone => "gone",
         };
-        event!("replica", peer = %change.id, standing);
+        match source {
+            Source::Store => event!("replica", peer = %change.id, standing),
+            Source::Peer => debug_event!("replica", peer = %change.id, standing),
+        }
         if change.cold {
             event!("replica-cold", peer = %change.id);
         }
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -13,7 +13,9 @@
 use coord::time::Moment;
 use tokio::sync::Notify;
 
+use super::belief::Source;
 use super::link::{Question, Update};
+use super::packed::Packed;
 use super::state::Gateway;
 use super::topic::Topic;
 use super::{belief, now, watch};
@@ -36,6 +38,8 @@
     pub replicas: Topic,
     /// The newest configurations, as the store has them.
     shelf: RefCell<Shelf>,
+    /// All that is known of replicas, as of an offset: many who start at once ask for the same.
+    picture: RefCell<Option<(u64, Packed)>>,
     /// What of this entry's link may be used to pass them on, in bytes; none if its link is not told.
     link: Option<RefCell<Bucket>>,
     /// Told when who reads the store for this entry may have changed.
@@ -50,6 +54,7 @@
             configuration: Topic::default(),
             replicas: Topic::default(),
             shelf: RefCell::default(),
+            picture: RefCell::default(),
             link: (link_mbps > 0.0).then(bucket),
             changed: Notify::new(),
         }
@@ -169,7 +174,6 @@
 pub fn update(gateway: &Gateway, question: Question) -> Update {
     let Question { configuration, replicas, .. } = question;
     let facts = &gateway.facts;
-    let roster = gateway.roster.borrow();
     let (known, parcel, too_large) = match facts.passed_on(configuration) {
         Passed::Nothing => (facts.configuration.known(), None, false),
         Passed::Parcel(parcel) => (facts.configuration.known(), Some(parcel), false),
@@ -178,21 +182,47 @@
     };
     // One that came later than the other has not seen what was removed before.
     let whole = replicas.is_some_and(|from| !facts.replicas.has_seen_all_from(from));
-    let from = replicas.filter(|_| !whole).unwrap_or(0);
+    let sightings = news(gateway, replicas.filter(|_| !whole));
     Update {
         configuration: known,
         parcel,
         too_large,
-        replicas: facts.replicas.known(),
+        // What could not be compressed must not pass for nothing.
+        replicas: facts.replicas.known().filter(|_| sightings.is_some()),
         evacuations: gateway.evacuations.borrow().picture().clone(),
-        sightings: roster.since(from, now()),
+        sightings: sightings.unwrap_or_default(),
         whole,
-        doubt_left: roster.doubt_left(now()),
+        doubt_left: gateway.roster.borrow().doubt_left(now()),
         entries: gateway.entries(),
         successors: gateway.members.news(question.successors),
     }
 }
 
+/// What is new of replicas for one who knows their topic below `from`, or all that is known; none if it cannot be compressed.
+fn news(gateway: &Gateway, from: Option<u64>) -> Option<Packed> {
+    let roster = gateway.roster.borrow();
+    let facts = &gateway.facts;
+    let sightings = || Packed::new(&roster.since(from.unwrap_or(0), now()));
+    let as_of = facts.replicas.next().filter(|_| from.is_none());
+    let kept =
+        facts.picture.borrow().as_ref().filter(|(offset, _)| Some(*offset) == as_of).map(|(_, kept)| kept.clone());
+    if let Some(kept) = kept {
+        return Some(kept);
+    }
+    match sightings() {
+        Ok(packed) => {
+            if let Some(offset) = as_of {
+                *facts.picture.borrow_mut() = Some((offset, packed.clone()));
+            }
+            Some(packed)
+        }
+        Err(error) => {
+            warn_event!("replicas", error = %format!("{error:#}"));
+            None
+        }
+    }
+}
+
 /// Takes in the answer to a question that was asked at `asked`.
 pub fn take_in(gateway: &Gateway, update: Update, asked: Moment) {
     gateway.note_entries(update.entries);
@@ -211,17 +241,24 @@
         }
         None => {}
     }
+    let sightings = match update.sightings.open() {
+        Ok(sightings) => sightings,
+        Err(error) => {
+            warn_event!("replicas", error = %format!("{error:#}"));
+            return;
+        }
+    };
     if let Some(known) = update.replicas {
         // Whoever knew the records all along sees that one went, however long the other entry was cut off.
         if !watch::knows_replicas(gateway) {
             gateway.roster.borrow_mut().store_returned(now(), update.doubt_left);
         }
         if update.whole {
-            belief::replace(gateway, known.next, update.sightings);
+            belief::replace(gateway, known.next, sightings, Source::Peer);
         } else {
-            belief::hear(gateway, update.sightings);
+            belief::hear(gateway, sightings, Source::Peer);
         }
-        belief::expire(gateway);
+        belief::expire(gateway, Source::Peer);
         facts.replicas.advance(known.next);
         facts.replicas.prove(asked - known.age);
     }
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -10,7 +10,6 @@
 use coord::parcel::Parcel;
 use coord::planner::{self, Team};
 use coord::quarantine::Work;
-use coord::roster::Sighting;
 use coord::time::Moment;
 use eyre::{Result, WrapErr, eyre};
 use futures_util::{SinkExt, StreamExt};
@@ -21,11 +20,13 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::members::Newcomer;
+use super::packed::Packed;
 use super::peers::Peer;
 use super::quarantine::Told;
+use crate::metric;
 
-/// Largest message, in bytes: room for an update about some thousands of replicas.
-const MOST_MESSAGE_BYTES: usize = 512 * 1_024;
+/// Largest message, in bytes: room for an update about 24,000 replicas, some 30 bytes each.
+const MOST_MESSAGE_BYTES: usize = 1_024 * 1_024;
 /// Messages that may wait to be sent; a peer that is so far behind is given up.
 pub const RING: usize = 1_024;
 
@@ -121,7 +122,7 @@
     /// How far the replicas' records are known.
     pub replicas: Option<Known>,
     /// What changed there, or all that is there.
-    pub sightings: Vec<Sighting>,
+    pub sightings: Packed,
     /// Whether it is all that is there: what the other knows and this leaves out was removed.
     pub whole: bool,
     /// For how long a vanished record may only have lapsed.
@@ -319,6 +320,7 @@
 
     async fn feed<T: Serialize>(&mut self, message: T) -> Result<()> {
         let frame = postcard::to_stdvec(&message).wrap_err("step=encode-message")?;
+        metric::peer_bytes(frame.len() as u64);
         self.0.feed(Bytes::from(frame)).await.wrap_err("step=send")
     }
 
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod link;
 mod members;
 mod pace;
+mod packed;
 mod peers;
 mod place;
 pub mod quarantine;
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -13,6 +13,7 @@
 use platform::store::Keyed;
 use platform::{replica, table};
 
+use super::belief::Source;
 use super::reader::{RETRY_PAUSE, Reader};
 use super::state::Gateway;
 use super::{belief, now};
@@ -135,7 +136,7 @@
         reads_replicas(&gateway, gateway.first_from_others_by()).await;
         let outcome = read_replicas(&gateway, &mut reader).await;
         reader.note(&outcome);
-        belief::expire(&gateway);
+        belief::expire(&gateway, Source::Store);
         if outcome.is_err() {
             reader.back_off(&gateway, &gateway.facts.replicas).await;
         } else if gateway.facts.replicas.next().is_some() {
@@ -152,7 +153,7 @@
     let page = reader.read_on(topic, from, Duration::ZERO).await?;
     note_return(gateway, reader);
     let Some(page) = page else { return Ok(()) };
-    belief::hear(gateway, sightings(gateway, &page.records));
+    belief::hear(gateway, sightings(gateway, &page.records), Source::Store);
     topic.advance(page.next);
     topic.prove(sent);
     Ok(())
@@ -164,7 +165,7 @@
     let whole = reader.read_all().await?;
     let newest = sightings(gateway, &whole.records);
     note_return(gateway, reader);
-    belief::replace(gateway, whole.next, newest);
+    belief::replace(gateway, whole.next, newest, Source::Store);
     gateway.facts.replicas.advance(whole.next);
     gateway.facts.replicas.prove(sent);
     Ok(())
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -25,6 +25,8 @@
     refused_condemned: Counter<u64>,
     quarantine: Gauge<u64>,
     store_calls: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    peer_messages: Counter<u64>,
     emptied: Gauge<u64>,
     /// Failure domains that the gauge has named.
     emptied_shown: Mutex<BTreeSet<Name>>,
@@ -63,6 +65,8 @@
         condemned: meter.u64_counter("sorrelpass_work_condemned").build(),
         refused_condemned: meter.u64_counter("sorrelpass_refused_condemned").build(),
         quarantine: meter.u64_gauge("sorrelpass_quarantine").build(),
+        peer_bytes: meter.u64_counter("sorrelpass_peer_bytes").build(),
+        peer_messages: meter.u64_counter("sorrelpass_peer_messages").build(),
         store_calls: meter.u64_counter("sorrelpass_store_calls").build(),
         emptied_shown: Mutex::default(),
         emptied: meter.u64_gauge("sorrelpass_domain_emptied").build(),
@@ -140,6 +144,14 @@
     with(|on| on.store_calls.add(calls, &[KeyValue::new("kind", kind), KeyValue::new("topic", topic)]));
 }
 
+/// A message of so many bytes went to another entry.
+pub fn peer_bytes(bytes: u64) {
+    with(|on| {
+        on.peer_bytes.add(bytes, &[]);
+        on.peer_messages.add(1, &[]);
+    });
+}
+
 /// The failure domains that operators have emptied; one that was named before and is not any more shows 0.
 pub fn emptied(domains: &BTreeSet<Name>) {
     let named = |domain: &Name| [KeyValue::new("failure_domain", domain.to_string())];
--- a/sorrelpass/src/timeline.rs
+++ b/sorrelpass/src/timeline.rs
@@ -68,6 +68,12 @@
     ($($fields:tt)*) => { $crate::log_event!(info, $($fields)*) };
 }
 
+/// Logs one event that is left out unless it is asked for.
+#[macro_export]
+macro_rules! debug_event {
+    ($($fields:tt)*) => { $crate::log_event!(debug, $($fields)*) };
+}
+
 /// Logs one event that an operator should look at.
 #[macro_export]
 macro_rules! warn_event {
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -49,6 +49,8 @@
     pub apart: bool,
     /// Whether a proxy stands on each way: from callers and to the store and the replicas.
     pub proxied: bool,
+    /// Whether entries log what is left out otherwise.
+    pub verbose: bool,
 }
 
 impl Spec {
@@ -65,6 +67,7 @@
             seeded: false,
             apart: false,
             proxied: false,
+            verbose: false,
         }
     }
 }
@@ -182,9 +185,10 @@
             self.proxies.store.push(to_store);
             self.proxies.callers.push(from_callers);
         }
+        let log_level = if spec.verbose { "debug" } else { "info" };
         let peer_listen = if spec.apart { String::new() } else { format!("peer_listen = {peer}\n") };
         let settings = format!(
-            "[process]\nname = entry-{index}\nfailure_domain = here\n\n[gateway]\nlisten = {listen}\n\
+            "[process]\nname = entry-{index}\nfailure_domain = here\nlog_level = {log_level}\n\n[gateway]\nlisten = {listen}\n\
              ready_listen = {ready}\nstore = {store}\n{peer_listen}seeds = {seeds}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
         );
         std::fs::write(self.settings_file(index), settings).wrap_err("step=write-settings")?;
--- a/standin/tests/platform_lifetimes.rs
+++ b/standin/tests/platform_lifetimes.rs
@@ -130,8 +130,9 @@
 async fn a_record_of_another_writer_names_no_replica_and_costs_no_other_until_the_replica_writes_again() {
     let odd = odd_records();
     let sound = odd.len();
-    let mut site =
-        Site::start(Spec { engines: sound + 1, ..Spec::small("lifetimes-odd") }).await.expect("the site starts");
+    let mut site = Site::start(Spec { engines: sound + 1, verbose: true, ..Spec::small("lifetimes-odd") })
+        .await
+        .expect("the site starts");
     site.store.put_raw(TOPIC, &[0xff, 0xfe], "{}");
     site.store.put_raw(TOPIC, b"", "{}");
     for (engine, (_, make)) in odd.iter().enumerate() {
--- a/standin/tests/platform_members.rs
+++ b/standin/tests/platform_members.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use common::load::{load, look, served};
+use common::until;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
-use standin::platform::{Fault, Site, Spec};
+use serde_json::json;
+use standin::platform::{Ask, Fault, HOST, Site, Spec, send};
 
 /// Time in which a fleet of stand-ins has come together.
 const TOGETHER: Duration = Duration::from_millis(1_500);
@@ -90,3 +94,48 @@
     assert!(calls < 3, "{calls} calls");
     site.close().expect("no invariant was breached");
 }
+
+/// A number that an entry shows as a metric, over all its labels.
+async fn metric(site: &Site, entry: usize, name: &str) -> f64 {
+    let ask = Ask { headers: Vec::new(), ..Ask::new("GET", "/metrics", "", "") };
+    let seen = send(&site.ready[entry], HOST, &ask).await.expect("the metrics");
+    let lines = seen.body.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Writes records of so many replicas that nobody uses, as unlike as the platform's are.
+fn add_records(site: &Site, replicas: usize) {
+    let mut random = SmallRng::seed_from_u64(9);
+    for number in 0..replicas {
+        let id = format!("i-{:010x}", random.random_range(0..1u64 << 40));
+        let address = format!("10.{}.{}.{}:8325", number % 5, number / 5 % 250, number / 1250);
+        let record = json!({
+            "service": "other", "address": address, "zone": format!("zone-{}", number % 5), "version": "v1", "slots": 10,
+            "state": "ready", "cold_remaining_ms": 0, "sequence": 4,
+        });
+        site.store.put("keyed.servers", &id, record.to_string());
+    }
+}
+
+/// The letter's fleet has 12,000 engines; twice that still fits, in few bytes and without a call to the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_newcomer_hears_of_24000_replicas_from_the_one_that_it_follows() {
+    const REPLICAS: usize = 24_000;
+    const MOST_BYTES_EACH: f64 = 40.0;
+    let mut site = site("members-many", 2).await;
+    add_records(&site, REPLICAS);
+    let is_known = |site: &Site| site.log(1).contains("step=replicas changed=24");
+    until("it is told of them", || std::future::ready(is_known(&site))).await;
+    let (calls, sent) = (site.doors[1].calls(), metric(&site, 0, "sorrelpass_peer_bytes").await);
+    site.restart(1).await.expect("started again");
+    site.wait_ready(1, true).await.expect("ready");
+    until("it is told of them again", || {
+        std::future::ready(site.log(1).matches("step=replicas changed=24").count() >= 2)
+    })
+    .await;
+    let bytes = (metric(&site, 0, "sorrelpass_peer_bytes").await - sent) / REPLICAS as f64;
+    assert!(bytes < MOST_BYTES_EACH, "{bytes} bytes for each");
+    assert!(site.doors[1].calls() <= calls + 1, "it reads nothing for itself");
+    assert_eq!(site.log(1).matches("step=replica ").count(), 0, "one line for all");
+    site.close().expect("no invariant was breached");
+}
