A leader that the store turns away has two of its followers read for it

Change: with each failed call of its own the leader asks two followers, drawn anew each time, to read at once and to tell it (gateway::deputies); the age counts from its wish. The others hear of it as of anything else, and still read for themselves once what they know is too old. Test: calls of 4 and 16 entries while the leader is turned away.

--- a/sorrelpass/src/gateway/desk/planning.rs
+++ b/sorrelpass/src/gateway/desk/planning.rs
@@ -3,12 +3,16 @@
 use std::rc::Rc;
 
 use coord::planner::{Grant, Id, Refusal};
+use rand::seq::IteratorRandom;
 use tokio::sync::mpsc;
 
-use super::super::link::{Order, Placement, Report};
+use super::super::link::{Order, Placement, Question, Report};
 use super::super::now;
 use super::{Desk, OWN};
 
+/// Entries that read the store at once for one that it does not answer: one of them may be turned away too.
+const DEPUTIES: usize = 2;
+
 impl Desk {
     /// Takes in an entry to plan for; returns its number here.
     pub fn join(&self, orders: mpsc::Sender<Order>) -> u64 {
@@ -58,7 +62,7 @@
             Report::Failed { service, engine } => self.planner(&service, |planner| planner.failed(entry, &engine, now)),
             // What is new in the store, under quarantine or at plain replicas is no matter of planning.
             Report::Sync(_) | Report::Update { .. } | Report::Quarantine(_) => return,
-            Report::Limits(_) | Report::Turn { .. } | Report::Announce(_) => return,
+            Report::Limits(_) | Report::Turn { .. } | Report::Announce(_) | Report::Read { .. } => return,
         }
         self.wake();
     }
@@ -79,6 +83,17 @@
         }
     }
 
+    /// Has some of those that this entry plans for read the store, which did not answer this one. If all of them did so once what
+    /// they know is too old, that would be as many calls at the same moment as there are entries.
+    pub fn ask_deputies(&self, question: Question) {
+        let followers = self.followers.borrow();
+        let chosen = followers.values().sample(&mut rand::rng(), DEPUTIES);
+        for orders in chosen {
+            // As above.
+            let _ = orders.try_send(Order::Read(question));
+        }
+    }
+
     /// Whether this entry plans for another.
     pub fn leads(&self, entry: u64) -> bool {
         self.followers.borrow().contains_key(&entry)
--- a/sorrelpass/src/gateway/facts.rs
+++ b/sorrelpass/src/gateway/facts.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use super::belief::Source;
+use super::deputies::Deputies;
 use super::link::{Question, Update};
 use super::packed::Packed;
 use super::state::Gateway;
@@ -30,6 +31,9 @@
 /// Bytes a second in 1 Mbit/s.
 const BYTES_A_MBIT: f64 = 125_000.0;
 
+/// Time between two looks whether what another entry wants was read.
+const READ_LOOK: Duration = Duration::from_millis(10);
+
 /// What this entry knows from the store.
 pub struct Facts {
     /// The topic of the configuration.
@@ -42,6 +46,8 @@
     picture: RefCell<Option<(u64, Packed)>>,
     /// What of this entry's link may be used to pass them on, in bytes; none if its link is not told.
     link: Option<RefCell<Bucket>>,
+    /// What others were asked to read.
+    pub deputies: Deputies,
     /// Told when who reads the store for this entry may have changed.
     changed: Notify,
 }
@@ -56,6 +62,7 @@
             shelf: RefCell::default(),
             picture: RefCell::default(),
             link: (link_mbps > 0.0).then(bucket),
+            deputies: Deputies::default(),
             changed: Notify::new(),
         }
     }
@@ -106,6 +113,20 @@
         }
     }
 
+    /// Has both topics read here for another entry.
+    pub fn want(&self) {
+        self.configuration.set_wanted(true);
+        self.replicas.set_wanted(true);
+        self.wake();
+    }
+
+    /// Waits until both topics were read after `since`.
+    pub async fn read_since(&self, since: Moment) {
+        while !(self.configuration.is_proven_since(since) && self.replicas.is_proven_since(since)) {
+            tokio::time::sleep(READ_LOOK).await;
+        }
+    }
+
     /// Makes the tasks that read the store look whether it is on them now.
     pub fn wake(&self) {
         self.changed.notify_waiters();
--- a/sorrelpass/src/gateway/follow.rs
+++ b/sorrelpass/src/gateway/follow.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::deputies;
 use super::facts::{self, Asked};
 use super::limits;
 use super::link::{self, Link, Order, Report, SILENCE};
@@ -158,7 +159,7 @@
 
 /// Follows whom the seeds follow or know to plan, without a call to the store. Ends once that one is lost, or if none is found
 /// by the time at which all that start together have come up.
-async fn join(gateway: &Gateway, own: SocketAddr) {
+async fn join(gateway: &Rc<Gateway>, own: SocketAddr) {
     while now() < gateway.joins_by() {
         if let Some(found) = peers::reach_any(&gateway.settings.seeds, own).await {
             follow_on(gateway, found, own).await;
@@ -185,7 +186,7 @@
 }
 
 /// Follows an entry, and the one that it names when it plans no more.
-async fn follow_on(gateway: &Gateway, found: Found, own: SocketAddr) {
+async fn follow_on(gateway: &Rc<Gateway>, found: Found, own: SocketAddr) {
     let mut next = Some(found);
     while let Some(found) = next {
         let moved_to = follow(gateway, found, own).await;
@@ -226,7 +227,7 @@
 
 /// Follows whomever the seeds follow or know to plan, until the store has taken this entry's announcement: an entry
 /// that comes back in an outage of the store gets configuration, replicas and engines from there.
-async fn seek(gateway: &Gateway, own: SocketAddr, mut announced: oneshot::Receiver<()>) {
+async fn seek(gateway: &Rc<Gateway>, own: SocketAddr, mut announced: oneshot::Receiver<()>) {
     let mut pause = STORE_FIRST;
     while tokio::time::timeout(pause, &mut announced).await.is_err() {
         pause = FIRST_RETRY;
@@ -239,7 +240,7 @@
 }
 
 /// Follows one entry until it is lost, or follows another itself; returns that one.
-async fn follow(gateway: &Gateway, found: Found, own: SocketAddr) -> Option<SocketAddr> {
+async fn follow(gateway: &Rc<Gateway>, found: Found, own: SocketAddr) -> Option<SocketAddr> {
     let desk = &gateway.desk;
     let Found { address: peer, link } = found;
     event!("following", peer = %peer);
@@ -274,7 +275,7 @@
 /// Sends reports and takes orders until the other entry names the one that it follows now; ends with an error when the
 /// connection does, at the latest when beats are missed.
 async fn exchange(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     mut link: Link,
     mut waiting: mpsc::Receiver<Report>,
     own: SocketAddr,
@@ -311,6 +312,7 @@
                             return Ok(own);
                         }
                     }
+                    Order::Read(question) => drop(tokio::task::spawn_local(deputies::read(gateway.clone(), question))),
                     Order::Announced => gateway.members.note_announced(own),
                     Order::Sync(question) => {
                         let update = facts::update(gateway, question);
--- a/sorrelpass/src/gateway/lead.rs
+++ b/sorrelpass/src/gateway/lead.rs
@@ -103,6 +103,11 @@
                 Report::Update { number, update } if number == asked.question.number => {
                     facts::take_in(gateway, update, asked.at);
                 }
+                Report::Read { number, update } => {
+                    if let Some(asked) = gateway.facts.deputies.asked(number) {
+                        facts::take_in(gateway, update, asked);
+                    }
+                }
                 Report::Announce(newcomer) => gateway.members.arrive(entry, newcomer),
                 Report::Quarantine(news) => quarantine::receive(gateway, news, Source::Follower),
                 Report::Limits(news) => limits::hear(gateway, news, Source::Follower),
--- a/sorrelpass/src/gateway/link.rs
+++ b/sorrelpass/src/gateway/link.rs
@@ -208,6 +208,13 @@
         /// How long it may wait at most.
         most_wait: Duration,
     },
+    /// What is new in the store, as this entry has read it for one that plans and gets no answers there.
+    Read {
+        /// The number of that one's wish.
+        number: u64,
+        /// The answer.
+        update: Update,
+    },
     /// The entry wants to be announced in the store.
     Announce(Newcomer),
     /// The entry's process did not run for so long: what it reports now may have come long before.
@@ -247,6 +254,8 @@
     },
     /// The entry that plans wants to know what is new in the store: its own readings are too old.
     Sync(Question),
+    /// The store does not answer the entry that plans: this one is to read it, and to tell what is new.
+    Read(Question),
     /// The store has the entry's announcement.
     Announced,
     /// The planner is alive, and plans for so many entries, itself among them.
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod belief;
 mod call;
+mod deputies;
 mod desk;
 mod facts;
 mod follow;
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -23,6 +23,8 @@
     proven: watch::Sender<bool>,
     /// Whether there is something newer, which must be read here.
     behind: Cell<bool>,
+    /// Whether another entry, which the store does not answer, wants this one to read.
+    wanted: Cell<bool>,
 }
 
 impl Topic {
@@ -57,6 +59,7 @@
         invariant!(sent <= now(), "a reading is not from the future");
         if self.read.get().is_none_or(|read| read < sent) {
             self.read.set(Some(sent));
+            self.wanted.set(false);
             self.proven.send_replace(true);
         }
     }
@@ -72,6 +75,21 @@
         self.behind.set(true);
     }
 
+    /// Notes whether another entry wants this one to read.
+    pub fn set_wanted(&self, wanted: bool) {
+        self.wanted.set(wanted);
+    }
+
+    /// Whether another entry wants this one to read.
+    pub fn is_wanted(&self) -> bool {
+        self.wanted.get()
+    }
+
+    /// Whether a reading that was sent at `since` or later proved it.
+    pub fn is_proven_since(&self, since: Moment) -> bool {
+        self.read.get().is_some_and(|read| read >= since)
+    }
+
     /// Whether there is something newer, which must be read here.
     pub fn is_behind(&self) -> bool {
         self.behind.get()
@@ -89,7 +107,7 @@
 
     /// For how long the topic need not be read, if a reading serves for `bound`.
     pub fn serves_for(&self, bound: Duration) -> Duration {
-        if self.behind.get() {
+        if self.behind.get() || self.wanted.get() {
             return Duration::ZERO;
         }
         self.age().map_or(Duration::ZERO, |age| bound.saturating_sub(age))
--- a/sorrelpass/src/gateway/watch.rs
+++ b/sorrelpass/src/gateway/watch.rs
@@ -16,7 +16,7 @@
 use super::belief::Source;
 use super::reader::{RETRY_PAUSE, Reader};
 use super::state::Gateway;
-use super::{belief, now};
+use super::{belief, deputies, now};
 use crate::config::Bounds;
 use crate::warn_event;
 
@@ -87,6 +87,8 @@
             gateway.facts.wake();
         }
         if outcome.is_err() {
+            gateway.facts.configuration.set_wanted(false);
+            deputies::ask(&gateway);
             reader.back_off(&gateway, &gateway.facts.configuration).await;
         }
     }
@@ -96,7 +98,7 @@
 async fn read_configuration(gateway: &Gateway, reader: &mut Reader) -> Result<()> {
     let topic = &gateway.facts.configuration;
     // What is too old to be passed on must be proven at once.
-    let is_old = topic.serves_for(configuration_serves(&gateway.bounds())).is_zero();
+    let is_old = topic.is_wanted() || topic.serves_for(configuration_serves(&gateway.bounds())).is_zero();
     let held = if is_old { Duration::ZERO } else { long_read(&gateway.bounds()) };
     let sent = now();
     let whole = topic.next().is_none();
@@ -138,6 +140,8 @@
         reader.note(&outcome);
         belief::expire(&gateway, Source::Store);
         if outcome.is_err() {
+            gateway.facts.replicas.set_wanted(false);
+            deputies::ask(&gateway);
             reader.back_off(&gateway, &gateway.facts.replicas).await;
         } else if gateway.facts.replicas.next().is_some() {
             gateway.facts.pause(period).await;
--- a/standin/tests/platform_members.rs
+++ b/standin/tests/platform_members.rs
@@ -95,6 +95,24 @@
     site.close().expect("no invariant was breached");
 }
 
+/// One answer is enough for all, and one that the store turns away asks for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_it_costs_that_the_leader_is_turned_away_does_not_grow_with_the_entries() {
+    let mut calls = Vec::new();
+    for entries in [4, 16] {
+        let site = site(&format!("members-deputies-{entries}"), entries).await;
+        let before = calls_of_others(&site);
+        site.doors[0].set(Fault::TooMany);
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        calls.push(calls_of_others(&site) - before);
+        // Nobody has lost the configuration meanwhile.
+        let seen = load(&site, 40, Duration::from_secs(1), look).await;
+        assert_eq!(served(&seen), seen.len());
+        site.close().expect("no invariant was breached");
+    }
+    assert!(calls[0] > 0 && calls[1] < calls[0] * 3 / 2, "{calls:?}");
+}
+
 /// A number that an entry shows as a metric, over all its labels.
 async fn metric(site: &Site, entry: usize, name: &str) -> f64 {
     let ask = Ask { headers: Vec::new(), ..Ask::new("GET", "/metrics", "", "") };
