Name what a deployment's settings and configuration call for

The planner gets features that are off unless the operator declares that callers compete (the platform's list of requirements) or the configured distances take over a twentieth of a service's strictest first-event target. Jobs know their workspace; the priority of a workspace ranks before that of its route, which decides among equals. Distances between failure domains are decoded. No decision uses them yet.

--- a/coord/benches/planner.rs
+++ b/coord/benches/planner.rs
@@ -60,6 +60,7 @@
         deadline: now + Duration::from_secs(10),
         priority: 1,
         fingerprint: None,
+        workspace: None,
     }
 }
 
--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod budget;
 pub mod claim;
 pub mod delta;
+pub mod demand;
+pub mod distance;
 pub mod engine;
 pub mod estimate;
 pub mod evacuation;
--- a/coord/src/planner/job.rs
+++ b/coord/src/planner/job.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::policy::MAX_RESERVED_OUTPUT_TOKENS;
 use crate::name::Name;
@@ -18,6 +19,18 @@
     pub number: u64,
 }
 
+/// Workspace of a job, as a hash of its name: unlike the name it can be copied, and it has the same size in messages
+/// whatever the name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Workspace(u64);
+
+impl Workspace {
+    /// Returns the workspace with the given name.
+    pub fn from_name(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
 /// Size, deadlines and priority of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Job {
@@ -36,6 +49,8 @@
     pub priority: u32,
     /// Fingerprint of the request, if it is known.
     pub fingerprint: Option<Fingerprint>,
+    /// Workspace of the caller, if the request has one.
+    pub workspace: Option<Workspace>,
 }
 
 impl Job {
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -12,6 +12,7 @@
 
 mod engine;
 mod estimate;
+mod features;
 mod fleet;
 mod granted;
 mod job;
@@ -30,9 +31,10 @@
 use std::time::Duration;
 
 use self::engine::{Engine, Sequence};
+pub use self::features::Features;
 use self::fleet::Fleet;
 use self::granted::{GrantedJob, GrantedJobs};
-pub use self::job::{Grant, Helper, Id, Job, Team};
+pub use self::job::{Grant, Helper, Id, Job, Team, Workspace};
 use self::overload::Overload;
 pub use self::overload::Refusal;
 use self::path_failures::PathFailures;
@@ -57,6 +59,7 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     policy: Policy,
+    features: Features,
     /// Breaks ties between equally good engines, so that planners that do not know of each other choose differently.
     salt: u64,
     fleet: Fleet,
@@ -81,6 +84,11 @@
         Self { policy, salt, waiting: WaitQueue::new(policy.cheapest_first), ..Self::default() }
     }
 
+    /// Sets the features that the deployment needs.
+    pub fn set_features(&mut self, features: Features) {
+        self.features = features;
+    }
+
     /// Sets the engines that accept work. Jobs on an engine that is left out are forgotten.
     pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Name, Arc<Profile>)>) {
         self.fleet.set(engines);
--- a/coord/src/route.rs
+++ b/coord/src/route.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::distance::Distances;
 use crate::engine::Profile;
 use crate::name::Name;
 
@@ -108,6 +109,8 @@
     pub engine: Option<Arc<Profile>>,
     /// Limit of cold replicas; `None` if they accept as many requests as warm ones.
     pub cold: Option<ColdLimit>,
+    /// Network distances between the failure domains of its replicas.
+    pub distances: Distances,
 }
 
 /// Reduced limit of a replica that is cold: for a while after its start, and whenever it reports so.
@@ -124,10 +127,21 @@
 pub struct Workspace {
     /// Name of the workspace.
     pub name: Name,
-    /// Priority of the workspace, which overrides the route's priority.
+    /// Priority of the workspace, which ranks before the route's priority.
     pub priority: Option<u32>,
 }
 
+/// Number of priorities; each is below it.
+const PRIORITY_LEVELS: u32 = 10;
+/// Priority of a workspace that sets none: the middle of the range.
+const DEFAULT_WORKSPACE_PRIORITY: u32 = 5;
+
+/// Returns the priority of a request; 0 is the most urgent. The priority of its workspace, which is `None` if it sets
+/// none, decides first, and the priority of its route among equal workspaces.
+pub fn combine_priorities(workspace: Option<u32>, route: u32) -> u32 {
+    workspace.unwrap_or(DEFAULT_WORKSPACE_PRIORITY) * PRIORITY_LEVELS + route.min(PRIORITY_LEVELS - 1)
+}
+
 /// Limits on requests from callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -214,6 +228,11 @@
         self.services.get(name)
     }
 
+    /// Iterates over all routes in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten()
+    }
+
     /// Iterates over all services in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/coord/tests/common/short.rs
+++ b/coord/tests/common/short.rs
@@ -15,5 +15,6 @@
         deadline: now + Duration::from_millis(2_000),
         priority: 1,
         fingerprint: None,
+        workspace: None,
     }
 }
--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -288,6 +288,7 @@
             deadline: self.moment() + GRANT_TIMEOUT,
             priority: 1,
             fingerprint: None,
+            workspace: None,
         };
         self.next_number += 1;
         let number = self.next_number;
--- a/coord/tests/planner_machine.rs
+++ b/coord/tests/planner_machine.rs
@@ -38,6 +38,7 @@
         deadline: now + Duration::from_millis(timeout),
         priority: 1,
         fingerprint: None,
+        workspace: None,
     }
 }
 
--- a/coord/tests/planner_plain.rs
+++ b/coord/tests/planner_plain.rs
@@ -65,6 +65,7 @@
         deadline: now + millis(timeout) - elapsed,
         priority: 1 + (urgency % 5 / 4) as u32,
         fingerprint: None,
+        workspace: None,
     }
 }
 
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -40,6 +40,8 @@
     pub link_mbps: f64,
     /// Time and retry bounds that the deployment sets.
     pub bounds: Bounds,
+    /// Whether the operator declares that callers compete for capacity and may be slow to read.
+    pub has_contention: bool,
     /// Placement policy.
     pub policy: Policy,
 }
@@ -50,6 +52,8 @@
 pub struct Policy {
     /// Policy of the planner, which assigns engines to prompts.
     pub planner: planner::Policy,
+    /// Features of the planner that are used where the deployment needs them.
+    pub features: planner::Features,
     /// Share of the caller's timeout for which a prompt waits for an engine. The prompt is then refused, so that its
     /// caller still has time for a retry.
     pub timeout_share: f64,
@@ -118,6 +122,7 @@
     let cores = reader.number("gateway", "cores", 0.0..=MAX_CORES, 0.0);
     let link_mbps = reader.number("gateway", "link_mbps", 0.0..=MAX_LINK_MBPS, 0.0);
     let capacity = Capacity::of(cores, link_mbps);
+    let has_contention = platform::requirement::declares_contention(&reader.names("gateway", "requirements"));
     let bounds = read_bounds(reader);
     let policy = read_policy(reader);
     let listen = listen?;
@@ -130,6 +135,7 @@
         seeds,
         capacity,
         link_mbps,
+        has_contention,
         bounds,
         policy,
     })
@@ -141,6 +147,7 @@
 fn read_policy(reader: &mut Reader) -> Policy {
     Policy {
         planner: read_planner_policy(reader),
+        features: read_features(reader),
         timeout_share: reader.number("policy", "patience_share", 0.0..=1.0, 0.45),
         startup_wait: reader.flag("policy", "learning", true),
         delegated_reads: reader.flag("policy", "passing_on", true),
@@ -149,6 +156,15 @@
     }
 }
 
+fn read_features(reader: &mut Reader) -> planner::Features {
+    planner::Features {
+        forecasts: reader.flag("policy", "forecasts", true),
+        reservations: reader.flag("policy", "reservations", true),
+        fair_shares: reader.flag("policy", "fair_shares", true),
+        spreading: reader.flag("policy", "spreading", true),
+    }
+}
+
 fn read_planner_policy(reader: &mut Reader) -> planner::Policy {
     let defaults = planner::Policy::default();
     let share = |reader: &mut Reader, key, default| reader.number("policy", key, 0.0..=1.0, default);
--- a/sorrelpass/src/config/reader.rs
+++ b/sorrelpass/src/config/reader.rs
@@ -187,6 +187,11 @@
         raw.and_then(|raw| self.parse_value(section, key, &raw, "true or false")).unwrap_or(default)
     }
 
+    /// Returns a comma-separated list of names; the list may be missing or empty.
+    pub fn names(&mut self, section: &str, key: &str) -> Vec<Name> {
+        self.parse_list(section, key, "a name", |part| (!part.is_empty()).then(|| Name::from(part)))
+    }
+
     /// Returns a comma-separated list of `ip:port` addresses as names; the list may be missing or empty.
     pub fn addresses(&mut self, section: &str, key: &str) -> Vec<Name> {
         let parse_address = |part: &str| part.parse::<SocketAddr>().is_ok().then(|| Name::from(part));
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -16,7 +16,7 @@
 
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Id, Job, Planner, Policy, Team};
+use coord::planner::{Features, Id, Job, Planner, Policy, Team};
 use coord::quarantine::Fingerprint;
 use coord::time::Moment;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -173,12 +173,19 @@
         })
     }
 
-    /// Sets the engines of a service.
-    pub fn set_engines(&self, service: &Name, profile: &Arc<Profile>, engines: impl Iterator<Item = Name>) {
+    /// Sets the engines of a service, and the features that its planner uses.
+    pub fn set_engines(
+        &self,
+        service: &Name,
+        profile: &Arc<Profile>,
+        engines: impl Iterator<Item = Name>,
+        features: Features,
+    ) {
         let engines: Vec<(Name, Arc<Profile>)> = engines.map(|name| (name, profile.clone())).collect();
         let mut planners = self.planners.borrow_mut();
         let planner = planners.entry(service.clone()).or_insert_with(|| self.new_planner());
         planner.set_engines(engines);
+        planner.set_features(features);
     }
 
     fn new_planner(&self) -> Planner {
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -6,6 +6,7 @@
 use coord::name::Name;
 use coord::planner::{self, Team};
 use coord::roster::Record;
+use coord::route::combine_priorities;
 use coord::time::Moment;
 use platform::headers;
 
@@ -297,8 +298,9 @@
             first_event_target: self.started + self.route.latency_target,
             gap_target_ms: self.route.gap_target.as_secs_f64() * 1e3,
             deadline: self.deadline.min(self.started + self.route.client_timeout()),
-            priority: workspace_priority.unwrap_or(self.route.priority),
+            priority: combine_priorities(workspace_priority, self.route.priority),
             fingerprint: Some(self.fingerprint),
+            workspace: self.workspace.as_ref().map(|workspace| planner::Workspace::from_name(&workspace.name)),
         }
     }
 
--- a/sorrelpass/src/gateway/peer_protocol.rs
+++ b/sorrelpass/src/gateway/peer_protocol.rs
@@ -51,6 +51,7 @@
     deadline_in: Duration,
     priority: u32,
     work: Option<Fingerprint>,
+    workspace: Option<planner::Workspace>,
 }
 
 impl PromptSpec {
@@ -64,6 +65,7 @@
             deadline_in: job.deadline.since(now),
             priority: job.priority,
             work: job.fingerprint,
+            workspace: job.workspace,
         }
     }
 
@@ -77,6 +79,7 @@
             deadline: now + self.deadline_in,
             priority: self.priority,
             fingerprint: self.work,
+            workspace: self.workspace,
         }
     }
 }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use coord::budget::{self, WindowedBudget};
+use coord::demand;
 use coord::evacuation;
 use coord::name::Name;
 use coord::offset;
@@ -205,10 +206,13 @@
     /// Updates the engines of each service in the admission queue, and the rate limits.
     pub fn refresh_engines(&self) {
         let roster = self.roster.borrow();
-        for service in self.table().services() {
+        let table = self.table();
+        let required = demand::required_features(&table, self.settings.has_contention);
+        let features = required.and(self.settings.policy.features);
+        for service in table.services() {
             let Some(profile) = &service.engine else { continue };
             let engines = roster.usable(&service.name).map(|record| record.id.clone());
-            self.admission.set_engines(&service.name, profile, engines);
+            self.admission.set_engines(&service.name, profile, engines, features);
         }
         limits::apply(self);
     }
