An entry that its leader names as the next one leads

Cause: two entries that lose their leader follow each other; the one that ranks first is told so and leaves in order to lead, but the lost leader still stands ahead of it in the list. It asked the seeds, found the other and followed it again, every 1.5 ms, with a list each time.

Now the appointment is state of coord::search::LeaderSearch: an appointed entry asks no seeds and reads the list at a leader's pace until it follows somebody. Candidates ahead of it are still tried each round.

Ruled out: to trust any redirect to the own address; it may mean an earlier process at that address.

--- a/coord/src/search.rs
+++ b/coord/src/search.rs
@@ -3,6 +3,10 @@
 //! All followers of a lost leader search at the same time. If each tried all processes, the number of attempts would
 //! grow quadratically: 100 processes waiting for a store made 6,000 attempts per second. A round therefore tries only
 //! the few highest-ranked candidates and skips those that failed recently, with an exponential retry delay.
+//!
+//! Two processes that lose their leader together may each follow the other. The lower-ranked one then appoints the
+//! other as leader. If the appointed process looked for further leaders, it would find only the process that appointed
+//! it, and the two would reconnect to each other without end while the lost leader still ranks ahead of both.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -26,15 +30,16 @@
     retry_at: Moment,
 }
 
-/// Candidates that failed recently.
+/// Candidates that failed recently, and whether this process was appointed as leader.
 #[derive(Debug)]
 pub struct LeaderSearch<K> {
     failures: HashMap<K, Failure>,
+    is_appointed: bool,
 }
 
 impl<K> Default for LeaderSearch<K> {
     fn default() -> Self {
-        Self { failures: HashMap::new() }
+        Self { failures: HashMap::new(), is_appointed: false }
     }
 }
 
@@ -58,6 +63,22 @@
         self.failures.remove(candidate);
     }
 
+    /// Records that the leader that this process followed named this process as the next leader.
+    pub fn record_appointment(&mut self) {
+        self.is_appointed = true;
+    }
+
+    /// Records that this process follows a leader, which ends its appointment.
+    pub fn record_leader(&mut self) {
+        self.is_appointed = false;
+    }
+
+    /// Returns whether this process leads although the list of candidates ranks others ahead of it. It then tries only
+    /// the candidates of each round.
+    pub fn is_appointed(&self) -> bool {
+        self.is_appointed
+    }
+
     /// Clears all failures once their common cause is over.
     pub fn reset(&mut self) {
         self.failures.clear();
--- a/coord/tests/search.rs
+++ b/coord/tests/search.rs
@@ -39,6 +39,54 @@
     (failed_attempts, last.filter(|_| searching.is_empty()))
 }
 
+/// Two processes lose their leader, which still ranks first in the list, and the first of them follows the second.
+/// Simulates the first one's rounds, each of which ends with a question to the second unless the first was appointed.
+/// Returns the number of times that the first one starts to follow the second, and the time at which the second finds
+/// that the first one leads.
+fn simulate_mutual_followers() -> (usize, Option<Moment>) {
+    const LOST_LEADER: usize = 0;
+    const FIRST: usize = 1;
+    let mut first = LeaderSearch::default();
+    let mut second = LeaderSearch::default();
+    let mut now = Moment::from_millis(1_000);
+    let mut times_followed = 0;
+    // The second has just tried the first, which followed it.
+    second.record_failure(FIRST, 1.0, now);
+    while now < Moment::from_millis(3_000) {
+        for candidate in first.next_candidates([LOST_LEADER], now) {
+            first.record_failure(candidate, 1.0, now);
+        }
+        if !first.is_appointed() {
+            times_followed += 1;
+            first.record_leader();
+            first.record_appointment();
+        }
+        let candidates = second.next_candidates([LOST_LEADER, FIRST], now);
+        if candidates.contains(&FIRST) && first.is_appointed() {
+            return (times_followed, Some(now));
+        }
+        candidates.into_iter().for_each(|candidate| second.record_failure(candidate, 1.0, now));
+        now = now + Duration::from_millis(2);
+    }
+    (times_followed, None)
+}
+
+#[test]
+fn an_appointed_process_leads_and_asks_nobody() {
+    let (times_followed, found_at) = simulate_mutual_followers();
+    assert_eq!(times_followed, 1, "the first process follows the second once");
+    assert!(found_at.is_some_and(|at| at < Moment::from_millis(2_000)), "{found_at:?}");
+}
+
+#[test]
+fn an_appointed_process_that_finds_a_leader_is_a_follower_again() {
+    let mut search = LeaderSearch::default();
+    search.record_appointment();
+    assert_eq!(search.next_candidates([0, 1], Moment::from_millis(1_000)), vec![0, 1], "those ahead are still tried");
+    search.record_leader();
+    assert!(!search.is_appointed());
+}
+
 #[test]
 fn without_a_leader_a_hundred_processes_make_few_attempts() {
     // None of the highest-ranked processes can lead because all wait for the store, for 8 s.
--- a/sorrelpass/src/gateway/follower.rs
+++ b/sorrelpass/src/gateway/follower.rs
@@ -7,6 +7,7 @@
 
 use coord::poll::Poll;
 use coord::search::LeaderSearch;
+use coord::time::Moment;
 use eyre::{Result, eyre};
 use platform::store::Client;
 use tokio::sync::{mpsc, oneshot};
@@ -69,6 +70,8 @@
     search: LeaderSearch<SocketAddr>,
     /// Known entries in the succession order.
     ranked: Vec<Peer>,
+    /// Time of the last attempt to read the list of entries.
+    list_read_at: Moment,
     /// Number of searches since the last one that found a leader.
     failed_searches: u32,
     /// Delay after the next search that finds no leader.
@@ -87,6 +90,7 @@
             client,
             search: LeaderSearch::default(),
             ranked,
+            list_read_at: Moment::ZERO,
             failed_searches: 0,
             search_delay: MIN_SEARCH_DELAY,
             is_announcing: false,
@@ -116,6 +120,10 @@
     /// with a greater capacity may have been announced. Others read it only if they found none of the entries that
     /// they know, and no new leader within the time in which most entries find one.
     fn needs_list(&self) -> bool {
+        if self.is_appointed() && !self.ranked.is_empty() {
+            let list_age = now().since(self.list_read_at);
+            return list_age >= LIST_REFRESH_INTERVAL && self.gateway.is_recently_verified();
+        }
         let is_leader = rank(&self.gateway, &self.ranked, self.own_address) == 0;
         let is_verified = self.gateway.is_recently_verified();
         self.ranked.is_empty()
@@ -125,8 +133,15 @@
                     || self.failed_searches >= MAX_FAILED_SEARCHES_BEFORE_LIST))
     }
 
+    /// Returns whether this entry leads because its last leader named it as the next one. An entry that shuts down
+    /// does not lead.
+    fn is_appointed(&self) -> bool {
+        self.search.is_appointed() && self.gateway.phase() == Phase::Serving
+    }
+
     /// Reads the list of announced entries from the store.
     async fn read_list(&mut self) {
+        self.list_read_at = now();
         let Some(ranked) = peers::list_announced(&mut self.client, Some(self.own_address)).await else { return };
         let gateway = &self.gateway;
         gateway.raise_entry_count(ranked.len());
@@ -141,7 +156,11 @@
     async fn follow(&mut self, connection: LeaderConnection) {
         self.failed_searches = 0;
         self.search_delay = MIN_SEARCH_DELAY;
-        follow_with_redirects(&self.gateway, connection, self.own_address).await;
+        self.search.record_leader();
+        if follow_with_redirects(&self.gateway, connection, self.own_address).await == FollowingEnd::Appointed {
+            event!("appointed", address = %self.own_address);
+            self.search.record_appointment();
+        }
         self.ranked = self.gateway.membership.successors();
     }
 
@@ -153,16 +172,17 @@
         self.gateway.store_view.sleep_until_woken(MIN_SEARCH_DELAY).await;
     }
 
-    /// Handles a search that found no leader. This entry leads if no entry ranks ahead of it; otherwise, it asks the
-    /// seeds, and searches again after a delay.
+    /// Handles a search that found no leader. This entry leads if no entry ranks ahead of it or if it was appointed;
+    /// otherwise, it asks the seeds. It searches again after a delay.
     async fn wait_for_next_search(&mut self, rank: usize) {
         let is_leader = rank == 0;
         // The next leader reads the store, for itself and its future followers. The others read it only once their
         // data are too old: most of them find the next leader before that.
-        let is_next = rank <= NEXT_LEADER_RANK && rank < self.ranked.len();
+        let is_next = self.is_appointed() || (rank <= NEXT_LEADER_RANK && rank < self.ranked.len());
         self.gateway.set_searching_reader(!is_next && self.gateway.admission.is_standalone());
         self.failed_searches += 1;
-        if !is_leader && self.gateway.admission.is_standalone() && self.gateway.phase() == Phase::Serving {
+        let lacks_leader = !is_leader && !self.is_appointed();
+        if lacks_leader && self.gateway.admission.is_standalone() && self.gateway.phase() == Phase::Serving {
             if let Some(connection) = peers::find_leader_via_seeds(&self.gateway.settings.seeds, self.own_address).await
             {
                 return self.follow(connection).await;
@@ -201,15 +221,32 @@
     announced
 }
 
+/// Reason why this entry follows no leader any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FollowingEnd {
+    /// The leader named this entry as the next one.
+    Appointed,
+    /// The leader was lost, or it redirected this entry to one that does not lead.
+    Lost,
+}
+
 /// Follows a leader, and after it the one that it redirects to, until no redirect leads to a leader.
-async fn follow_with_redirects(gateway: &Rc<Gateway>, connection: LeaderConnection, own_address: SocketAddr) {
-    let mut next = Some(connection);
-    while let Some(connection) = next {
-        let redirect = follow_leader(gateway, connection, own_address).await;
-        next = match redirect.filter(|leader| *leader != own_address) {
-            Some(leader) => peers::connect_to_leader(leader).await,
-            None => None,
-        };
+async fn follow_with_redirects(
+    gateway: &Rc<Gateway>,
+    mut connection: LeaderConnection,
+    own_address: SocketAddr,
+) -> FollowingEnd {
+    loop {
+        let Some(leader) = follow_leader(gateway, connection, own_address).await else { return FollowingEnd::Lost };
+        if leader == own_address {
+            // A redirect to this address may mean an earlier process, so only the order of succession appoints.
+            let is_first = gateway.membership.is_first(own_address);
+            return if is_first { FollowingEnd::Appointed } else { FollowingEnd::Lost };
+        }
+        match peers::connect_to_leader(leader).await {
+            Some(next) => connection = next,
+            None => return FollowingEnd::Lost,
+        }
     }
 }
 
