Buffer answers for slow callers in bytes, and give up stalled ones

Where callers compete, a stream's events wait in a buffer that is bounded in bytes for each caller and for all; coord::relay_buffer decides which replica is read on and whom to give up. Elsewhere the channel of 16 events stays. Not yet run with real processes.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod relay_buffer;
 pub mod replay;
 pub mod retry_delay;
 pub mod roster;
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -18,6 +18,12 @@
 const MAX_CORES: f64 = 1_024.0;
 /// Largest link bandwidth that a setting may give, in Mbit/s.
 const MAX_LINK_MBPS: f64 = 1e7;
+/// Largest memory limit that a setting may give, in MB.
+const MAX_MEMORY_MB: f64 = 1e6;
+/// Memory limit of the process if no setting gives it, in MB: that of the smallest VM that is in use.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+/// Bytes in a MB, as memory limits count.
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 
 /// Settings of an entry that serves replicas directly.
 #[derive(Clone, Debug)]
@@ -38,6 +44,8 @@
     pub capacity: Capacity,
     /// Bandwidth of the VM's network link, in Mbit/s; 0 if it is unknown.
     pub link_mbps: f64,
+    /// Memory limit of the process, in bytes.
+    pub memory_bytes: u64,
     /// Time and retry bounds that the deployment sets.
     pub bounds: Bounds,
     /// Whether the operator declares that callers compete for capacity and may be slow to read.
@@ -121,6 +129,7 @@
     let seeds = reader.sockets("gateway", "seeds");
     let cores = reader.number("gateway", "cores", 0.0..=MAX_CORES, 0.0);
     let link_mbps = reader.number("gateway", "link_mbps", 0.0..=MAX_LINK_MBPS, 0.0);
+    let memory_mb = reader.number("gateway", "memory_mb", 1.0..=MAX_MEMORY_MB, DEFAULT_MEMORY_MB);
     let capacity = Capacity::of(cores, link_mbps);
     let has_contention = platform::requirement::declares_contention(&reader.names("gateway", "requirements"));
     let bounds = read_bounds(reader);
@@ -135,6 +144,7 @@
         seeds,
         capacity,
         link_mbps,
+        memory_bytes: (memory_mb * BYTES_PER_MB) as u64,
         has_contention,
         bounds,
         policy,
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -1,6 +1,5 @@
 //! Reads a request and admits it: decodes the head, reads the body, and finds the route and the workspace.
 
-use std::any::Any;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 use super::super::response::{self, CallerResponse};
 use super::super::state::{Gateway, Phase};
 use super::super::upstream::UpstreamRequest;
-use super::{BUSY_RETRY_AFTER, PendingRequest};
+use super::{BUSY_RETRY_AFTER, CallerConnection, PendingRequest};
 use crate::body_tracker::TrackedBody;
 use crate::failure::Failure;
 use crate::{event, metric};
@@ -38,12 +37,16 @@
     request: Request<TrackedBody<Incoming>>,
     /// Time at which the head was received.
     received_at: Moment,
-    /// Guard that counts the request on the caller's connection until the request is complete.
-    caller_guard: Box<dyn Any>,
+    /// Caller's connection, on which the request counts as active until this is dropped.
+    caller_connection: Box<dyn CallerConnection>,
 }
 
-/// Handles a request and returns the response. `caller_guard` is dropped when the request is complete.
-pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>, caller_guard: Box<dyn Any>) -> CallerResponse {
+/// Handles a request and returns the response. `caller_connection` is dropped when the request is complete.
+pub async fn handle(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    caller_connection: Box<dyn CallerConnection>,
+) -> CallerResponse {
     let started = now();
     let request = request.map(TrackedBody::new);
     let read_state = request.body().read_state();
@@ -51,7 +54,7 @@
         Err(error) => (Name::default(), Err(Failure::bad_request("malformed", error.0))),
         Ok(request_head) => (
             request_head.id.clone(),
-            serve(&gateway, ReceivedRequest { request_head, request, received_at: started, caller_guard }).await,
+            serve(&gateway, ReceivedRequest { request_head, request, received_at: started, caller_connection }).await,
         ),
     };
     let mut response = match outcome {
@@ -84,7 +87,7 @@
 
 /// Reads the body of a request and admits it.
 async fn admit(gateway: &Rc<Gateway>, received: ReceivedRequest) -> Result<PendingRequest, Failure> {
-    let ReceivedRequest { request_head, request, received_at: started, caller_guard } = received;
+    let ReceivedRequest { request_head, request, received_at: started, caller_connection } = received;
     let in_flight = gateway.begin_request();
     let (head, body) = request.into_parts();
     let timeout = request_head.timeout.unwrap_or(DEFAULT_TIMEOUT);
@@ -120,7 +123,7 @@
         possible_executions: 0,
         failed_connections: 0,
         _in_flight: in_flight,
-        _caller_guard: caller_guard,
+        caller_connection,
     })
 }
 
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -8,7 +8,6 @@
 mod send;
 mod target;
 
-use std::any::Any;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,6 +41,12 @@
 /// Retry delay for callers whose request no replica accepts.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Connection of a caller. A request counts as active on it until this is dropped.
+pub trait CallerConnection {
+    /// Closes the connection at once, without the data that the caller has not read.
+    fn abort(&self);
+}
+
 /// A request that is being handled.
 pub struct PendingRequest {
     /// Shared state of the process.
@@ -74,8 +79,8 @@
     failed_connections: u32,
     /// Guard that counts the request in the process until the request is complete.
     _in_flight: InFlight,
-    /// Guard that counts the request on the caller's connection until the request is complete.
-    _caller_guard: Box<dyn Any>,
+    /// Caller's connection, on which the request counts as active until this is dropped.
+    caller_connection: Box<dyn CallerConnection>,
 }
 
 /// A response whose head has been received and whose body has not.
@@ -98,6 +103,11 @@
         self.deadline.since(now())
     }
 
+    /// Closes the caller's connection at once, without the data that the caller has not read.
+    pub fn abort_connection(&self) {
+        self.caller_connection.abort();
+    }
+
     /// Returns whether a broken stream may resume at another replica.
     pub fn may_resume(&self) -> bool {
         self.route.resumable && self.has_attempts_left()
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod backoff;
 mod call;
+mod caller_stream;
 mod delegates;
 mod draining;
 mod fingerprint;
@@ -21,6 +22,7 @@
 mod peers;
 pub mod quarantine;
 mod relay;
+mod relay_buffers;
 mod replica_picker;
 mod reservation;
 mod response;
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -2,35 +2,32 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use coord::quarantine::Weight;
+use coord::relay_buffer::Eviction;
 use coord::roster::Record;
 use coord::time::Moment;
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Frame;
 use platform::headers;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::call::{OpenResponse, PendingRequest, ReplicaSlot};
+use super::caller_stream::{self, CallerLoss, CallerStream};
 use super::response::{BodyError, CallerResponse};
 use super::sse::Splitter;
 use super::{now, quarantine};
 use crate::{event, metric};
 
-/// Bounds the number of events that wait for a caller that reads slowly. A full channel stops reading from the replica.
-const CALLER_CHANNEL_CAPACITY: usize = 16;
-
 /// Bounds the time to read data that has already been received, after the deadline: some iterations of the event loop.
 const RECEIVED_DATA_TIMEOUT: Duration = Duration::from_millis(5);
 /// Bounds the time for which data received before the deadline is relayed after it: much longer than a complete
 /// response takes.
 const LATE_RELAY_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Frame of the response body to the caller. An error closes the caller's connection.
-type BodyFrame = Result<Frame<Bytes>, BodyError>;
+/// Time without reading from a replica after which the loss of its connection is attributed to the caller, since
+/// replicas close connections whose data stays unread.
+const MIN_BLAMELESS_PAUSE: Duration = Duration::from_secs(1);
 
 /// Reason why the stream from one replica ended.
 enum StreamEnd {
@@ -38,8 +35,8 @@
     Complete,
     /// The connection to the replica broke, with this error.
     Interrupted(String),
-    /// The caller closed its connection.
-    CallerGone,
+    /// The caller closed its connection or was evicted.
+    CallerLost(CallerLoss),
     /// The deadline of the request passed.
     DeadlineExceeded,
 }
@@ -51,7 +48,10 @@
     // A resumed stream may have another length; the chunked encoding marks its end.
     headers.remove(hyper::header::CONTENT_LENGTH);
     let status = opened.response.status();
-    let (caller, receiver) = mpsc::channel::<BodyFrame>(CALLER_CHANNEL_CAPACITY);
+    let (caller, body) = match request.gateway.settings.has_contention {
+        true => request.gateway.relay_buffers.open(),
+        false => caller_stream::open_channel(),
+    };
     let relay = Relay {
         request,
         caller,
@@ -59,10 +59,10 @@
         last_event_id: None,
         event_count: 0,
         awaits_first_event: true,
+        longest_pause: Duration::ZERO,
     };
     tokio::task::spawn_local(relay.run(opened));
-    let body = stream::unfold(receiver, |mut receiver| async { Some((receiver.recv().await?, receiver)) });
-    let mut response = Response::new(StreamBody::new(body).boxed_unsync());
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
@@ -71,8 +71,8 @@
 /// Stream that is relayed to a caller from one replica, or from several in turn.
 struct Relay {
     request: PendingRequest,
-    /// Channel of frames for the caller.
-    caller: mpsc::Sender<BodyFrame>,
+    /// Stream to the caller.
+    caller: Box<dyn CallerStream>,
     splitter: Splitter,
     /// Id of the last event that was relayed.
     last_event_id: Option<u64>,
@@ -80,6 +80,8 @@
     event_count: u64,
     /// Whether the current replica has sent no event yet.
     awaits_first_event: bool,
+    /// Longest time for which the current replica was not read because its caller read slowly.
+    longest_pause: Duration,
 }
 
 impl Relay {
@@ -96,11 +98,16 @@
                 None => break,
             }
         }
+        // The request stays active until its caller has all data, so that a shutdown waits for it.
+        if let Err(CallerLoss::Evicted(eviction)) = self.caller.wait_until_read().await {
+            self.abort_evicted(eviction);
+        }
     }
 
     /// Relays the stream of one replica until it ends.
     async fn relay_from(&mut self, opened: &mut OpenResponse) -> StreamEnd {
         self.awaits_first_event = true;
+        self.longest_pause = Duration::ZERO;
         let deadline = Instant::now() + self.request.time_left();
         let mut late_since = None;
         loop {
@@ -108,10 +115,15 @@
             {
                 return StreamEnd::DeadlineExceeded;
             }
+            if !self.caller.has_room()
+                && let Err(end) = self.pause(deadline).await
+            {
+                return end;
+            }
             let frame = tokio::select! {
                 biased;
                 frame = opened.response.body_mut().frame() => frame,
-                () = self.caller.closed() => return StreamEnd::CallerGone,
+                loss = self.caller.wait_for_loss() => return StreamEnd::CallerLost(loss),
                 // Data received before the deadline is still relayed: after a suspension of the process, the data and
                 // the expired deadline are seen at the same time.
                 () = tokio::time::sleep_until(deadline) => {
@@ -127,14 +139,26 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.splitter.push(&data);
-            if !self.relay_events(&opened.slot).await {
-                return StreamEnd::CallerGone;
+            if let Err(loss) = self.relay_events(&opened.slot).await {
+                return StreamEnd::CallerLost(loss);
             }
         }
     }
 
-    /// Relays the complete events that have arrived. Returns whether the caller is still connected.
-    async fn relay_events(&mut self, slot: &ReplicaSlot) -> bool {
+    /// Waits until there is room for more data of the replica. Returns the end of the stream if it comes first.
+    async fn pause(&mut self, deadline: Instant) -> Result<(), StreamEnd> {
+        let paused_at = Instant::now();
+        tokio::select! {
+            () = self.caller.wait_for_room() => {}
+            loss = self.caller.wait_for_loss() => return Err(StreamEnd::CallerLost(loss)),
+            () = tokio::time::sleep_until(deadline) => return Err(StreamEnd::DeadlineExceeded),
+        }
+        self.longest_pause = self.longest_pause.max(paused_at.elapsed());
+        Ok(())
+    }
+
+    /// Relays the complete events that have arrived.
+    async fn relay_events(&mut self, slot: &ReplicaSlot) -> Result<(), CallerLoss> {
         while let Some(event) = self.splitter.next() {
             if self.event_count == 0 {
                 let after = now().since(self.request.started);
@@ -147,20 +171,21 @@
             }
             self.event_count += 1;
             self.last_event_id = event.id.or(self.last_event_id);
-            if self.caller.send(Ok(Frame::data(event.bytes))).await.is_err() {
-                return false;
-            }
+            self.caller.send(Ok(Frame::data(event.bytes))).await?;
         }
-        true
+        Ok(())
     }
 
     /// Relays the bytes after the last event of a completed stream.
     async fn relay_remainder(&mut self) -> StreamEnd {
         let remainder = self.splitter.take_remainder();
-        if !remainder.is_empty() && self.caller.send(Ok(Frame::data(remainder))).await.is_err() {
-            return StreamEnd::CallerGone;
+        if remainder.is_empty() {
+            return StreamEnd::Complete;
+        }
+        match self.caller.send(Ok(Frame::data(remainder))).await {
+            Ok(()) => StreamEnd::Complete,
+            Err(loss) => StreamEnd::CallerLost(loss),
         }
-        StreamEnd::Complete
     }
 
     /// Logs the end of one replica's stream. Returns the stream that resumes it at another replica, if there is one.
@@ -175,7 +200,11 @@
                 quarantine::record_success(&self.request.gateway, self.request.fingerprint);
                 None
             }
-            StreamEnd::CallerGone => {
+            StreamEnd::CallerLost(CallerLoss::Evicted(_)) => {
+                metric::record_request("slow_caller");
+                None
+            }
+            StreamEnd::CallerLost(CallerLoss::Gone) => {
                 event!("caller-gone", request = %id, peer, events = self.event_count, after_ms);
                 metric::record_request("caller_gone");
                 None
@@ -185,10 +214,12 @@
                 self.abort("deadline").await
             }
             StreamEnd::Interrupted(error) => {
-                event!("broke", request = %id, work = %self.request.fingerprint, peer, events = self.event_count, silent = self.awaits_first_event, after_ms, error = %error);
-                self.request.gateway.admission.record_failure(&self.request.service, peer);
-                let weight = if self.awaits_first_event { Weight::Strong } else { Weight::Faint };
-                self.request.report_lost_connection(record, sent_at, weight).await;
+                event!("broke", request = %id, work = %self.request.fingerprint, peer, events = self.event_count, silent = self.awaits_first_event, paused_ms = self.longest_pause.as_millis(), after_ms, error = %error);
+                if self.longest_pause < MIN_BLAMELESS_PAUSE {
+                    self.request.gateway.admission.record_failure(&self.request.service, peer);
+                    let weight = if self.awaits_first_event { Weight::Strong } else { Weight::Faint };
+                    self.request.report_lost_connection(record, sent_at, weight).await;
+                }
                 self.resume().await
             }
         }
@@ -204,7 +235,7 @@
         let time_left = self.request.time_left();
         let opened = tokio::select! {
             opened = tokio::time::timeout(time_left, self.request.open_response(last_event_id)) => opened,
-            () = self.caller.closed() => return None,
+            _ = self.caller.wait_for_loss() => return None,
         };
         match opened {
             Ok(Ok(opened)) if opened.response.status().is_success() => Some(opened),
@@ -216,8 +247,16 @@
     async fn abort(&mut self, code: &'static str) -> Option<OpenResponse> {
         event!("give-up", request = %self.request.request_head.id, code, ran = "partial", events = self.event_count);
         metric::record_request(code);
-        // Fails only if the caller has closed its connection.
+        // Fails only if the caller is lost.
         let _ = self.caller.send(Err(BodyError)).await;
         None
     }
+
+    /// Closes the connection of a caller whose buffered data was discarded.
+    fn abort_evicted(&self, eviction: Eviction) {
+        event!("give-up", request = %self.request.request_head.id, code = "slow_caller", reason = "unread data fills the buffers of all callers",
+            events = self.event_count, unread_bytes = eviction.bytes, unread_ms = eviction.unread_for.as_millis());
+        metric::record_evicted_caller();
+        self.request.abort_connection();
+    }
 }
--- a/sorrelpass/src/gateway/server.rs
+++ b/sorrelpass/src/gateway/server.rs
@@ -10,9 +10,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
+use super::call::{self, CallerConnection};
+use super::now;
 use super::state::{Gateway, Phase};
-use super::{call, now};
 use crate::lingering_close::LingeringStream;
 
 /// Default bound on the size of a request head, in bytes. Smaller configured bounds are raised to this one, because
@@ -57,13 +59,16 @@
     active_requests: Cell<u32>,
     /// End of the last request, or the start of the connection.
     idle_since: Cell<Moment>,
+    /// Notified when the connection is to be closed although its response is incomplete.
+    aborted: Notify,
 }
 
 /// Serves one connection until either side closes it.
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     // If this fails, the connection has a higher latency but works.
     let _ = stream.set_nodelay(true);
-    let activity = Rc::new(Activity { active_requests: Cell::new(0), idle_since: Cell::new(now()) });
+    let activity =
+        Rc::new(Activity { active_requests: Cell::new(0), idle_since: Cell::new(now()), aborted: Notify::new() });
     let limits = gateway.table().limits();
     let service = service_fn({
         let (gateway, activity) = (gateway.clone(), activity.clone());
@@ -86,12 +91,16 @@
     tokio::select! {
         // The caller may close its connection during a request, which is not an error of this process.
         _ = serving.as_mut() => return,
+        () = activity.aborted.notified() => return,
         () = gateway.wait_for_phase(Phase::Closing) => {}
         () = wait_until_idle(&gateway, &activity) => {}
     }
     serving.as_mut().graceful_shutdown();
-    // An error here means that the caller has closed its connection too.
-    let _ = serving.await;
+    tokio::select! {
+        // An error here means that the caller has closed its connection too.
+        _ = serving => {}
+        () = activity.aborted.notified() => {}
+    }
 }
 
 /// Waits until the connection has been idle for longer than the idle timeout plus its margin.
@@ -112,6 +121,12 @@
 /// Counts a request of a connection as active until the guard is dropped, which is when its response is complete.
 struct RequestGuard(Rc<Activity>);
 
+impl CallerConnection for RequestGuard {
+    fn abort(&self) {
+        self.0.aborted.notify_one();
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.0.active_requests.set(self.0.active_requests.get() - 1);
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::membership::Membership;
 use super::now;
 use super::quarantine::Quarantine;
+use super::relay_buffers::RelayBuffers;
 use super::replica_picker::ReplicaPicker;
 use super::store_view::StoreView;
 use crate::config::{self, Bounds};
@@ -101,6 +102,8 @@
     pub limits: Limits,
     /// Replicas that asked this entry to back off.
     pub backoffs: Backoffs,
+    /// Response data that callers have not read yet.
+    pub relay_buffers: Arc<RelayBuffers>,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<Name, WindowedBudget>>,
     /// Largest number of entries that was observed, at least [`MIN_ENTRY_COUNT`].
@@ -121,6 +124,7 @@
         let bounds = Cell::new(settings.bounds);
         let is_searching_reader = settings.peer_listen.is_some();
         let store_view = StoreView::new(settings.link_mbps);
+        let relay_buffers = Arc::new(RelayBuffers::new(settings.memory_bytes));
         Self {
             started_at: now(),
             settings,
@@ -135,6 +139,7 @@
             quarantine: Quarantine::new(),
             limits: Limits::default(),
             backoffs: Backoffs::default(),
+            relay_buffers,
             retry_budgets: RefCell::default(),
             entry_count: Cell::new(MIN_ENTRY_COUNT),
             era: Cell::default(),
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -36,6 +36,8 @@
     limit_refusals: Counter<u64>,
     draining_responses: Counter<u64>,
     backoff_requests: Counter<u64>,
+    unread_bytes: Gauge<u64>,
+    evicted_callers: Counter<u64>,
     ttft: Histogram<f64>,
     first_event: Histogram<f64>,
     config_revision: Gauge<u64>,
@@ -78,6 +80,8 @@
         limit_refusals: meter.u64_counter("sorrelpass_limit_refusals").build(),
         draining_responses: meter.u64_counter("sorrelpass_leaving_told").build(),
         backoff_requests: meter.u64_counter("sorrelpass_rests_asked").build(),
+        unread_bytes: meter.u64_gauge("sorrelpass_unread_bytes").build(),
+        evicted_callers: meter.u64_counter("sorrelpass_callers_given_up").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BUCKET_BOUNDS_S.to_vec()).build(),
         first_event: meter
             .f64_histogram("sorrelpass_first_event_seconds")
@@ -199,6 +203,16 @@
     record(|metrics| metrics.backoff_requests.add(1, &[]));
 }
 
+/// Sets the number of buffered bytes that callers have not read.
+pub fn set_unread_bytes(bytes: u64) {
+    record(|metrics| metrics.unread_bytes.record(bytes, &[]));
+}
+
+/// Counts a caller that was given up because it did not read its response.
+pub fn record_evicted_caller() {
+    record(|metrics| metrics.evicted_callers.add(1, &[]));
+}
+
 /// Records the time to first token of a prompt of length class `class`.
 pub fn record_ttft(class: usize, ttft: Duration) {
     record(|metrics| metrics.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
