Share engine time fairly between workspaces while room is short

Change: the planner tracks decaying use by workspace (prefill and slot time), computes a max-min level, and while prompts find no engines places those within the share of their workspace first, within each priority.

--- a/coord/benches/planner.rs
+++ b/coord/benches/planner.rs
@@ -26,7 +26,7 @@
 
 use common::profile;
 use coord::name::Name;
-use coord::planner::{Id, Job, Planner, Policy, Team};
+use coord::planner::{Features, Id, Job, Planner, Policy, Team, Workspace};
 use coord::time::Moment;
 use divan::{Bencher, black_box};
 
@@ -41,6 +41,9 @@
 /// Entry that owns the prompts already running.
 const OTHER_ENTRY: u64 = 1;
 
+/// Number of workspaces that send prompts.
+const WORKSPACES: u64 = 35_000;
+
 fn main() {
     divan::main();
 }
@@ -120,6 +123,29 @@
     });
 }
 
+/// Measures grants as `planner` does, with 2,000 waiting prompts of many workspaces and recent use of them all. The
+/// argument tells whether fair shares are on.
+#[divan::bench(args = [false, true])]
+fn fair_shares(bencher: Bencher, fair_shares: bool) {
+    let mut now = Moment::from_millis(10_000);
+    let mut planner = loaded!(Planner::new(Policy::default(), 0), (150, 0), now);
+    planner.set_features(Features { fair_shares, ..Features::default() });
+    let workspace = |number| Some(Workspace::from_name(&format!("workspace-{}", number % WORKSPACES)));
+    for number in 0..2_000 {
+        let prompt = if number % 3 == 0 { 300_000 } else { 22_000 };
+        planner.submit(Id { entry: 0, number }, Job { workspace: workspace(number * 17), ..job(prompt, now) });
+    }
+    planner.grant_ready(now);
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        now = now + Duration::from_micros(100);
+        planner.submit(event_id(number), Job { workspace: workspace(number), ..job(3_000, now) });
+        black_box(planner.grant_ready(now));
+        planner.finish(event_id(number), now);
+    });
+}
+
 /// Time to record the rate limit of one more engine.
 #[divan::bench(args = [150, 12_000])]
 fn set_limit(bencher: Bencher, engines: usize) {
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -16,11 +16,13 @@
 mod fleet;
 mod granted;
 mod job;
+mod order;
 mod overload;
 mod path_failures;
 mod place;
 mod policy;
 mod rate_limited;
+mod share;
 mod slowdown;
 mod snapshot;
 mod unresponsive;
@@ -35,12 +37,15 @@
 use self::fleet::Fleet;
 use self::granted::{GrantedJob, GrantedJobs};
 pub use self::job::{Grant, Helper, Id, Job, Team, Workspace};
+use self::order::FairOrder;
+pub use self::order::HeldBack;
 use self::overload::Overload;
 pub use self::overload::Refusal;
 use self::path_failures::PathFailures;
 use self::place::{CandidateScope, Unplaceable};
 pub use self::policy::Policy;
 use self::policy::SETTLING_PERIOD;
+use self::share::Usage;
 use self::snapshot::FleetSnapshot;
 pub use self::snapshot::{EngineCounts, Exclusion};
 use self::wait_queue::{Candidate, WaitQueue};
@@ -71,6 +76,8 @@
     waiting: WaitQueue,
     granted: GrantedJobs,
     overload: Overload,
+    usage: Usage,
+    fair_order: FairOrder,
     /// Fingerprints of requests that are suspected of crashing engines.
     suspects: BTreeSet<Fingerprint>,
     /// Backoffs that engines requested, by entry.
@@ -141,6 +148,7 @@
         for helper in team.helpers.iter().filter(|helper| helper.held_tokens > 0) {
             self.add_sequence(&helper.engine, id, sequence(helper.held_tokens, None));
         }
+        self.record_use(id, job, prompt.prefill_ms, now);
         self.granted.insert(id, GrantedJob::new(team, expected_ms, now), is_prefilling);
         expected_ms
     }
@@ -198,6 +206,7 @@
     /// Removes a job that has finished or no longer waits.
     pub fn finish(&mut self, id: Id, now: Moment) {
         self.waiting.remove(id);
+        self.usage.end(id, now);
         let Some(job) = self.granted.remove(id) else { return };
         for name in job.team.engines() {
             if let Some(engine) = self.fleet.get_mut(name) {
@@ -286,11 +295,11 @@
         let mut unplaceable = Unplaceable::default();
         let mut has_unplaced = false;
         let mut has_timely_unplaced = false;
-        for candidate in &self.waiting.list_ordered(now) {
+        for candidate in &self.list_candidates(now) {
             // A late prompt must not take engines that a prompt still in time waits for.
             let scope = match candidate.is_late && has_unplaced && self.policy.late_last {
                 true if self.policy.late_shared => CandidateScope::SharedOnly,
-                true => break,
+                true => continue,
                 false => CandidateScope::All,
             };
             let excluded = self.excluded_engines(candidate.id.entry, now);
--- a/coord/src/planner/overload.rs
+++ b/coord/src/planner/overload.rs
@@ -80,6 +80,11 @@
         self.started_at.map_or(Duration::ZERO, |started_at| now.since(started_at))
     }
 
+    /// Returns whether prompts that could be in time found no engines at the last pump.
+    pub fn has_shortage(&self) -> bool {
+        self.started_at.is_some()
+    }
+
     fn is_sustained(&self, now: Moment) -> bool {
         self.started_at.is_some_and(|started_at| now.since(started_at) >= MIN_OVERLOAD_DURATION)
     }
--- a/coord/tests/planner_load/main.rs
+++ b/coord/tests/planner_load/main.rs
@@ -3,6 +3,7 @@
 mod burst;
 #[path = "../common/mod.rs"]
 mod common;
+mod fairness;
 mod mix;
 mod play;
 mod turnover;
--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -11,7 +11,7 @@
 
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy};
+use coord::planner::{Features, Grant, Id, Job, Planner, Policy, Team, Workspace};
 use coord::time::Moment;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -36,6 +36,7 @@
     Unresponsive { number: u64, at: u64 },
     Tick,
     Outage { outage: Duration },
+    Handover,
     Retry(Caller),
 }
 
@@ -46,6 +47,8 @@
     events: u64,
     /// Time at which the caller first sent the prompt, in microseconds.
     first_sent_at: u64,
+    /// Number of times that the caller sends the prompt again at once after a refusal.
+    repeats: u32,
 }
 
 struct Prompt {
@@ -62,6 +65,8 @@
     /// Whether the prompt was ever granted.
     was_granted: bool,
     decoder: usize,
+    team: Option<Team>,
+    repeats: u32,
     events_remaining: u32,
     last_event_at: Option<u64>,
     is_in_time: bool,
@@ -151,6 +156,11 @@
 
 pub struct Simulation {
     policy: Policy,
+    features: Features,
+    /// Workspaces of the prompts, by kind; prompts of other kinds have none.
+    pub workspaces: Vec<&'static str>,
+    /// Kind whose callers repeat each refused prompt at once, and how often.
+    pub repeating: Option<(usize, u32)>,
     /// End of the outage of all entries, if there is one.
     outage_until: Option<u64>,
     planner: Planner,
@@ -178,6 +188,9 @@
         let (event_queue, events) = (BinaryHeap::new(), BTreeMap::new());
         Self {
             policy,
+            features: Features::default(),
+            workspaces: Vec::new(),
+            repeating: None,
             outage_until: None,
             planner,
             profile,
@@ -194,6 +207,17 @@
         }
     }
 
+    /// Sets the features of the planner.
+    pub fn set_features(&mut self, features: Features) {
+        self.features = features;
+        self.planner.set_features(features);
+    }
+
+    /// Schedules the replacement of the planner by one that is told the running and the waiting jobs.
+    pub fn schedule_handover(&mut self, second: f64) {
+        self.schedule((second * 1e6) as u64, Event::Handover);
+    }
+
     /// Schedules an outage of all entries that starts at `second` and lasts for `outage`.
     pub fn schedule_outage(&mut self, second: f64, outage: Duration) {
         self.schedule((second * 1e6) as u64, Event::Outage { outage });
@@ -236,6 +260,7 @@
                 Some(Event::GiveUp { number }) => self.refuse(number),
                 Some(Event::Unresponsive { number, at }) => self.resend(number, at),
                 Some(Event::Outage { outage }) => self.start_outage(outage),
+                Some(Event::Handover) => self.hand_over(),
                 Some(Event::Retry(caller)) => self.submit(kinds, &caller),
                 Some(Event::Tick) => self.schedule(self.now + PUMP_INTERVAL_US, Event::Tick),
                 None => {}
@@ -262,7 +287,8 @@
         let events = spec.events.sample(&mut self.rng).max(1);
         let wait = -self.rng.random_range(1e-9..1.0f64).ln() / (spec.arrivals_per_s)(self.now as f64 / 1e6);
         self.schedule(self.now + (wait * 1e6) as u64, Event::Arrival { kind });
-        let caller = Caller { kind, tokens, events, first_sent_at: self.now };
+        let repeats = self.repeating.filter(|(repeating, _)| *repeating == kind).map_or(0, |(_, repeats)| repeats);
+        let caller = Caller { kind, tokens, events, first_sent_at: self.now, repeats };
         match self.outage_until {
             Some(until) if self.now < until => self.schedule_retry(caller, until),
             _ => self.submit(kinds, &caller),
@@ -276,7 +302,7 @@
     }
 
     fn submit(&mut self, kinds: &[PromptKind], caller: &Caller) {
-        let Caller { kind, tokens, events, first_sent_at } = *caller;
+        let Caller { kind, tokens, events, first_sent_at, repeats } = *caller;
         let spec = &kinds[kind];
         let millis = Duration::from_millis;
         let stride = u64::from(self.profile.stride);
@@ -288,7 +314,7 @@
             deadline: self.moment() + GRANT_TIMEOUT,
             priority: 1,
             fingerprint: None,
-            workspace: None,
+            workspace: self.workspaces.get(kind).map(|name| Workspace::from_name(name)),
         };
         self.next_number += 1;
         let number = self.next_number;
@@ -303,6 +329,8 @@
             is_lost: false,
             was_granted: false,
             decoder: 0,
+            team: None,
+            repeats,
             events_remaining: events as u32,
             last_event_at: None,
             is_in_time: true,
@@ -330,16 +358,37 @@
                 tokens: prompt.tokens,
                 events: prompt.events,
                 first_sent_at: prompt.arrived_at,
+                repeats: prompt.repeats,
             };
             self.schedule_retry(caller, until);
             if let Some(prompt) = self.prompts.get_mut(&number) {
                 (prompt.is_lost, prompt.has_retried) = (true, true);
             }
         }
-        self.planner = planner(self.policy, &self.profile);
+        self.planner = self.new_planner();
         self.planner.begin_settling(Moment::from_micros(until));
     }
 
+    fn new_planner(&self) -> Planner {
+        let mut planner = planner(self.policy, &self.profile);
+        planner.set_features(self.features);
+        planner
+    }
+
+    /// Replaces the planner by one that learns the running jobs from the entries.
+    fn hand_over(&mut self) {
+        let moment = self.moment();
+        self.planner = self.new_planner();
+        for (number, prompt) in &self.prompts {
+            let id = Id { entry: 0, number: *number };
+            if let Some(team) = prompt.team.clone().filter(|_| prompt.events_remaining > 0) {
+                self.planner.add_granted(id, &prompt.job, team, prompt.last_event_at.is_none(), moment);
+            } else if prompt.team.is_none() && prompt.refused_at.is_none() {
+                self.planner.submit(id, prompt.job);
+            }
+        }
+    }
+
     fn pump(&mut self) {
         for Grant { id, team, unresponsive_after } in self.planner.grant_ready(self.moment()) {
             let is_lost = self.loss_rng.random_bool(self.lost_share);
@@ -349,6 +398,7 @@
             prompt.was_granted = true;
             (prompt.granted_at, prompt.is_lost) = (self.now, is_lost);
             prompt.decoder = engine_indexes[0];
+            prompt.team = Some(team);
             let part_ms = self.profile.prefill_share_ms(prompt.tokens, engine_indexes.len());
             if let Some(timeout) = unresponsive_after {
                 let event = Event::Unresponsive { number: id.number, at: self.now };
@@ -369,8 +419,13 @@
         let Some(prompt) = self.prompts.get_mut(&number).filter(|prompt| prompt.parts_remaining == 0) else { return };
         if prompt.last_event_at.is_none() && prompt.refused_at.is_none() && !prompt.was_granted {
             prompt.refused_at = Some(self.now);
+            let Prompt { kind, tokens, events, repeats, .. } = *prompt;
             let moment = self.moment();
             self.planner.finish(Id { entry: 0, number }, moment);
+            if repeats > 0 {
+                let caller = Caller { kind, tokens, events, first_sent_at: self.now, repeats: repeats - 1 };
+                self.schedule(self.now, Event::Retry(caller));
+            }
         }
     }
 
@@ -387,7 +442,7 @@
         self.planner.mark_unresponsive(id, moment);
         self.planner.finish(id, moment);
         self.planner.submit(id, prompt.job);
-        (prompt.parts_remaining, prompt.last_event_at) = (0, None);
+        (prompt.parts_remaining, prompt.last_event_at, prompt.team) = (0, None, None);
         for engine in &mut self.engines {
             engine.parts.retain(|(other, _)| *other != number);
             engine.prefilling.retain(|other| *other != number);
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -16,7 +16,7 @@
 
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Features, Id, Job, Planner, Policy, Team};
+use coord::planner::{Features, HeldBack, Id, Job, Planner, Policy, Team};
 use coord::quarantine::Fingerprint;
 use coord::time::Moment;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -24,7 +24,7 @@
 use self::follower::LeaderChannel;
 use super::now;
 use super::peer_protocol::{FollowerMessage, HEARTBEAT_INTERVAL, LeaderMessage, Placement, PromptSpec};
-use crate::util;
+use crate::{metric, util};
 
 /// Interval at which waiting prompts are checked without a triggering event. Engines become free at times that the
 /// planner's model predicts, which is accurate to a few milliseconds.
@@ -418,13 +418,16 @@
         let mut grants = Vec::new();
         let mut refusals = Vec::new();
         let mut has_waiting = false;
+        let mut held_back = HeldBack::default();
         for planner in self.planners.borrow_mut().values_mut() {
             if planner.has_waiting() {
                 grants.extend(planner.grant_ready(now()));
                 refusals.extend(planner.refuse(now()));
                 has_waiting |= planner.has_waiting();
+                held_back += planner.held_back();
             }
         }
+        metric::set_held_back(held_back);
         self.log_waiting_reasons();
         for grant in grants {
             self.deliver_grant(grant);
@@ -450,7 +453,7 @@
                     .iter()
                     .map(|(engine, reason)| format!("{engine}:{}", reason.as_str()))
                     .collect();
-                crate::event!("prompts-waiting", service = %service, for_ms = held_time.as_millis(), waiting, counts = ?counts, exclusions = exclusions.join(" "));
+                crate::event!("prompts-waiting", service = %service, for_ms = held_time.as_millis(), waiting, held_back = ?planner.held_back(), counts = ?counts, exclusions = exclusions.join(" "));
             }
         }
     }
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coord::name::Name;
+use coord::planner::HeldBack;
 use coord::time::Moment;
 use eyre::{Result, WrapErr};
 use opentelemetry::KeyValue;
@@ -41,6 +42,8 @@
     config_revision: Gauge<u64>,
     waiting_jobs: Gauge<u64>,
     running_jobs: Gauge<u64>,
+    workspaces_over_share: Gauge<u64>,
+    held_back_prompts: Gauge<u64>,
     reserved_memory: Gauge<u64>,
     invariant_breaches: Gauge<u64>,
 }
@@ -86,6 +89,8 @@
         config_revision: meter.u64_gauge("sorrelpass_config_revision").build(),
         waiting_jobs: meter.u64_gauge("sorrelpass_jobs_waiting").build(),
         running_jobs: meter.u64_gauge("sorrelpass_jobs_running").build(),
+        workspaces_over_share: meter.u64_gauge("sorrelpass_workspaces_over_share").build(),
+        held_back_prompts: meter.u64_gauge("sorrelpass_prompts_held_back").build(),
         reserved_memory: meter.u64_gauge("sorrelpass_memory_held_tokens").build(),
         invariant_breaches: meter.u64_gauge("sorrelpass_invariant_breaches").build(),
         _provider: provider,
@@ -214,6 +219,14 @@
     record(|metrics| metrics.config_revision.record(revision, &[]));
 }
 
+/// Sets the numbers of workspaces over their fair share and of prompts that wait behind others because of it.
+pub fn set_held_back(held_back: HeldBack) {
+    record(|metrics| {
+        metrics.workspaces_over_share.record(held_back.workspaces as u64, &[]);
+        metrics.held_back_prompts.record(held_back.prompts as u64, &[]);
+    });
+}
+
 /// Sets the load of an endpoint's scheduler: waiting and running jobs, and reserved memory in tokens.
 pub fn set_scheduler_load(waiting: usize, running: usize, memory: u64) {
     record(|metrics| {
