Spread short prompts over engines that long ones do not need

Short prompts were packed until the predicted first event stood at its target, while a third of the engines were idle. The prediction now includes the trips between entry, planner and engine, packing keeps a margin that covers nine in ten of the recent prediction errors, and a further engine is opened while enough remain for the long prompts of the last seconds.

--- a/coord/src/planner/estimate.rs
+++ b/coord/src/planner/estimate.rs
@@ -41,12 +41,13 @@
         estimate_prompt(job, self.fleet.nominal_profile().map(AsRef::as_ref), engines, &self.policy)
     }
 
-    /// Returns the expected time from a grant at `now` to the first event, in milliseconds.
-    pub(super) fn expected_ms(&self, prefill_ms: f64, team: &Team, now: Moment) -> f64 {
+    /// Returns the expected time from a grant at `now` to an `entry` until the first event, in milliseconds.
+    pub(super) fn expected_ms(&self, entry: u64, prefill_ms: f64, team: &Team, now: Moment) -> f64 {
         let engines = team.engines().filter_map(|name| self.fleet.get(name));
         let max_wait_ms = engines.clone().map(|engine| engine.wait_ms(now)).fold(0.0, f64::max);
         let max_pass_ms = engines.clone().map(Engine::pass_ms).fold(0.0, f64::max);
         let slowdown = engines.map(Engine::slowdown).fold(1.0, f64::max);
-        max_wait_ms + prefill_ms * slowdown / (1 + team.helpers.len()) as f64 + max_pass_ms
+        let way_ms = self.way_of_team(entry, team).as_secs_f64() * 1e3;
+        max_wait_ms + prefill_ms * slowdown / (1 + team.helpers.len()) as f64 + max_pass_ms + way_ms
     }
 }
--- a/coord/src/planner/granted.rs
+++ b/coord/src/planner/granted.rs
@@ -12,16 +12,24 @@
 pub struct GrantedJob {
     pub team: Team,
     pub granted_at: Moment,
+    pub is_short: bool,
+    /// Expected time from the grant to the first event, in milliseconds.
+    pub expected_ms: f64,
+    /// Whether the first event was postponed, so that it says nothing about the prediction.
+    pub is_postponed: bool,
     /// Time after which a missing first event is blamed on an engine.
     overdue_after: Moment,
 }
 
 impl GrantedJob {
     /// Creates a job that is granted at `now` and whose first event is expected `expected_ms` milliseconds later.
-    pub fn new(team: Team, expected_ms: f64, now: Moment) -> Self {
+    pub fn new(team: Team, is_short: bool, expected_ms: f64, now: Moment) -> Self {
         Self {
             team,
             granted_at: now,
+            is_short,
+            expected_ms,
+            is_postponed: false,
             overdue_after: now + duration_from_ms(expected_ms * SLOW_FACTOR + SLOW_MARGIN_MS),
         }
     }
@@ -65,6 +73,7 @@
         for (id, job) in self.jobs.iter_mut().filter(|(id, _)| is_affected(id)) {
             let was_awaiting_first_event = self.awaiting_first_event.remove(&(job.overdue_after, *id));
             job.overdue_after = job.overdue_after + delay;
+            job.is_postponed = true;
             if was_awaiting_first_event {
                 self.awaiting_first_event.insert((job.overdue_after, *id));
             }
--- /dev/null
+++ b/coord/src/planner/long_demand.rs
@@ -0,0 +1,84 @@
+//! Number of engines that long prompts need, which short prompts must leave without answers.
+//!
+//! An engine that decodes short answers is of little use to a long prompt, because only a short part of the prompt can
+//! be prefilled between two events. Short prompts in turn start sooner the more engines they use. The number of engines
+//! that long prompts need decides between them. It follows the prefill time that long prompts brought recently, so that
+//! short prompts spread over the engines soon after long prompts become rare, and gather on few when they return.
+
+use std::time::Duration;
+
+use super::Planner;
+use super::policy::Policy;
+use super::wait_queue::{Candidate, Prompt};
+use crate::time::Moment;
+
+/// Time after which a prompt counts half in the demand. Answers to short prompts take about as long, so that engines
+/// are not given up faster than they can be freed again.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Engines that are left for each engine that long prompts keep busy. At two thirds of the capacity, a prompt that
+/// arrives finds engines for its team more often than not.
+const HEADROOM: f64 = 1.5;
+
+/// Decaying demand of long prompts.
+#[derive(Debug, Default)]
+pub struct LongDemand {
+    /// Long prompts that arrived since the last pump.
+    arrived: Vec<Prompt>,
+    /// Engine time that arrived, in milliseconds, decayed to `updated_at`.
+    prefill_ms: f64,
+    /// Size of the largest team that was needed, decayed to `updated_at`.
+    team: f64,
+    updated_at: Moment,
+}
+
+impl LongDemand {
+    /// Records a long prompt that takes `prefill_ms` of engine time and needs a `team` of engines to be in time.
+    pub fn record(&mut self, prefill_ms: f64, team: usize, now: Moment) {
+        let decay = self.decay(now);
+        self.prefill_ms = self.prefill_ms * decay + prefill_ms;
+        self.team = (self.team * decay).max(team as f64);
+        self.updated_at = now;
+    }
+
+    /// Returns the number of engines that long prompts need, given the sizes of the teams that the waiting ones need.
+    pub fn engines(&self, waiting_teams: usize, now: Moment) -> usize {
+        let decay = self.decay(now);
+        let busy = self.prefill_ms * decay / 1e3 * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
+        let recent = (busy * HEADROOM).max(self.team * decay);
+        (recent.round() as usize).max(waiting_teams)
+    }
+
+    fn decay(&self, now: Moment) -> f64 {
+        (-now.since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+    }
+}
+
+/// Returns the number of engines that must prefill a long prompt together so that it is in time.
+fn timely_team(prompt: &Prompt, policy: &Policy, now: Moment) -> usize {
+    let slack_ms = prompt.job.first_event_target.since(now).as_secs_f64() * 1e3 * policy.in_time_share;
+    let parts = (prompt.prefill_ms / slack_ms.max(1.0)).ceil() as usize;
+    parts.clamp(1, policy.max_parts)
+}
+
+impl Planner {
+    /// Records a prompt that is submitted, if it is long.
+    pub(super) fn record_arrival(&mut self, prompt: &Prompt) {
+        if self.features.spreading && !prompt.is_short {
+            self.long_demand.arrived.push(*prompt);
+        }
+    }
+
+    /// Computes how many engines short prompts must leave to long ones, and the margin of their predictions.
+    pub(super) fn prepare_spreading(&mut self, waiting: &[Candidate], now: Moment) {
+        if !self.features.spreading {
+            return;
+        }
+        self.predictions.expire(now);
+        for prompt in std::mem::take(&mut self.long_demand.arrived) {
+            self.long_demand.record(prompt.prefill_ms, timely_team(&prompt, &self.policy, now), now);
+        }
+        let long = waiting.iter().filter(|candidate| !candidate.prompt.is_short && !candidate.is_late);
+        let waiting_teams = long.map(|candidate| timely_team(&candidate.prompt, &self.policy, now)).sum();
+        self.engines_for_long = self.long_demand.engines(waiting_teams, now);
+    }
+}
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -16,10 +16,13 @@
 mod fleet;
 mod granted;
 mod job;
+mod locations;
+mod long_demand;
 mod overload;
 mod path_failures;
 mod place;
 mod policy;
+mod prediction;
 mod rate_limited;
 mod slowdown;
 mod snapshot;
@@ -35,12 +38,16 @@
 use self::fleet::Fleet;
 use self::granted::{GrantedJob, GrantedJobs};
 pub use self::job::{Grant, Helper, Id, Job, Team, Workspace};
+use self::locations::Locations;
+use self::long_demand::LongDemand;
 use self::overload::Overload;
 pub use self::overload::Refusal;
 use self::path_failures::PathFailures;
 use self::place::{CandidateScope, Unplaceable};
 pub use self::policy::Policy;
 use self::policy::SETTLING_PERIOD;
+pub use self::prediction::Error as PredictionError;
+use self::prediction::Predictions;
 use self::snapshot::FleetSnapshot;
 pub use self::snapshot::{EngineCounts, Exclusion};
 use self::wait_queue::{Candidate, WaitQueue};
@@ -71,6 +78,11 @@
     waiting: WaitQueue,
     granted: GrantedJobs,
     overload: Overload,
+    locations: Locations,
+    predictions: Predictions,
+    long_demand: LongDemand,
+    /// Number of engines that short prompts leave to long ones, at the last pump.
+    engines_for_long: usize,
     /// Fingerprints of requests that are suspected of crashing engines.
     suspects: BTreeSet<Fingerprint>,
     /// Backoffs that engines requested, by entry.
@@ -103,6 +115,8 @@
         if self.policy.settle_before_long {
             self.settled_at = now + SETTLING_PERIOD;
         }
+        // Without the jobs of the other entries, predictions were too early.
+        self.predictions.clear();
     }
 
     /// Returns whether any job waits.
@@ -112,7 +126,9 @@
 
     /// Adds a job to the queue; [`Planner::grant_ready`] grants it.
     pub fn submit(&mut self, id: Id, job: Job) {
-        self.waiting.insert(id, self.estimate_prompt(job));
+        let prompt = self.estimate_prompt(self.allow_for_distance(id.entry, job));
+        self.record_arrival(&prompt);
+        self.waiting.insert(id, prompt);
     }
 
     /// Records a job that another planner granted. `is_prefilling` tells whether its prompt is still being prefilled.
@@ -126,7 +142,7 @@
         let parts = 1 + team.helpers.len();
         let held_tokens: u64 = team.helpers.iter().map(|helper| helper.held_tokens).sum();
         let prompt = self.estimate_prompt(*job);
-        let expected_ms = self.expected_ms(prompt.prefill_ms, &team, now);
+        let expected_ms = self.expected_ms(id.entry, prompt.prefill_ms, &team, now);
         if is_prefilling {
             for name in team.engines() {
                 let Some(engine) = self.fleet.get_mut(name) else { continue };
@@ -141,7 +157,7 @@
         for helper in team.helpers.iter().filter(|helper| helper.held_tokens > 0) {
             self.add_sequence(&helper.engine, id, sequence(helper.held_tokens, None));
         }
-        self.granted.insert(id, GrantedJob::new(team, expected_ms, now), is_prefilling);
+        self.granted.insert(id, GrantedJob::new(team, prompt.is_short, expected_ms, now), is_prefilling);
         expected_ms
     }
 
@@ -154,6 +170,9 @@
     /// Records that a job produced its first event, which means that its prompt is prefilled.
     pub fn record_first_event(&mut self, id: Id, now: Moment) {
         let Some(job) = self.granted.first_event(id) else { return };
+        if self.features.spreading && job.granted_at >= self.settled_at {
+            self.predictions.record_first_event(job, now);
+        }
         let is_overdue = job.is_overdue(now) && self.policy.suspect_slow;
         let has_no_helpers = job.team.helpers.is_empty();
         for name in job.team.engines() {
@@ -226,6 +245,7 @@
             self.finish(id, now);
         }
         self.backoffs.remove(&entry);
+        self.remove_entry_location(entry);
     }
 
     /// Records that an engine failed a job of an entry. The engine is ejected for a period that grows with each
@@ -286,7 +306,9 @@
         let mut unplaceable = Unplaceable::default();
         let mut has_unplaced = false;
         let mut has_timely_unplaced = false;
-        for candidate in &self.waiting.list_ordered(now) {
+        let candidates = self.waiting.list_ordered(now);
+        self.prepare_spreading(&candidates, now);
+        for candidate in &candidates {
             // A late prompt must not take engines that a prompt still in time waits for.
             let scope = match candidate.is_late && has_unplaced && self.policy.late_last {
                 true if self.policy.late_shared => CandidateScope::SharedOnly,
--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -9,9 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coord::distance::Distances;
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy};
+use coord::planner::{Features, Grant, Id, Job, Planner, Policy};
 use coord::time::Moment;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -19,6 +20,10 @@
 use crate::mix::PromptKind;
 
 const ENGINES: usize = 60;
+/// Failure domains of the engines; all prompts come from an entry in the first one.
+const FAILURE_DOMAINS: usize = 3;
+/// Trips until an engine has a request: two to set up the connection, and one for the request.
+const TRIPS_TO_START: u64 = 3;
 /// Interval between two pumps of the planner, in microseconds; the leader of the entries uses the same interval.
 const PUMP_INTERVAL_US: u64 = 10_000;
 /// Longest delay before a caller retries after an outage of all entries, in microseconds.
@@ -30,12 +35,33 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Arrival { kind: usize },
-    PassEnd { engine: usize },
-    GiveUp { number: u64 },
-    Unresponsive { number: u64, at: u64 },
+    Arrival {
+        kind: usize,
+    },
+    PassEnd {
+        engine: usize,
+    },
+    /// A part of a prompt reaches an engine after its connection was set up.
+    Part {
+        engine: usize,
+        number: u64,
+        prefill_ms: f64,
+    },
+    /// The first event of a prompt reaches the entry.
+    FirstEvent {
+        number: u64,
+    },
+    GiveUp {
+        number: u64,
+    },
+    Unresponsive {
+        number: u64,
+        at: u64,
+    },
     Tick,
-    Outage { outage: Duration },
+    Outage {
+        outage: Duration,
+    },
     Retry(Caller),
 }
 
@@ -161,12 +187,18 @@
     events: BTreeMap<u64, Event>,
     /// Slow engines and their slowdown factor.
     pub slow: (std::ops::Range<usize>, f64),
+    /// One-way delay between failure domains, in microseconds.
+    one_way_us: u64,
+    /// Largest share by which a pass takes longer than its profile tells.
+    pub pass_noise: f64,
     /// Share of the answers that are lost: engines prefill and decode, but the caller receives no event.
     pub lost_share: f64,
     next_number: u64,
     rng: StdRng,
     /// Separate random source for lost answers, so that arrivals do not depend on the grants.
     loss_rng: StdRng,
+    /// Separate random source for the durations of passes.
+    pass_rng: StdRng,
     now: u64,
 }
 
@@ -186,10 +218,13 @@
             event_queue,
             events,
             slow: (0..0, 1.0),
+            one_way_us: 0,
+            pass_noise: 0.0,
             lost_share: 0.0,
             next_number: 0,
             rng,
             loss_rng: StdRng::seed_from_u64(!seed),
+            pass_rng: StdRng::seed_from_u64(seed.rotate_left(32)),
             now: 1_000_000,
         }
     }
@@ -199,6 +234,27 @@
         self.schedule((second * 1e6) as u64, Event::Outage { outage });
     }
 
+    /// Switches the spreading of short prompts on.
+    pub fn enable_spreading(&mut self) {
+        self.planner.set_features(Features { spreading: true, ..Features::default() });
+    }
+
+    /// Spreads the engines over failure domains with a one-way delay between each two of them.
+    pub fn set_distance(&mut self, one_way: Duration) {
+        self.one_way_us = one_way.as_micros() as u64;
+        let mut distances = Distances::default();
+        for (a, b) in [(0, 1), (0, 2), (1, 2)] {
+            distances.set(&failure_domain(a), &failure_domain(b), one_way);
+        }
+        self.planner.set_locations(distances, (0..ENGINES).map(|index| (name(index), failure_domain(index))));
+        self.planner.set_entry_location(0, failure_domain(0));
+    }
+
+    /// Returns the one-way delay between the entry and an engine, in microseconds.
+    fn one_way_us(&self, engine: usize) -> u64 {
+        if engine.is_multiple_of(FAILURE_DOMAINS) { 0 } else { self.one_way_us }
+    }
+
     /// Reports the slowdown factors of slow engines to the planner.
     pub fn report_slowdown(&mut self) {
         let (slow, slowdown) = self.slow.clone();
@@ -233,6 +289,10 @@
             match self.events.remove(&number) {
                 Some(Event::Arrival { kind }) => self.arrive(kinds, kind),
                 Some(Event::PassEnd { engine }) => self.end_pass(kinds, engine),
+                Some(Event::Part { engine, number, prefill_ms }) => self.add_part(engine, number, prefill_ms),
+                Some(Event::FirstEvent { number }) => {
+                    self.planner.record_first_event(Id { entry: 0, number }, self.moment());
+                }
                 Some(Event::GiveUp { number }) => self.refuse(number),
                 Some(Event::Unresponsive { number, at }) => self.resend(number, at),
                 Some(Event::Outage { outage }) => self.start_outage(outage),
@@ -355,8 +415,13 @@
                 self.schedule(self.now + timeout.as_micros() as u64, event);
             }
             for engine in engine_indexes {
-                self.engines[engine].parts.push((id.number, part_ms));
-                self.begin_pass(engine);
+                match self.one_way_us(engine) {
+                    0 => self.add_part(engine, id.number, part_ms),
+                    one_way_us => {
+                        let part = Event::Part { engine, number: id.number, prefill_ms: part_ms };
+                        self.schedule(self.now + TRIPS_TO_START * one_way_us, part);
+                    }
+                }
             }
         }
         for refusal in self.planner.refuse(self.moment()) {
@@ -364,6 +429,11 @@
         }
     }
 
+    fn add_part(&mut self, engine: usize, number: u64, prefill_ms: f64) {
+        self.engines[engine].parts.push((number, prefill_ms));
+        self.begin_pass(engine);
+    }
+
     /// Refuses a prompt that has no engines, or lets its caller give up.
     fn refuse(&mut self, number: u64) {
         let Some(prompt) = self.prompts.get_mut(&number).filter(|prompt| prompt.parts_remaining == 0) else { return };
@@ -409,7 +479,8 @@
         engine_state.emitting = engine_state.decoding.clone();
         engine_state.is_busy = true;
         let slowdown = if self.slow.0.contains(&engine) { self.slow.1 } else { 1.0 };
-        let ends_at = self.now + ((pass_ms + read_ms).max(1.0) * slowdown * 1e3) as u64;
+        let noise = 1.0 + self.pass_noise * self.pass_rng.random_range(0.0..1.0);
+        let ends_at = self.now + ((pass_ms + read_ms).max(1.0) * slowdown * noise * 1e3) as u64;
         self.schedule(ends_at, Event::PassEnd { engine });
     }
 
@@ -435,15 +506,21 @@
     /// Produces one event of an answer.
     fn emit_event(&mut self, kinds: &[PromptKind], engine: usize, number: u64) {
         let moment = self.moment();
+        let one_way_us = self.one_way_us(engine);
         let Some(prompt) = self.prompts.get_mut(&number) else { return };
         let kind = &kinds[prompt.kind];
         let id = Id { entry: 0, number };
+        let mut first_event_at = None;
         match prompt.last_event_at {
             // No caller receives the event.
             _ if prompt.is_lost => {}
             None => {
-                prompt.is_in_time &= self.now - prompt.arrived_at <= kind.first_event_target_ms * 1_000;
-                self.planner.record_first_event(id, moment);
+                let arrives_at = self.now + one_way_us;
+                prompt.is_in_time &= arrives_at - prompt.arrived_at <= kind.first_event_target_ms * 1_000;
+                match one_way_us {
+                    0 => self.planner.record_first_event(id, moment),
+                    _ => first_event_at = Some(arrives_at),
+                }
             }
             Some(last_event_at) => prompt.is_in_time &= (self.now - last_event_at) as f64 <= kind.gap_target_ms * 1e3,
         }
@@ -453,6 +530,9 @@
             self.engines[engine].decoding.retain(|decoder| *decoder != number);
             self.planner.finish(id, moment);
         }
+        if let Some(arrives_at) = first_event_at {
+            self.schedule(arrives_at, Event::FirstEvent { number });
+        }
     }
 }
 
@@ -462,6 +542,10 @@
     planner
 }
 
+fn failure_domain(index: usize) -> Name {
+    format!("domain-{}", index % FAILURE_DOMAINS).into()
+}
+
 fn name(index: usize) -> Name {
     format!("engine-{index:02}").into()
 }
--- /dev/null
+++ b/coord/tests/planner_load/spreading.rs
@@ -0,0 +1,74 @@
+//! Simulates short prompts on engines in several failure domains, whose passes take longer than their profile tells.
+
+use std::time::Duration;
+
+use coord::planner::Policy;
+
+use crate::mix::{Distribution, PromptKind};
+use crate::play::{Outcomes, Simulation};
+use crate::turnover::{alternating_mix, large_model_profile};
+
+/// One-way delay between two failure domains.
+const ONE_WAY: Duration = Duration::from_micros(5_400);
+/// Largest share by which a pass takes longer than its profile tells.
+const PASS_NOISE: f64 = 0.25;
+
+/// Returns a calm load: short prompts and a few long ones, which leave half of the engines idle.
+fn calm_mix() -> [PromptKind; 3] {
+    [
+        PromptKind {
+            arrivals_per_s: |_| 80.0,
+            prompts: Distribution::LogNormal(4_960.0, 0.9, 23_800.0),
+            first_event_target_ms: 300,
+            gap_target_ms: 250.0,
+            events: Distribution::LogNormal(35.7, 0.7, 89.0),
+        },
+        PromptKind {
+            arrivals_per_s: |_| 5.0,
+            prompts: Distribution::LogNormal(45_000.0, 0.5, 110_000.0),
+            first_event_target_ms: 1_500,
+            gap_target_ms: 600.0,
+            events: Distribution::LogNormal(21.4, 0.6, 53.0),
+        },
+        PromptKind {
+            arrivals_per_s: |_| 1.5,
+            prompts: Distribution::LogNormal(260_000.0, 0.55, 900_000.0),
+            first_event_target_ms: 4_000,
+            gap_target_ms: 1_000.0,
+            events: Distribution::LogNormal(17.8, 0.5, 44.0),
+        },
+    ]
+}
+
+/// Returns the results by kind of prompt, summed over several seeds.
+fn simulate(kinds: &[PromptKind], is_spreading: bool) -> Vec<Outcomes> {
+    let mut totals = vec![Outcomes::default(); kinds.len()];
+    for seed in 1..=3 {
+        let mut simulation = Simulation::new(Policy::default(), large_model_profile(), seed);
+        simulation.pass_noise = PASS_NOISE;
+        simulation.set_distance(ONE_WAY);
+        if is_spreading {
+            simulation.enable_spreading();
+        }
+        let (by_kind, _) = simulation.run(kinds, Duration::from_secs(35), u64::MAX);
+        totals.iter_mut().zip(by_kind).for_each(|(total, outcomes)| total.add(outcomes));
+    }
+    totals
+}
+
+#[test]
+fn in_the_calm_hardly_any_short_prompt_is_late() {
+    let short = simulate(&calm_mix(), true)[0];
+    let late_share = 1.0 - short.in_time_share();
+    assert!(late_share <= 0.05, "{late_share:.3} of the short prompts late");
+}
+
+#[test]
+fn while_the_mix_alternates_spreading_helps_short_prompts_at_no_cost_to_the_longest() {
+    let kinds = alternating_mix();
+    let (with, without) = (simulate(&kinds, true), simulate(&kinds, false));
+    let [short, _, longest] = [0, 1, 2].map(|kind| with[kind].earned_share());
+    let [short_without, _, longest_without] = [0, 1, 2].map(|kind| without[kind].earned_share());
+    assert!(short > short_without, "{short:.3} and {short_without:.3} of the short prompts' value");
+    assert!(longest + 0.02 >= longest_without, "{longest:.3} and {longest_without:.3} of the longest prompts' value");
+}
--- a/coord/tests/planner_load/turnover.rs
+++ b/coord/tests/planner_load/turnover.rs
@@ -10,7 +10,7 @@
 use crate::play::{Outcomes, Simulation};
 
 /// Returns the profile of engines with a large model, where attention dominates the prefill time of long prompts.
-fn large_model_profile() -> Arc<Profile> {
+pub fn large_model_profile() -> Arc<Profile> {
     Arc::new(Profile {
         slots: 12,
         memory: 344_250,
@@ -34,7 +34,7 @@
 
 /// Returns a mix that alternates between two phases: 2.4 times the rate of short prompts with hardly any of the
 /// longest, and few short prompts with 2.7 times the rate of the longest.
-fn alternating_mix() -> [PromptKind; 3] {
+pub fn alternating_mix() -> [PromptKind; 3] {
     [
         PromptKind {
             arrivals_per_s: |second| if is_short_phase(second) { 171.0 } else { 21.0 },
--- a/sorrelpass/src/gateway/admission/follower.rs
+++ b/sorrelpass/src/gateway/admission/follower.rs
@@ -38,6 +38,7 @@
     /// Starts to follow a leader, and reports all running and waiting prompts of this entry to it.
     pub fn attach_leader(&self, address: SocketAddr, reports: mpsc::Sender<FollowerMessage>) {
         *self.leader.borrow_mut() = Some(LeaderChannel { address, reports });
+        self.report_to_leader(FollowerMessage::Location(self.failure_domain.clone()));
         let now = now();
         for (number, running) in &*self.running.borrow() {
             self.report_to_leader(FollowerMessage::Adopt {
--- a/sorrelpass/src/gateway/admission/leader.rs
+++ b/sorrelpass/src/gateway/admission/leader.rs
@@ -36,6 +36,7 @@
     /// Removes a follower and its prompts.
     pub fn remove_follower(&self, entry: u64) {
         self.followers.borrow_mut().remove(&entry);
+        self.follower_locations.borrow_mut().remove(&entry);
         for planner in self.planners.borrow_mut().values_mut() {
             planner.remove_entry(entry, now());
         }
@@ -76,6 +77,11 @@
             FollowerMessage::EngineBackoff { service, engine, backoff } => {
                 self.with_planner(&service, |planner| planner.set_backoff(entry, &engine, backoff, now));
             }
+            FollowerMessage::Location(failure_domain) => {
+                let mut planners = self.planners.borrow_mut();
+                planners.values_mut().for_each(|planner| planner.set_entry_location(entry, failure_domain.clone()));
+                self.follower_locations.borrow_mut().insert(entry, failure_domain);
+            }
             // Reports about the store, quarantine and plain replicas do not affect planning.
             FollowerMessage::SyncRequest(_)
             | FollowerMessage::SyncResponse { .. }
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coord::distance::Distances;
 use coord::engine::Profile;
 use coord::name::Name;
 use coord::planner::{Features, Id, Job, Planner, Policy, Team};
@@ -83,6 +84,8 @@
 pub struct Queue {
     /// Policy of the planners.
     policy: Policy,
+    /// Failure domain of this entry.
+    failure_domain: Name,
     /// Planners by service.
     planners: RefCell<HashMap<Name, Planner>>,
     /// Fingerprints of requests that are suspected of crashing engines.
@@ -95,6 +98,8 @@
     leader: RefCell<Option<LeaderChannel>>,
     /// Followers of this entry, by their local number.
     followers: RefCell<HashMap<u64, mpsc::Sender<LeaderMessage>>>,
+    /// Failure domains of the followers, by their local number.
+    follower_locations: RefCell<HashMap<u64, Name>>,
     next_number: Cell<u64>,
     next_follower: Cell<u64>,
     /// Time of the last log line that explains why prompts wait.
@@ -155,15 +160,17 @@
 
 impl Queue {
     /// Creates an admission queue without engines.
-    pub fn new(policy: Policy) -> Rc<Self> {
+    pub fn new(policy: Policy, failure_domain: Name) -> Rc<Self> {
         Rc::new(Self {
             policy,
+            failure_domain,
             planners: RefCell::default(),
             suspects: RefCell::default(),
             waiting: RefCell::default(),
             running: RefCell::default(),
             leader: RefCell::default(),
             followers: RefCell::default(),
+            follower_locations: RefCell::default(),
             next_number: Cell::new(0),
             next_follower: Cell::new(OWN_ENTRY + 1),
             last_explained: Cell::default(),
@@ -191,9 +198,18 @@
     fn new_planner(&self) -> Planner {
         let mut planner = Planner::new(self.policy, util::incarnation().0);
         planner.set_suspects(self.suspects.borrow().iter().copied());
+        planner.set_entry_location(OWN_ENTRY, self.failure_domain.clone());
+        for (entry, failure_domain) in &*self.follower_locations.borrow() {
+            planner.set_entry_location(*entry, failure_domain.clone());
+        }
         planner
     }
 
+    /// Sets the delays between failure domains, and the failure domain of each engine of a service.
+    pub fn set_locations(&self, service: &Name, distances: &Distances, engines: impl Iterator<Item = (Name, Name)>) {
+        self.with_planner(service, |planner| planner.set_locations(distances.clone(), engines));
+    }
+
     /// Records that an engine restarted under the same name.
     pub fn reset_engine(&self, service: &Name, engine: &Name) {
         self.with_planner(service, |planner| planner.reset_engine(engine));
--- a/sorrelpass/src/gateway/peer_protocol.rs
+++ b/sorrelpass/src/gateway/peer_protocol.rs
@@ -241,6 +241,8 @@
         /// Remaining backoff time.
         backoff: Duration,
     },
+    /// Tells the failure domain of the sender, before its prompts.
+    Location(Name),
 }
 
 /// Message from a leader to a follower, or from an entry that redirects the other one to its leader.
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -117,7 +117,7 @@
     /// Creates the state of an entry that has no configuration and no replicas yet.
     pub fn new(settings: config::Gateway) -> Self {
         let replica_picker = ReplicaPicker::new(settings.process.failure_domain.clone(), &settings.policy);
-        let admission = Queue::new(settings.policy.planner);
+        let admission = Queue::new(settings.policy.planner, settings.process.failure_domain.clone());
         let bounds = Cell::new(settings.bounds);
         let is_searching_reader = settings.peer_listen.is_some();
         let store_view = StoreView::new(settings.link_mbps);
@@ -213,6 +213,8 @@
             let Some(profile) = &service.engine else { continue };
             let engines = roster.usable(&service.name).map(|record| record.id.clone());
             self.admission.set_engines(&service.name, profile, engines, features);
+            let located = roster.usable(&service.name).map(|record| (record.id.clone(), record.failure_domain.clone()));
+            self.admission.set_locations(&service.name, &service.distances, located);
         }
         limits::apply(self);
     }
