Report prediction errors, and leave out invalid delays between failure domains

A delay that is negative, no number or longer than a second made first events look arbitrarily far, and a string made the whole configuration invalid. Such delays and missing pairs are logged and none is assumed.

--- a/coord/src/planner/long_demand.rs
+++ b/coord/src/planner/long_demand.rs
@@ -61,6 +61,11 @@
 }
 
 impl Planner {
+    /// Returns the number of engines that short prompts left to long ones at the last pump.
+    pub fn engines_for_long(&self) -> usize {
+        self.engines_for_long
+    }
+
     /// Records a prompt that is submitted, if it is long.
     pub(super) fn record_arrival(&mut self, prompt: &Prompt) {
         if self.features.spreading && !prompt.is_short {
--- a/coord/src/planner/prediction.rs
+++ b/coord/src/planner/prediction.rs
@@ -58,7 +58,7 @@
 
 impl Predictions {
     /// Records a first event that was predicted `predicted_ms` and came `actual_ms` after the grant.
-    fn record(&mut self, predicted_ms: f64, actual_ms: f64, now: Moment) {
+    pub fn record(&mut self, predicted_ms: f64, actual_ms: f64, now: Moment) {
         if self.recent.len() == MAX_ERRORS {
             self.recent.pop_front();
         }
@@ -69,7 +69,7 @@
 
     /// Records the first event of a short prompt. An overdue one tells of a slow engine, and a postponed one of a
     /// process that was suspended.
-    pub fn record_first_event(&mut self, job: &GrantedJob, now: Moment) {
+    pub(super) fn record_first_event(&mut self, job: &GrantedJob, now: Moment) {
         if job.is_short && !job.is_postponed && !job.is_overdue(now) {
             self.record(job.expected_ms, now.since(job.granted_at).as_secs_f64() * 1e3, now);
         }
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -7,6 +7,7 @@
 
 mod follower;
 mod leader;
+mod prediction;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -104,6 +105,8 @@
     next_follower: Cell<u64>,
     /// Time of the last log line that explains why prompts wait.
     last_explained: Cell<Moment>,
+    /// Time of the last report of the prediction error.
+    last_prediction_report: Cell<Moment>,
     /// Time of the last check for a suspension, or `None` while no first events are expected.
     last_check: Cell<Option<Moment>>,
     /// Notified when a prefill starts, after which its first event is expected.
@@ -174,6 +177,7 @@
             next_number: Cell::new(0),
             next_follower: Cell::new(OWN_ENTRY + 1),
             last_explained: Cell::default(),
+            last_prediction_report: Cell::default(),
             last_check: Cell::default(),
             prefill_started: Notify::new(),
             plan_requested: Notify::new(),
@@ -442,6 +446,7 @@
             }
         }
         self.log_waiting_reasons();
+        self.report_prediction_error();
         for grant in grants {
             self.deliver_grant(grant);
         }
--- a/sorrelpass/src/gateway/ingest.rs
+++ b/sorrelpass/src/gateway/ingest.rs
@@ -42,6 +42,7 @@
             gateway.refresh_engines();
             event!("configuration", version, routes, services, keys, offset = %offset, taken);
             if taken {
+                log_delay_faults(gateway);
                 gateway.store_view.cache_configuration(document);
             }
             if version < gateway.table().version() { ApplyOutcome::Outdated } else { ApplyOutcome::InForce }
@@ -53,6 +54,15 @@
     }
 }
 
+/// Logs the faults in the configured delays between failure domains.
+fn log_delay_faults(gateway: &Gateway) {
+    for service in gateway.table().services() {
+        for fault in service.distances.faults() {
+            warn_event!("configuration", service = %service.name, error = %fault);
+        }
+    }
+}
+
 /// Applies the operators' evacuation records in `batch`. `is_snapshot` says that the batch holds the newest record of
 /// every key, so that a failure domain without a record is not evacuated.
 pub fn apply_evacuation_records(gateway: &Gateway, batch: &RecordBatch, is_snapshot: bool) {
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coord::name::Name;
+use coord::planner::prediction;
 use coord::time::Moment;
 use eyre::{Result, WrapErr};
 use opentelemetry::KeyValue;
@@ -42,6 +43,9 @@
     waiting_jobs: Gauge<u64>,
     running_jobs: Gauge<u64>,
     reserved_memory: Gauge<u64>,
+    predicted_first_event: Gauge<f64>,
+    actual_first_event: Gauge<f64>,
+    prediction_margin: Gauge<f64>,
     invariant_breaches: Gauge<u64>,
 }
 
@@ -87,6 +91,9 @@
         waiting_jobs: meter.u64_gauge("sorrelpass_jobs_waiting").build(),
         running_jobs: meter.u64_gauge("sorrelpass_jobs_running").build(),
         reserved_memory: meter.u64_gauge("sorrelpass_memory_held_tokens").build(),
+        predicted_first_event: meter.f64_gauge("sorrelpass_predicted_first_event_seconds").build(),
+        actual_first_event: meter.f64_gauge("sorrelpass_actual_first_event_seconds").build(),
+        prediction_margin: meter.f64_gauge("sorrelpass_prediction_margin_seconds").build(),
         invariant_breaches: meter.u64_gauge("sorrelpass_invariant_breaches").build(),
         _provider: provider,
     };
@@ -223,6 +230,17 @@
     });
 }
 
+/// Sets the mean predicted and actual times from the grant of a short prompt to its first event, and the margin that
+/// packing keeps for the difference.
+pub fn set_prediction(service: &str, error: &prediction::Error) {
+    let labels = [KeyValue::new("service", service.to_owned())];
+    record(|metrics| {
+        metrics.predicted_first_event.record(error.predicted_ms / 1e3, &labels);
+        metrics.actual_first_event.record(error.actual_ms / 1e3, &labels);
+        metrics.prediction_margin.record(error.margin_ms / 1e3, &labels);
+    });
+}
+
 /// Returns all metrics in the Prometheus text format.
 pub fn render() -> Vec<u8> {
     let mut output = Vec::new();
