--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -16,12 +16,15 @@
 mod fleet;
 mod granted;
 mod job;
+mod locations;
+pub mod long_demand;
 mod order;
 mod overload;
 mod owner;
 mod path_failures;
 mod place;
 mod policy;
+pub mod prediction;
 mod rate_limited;
 mod share;
 mod slowdown;
@@ -38,6 +41,8 @@
 use self::fleet::Fleet;
 use self::granted::{GrantedJob, GrantedJobs};
 pub use self::job::{Grant, Helper, Id, Job, Team, Workspace};
+use self::locations::Locations;
+use self::long_demand::LongDemand;
 use self::order::FairOrder;
 pub use self::order::HeldBack;
 use self::overload::Overload;
@@ -46,6 +51,7 @@
 use self::place::{CandidateScope, Unplaceable};
 pub use self::policy::Policy;
 use self::policy::SETTLING_PERIOD;
+use self::prediction::Predictions;
 use self::share::Usage;
 use self::snapshot::FleetSnapshot;
 pub use self::snapshot::{EngineCounts, Exclusion};
@@ -79,6 +85,11 @@
     overload: Overload,
     usage: Usage,
     fair_order: FairOrder,
+    locations: Locations,
+    predictions: Predictions,
+    long_demand: LongDemand,
+    /// Number of engines that short prompts leave to long ones, at the last pump.
+    engines_for_long: usize,
     /// Fingerprints of requests that are suspected of crashing engines.
     suspects: BTreeSet<Fingerprint>,
     /// Backoffs that engines requested, by entry.
@@ -111,6 +122,8 @@
         if self.policy.settle_before_long {
             self.settled_at = now + SETTLING_PERIOD;
         }
+        // Without the jobs of the other entries, predictions were too early.
+        self.predictions.clear();
     }
 
     /// Returns whether any job waits.
@@ -120,7 +133,9 @@
 
     /// Adds a job to the queue; [`Planner::grant_ready`] grants it.
     pub fn submit(&mut self, id: Id, job: Job) {
-        self.waiting.insert(id, self.estimate_prompt(job));
+        let prompt = self.estimate_prompt(self.allow_for_distance(id.entry, job));
+        self.record_arrival(&prompt);
+        self.waiting.insert(id, prompt);
     }
 
     /// Records a job that another planner granted. `is_prefilling` tells whether its prompt is still being prefilled.
@@ -134,7 +149,7 @@
         let parts = 1 + team.helpers.len();
         let held_tokens: u64 = team.helpers.iter().map(|helper| helper.held_tokens).sum();
         let prompt = self.estimate_prompt(*job);
-        let expected_ms = self.expected_ms(prompt.prefill_ms, &team, now);
+        let expected_ms = self.expected_ms(id.entry, prompt.prefill_ms, &team, now);
         if is_prefilling {
             for name in team.engines() {
                 let Some(engine) = self.fleet.get_mut(name) else { continue };
@@ -150,7 +165,7 @@
             self.add_sequence(&helper.engine, id, sequence(helper.held_tokens, None));
         }
         self.record_use(id, job, prompt.prefill_ms, now);
-        self.granted.insert(id, GrantedJob::new(team, expected_ms, now), is_prefilling);
+        self.granted.insert(id, GrantedJob::new(team, prompt.is_short, expected_ms, now), is_prefilling);
         expected_ms
     }
 
@@ -163,6 +178,9 @@
     /// Records that a job produced its first event, which means that its prompt is prefilled.
     pub fn record_first_event(&mut self, id: Id, now: Moment) {
         let Some(job) = self.granted.first_event(id) else { return };
+        if self.features.spreading && job.granted_at >= self.settled_at {
+            self.predictions.record_first_event(job, now);
+        }
         let is_overdue = job.is_overdue(now) && self.policy.suspect_slow;
         let has_no_helpers = job.team.helpers.is_empty();
         for name in job.team.engines() {
@@ -236,6 +254,7 @@
             self.finish(id, now);
         }
         self.backoffs.remove(&entry);
+        self.remove_entry_location(entry);
     }
 
     /// Records that an engine failed a job of an entry. The engine is ejected for a period that grows with each
@@ -297,6 +316,7 @@
         let mut has_unplaced = false;
         let mut has_timely_unplaced = false;
         let candidates = self.waiting.list_ordered(now);
+        self.prepare_spreading(&candidates, now);
         for candidate in self.order_candidates(&candidates, now) {
             // A late prompt must not take engines that a prompt still in time waits for.
             let scope = match candidate.is_late && has_unplaced && self.policy.late_last {
--- a/coord/tests/planner_load/main.rs
+++ b/coord/tests/planner_load/main.rs
@@ -6,4 +6,5 @@
 mod fairness;
 mod mix;
 mod play;
+mod spreading;
 mod turnover;
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -7,6 +7,7 @@
 
 mod follower;
 mod leader;
+mod prediction;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coord::distance::Distances;
 use coord::engine::Profile;
 use coord::name::Name;
 use coord::planner::{Features, HeldBack, Id, Job, Planner, Policy, Team};
@@ -83,6 +85,8 @@
 pub struct Queue {
     /// Policy of the planners.
     policy: Policy,
+    /// Failure domain of this entry.
+    failure_domain: Name,
     /// Planners by service.
     planners: RefCell<HashMap<Name, Planner>>,
     /// Fingerprints of requests that are suspected of crashing engines.
@@ -95,10 +99,14 @@
     leader: RefCell<Option<LeaderChannel>>,
     /// Followers of this entry, by their local number.
     followers: RefCell<HashMap<u64, mpsc::Sender<LeaderMessage>>>,
+    /// Failure domains of the followers, by their local number.
+    follower_locations: RefCell<HashMap<u64, Name>>,
     next_number: Cell<u64>,
     next_follower: Cell<u64>,
     /// Time of the last log line that explains why prompts wait.
     last_explained: Cell<Moment>,
+    /// Time of the last report of the prediction error.
+    last_prediction_report: Cell<Moment>,
     /// Time of the last check for a suspension, or `None` while no first events are expected.
     last_check: Cell<Option<Moment>>,
     /// Notified when a prefill starts, after which its first event is expected.
@@ -155,18 +163,21 @@
 
 impl Queue {
     /// Creates an admission queue without engines.
-    pub fn new(policy: Policy) -> Rc<Self> {
+    pub fn new(policy: Policy, failure_domain: Name) -> Rc<Self> {
         Rc::new(Self {
             policy,
+            failure_domain,
             planners: RefCell::default(),
             suspects: RefCell::default(),
             waiting: RefCell::default(),
             running: RefCell::default(),
             leader: RefCell::default(),
             followers: RefCell::default(),
+            follower_locations: RefCell::default(),
             next_number: Cell::new(0),
             next_follower: Cell::new(OWN_ENTRY + 1),
             last_explained: Cell::default(),
+            last_prediction_report: Cell::default(),
             last_check: Cell::default(),
             prefill_started: Notify::new(),
             plan_requested: Notify::new(),
@@ -191,9 +202,18 @@
     fn new_planner(&self) -> Planner {
         let mut planner = Planner::new(self.policy, util::incarnation().0);
         planner.set_suspects(self.suspects.borrow().iter().copied());
+        planner.set_entry_location(OWN_ENTRY, self.failure_domain.clone());
+        for (entry, failure_domain) in &*self.follower_locations.borrow() {
+            planner.set_entry_location(*entry, failure_domain.clone());
+        }
         planner
     }
 
+    /// Sets the delays between failure domains, and the failure domain of each engine of a service.
+    pub fn set_locations(&self, service: &Name, distances: &Distances, engines: impl Iterator<Item = (Name, Name)>) {
+        self.with_planner(service, |planner| planner.set_locations(distances.clone(), engines));
+    }
+
     /// Records that an engine restarted under the same name.
     pub fn reset_engine(&self, service: &Name, engine: &Name) {
         self.with_planner(service, |planner| planner.reset_engine(engine));
@@ -429,6 +449,7 @@
         }
         metric::set_held_back(held_back);
         self.log_waiting_reasons();
+        self.report_prediction_error();
         for grant in grants {
             self.deliver_grant(grant);
         }
