--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -133,6 +133,11 @@
         self.aggregates.context_tokens
     }
 
+    /// Returns the sequences with the memory that each holds, in tokens.
+    pub fn held_memory(&self) -> impl Iterator<Item = (Id, u64)> {
+        self.sequences.iter().map(|(job, sequence)| (*job, sequence.tokens))
+    }
+
     pub fn sequence_count(&self) -> usize {
         self.sequences.len()
     }
--- /dev/null
+++ b/coord/src/planner/forecast/accuracy.rs
@@ -0,0 +1,119 @@
+//! Learns how far forecasts are from what happens.
+//!
+//! A forecast knows the queue but not the prompts that are still to come. Those that rank ahead of a waiting prompt
+//! delay it, so that its predicted start moves away while it waits. The drift of the predicted starts tells a queue
+//! that is short but does not move from one that is long but moves. The error of the starts themselves gives the
+//! margin by which a prediction must miss a limit before a prompt is refused.
+
+use std::time::Duration;
+
+use crate::time::Moment;
+
+/// Half-life of the learned values: long enough to cover dozens of starts, short enough to follow a burst.
+const HALF_LIFE: Duration = Duration::from_secs(1);
+/// Largest drift, in seconds per second. At 1, a prompt would never start; but a queue that stands still for a while
+/// often moves again when the answers end that fill the engines.
+const MAX_DRIFT: f64 = 0.5;
+/// Weight of a new error in the mean error and the mean deviation.
+const ERROR_WEIGHT: f64 = 0.1;
+/// Mean deviations that the margin covers, as in the retransmission timer of TCP.
+const COVERED_DEVIATIONS: f64 = 2.0;
+/// Mean deviation before any start was observed, in milliseconds.
+const INITIAL_DEVIATION_MS: f64 = 100.0;
+/// Largest margin, in milliseconds. A larger one would let hopeless prompts wait.
+const MAX_MARGIN_MS: f64 = 1_000.0;
+
+/// Group of prompts whose starts drift alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Class {
+    pub is_short: bool,
+    /// Whether the prompt starts too late for its target, so that prompts in time rank ahead of it.
+    pub is_late: bool,
+}
+
+impl Class {
+    fn index(self) -> usize {
+        usize::from(self.is_short) + 2 * usize::from(self.is_late)
+    }
+}
+
+/// Decaying sums from which a drift is computed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Drift {
+    /// Time by which predicted starts moved away, in milliseconds.
+    moved_ms: f64,
+    /// Time over which they were observed, in milliseconds.
+    observed_ms: f64,
+    updated_at: Moment,
+}
+
+impl Drift {
+    fn record(&mut self, moved_ms: f64, observed_ms: f64, now: Moment) {
+        let decay = (-now.since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
+        self.moved_ms = self.moved_ms * decay + moved_ms;
+        self.observed_ms = self.observed_ms * decay + observed_ms;
+        self.updated_at = now;
+    }
+
+    /// Returns the drift in seconds per second; zero for starts that do not move away.
+    fn rate(&self) -> f64 {
+        if self.observed_ms <= 0.0 { 0.0 } else { (self.moved_ms / self.observed_ms).clamp(0.0, MAX_DRIFT) }
+    }
+}
+
+/// Learned error of predicted starts.
+#[derive(Clone, Copy, Debug)]
+struct StartError {
+    /// Mean of actual minus predicted starts, in milliseconds.
+    mean_ms: f64,
+    /// Mean deviation from the mean, in milliseconds.
+    deviation_ms: f64,
+}
+
+impl Default for StartError {
+    fn default() -> Self {
+        Self { mean_ms: 0.0, deviation_ms: INITIAL_DEVIATION_MS }
+    }
+}
+
+/// Learned errors of the forecasts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Accuracy {
+    drifts: [Drift; 4],
+    short: StartError,
+    long: StartError,
+}
+
+impl Accuracy {
+    /// Records that the predicted start of a waiting prompt moved by `moved_ms` within `observed_ms`.
+    pub fn record_drift(&mut self, class: Class, moved_ms: f64, observed_ms: f64, now: Moment) {
+        self.drifts[class.index()].record(moved_ms, observed_ms, now);
+    }
+
+    /// Records by how much a prompt started after its predicted start, in milliseconds; negative if before.
+    pub fn record_error(&mut self, is_short: bool, error_ms: f64) {
+        let error = if is_short { &mut self.short } else { &mut self.long };
+        error.deviation_ms += ((error_ms - error.mean_ms).abs() - error.deviation_ms) * ERROR_WEIGHT;
+        error.mean_ms += (error_ms - error.mean_ms) * ERROR_WEIGHT;
+    }
+
+    /// Returns when a prompt that is predicted to start after `start_ms` is expected to do so, in milliseconds. A
+    /// prompt that could start now has no error.
+    pub fn correct(&self, is_short: bool, start_ms: f64) -> f64 {
+        if start_ms <= 0.0 { start_ms } else { (start_ms + self.error(is_short).mean_ms).max(0.0) }
+    }
+
+    /// Returns the expected start of a prompt that prompts still to come delay, in milliseconds.
+    pub fn correct_drift(&self, class: Class, start_ms: f64) -> f64 {
+        start_ms / (1.0 - self.drifts[class.index()].rate())
+    }
+
+    /// Returns the margin of a predicted start, in milliseconds.
+    pub fn margin_ms(&self, is_short: bool) -> f64 {
+        (self.error(is_short).deviation_ms * COVERED_DEVIATIONS).min(MAX_MARGIN_MS)
+    }
+
+    fn error(&self, is_short: bool) -> &StartError {
+        if is_short { &self.short } else { &self.long }
+    }
+}
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -10,17 +10,21 @@
 //! The same planner serves a process that decides for all entries and one that decides only for itself. No safety
 //! property depends on the model being complete.
 
+mod admission;
 mod engine;
 mod estimate;
 mod features;
 mod fleet;
+mod forecast;
 mod granted;
 mod job;
 mod overload;
 mod path_failures;
 mod place;
 mod policy;
+mod promise;
 mod rate_limited;
+mod refusal;
 mod slowdown;
 mod snapshot;
 mod unresponsive;
@@ -33,14 +37,17 @@
 use self::engine::{Engine, Sequence};
 pub use self::features::Features;
 use self::fleet::Fleet;
+use self::forecast::Forecaster;
 use self::granted::{GrantedJob, GrantedJobs};
 pub use self::job::{Grant, Helper, Id, Job, Team, Workspace};
 use self::overload::Overload;
-pub use self::overload::Refusal;
 use self::path_failures::PathFailures;
 use self::place::{CandidateScope, Unplaceable};
 pub use self::policy::Policy;
 use self::policy::SETTLING_PERIOD;
+use self::promise::Promises;
+pub use self::promise::{Promise, PromiseCounts, PromiseId};
+pub use self::refusal::{Forecast, Reason, Refusal, Rejection};
 use self::snapshot::FleetSnapshot;
 pub use self::snapshot::{EngineCounts, Exclusion};
 use self::wait_queue::{Candidate, WaitQueue};
@@ -71,6 +78,8 @@
     waiting: WaitQueue,
     granted: GrantedJobs,
     overload: Overload,
+    forecaster: Forecaster,
+    promises: Promises,
     /// Fingerprints of requests that are suspected of crashing engines.
     suspects: BTreeSet<Fingerprint>,
     /// Backoffs that engines requested, by entry.
@@ -113,16 +122,27 @@
     /// Adds a job to the queue; [`Planner::grant_ready`] grants it.
     pub fn submit(&mut self, id: Id, job: Job) {
         self.waiting.insert(id, self.estimate_prompt(job));
+        if self.features.forecasts {
+            self.forecaster.record_submission(id);
+        }
     }
 
     /// Records a job that another planner granted. `is_prefilling` tells whether its prompt is still being prefilled.
     pub fn add_granted(&mut self, id: Id, job: &Job, team: Team, is_prefilling: bool, now: Moment) {
+        if self.features.forecasts {
+            // The caller may have returned to another entry, which does not report its promise.
+            self.promises.redeem(job, now);
+        }
         self.record_grant(id, job, team, is_prefilling, now);
+        if !is_prefilling {
+            self.record_answer_start(id, now);
+        }
     }
 
     /// Records a granted job; returns the expected time to its first event, in milliseconds.
     fn record_grant(&mut self, id: Id, job: &Job, team: Team, is_prefilling: bool, now: Moment) -> f64 {
         self.waiting.remove(id);
+        self.record_forecast_grant(id, job, now);
         let parts = 1 + team.helpers.len();
         let held_tokens: u64 = team.helpers.iter().map(|helper| helper.held_tokens).sum();
         let prompt = self.estimate_prompt(*job);
@@ -153,6 +173,7 @@
 
     /// Records that a job produced its first event, which means that its prompt is prefilled.
     pub fn record_first_event(&mut self, id: Id, now: Moment) {
+        self.record_answer_start(id, now);
         let Some(job) = self.granted.first_event(id) else { return };
         let is_overdue = job.is_overdue(now) && self.policy.suspect_slow;
         let has_no_helpers = job.team.helpers.is_empty();
@@ -198,6 +219,7 @@
     /// Removes a job that has finished or no longer waits.
     pub fn finish(&mut self, id: Id, now: Moment) {
         self.waiting.remove(id);
+        self.forget_forecast(id, now);
         let Some(job) = self.granted.remove(id) else { return };
         for name in job.team.engines() {
             if let Some(engine) = self.fleet.get_mut(name) {
@@ -277,6 +299,9 @@
     /// Grants the prompts that can start now.
     pub fn grant_ready(&mut self, now: Moment) -> Vec<Grant> {
         self.suspect_overdue(now);
+        if self.features.forecasts {
+            self.admit_arrivals(now);
+        }
         let mut grants = Vec::new();
         if self.waiting.is_empty() || self.fleet.engines().is_empty() {
             self.overload.record(false, now);
--- a/coord/src/planner/overload.rs
+++ b/coord/src/planner/overload.rs
@@ -4,11 +4,12 @@
 //! to late prompts measure that capacity. A late prompt whose predecessors in the queue need longer than its caller
 //! will wait is refused, so that the caller can go elsewhere or return after the burst. This handles bursts that last
 //! longer than callers wait: without it, prompts were held for 6.7 s, refused, retried at once and refused again.
+//! With [`Features::forecasts`](super::Features::forecasts), forecasts decide instead ([`super::admission`]).
 
 use std::time::Duration;
 
 use super::Planner;
-use super::job::Id;
+use super::refusal::{Reason, Refusal, Rejection};
 use super::wait_queue::{Candidate, Prompt};
 use crate::time::Moment;
 
@@ -22,15 +23,6 @@
 /// later retry is more likely to find the burst over.
 pub(super) const RETRY_AFTER_SHARE: f64 = 0.33;
 
-/// Prompt that is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Identity of the refused job.
-    pub id: Id,
-    /// Time after which the caller is told to retry.
-    pub retry_after: Duration,
-}
-
 /// Decaying rate of prefill that was granted to late prompts.
 #[derive(Clone, Copy, Debug, Default)]
 struct GrantRate {
@@ -92,7 +84,9 @@
             return Vec::new();
         }
         let mut refusals = self.refuse_rate_limited(now);
-        if self.overload.is_sustained(now) {
+        if self.features.forecasts {
+            refusals.extend(self.refuse_by_forecast(now));
+        } else if self.overload.is_sustained(now) {
             refusals.extend(self.refuse_late(now));
         }
         refusals
@@ -110,7 +104,7 @@
             let wait_s = (*ahead_ms + candidate.prompt.prefill_ms) / rate.ms_per_s(now).max(f64::MIN_POSITIVE);
             if wait_s > self.max_wait_s(&candidate, now) {
                 let retry_after = candidate.prompt.job.deadline.since(now).mul_f64(RETRY_AFTER_SHARE);
-                refusals.push(Refusal { id: candidate.id, retry_after });
+                refusals.push(Refusal { id: candidate.id, rejection: Rejection::new(Reason::Overload, retry_after) });
             } else {
                 *ahead_ms += candidate.prompt.prefill_ms;
             }
--- a/coord/src/planner/rate_limited.rs
+++ b/coord/src/planner/rate_limited.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use super::Planner;
-use super::overload::{RETRY_AFTER_SHARE, Refusal};
+use super::overload::RETRY_AFTER_SHARE;
+use super::refusal::{Reason, Refusal, Rejection};
 use super::wait_queue::Candidate;
 use crate::limit::TokenBucket;
 use crate::time::Moment;
@@ -63,11 +64,15 @@
             } else {
                 let max_retry_after = candidate.prompt.job.deadline.since(now).mul_f64(RETRY_AFTER_SHARE);
                 // Each refused prompt gets a later time, so that the retries do not coincide.
-                refusals.push(Refusal { id: candidate.id, retry_after: next_wait.min(max_retry_after) });
+                let rejection = Rejection::new(Reason::RateLimited, next_wait.min(max_retry_after));
+                refusals.push(Refusal { id: candidate.id, rejection });
                 next_wait = send_slots.consume(1);
             }
         }
-        refusals.iter().for_each(|refusal| self.waiting.remove(refusal.id));
+        for refusal in &refusals {
+            self.waiting.remove(refusal.id);
+            self.forecaster.remove_waiting(refusal.id);
+        }
         refusals
     }
 
--- a/coord/src/planner/wait_queue.rs
+++ b/coord/src/planner/wait_queue.rs
@@ -1,6 +1,7 @@
 //! Queue of waiting prompts in the order in which they are placed.
 //!
-//! Prompts that can still be in time go first, then the more urgent priority, then the cheaper prompt. The estimates
+//! Prompts that can still be in time go first, then the more urgent priority, then those of callers that returned as
+//! promised, then the cheaper prompt. The estimates
 //! that this order depends on are computed once per prompt, so that a scan of the queue sorts nothing.
 
 use std::cmp::Ordering;
@@ -34,6 +35,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Rank {
     priority: u32,
+    /// Whether the caller did not return as promised.
+    is_newcomer: bool,
     /// Prefill time in milliseconds, or the first-event target in microseconds.
     sort_key: f64,
     id: Id,
@@ -44,7 +47,8 @@
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
         let by_priority = self.priority.cmp(&other.priority);
-        by_priority.then_with(|| self.sort_key.total_cmp(&other.sort_key)).then_with(|| self.id.cmp(&other.id))
+        let by_arrival = by_priority.then_with(|| self.is_newcomer.cmp(&other.is_newcomer));
+        by_arrival.then_with(|| self.sort_key.total_cmp(&other.sort_key)).then_with(|| self.id.cmp(&other.id))
     }
 }
 
@@ -63,6 +67,8 @@
     late: BTreeMap<Rank, Prompt>,
     /// Times at which the prompts in `timely` become late.
     late_times: BTreeSet<(Moment, Id)>,
+    /// Prompts of callers that returned as promised.
+    returned: BTreeSet<Id>,
     /// Whether the cheapest prompt goes first within a priority; otherwise the one with the earliest first-event
     /// target.
     cheapest_first: bool,
@@ -80,6 +86,10 @@
     /// Adds a prompt; an earlier one with the same identity is replaced.
     pub fn insert(&mut self, id: Id, prompt: Prompt) {
         self.remove(id);
+        self.add(id, prompt);
+    }
+
+    fn add(&mut self, id: Id, prompt: Prompt) {
         self.prompts.insert(id, prompt);
         self.timely.insert(self.rank(id, &prompt), prompt);
         self.late_times.insert((prompt.late_after, id));
@@ -94,6 +104,19 @@
         } else {
             self.late.remove(&rank);
         }
+        self.returned.remove(&id);
+    }
+
+    /// Ranks a prompt before others of its priority. Does nothing if the prompt is not in the queue.
+    pub fn promote(&mut self, id: Id) {
+        let Some(prompt) = self.get(id).copied() else { return };
+        self.remove(id);
+        self.returned.insert(id);
+        self.add(id, prompt);
+    }
+
+    pub fn get(&self, id: Id) -> Option<&Prompt> {
+        self.prompts.get(&id)
     }
 
     /// Returns the identities of all waiting prompts.
@@ -108,7 +131,7 @@
         self.late.clear();
         self.late_times.clear();
         for (id, queued) in previous {
-            self.insert(id, estimate(queued.job));
+            self.add(id, estimate(queued.job));
         }
     }
 
@@ -141,7 +164,7 @@
     fn rank(&self, id: Id, prompt: &Prompt) -> Rank {
         let sort_key =
             if self.cheapest_first { prompt.prefill_ms } else { prompt.job.first_event_target.as_micros() as f64 };
-        Rank { priority: prompt.job.priority, sort_key, id }
+        Rank { priority: prompt.job.priority, is_newcomer: !self.returned.contains(&id), sort_key, id }
     }
 }
 
--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -11,7 +11,8 @@
 
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy};
+use coord::planner::{Features, Grant, Id, Job, Planner, Policy, Rejection};
+use coord::quarantine::Fingerprint;
 use coord::time::Moment;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -27,6 +28,22 @@
 const LATE_VALUE_SHARE: f64 = 0.25;
 /// Time for which a caller waits for a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(6_700);
+/// Time after which a caller that returns gives up, counted from its first attempt.
+const RETURNING_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Share of the time of a returning caller that it waits for a grant.
+const GRANT_TIMEOUT_SHARE: f64 = 0.45;
+/// Time from a refusal to a return at once, in microseconds.
+const RETURN_DELAY_US: u64 = 15_000;
+
+/// What callers do after their first refusal. They do nothing after the second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Returns {
+    Never,
+    /// They return when they are told to.
+    AsTold,
+    /// They return without delay.
+    AtOnce,
+}
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -46,15 +63,22 @@
     events: u64,
     /// Time at which the caller first sent the prompt, in microseconds.
     first_sent_at: u64,
+    /// Identity of the work, the same in each attempt.
+    work: u64,
+    /// Time of the earlier refusal, if the caller returns after one.
+    refused_at: Option<u64>,
 }
 
 struct Prompt {
     kind: usize,
+    caller: Caller,
+    /// Time at which this attempt was sent.
+    sent_at: u64,
+    /// Whether the prompt was refused by the planner, and not given up by its caller.
+    was_rejected: bool,
     tokens: u64,
     job: Job,
     arrived_at: u64,
-    /// Number of events of the whole answer.
-    events: u64,
     parts_remaining: usize,
     /// Time of the last grant, in microseconds, and whether the answer to it is lost.
     granted_at: u64,
@@ -65,6 +89,8 @@
     events_remaining: u32,
     last_event_at: Option<u64>,
     is_in_time: bool,
+    first_event_at: Option<u64>,
+    has_timely_gaps: bool,
     /// Time at which the prompt was refused or its caller gave up without a grant.
     refused_at: Option<u64>,
     /// Whether the caller sent the prompt again after an outage.
@@ -72,6 +98,14 @@
 }
 
 impl Prompt {
+    /// Returns whether the answer is in time for the return of a caller that was refused early.
+    fn is_in_time_after_return(&self, kind: &PromptKind) -> bool {
+        let target_us = kind.first_event_target_ms * 1_000;
+        let was_early = self.caller.refused_at.is_some_and(|at| at - self.arrived_at <= target_us / 4);
+        let first_event_us = self.first_event_at.map(|at| at - self.sent_at);
+        was_early && !self.is_lost && self.has_timely_gaps && first_event_us.is_some_and(|us| us <= target_us)
+    }
+
     /// Classifies how the prompt was served.
     fn outcome(&self, kind: &PromptKind) -> Outcomes {
         let is_answered = self.last_event_at.is_some() && !self.is_lost;
@@ -90,6 +124,9 @@
             in_time: u32::from(is_in_time),
             late: u32::from(is_answered && !is_in_time),
             refused: u32::from(self.refused_at.is_some()),
+            refused_again: u32::from(self.refused_at.is_some() && self.caller.refused_at.is_some()),
+            in_time_after_return: u32::from(!is_in_time && self.is_in_time_after_return(kind)),
+            held_to_end: u32::from(self.refused_at.is_some() && !self.was_rejected),
             value,
             earned,
             total_hold_ms: self.refused_at.map_or(0, |at| (at - self.arrived_at) / 1_000),
@@ -116,6 +153,12 @@
     /// Prompts whose first event or a later gap missed its target.
     pub late: u32,
     pub refused: u32,
+    /// Prompts that were refused a second time.
+    pub refused_again: u32,
+    /// Prompts that were refused within a quarter of their target and served in time when their callers returned.
+    pub in_time_after_return: u32,
+    /// Prompts whose callers waited for a grant until they gave up.
+    pub held_to_end: u32,
     /// Total value of the prompts, by their sizes, and the value earned: all of it in time, a quarter late.
     pub value: f64,
     pub earned: f64,
@@ -135,6 +178,9 @@
         self.value += other.value;
         self.earned += other.earned;
         self.refused += other.refused;
+        self.refused_again += other.refused_again;
+        self.in_time_after_return += other.in_time_after_return;
+        self.held_to_end += other.held_to_end;
         self.total_hold_ms += other.total_hold_ms;
     }
 
@@ -163,6 +209,7 @@
     pub slow: (std::ops::Range<usize>, f64),
     /// Share of the answers that are lost: engines prefill and decode, but the caller receives no event.
     pub lost_share: f64,
+    pub returns: Returns,
     next_number: u64,
     rng: StdRng,
     /// Separate random source for lost answers, so that arrivals do not depend on the grants.
@@ -187,6 +234,7 @@
             events,
             slow: (0..0, 1.0),
             lost_share: 0.0,
+            returns: Returns::Never,
             next_number: 0,
             rng,
             loss_rng: StdRng::seed_from_u64(!seed),
@@ -199,6 +247,11 @@
         self.schedule((second * 1e6) as u64, Event::Outage { outage });
     }
 
+    /// Switches on features of the planner.
+    pub fn set_features(&mut self, features: Features) {
+        self.planner.set_features(features);
+    }
+
     /// Reports the slowdown factors of slow engines to the planner.
     pub fn report_slowdown(&mut self) {
         let (slow, slowdown) = self.slow.clone();
@@ -262,7 +315,7 @@
         let events = spec.events.sample(&mut self.rng).max(1);
         let wait = -self.rng.random_range(1e-9..1.0f64).ln() / (spec.arrivals_per_s)(self.now as f64 / 1e6);
         self.schedule(self.now + (wait * 1e6) as u64, Event::Arrival { kind });
-        let caller = Caller { kind, tokens, events, first_sent_at: self.now };
+        let caller = Caller { kind, tokens, events, first_sent_at: self.now, work: self.next_number, refused_at: None };
         match self.outage_until {
             Some(until) if self.now < until => self.schedule_retry(caller, until),
             _ => self.submit(kinds, &caller),
@@ -276,7 +329,8 @@
     }
 
     fn submit(&mut self, kinds: &[PromptKind], caller: &Caller) {
-        let Caller { kind, tokens, events, first_sent_at } = *caller;
+        let Caller { kind, tokens, events, first_sent_at, work, .. } = *caller;
+        let (deadline, grant_timeout) = self.timeouts(caller);
         let spec = &kinds[kind];
         let millis = Duration::from_millis;
         let stride = u64::from(self.profile.stride);
@@ -285,19 +339,21 @@
             max_output_tokens: events * stride,
             first_event_target: self.moment() + millis(spec.first_event_target_ms),
             gap_target_ms: spec.gap_target_ms,
-            deadline: self.moment() + GRANT_TIMEOUT,
+            deadline,
             priority: 1,
-            fingerprint: None,
+            fingerprint: (self.returns != Returns::Never).then(|| Fingerprint::of([work.to_le_bytes().as_slice()])),
             workspace: None,
         };
         self.next_number += 1;
         let number = self.next_number;
         let prompt = Prompt {
             kind,
+            caller: *caller,
+            sent_at: self.now,
+            was_rejected: false,
             tokens,
             job,
             arrived_at: first_sent_at,
-            events,
             parts_remaining: 0,
             granted_at: 0,
             is_lost: false,
@@ -306,14 +362,25 @@
             events_remaining: events as u32,
             last_event_at: None,
             is_in_time: true,
+            first_event_at: None,
+            has_timely_gaps: true,
             refused_at: None,
             has_retried: false,
         };
         self.prompts.insert(number, prompt);
-        self.schedule(self.now + GRANT_TIMEOUT.as_micros() as u64, Event::GiveUp { number });
+        self.schedule(self.now + grant_timeout.as_micros() as u64, Event::GiveUp { number });
         self.planner.submit(Id { entry: 0, number }, job);
     }
 
+    /// Returns the deadline of a caller, and the time for which it waits for a grant.
+    fn timeouts(&self, caller: &Caller) -> (Moment, Duration) {
+        if self.returns == Returns::Never {
+            return (self.moment() + GRANT_TIMEOUT, GRANT_TIMEOUT);
+        }
+        let deadline = Moment::from_micros(caller.first_sent_at) + RETURNING_CALLER_TIMEOUT;
+        (deadline, deadline.since(self.moment()).mul_f64(GRANT_TIMEOUT_SHARE))
+    }
+
     /// Simulates an outage of all entries: the engines keep decoding for callers that are gone, and the next planner
     /// knows nothing of these sequences.
     fn start_outage(&mut self, outage: Duration) {
@@ -325,12 +392,7 @@
             if prompt.events_remaining == 0 || prompt.is_lost || prompt.refused_at.is_some() {
                 continue;
             }
-            let caller = Caller {
-                kind: prompt.kind,
-                tokens: prompt.tokens,
-                events: prompt.events,
-                first_sent_at: prompt.arrived_at,
-            };
+            let caller = prompt.caller;
             self.schedule_retry(caller, until);
             if let Some(prompt) = self.prompts.get_mut(&number) {
                 (prompt.is_lost, prompt.has_retried) = (true, true);
@@ -361,6 +423,23 @@
         }
         for refusal in self.planner.refuse(self.moment()) {
             self.refuse(refusal.id.number);
+            self.reject(refusal.id.number, &refusal.rejection);
+        }
+    }
+
+    /// Lets the caller of a refused prompt return.
+    fn reject(&mut self, number: u64, rejection: &Rejection) {
+        let Some(prompt) = self.prompts.get_mut(&number) else { return };
+        prompt.was_rejected = true;
+        let delay_us = match self.returns {
+            Returns::AsTold => rejection.retry_after.as_micros() as u64 + RETURN_DELAY_US,
+            Returns::AtOnce => RETURN_DELAY_US,
+            Returns::Never => return,
+        };
+        if prompt.caller.refused_at.is_none() {
+            prompt.has_retried = true;
+            let caller = Caller { refused_at: Some(self.now), ..prompt.caller };
+            self.schedule(self.now + delay_us, Event::Retry(caller));
         }
     }
 
@@ -442,10 +521,14 @@
             // No caller receives the event.
             _ if prompt.is_lost => {}
             None => {
+                prompt.first_event_at = Some(self.now);
                 prompt.is_in_time &= self.now - prompt.arrived_at <= kind.first_event_target_ms * 1_000;
                 self.planner.record_first_event(id, moment);
             }
-            Some(last_event_at) => prompt.is_in_time &= (self.now - last_event_at) as f64 <= kind.gap_target_ms * 1e3,
+            Some(last_event_at) => {
+                prompt.has_timely_gaps &= (self.now - last_event_at) as f64 <= kind.gap_target_ms * 1e3;
+                prompt.is_in_time &= prompt.has_timely_gaps;
+            }
         }
         prompt.last_event_at = Some(self.now);
         prompt.events_remaining -= 1;
--- a/sorrelpass/src/gateway/admission/follower.rs
+++ b/sorrelpass/src/gateway/admission/follower.rs
@@ -4,12 +4,14 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
+use coord::name::Name;
+use coord::planner::{Promise, Rejection};
+use coord::time::Moment;
 use tokio::sync::mpsc;
 
 use super::super::now;
-use super::super::peer_protocol::{FollowerMessage, Placement, PromptSpec};
+use super::super::peer_protocol::{FollowerMessage, Placement, PromiseSpec, PromptSpec};
 use super::{PlacementError, Queue, own_id};
 
 /// Connection to the leader.
@@ -28,14 +30,17 @@
         crate::event!("grant-discarded", number);
     }
 
-    /// Refuses a waiting prompt of this entry.
-    pub fn refuse_prompt(&self, number: u64, retry_after: Duration) {
+    /// Refuses a waiting prompt of this entry. A promise in the rejection is kept, so that this entry can honour it
+    /// itself or tell the next leader of it.
+    pub fn refuse_prompt(&self, number: u64, rejection: Rejection) {
         let Some(waiter) = self.waiting.borrow_mut().remove(&number) else { return };
+        self.with_planner(&waiter.service, |planner| planner.record_rejection(&waiter.job, &rejection, now()));
         // The caller may have disconnected.
-        let _ = waiter.sender.send(Err(PlacementError::Refused(retry_after)));
+        let _ = waiter.sender.send(Err(PlacementError::Refused(rejection)));
     }
 
-    /// Starts to follow a leader, and reports all running and waiting prompts of this entry to it.
+    /// Starts to follow a leader, and reports all running and waiting prompts of this entry to it, and the promises
+    /// that its callers were given.
     pub fn attach_leader(&self, address: SocketAddr, reports: mpsc::Sender<FollowerMessage>) {
         *self.leader.borrow_mut() = Some(LeaderChannel { address, reports });
         let now = now();
@@ -50,11 +55,29 @@
         }
         for (number, waiter) in &*self.waiting.borrow() {
             self.with_planner(&waiter.service, |planner| planner.finish(own_id(*number), now));
+        }
+        // A returned caller that still waits must find its promise at the leader.
+        for (service, promise) in self.promises(now) {
+            self.report_to_leader(FollowerMessage::Promise {
+                service,
+                promise: PromiseSpec::from_promise(&promise, now),
+            });
+        }
+        for (number, waiter) in &*self.waiting.borrow() {
             let spec = PromptSpec::from_job(&waiter.job, now);
             self.report_to_leader(FollowerMessage::Submit { number: *number, service: waiter.service.clone(), spec });
         }
     }
 
+    /// Returns the promises that the planners of this entry know, with their services.
+    fn promises(&self, now: Moment) -> Vec<(Name, Promise)> {
+        let mut planners = self.planners.borrow_mut();
+        let by_service = planners.iter_mut().map(|(service, planner)| (service, planner.promises(now)));
+        by_service
+            .flat_map(|(service, promises)| promises.into_iter().map(|promise| (service.clone(), promise)))
+            .collect()
+    }
+
     /// Stops following a leader, so that this entry plans its waiting prompts itself.
     pub fn detach_leader(&self) {
         *self.leader.borrow_mut() = None;
--- a/sorrelpass/src/gateway/admission/leader.rs
+++ b/sorrelpass/src/gateway/admission/leader.rs
@@ -10,6 +10,7 @@
 use super::super::peer_protocol::{FollowerMessage, LeaderMessage, Placement, SyncRequest};
 use super::super::quarantine::Source;
 use super::{OWN_ENTRY, Queue};
+use crate::metric;
 
 /// Number of followers that read the store for a leader whose reads it does not answer. The store may refuse one of
 /// them as well.
@@ -55,6 +56,9 @@
                     planner.add_granted(id(number), &spec.restore_job(now), team, is_prefilling, now)
                 });
             }
+            FollowerMessage::Promise { service, promise } => {
+                self.with_planner(&service, |planner| planner.add_promise(promise.restore(now), now));
+            }
             FollowerMessage::FirstEvent { number, service } => {
                 self.with_planner(&service, |planner| planner.record_first_event(id(number), now));
             }
@@ -153,15 +157,16 @@
 
     /// Sends a refusal to the entry that owns the prompt.
     pub(super) fn deliver_refusal(&self, refusal: Refusal) {
-        let Refusal { id, retry_after } = refusal;
+        let Refusal { id, rejection } = refusal;
+        metric::record_rejection(rejection.reason.as_str(), rejection.is_return);
         if id.entry == OWN_ENTRY {
-            self.refuse_prompt(id.number, retry_after);
+            self.refuse_prompt(id.number, rejection);
             return;
         }
         let followers = self.followers.borrow();
         let Some(sender) = followers.get(&id.entry) else { return };
         // A follower that reads too slowly loses its connection, and looks for another leader.
-        let _ = sender.try_send(LeaderMessage::Refuse { number: id.number, retry_after });
+        let _ = sender.try_send(LeaderMessage::Refuse { number: id.number, rejection });
     }
 
     /// Sends a grant to the entry that owns the prompt.
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -16,7 +16,7 @@
 
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Features, Id, Job, Planner, Policy, Team};
+use coord::planner::{Features, Id, Job, Planner, Policy, Reason, Rejection, Team};
 use coord::quarantine::Fingerprint;
 use coord::time::Moment;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -24,7 +24,7 @@
 use self::follower::LeaderChannel;
 use super::now;
 use super::peer_protocol::{FollowerMessage, HEARTBEAT_INTERVAL, LeaderMessage, Placement, PromptSpec};
-use crate::util;
+use crate::{metric, util};
 
 /// Interval at which waiting prompts are checked without a triggering event. Engines become free at times that the
 /// planner's model predicts, which is accurate to a few milliseconds.
@@ -56,15 +56,24 @@
     Withdrawn,
     /// The prompt waited for the maximum time, or no replica accepts requests.
     Exhausted,
-    /// The prompt could not be placed before its deadline. Contains the retry delay for the caller.
-    Refused(Duration),
+    /// The prompt could not be placed before its deadline. Contains what the caller is told.
+    Refused(Rejection),
 }
 
 impl PlacementError {
+    /// Returns the name of the reason in log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            PlacementError::Withdrawn => "withdrawn",
+            PlacementError::Exhausted => "exhausted",
+            PlacementError::Refused(rejection) => rejection.reason.as_str(),
+        }
+    }
+
     /// Returns the retry delay for the caller, if it is known.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            PlacementError::Refused(delay) => Some(delay),
+            PlacementError::Refused(rejection) => Some(rejection.retry_after),
             PlacementError::Withdrawn | PlacementError::Exhausted => None,
         }
     }
@@ -240,14 +249,14 @@
     }
 
     /// Refuses all prompts of this entry that wait for engines of a service.
-    pub fn refuse_all(&self, service: &Name, retry_after: Duration) {
+    pub fn refuse_all(&self, service: &Name, reason: Reason, retry_after: Duration) {
         let is_of_service = |waiter: &WaitingPrompt| waiter.service == *service;
         let waiting = self.waiting.borrow();
         let numbers: Vec<u64> =
             waiting.iter().filter(|(_, waiter)| is_of_service(waiter)).map(|(number, _)| *number).collect();
         drop(waiting);
         for number in numbers {
-            self.refuse_prompt(number, retry_after);
+            self.refuse_prompt(number, Rejection::new(reason, retry_after));
             self.end_prompt(service, number);
         }
     }
@@ -422,6 +431,8 @@
             if planner.has_waiting() {
                 grants.extend(planner.grant_ready(now()));
                 refusals.extend(planner.refuse(now()));
+                metric::record_promises(planner.take_promise_counts());
+                metric::set_forecast_margins(planner.forecast_margin(true), planner.forecast_margin(false));
                 has_waiting |= planner.has_waiting();
             }
         }
@@ -450,7 +461,7 @@
                     .iter()
                     .map(|(engine, reason)| format!("{engine}:{}", reason.as_str()))
                     .collect();
-                crate::event!("prompts-waiting", service = %service, for_ms = held_time.as_millis(), waiting, counts = ?counts, exclusions = exclusions.join(" "));
+                crate::event!("prompts-waiting", service = %service, for_ms = held_time.as_millis(), waiting, short_margin_ms = planner.forecast_margin(true).as_millis(), long_margin_ms = planner.forecast_margin(false).as_millis(), counts = ?counts, exclusions = exclusions.join(" "));
             }
         }
     }
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coord::name::Name;
-use coord::planner::{self, Team};
+use coord::planner::{self, Reason, Rejection, Team};
 use coord::roster::Record;
 use coord::route::combine_priorities;
 use coord::time::Moment;
@@ -33,9 +33,10 @@
 /// Minimum delay before the replicas are checked again.
 const MIN_RECHECK_DELAY: Duration = Duration::from_millis(1);
 
-/// Returns the retry delay of a caller that is refused because of a backoff, with random jitter.
-fn with_jitter(backoff: Duration) -> Duration {
-    backoff.mul_f64(1.0 + rand::random_range(0.0..MAX_BACKOFF_JITTER))
+/// Returns the error of a request that is refused because of a backoff. The retry delay has random jitter.
+fn backoff_error(backoff: Duration) -> PlacementError {
+    let retry_after = backoff.mul_f64(1.0 + rand::random_range(0.0..MAX_BACKOFF_JITTER));
+    PlacementError::Refused(Rejection::new(Reason::Backoff, retry_after))
 }
 
 /// Destination of an attempt.
@@ -205,7 +206,8 @@
                 metric::record_limit_refusal();
                 // The jitter prevents all refused callers from retrying at the same time, when only one permit is
                 // available.
-                Err(PlacementError::Refused(delay.mul_f64(rand::random_range(1.0..2.0))))
+                let retry_after = delay.mul_f64(rand::random_range(1.0..2.0));
+                Err(PlacementError::Refused(Rejection::new(Reason::RateLimited, retry_after)))
             }
         }
     }
@@ -227,7 +229,7 @@
                 result = self.gateway.admission.request_engines(&self.service, job) => result,
                 () = tokio::time::sleep(time_left) => return Err(PlacementError::Exhausted),
                 () = self.gateway.quarantine.wait_until_condemned(self.fingerprint) => return Err(PlacementError::Exhausted),
-                backoff = self.all_in_backoff_beyond(until) => return Err(PlacementError::Refused(with_jitter(backoff))),
+                backoff = self.all_in_backoff_beyond(until) => return Err(backoff_error(backoff)),
                 // The caller of a new request can still retry at another entry. A broken stream continues to wait,
                 // since only this entry can resume it.
                 () = self.gateway.wait_for_phase(Phase::Closing), if self.attempts == 0 => return Err(PlacementError::Exhausted),
@@ -240,8 +242,9 @@
                     continue;
                 }
                 Err(error) => {
+                    self.log_rejection(error);
                     let (limited, usable) = self.count_limited_and_usable();
-                    event!("placement-failed", request = %self.request_head.id, reason = ?error, waited_ms = now().since(self.started).as_millis(), limited, usable);
+                    event!("placement-failed", request = %self.request_head.id, reason = error.as_str(), waited_ms = now().since(self.started).as_millis(), limited, usable);
                     return Err(error);
                 }
             };
@@ -259,13 +262,30 @@
         }
     }
 
+    /// Logs what was predicted for a refused prompt.
+    fn log_rejection(&self, error: PlacementError) {
+        let PlacementError::Refused(rejection) = error else { return };
+        let Some(forecast) = rejection.forecast else { return };
+        event!(
+            "prompt-refused",
+            request = %self.request_head.id,
+            reason = rejection.reason.as_str(),
+            start_in_ms = forecast.start_in.as_millis(),
+            first_event_in_ms = forecast.first_event_in.as_millis(),
+            ahead = forecast.ahead,
+            retry_after_ms = rejection.retry_after.as_millis(),
+            promised = rejection.promise.is_some(),
+            returned = rejection.is_return
+        );
+    }
+
     /// Returns the error of a request that no replica of the service accepts now.
     fn no_replica_error(&self) -> PlacementError {
         if self.gateway.roster.borrow().is_evacuated(&self.service) {
-            return PlacementError::Refused(EVACUATED_RETRY_AFTER);
+            return PlacementError::Refused(Rejection::new(Reason::Evacuated, EVACUATED_RETRY_AFTER));
         }
         match backoff::next_available(&self.gateway, &self.service) {
-            Some(backoff) if !backoff.is_zero() => PlacementError::Refused(with_jitter(backoff)),
+            Some(backoff) if !backoff.is_zero() => backoff_error(backoff),
             _ => PlacementError::Exhausted,
         }
     }
--- a/sorrelpass/src/gateway/follower.rs
+++ b/sorrelpass/src/gateway/follower.rs
@@ -340,7 +340,7 @@
                 last_received = Instant::now();
                 match message? {
                     LeaderMessage::Grant { number, placement } => gateway.admission.handle_grant(number, placement),
-                    LeaderMessage::Refuse { number, retry_after } => gateway.admission.refuse_prompt(number, retry_after),
+                    LeaderMessage::Refuse { number, rejection } => gateway.admission.refuse_prompt(number, rejection),
                     LeaderMessage::SyncResponse { number, mut response } => {
                         let Some(requested_at) = poll.record_response(number) else { continue };
                         let successors = response.successors.take();
--- a/sorrelpass/src/gateway/ingest.rs
+++ b/sorrelpass/src/gateway/ingest.rs
@@ -5,6 +5,7 @@
 use coord::delta::Version;
 use coord::evacuation::{Event, Snapshot};
 use coord::offset::Formatted;
+use coord::planner::Reason;
 use coord::roster::{Availability, Change, DrainingRun, Replica, Update};
 use platform::{configuration, evacuation};
 
@@ -91,7 +92,7 @@
     gateway.refresh_engines();
     for service in gateway.table().services() {
         if gateway.roster.borrow().is_evacuated(&service.name) {
-            gateway.admission.refuse_all(&service.name, EVACUATED_RETRY_AFTER);
+            gateway.admission.refuse_all(&service.name, Reason::Evacuated, EVACUATED_RETRY_AFTER);
         }
     }
 }
--- a/sorrelpass/src/gateway/peer_protocol.rs
+++ b/sorrelpass/src/gateway/peer_protocol.rs
@@ -8,7 +8,7 @@
 use coord::evacuation;
 use coord::limit;
 use coord::name::Name;
-use coord::planner::{self, Team};
+use coord::planner::{self, PromiseId, Rejection, Team};
 use coord::quarantine::Fingerprint;
 use coord::roster::DrainingRun;
 use coord::time::Moment;
@@ -84,6 +84,40 @@
     }
 }
 
+/// Promise to a refused caller as it is sent to the leader, with remaining times like [`PromptSpec`].
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PromiseSpec {
+    id: PromiseId,
+    prompt: PromptSpec,
+    first_event_within: Duration,
+    due_in: Duration,
+    expires_in: Duration,
+}
+
+impl PromiseSpec {
+    /// Converts `promise` for a message that is sent at `now`.
+    pub fn from_promise(promise: &planner::Promise, now: Moment) -> Self {
+        Self {
+            id: promise.id,
+            prompt: PromptSpec::from_job(&promise.job, now),
+            first_event_within: promise.first_event_within,
+            due_in: promise.due.since(now),
+            expires_in: promise.expires_at.since(now),
+        }
+    }
+
+    /// Converts the message, received at `now`, back to a promise.
+    pub fn restore(&self, now: Moment) -> planner::Promise {
+        planner::Promise {
+            id: self.id,
+            job: self.prompt.restore_job(now),
+            first_event_within: self.first_event_within,
+            due: now + self.due_in,
+            expires_at: now + self.expires_in,
+        }
+    }
+}
+
 /// Engines that are assigned to a prompt that may start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
@@ -168,6 +202,13 @@
         /// Whether the prompt is still in prefill: its first event has not arrived.
         is_prefilling: bool,
     },
+    /// Reports a promise that a caller was given before this connection was established.
+    Promise {
+        /// Service of the refused prompt.
+        service: Name,
+        /// Promise to its caller.
+        promise: PromiseSpec,
+    },
     /// Reports the first event of a prompt: its prefill is complete.
     FirstEvent {
         /// Number by which the follower identifies the prompt.
@@ -264,8 +305,8 @@
     Refuse {
         /// Number by which the follower identifies the prompt.
         number: u64,
-        /// Time after which the caller should retry.
-        retry_after: Duration,
+        /// What the caller is told.
+        rejection: Rejection,
     },
     /// Answers [`FollowerMessage::SyncRequest`].
     SyncResponse {
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coord::name::Name;
+use coord::planner::PromiseCounts;
 use coord::time::Moment;
 use eyre::{Result, WrapErr};
 use opentelemetry::KeyValue;
@@ -34,6 +35,9 @@
     limited_replicas: Gauge<u64>,
     limit_waits: Counter<u64>,
     limit_refusals: Counter<u64>,
+    rejections: Counter<u64>,
+    promises: Counter<u64>,
+    forecast_margin: Gauge<f64>,
     draining_responses: Counter<u64>,
     backoff_requests: Counter<u64>,
     ttft: Histogram<f64>,
@@ -76,6 +80,9 @@
         limited_replicas: meter.u64_gauge("sorrelpass_replicas_limited").build(),
         limit_waits: meter.u64_counter("sorrelpass_limit_waits").build(),
         limit_refusals: meter.u64_counter("sorrelpass_limit_refusals").build(),
+        rejections: meter.u64_counter("sorrelpass_prompts_refused").build(),
+        promises: meter.u64_counter("sorrelpass_promises").build(),
+        forecast_margin: meter.f64_gauge("sorrelpass_forecast_margin_seconds").build(),
         draining_responses: meter.u64_counter("sorrelpass_leaving_told").build(),
         backoff_requests: meter.u64_counter("sorrelpass_rests_asked").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BUCKET_BOUNDS_S.to_vec()).build(),
@@ -189,6 +196,33 @@
     record(|metrics| metrics.limit_refusals.add(1, &[]));
 }
 
+/// Counts a prompt that the planner refused for `reason`; `is_return` tells that its caller had returned as told.
+pub fn record_rejection(reason: &'static str, is_return: bool) {
+    let labels = [KeyValue::new("reason", reason), KeyValue::new("returned", is_return)];
+    record(|metrics| metrics.rejections.add(1, &labels));
+}
+
+/// Counts promises to refused callers by what became of them.
+pub fn record_promises(counts: PromiseCounts) {
+    let PromiseCounts { made, kept, broken, expired } = counts;
+    record(|metrics| {
+        for (state, count) in [("made", made), ("kept", kept), ("broken", broken), ("expired", expired)] {
+            if count > 0 {
+                metrics.promises.add(count, &[KeyValue::new("state", state)]);
+            }
+        }
+    });
+}
+
+/// Sets the margins by which forecasts of the starts of short and of long prompts may be wrong.
+pub fn set_forecast_margins(short: Duration, long: Duration) {
+    record(|metrics| {
+        for (class, margin) in [("short", short), ("long", long)] {
+            metrics.forecast_margin.record(margin.as_secs_f64(), &[KeyValue::new("class", class)]);
+        }
+    });
+}
+
 /// Counts a response by which a replica announced that it is draining.
 pub fn record_draining_response() {
     record(|metrics| metrics.draining_responses.add(1, &[]));
