--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -10,10 +10,12 @@
 //! The same planner serves a process that decides for all entries and one that decides only for itself. No safety
 //! property depends on the model being complete.
 
+mod admission;
 mod engine;
 mod estimate;
 mod features;
 mod fleet;
+mod forecast;
 mod granted;
 mod job;
 mod locations;
@@ -25,7 +27,9 @@
 mod place;
 mod policy;
 pub mod prediction;
+mod promise;
 mod rate_limited;
+mod refusal;
 mod share;
 mod slowdown;
 mod snapshot;
@@ -39,6 +43,7 @@
 use self::engine::{Engine, Sequence};
 pub use self::features::Features;
 use self::fleet::Fleet;
+use self::forecast::Forecaster;
 use self::granted::{GrantedJob, GrantedJobs};
 pub use self::job::{Grant, Helper, Id, Job, Team, Workspace};
 use self::locations::Locations;
@@ -46,12 +51,14 @@
 use self::order::FairOrder;
 pub use self::order::HeldBack;
 use self::overload::Overload;
-pub use self::overload::Refusal;
 use self::path_failures::PathFailures;
 use self::place::{CandidateScope, Unplaceable};
 pub use self::policy::Policy;
 use self::policy::SETTLING_PERIOD;
 use self::prediction::Predictions;
+use self::promise::Promises;
+pub use self::promise::{Promise, PromiseCounts, PromiseId};
+pub use self::refusal::{Forecast, Reason, Refusal, Rejection};
 use self::share::Usage;
 use self::snapshot::FleetSnapshot;
 pub use self::snapshot::{EngineCounts, Exclusion};
@@ -90,6 +97,8 @@
     long_demand: LongDemand,
     /// Number of engines that short prompts leave to long ones, at the last pump.
     engines_for_long: usize,
+    forecaster: Forecaster,
+    promises: Promises,
     /// Fingerprints of requests that are suspected of crashing engines.
     suspects: BTreeSet<Fingerprint>,
     /// Backoffs that engines requested, by entry.
@@ -136,16 +145,27 @@
         let prompt = self.estimate_prompt(self.allow_for_distance(id.entry, job));
         self.record_arrival(&prompt);
         self.waiting.insert(id, prompt);
+        if self.features.forecasts {
+            self.forecaster.record_submission(id);
+        }
     }
 
     /// Records a job that another planner granted. `is_prefilling` tells whether its prompt is still being prefilled.
     pub fn add_granted(&mut self, id: Id, job: &Job, team: Team, is_prefilling: bool, now: Moment) {
+        if self.features.forecasts {
+            // The caller may have returned to another entry, which does not report its promise.
+            self.promises.redeem(job, now);
+        }
         self.record_grant(id, job, team, is_prefilling, now);
+        if !is_prefilling {
+            self.record_answer_start(id, now);
+        }
     }
 
     /// Records a granted job; returns the expected time to its first event, in milliseconds.
     fn record_grant(&mut self, id: Id, job: &Job, team: Team, is_prefilling: bool, now: Moment) -> f64 {
         self.waiting.remove(id);
+        self.record_forecast_grant(id, job, now);
         let parts = 1 + team.helpers.len();
         let held_tokens: u64 = team.helpers.iter().map(|helper| helper.held_tokens).sum();
         let prompt = self.estimate_prompt(*job);
@@ -177,6 +197,7 @@
 
     /// Records that a job produced its first event, which means that its prompt is prefilled.
     pub fn record_first_event(&mut self, id: Id, now: Moment) {
+        self.record_answer_start(id, now);
         let Some(job) = self.granted.first_event(id) else { return };
         if self.features.spreading && job.granted_at >= self.settled_at {
             self.predictions.record_first_event(job, now);
@@ -226,6 +247,7 @@
     pub fn finish(&mut self, id: Id, now: Moment) {
         self.waiting.remove(id);
         self.usage.end(id, now);
+        self.forget_forecast(id, now);
         let Some(job) = self.granted.remove(id) else { return };
         for name in job.team.engines() {
             if let Some(engine) = self.fleet.get_mut(name) {
@@ -306,6 +328,9 @@
     /// Grants the prompts that can start now.
     pub fn grant_ready(&mut self, now: Moment) -> Vec<Grant> {
         self.suspect_overdue(now);
+        if self.features.forecasts {
+            self.admit_arrivals(now);
+        }
         let mut grants = Vec::new();
         if self.waiting.is_empty() || self.fleet.engines().is_empty() {
             self.overload.record(false, now);
--- a/coord/tests/planner_load/main.rs
+++ b/coord/tests/planner_load/main.rs
@@ -6,5 +6,6 @@
 mod fairness;
 mod mix;
 mod play;
+mod returns;
 mod spreading;
 mod turnover;
