--- a/coord/src/planner/engine.rs
+++ b/coord/src/planner/engine.rs
@@ -29,6 +29,8 @@
     /// Gap target of its caller, in milliseconds; 0 if the caller sets none.
     pub gap_target_ms: f64,
     pub is_short: bool,
+    /// Time at which its last event is expected.
+    pub expected_end: Moment,
     /// Fingerprint of its request, if it is suspected of crashing engines.
     pub suspect: Option<Fingerprint>,
 }
@@ -44,6 +46,8 @@
     pass_ms: f64,
     /// Number of sequences whose prompts are short.
     short_sequence_count: usize,
+    /// Time at which the last of these is expected to end.
+    short_until: Moment,
     /// Fingerprint of one of the sequences that is suspected of crashing engines.
     suspect: Option<Fingerprint>,
 }
@@ -94,6 +98,7 @@
                 min_gap_target_ms: f64::INFINITY,
                 pass_ms: 0.0,
                 short_sequence_count: 0,
+                short_until: Moment::ZERO,
                 suspect: None,
             },
         }
@@ -142,6 +147,11 @@
         self.aggregates.short_sequence_count
     }
 
+    /// Returns the time at which the last sequence with a short prompt is expected to end.
+    pub fn short_until(&self) -> Moment {
+        self.aggregates.short_until
+    }
+
     /// Returns the fingerprint of a request at this engine that is suspected of crashing engines.
     pub fn suspect(&self) -> Option<Fingerprint> {
         self.aggregates.suspect
@@ -232,8 +242,11 @@
         let min_gap_target_ms = gap_targets.fold(f64::INFINITY, f64::min);
         let sequence_count = self.sequences.len() as u32;
         let pass_ms = if sequence_count == 0 { 0.0 } else { self.profile.pass_ms(sequence_count, context_tokens) };
-        let short_sequence_count = self.sequences.values().filter(|sequence| sequence.is_short).count();
+        let short = self.sequences.values().filter(|sequence| sequence.is_short);
+        let short_sequence_count = short.clone().count();
+        let short_until = short.map(|sequence| sequence.expected_end).max().unwrap_or(Moment::ZERO);
         let suspect = self.sequences.values().find_map(|sequence| sequence.suspect);
-        self.aggregates = Aggregates { context_tokens, min_gap_target_ms, pass_ms, short_sequence_count, suspect };
+        self.aggregates =
+            Aggregates { context_tokens, min_gap_target_ms, pass_ms, short_sequence_count, short_until, suspect };
     }
 }
--- a/coord/src/planner/estimate.rs
+++ b/coord/src/planner/estimate.rs
@@ -15,7 +15,7 @@
 /// never late.
 pub(super) fn estimate_prompt(job: Job, profile: Option<&Profile>, engines: usize, policy: &Policy) -> Prompt {
     let Some(profile) = profile else {
-        return Prompt { job, prefill_ms: job.prompt_tokens as f64, is_short: true, late_after: NEVER };
+        return Prompt { job, prefill_ms: job.prompt_tokens as f64, answer_ms: 0.0, is_short: true, late_after: NEVER };
     };
     let prefill_ms = profile.prefill_ms(job.prompt_tokens);
     let is_short = is_short(&job, profile, policy);
@@ -23,7 +23,10 @@
     // On average half a pass is under way when the prompt arrives, and a whole pass produces the first event.
     let pass_ms = profile.pass_ms(profile.slots / 2, 0);
     let first_event_ms = prefill_ms / parts as f64 + pass_ms * PASSES_TO_FIRST_EVENT;
-    Prompt { job, prefill_ms, is_short, late_after: job.first_event_target - duration_from_ms(first_event_ms) }
+    let passes = job.max_output_tokens.div_ceil(u64::from(profile.stride.max(1)));
+    let answer_ms = passes as f64 * profile.pass_ms(profile.slots, 0);
+    let late_after = job.first_event_target - duration_from_ms(first_event_ms);
+    Prompt { job, prefill_ms, answer_ms, is_short, late_after }
 }
 
 /// Returns whether one engine can prefill the prompt without exceeding the gap target of an answer like its own.
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -21,6 +21,7 @@
 mod place;
 mod policy;
 mod rate_limited;
+mod reservation;
 mod slowdown;
 mod snapshot;
 mod unresponsive;
@@ -41,11 +42,13 @@
 use self::place::{CandidateScope, Unplaceable};
 pub use self::policy::Policy;
 use self::policy::SETTLING_PERIOD;
+use self::reservation::Reservations;
+pub use self::reservation::{ReservationChange, ReservationCounts, ReservationOutcome};
 use self::snapshot::FleetSnapshot;
 pub use self::snapshot::{EngineCounts, Exclusion};
 use self::wait_queue::{Candidate, WaitQueue};
 use crate::backoff;
-use crate::engine::Profile;
+use crate::engine::{Profile, duration_from_ms};
 use crate::limit::TokenBucket;
 use crate::name::Name;
 use crate::pick::rendezvous;
@@ -71,6 +74,7 @@
     waiting: WaitQueue,
     granted: GrantedJobs,
     overload: Overload,
+    reservations: Reservations,
     /// Fingerprints of requests that are suspected of crashing engines.
     suspects: BTreeSet<Fingerprint>,
     /// Backoffs that engines requested, by entry.
@@ -135,8 +139,14 @@
             }
         }
         let suspect = self.suspected_fingerprint(job);
-        let sequence =
-            |tokens, suspect| Sequence { tokens, gap_target_ms: job.gap_target_ms, is_short: prompt.is_short, suspect };
+        let expected_end = now + duration_from_ms(expected_ms + prompt.answer_ms);
+        let sequence = |tokens, suspect| Sequence {
+            tokens,
+            gap_target_ms: job.gap_target_ms,
+            is_short: prompt.is_short,
+            expected_end,
+            suspect,
+        };
         self.add_sequence(&team.decoder, id, sequence(job.memory_tokens().saturating_sub(held_tokens), suspect));
         for helper in team.helpers.iter().filter(|helper| helper.held_tokens > 0) {
             self.add_sequence(&helper.engine, id, sequence(helper.held_tokens, None));
@@ -280,13 +290,16 @@
         let mut grants = Vec::new();
         if self.waiting.is_empty() || self.fleet.engines().is_empty() {
             self.overload.record(false, now);
+            self.plan_reservations(&[], now);
             return grants;
         }
         self.snapshot.refresh(self.fleet.engines(), &self.policy, now);
         let mut unplaceable = Unplaceable::default();
         let mut has_unplaced = false;
         let mut has_timely_unplaced = false;
-        for candidate in &self.waiting.list_ordered(now) {
+        let candidates = self.waiting.list_ordered(now);
+        self.plan_reservations(&candidates, now);
+        for candidate in &candidates {
             // A late prompt must not take engines that a prompt still in time waits for.
             let scope = match candidate.is_late && has_unplaced && self.policy.late_last {
                 true if self.policy.late_shared => CandidateScope::SharedOnly,
@@ -305,6 +318,7 @@
                 }
                 has_unplaced = true;
                 has_timely_unplaced |= !candidate.is_late;
+                self.record_unplaced(candidate);
                 if excluded.is_empty() && !is_unplaceable {
                     unplaceable.record(&candidate.prompt, scope);
                 }
@@ -339,6 +353,7 @@
 
     /// Records the grant and updates breakers, rate limits and the snapshot.
     fn grant(&mut self, candidate: &Candidate, team: Team, now: Moment) -> Grant {
+        self.record_reserved_start(candidate.id, now);
         let expected_ms = self.record_grant(candidate.id, &candidate.prompt.job, team.clone(), true, now);
         for name in team.engines() {
             let Some(index) = self.fleet.position(name) else { continue };
--- a/coord/src/planner/place/long.rs
+++ b/coord/src/planner/place/long.rs
@@ -54,7 +54,10 @@
         if available.count_with_budget(part_ms) + 1 < parts {
             return None;
         }
-        let has_budget = |index: &usize| self.state(*index).prefill_budget_ms >= part_ms;
+        let has_budget = |index: &usize| {
+            let state = self.state(*index);
+            state.prefill_budget_ms >= part_ms && self.allows_use(*index, state.wait_ms + part_ms)
+        };
         let with_budget: Vec<usize> = available.by_wait.iter().copied().filter(has_budget).collect();
         let sole_holder = self.team_with_sole_holder(&with_budget, parts, part_ms, helpers);
         match helpers {
@@ -98,7 +101,8 @@
                 && state.prefill_budget_ms >= part_ms
                 && !state.is_half_open
         };
-        self.eligible_engines().filter(move |(_, state)| is_suitable(state)).map(|(index, _)| index)
+        let engines = self.eligible_engines().filter(move |(_, state)| is_suitable(state));
+        engines.filter(move |(index, state)| self.allows_use(*index, state.wait_ms + part_ms)).map(|(index, _)| index)
     }
 
     /// Returns a team whose helpers hold the tokens that exceed the memory of the decoding engine.
--- a/coord/src/planner/place/mod.rs
+++ b/coord/src/planner/place/mod.rs
@@ -13,6 +13,7 @@
 use super::Planner;
 use super::job::{Job, Team};
 use super::policy::Policy;
+use super::reservation::Reservations;
 use super::snapshot::{Eligibility, EngineState, FleetSnapshot, PrefillEngines};
 use super::wait_queue::{Candidate, Prompt};
 use crate::name::Name;
@@ -40,6 +41,8 @@
     tries_unreachable: bool,
     /// Rules that exclude engines for all entries.
     eligibility: Eligibility,
+    /// Engines that are kept for other prompts.
+    reservations: Option<&'a Reservations>,
     now: Moment,
 }
 
@@ -63,7 +66,25 @@
     /// Returns the eligible engines with their indexes in the fleet.
     fn eligible_engines(&self) -> impl Iterator<Item = (usize, &'a EngineState)> {
         let states = self.snapshot.states().iter().enumerate();
-        states.filter(move |(index, state)| self.eligibility.is_eligible(state) && !self.is_excluded(*index))
+        let is_open = |index, state| self.allows_use(index, self.busy_ms(state));
+        states.filter(move |(index, state)| {
+            self.eligibility.is_eligible(state) && !self.is_excluded(*index) && is_open(*index, *state)
+        })
+    }
+
+    /// Returns for how long the prompt would occupy an engine, in milliseconds: a short one until its answer is
+    /// complete, a long one, whose part depends on the size of its team, not at all.
+    fn busy_ms(&self, state: &EngineState) -> f64 {
+        match self.prompt().is_short {
+            true => state.wait_ms + self.prompt().prefill_ms + self.candidate.prompt.answer_ms,
+            false => 0.0,
+        }
+    }
+
+    /// Returns whether no reservation for another prompt keeps this one from using an engine for `busy_ms`
+    /// milliseconds.
+    fn allows_use(&self, index: usize, busy_ms: f64) -> bool {
+        self.reservations.is_none_or(|reservations| reservations.allows(self.candidate, index, busy_ms, self.now))
     }
 
     fn is_excluded(&self, index: usize) -> bool {
@@ -98,12 +119,14 @@
             excluded,
             tries_unreachable: false,
             eligibility,
+            reservations: None,
             now,
         };
         if context.eligible_engines().next().is_none() {
             // Trying an engine that the entry may fail to reach is better than using none.
             context.tries_unreachable = true;
         }
+        context.reservations = Some(&self.reservations).filter(|reservations| !reservations.is_empty());
         if let Some(fingerprint) =
             self.suspected_fingerprint(&candidate.prompt.job).filter(|_| context.can_be_isolated())
         {
--- a/coord/src/planner/snapshot.rs
+++ b/coord/src/planner/snapshot.rs
@@ -31,6 +31,8 @@
     pub sequence_count: usize,
     /// Sequences whose prompts are short.
     pub short_sequence_count: usize,
+    /// Time at which the last sequence whose prompt is short is expected to end.
+    pub short_until: Moment,
     /// Whether one more answer may decode here.
     pub has_slot: bool,
     /// Whether its circuit breaker admits a request now; true for an engine without a breaker.
@@ -63,6 +65,7 @@
             free_memory: grantable_memory.saturating_sub(context_tokens),
             sequence_count: engine.sequence_count(),
             short_sequence_count: engine.short_sequence_count(),
+            short_until: engine.short_until(),
             has_slot: (engine.sequence_count() as f64) < f64::from(profile.slots) * policy.slot_share,
             breaker_admits: engine.breaker.is_none_or(|breaker| breaker.allows_request(now)),
             is_half_open: engine.breaker.is_some_and(|breaker| breaker.is_half_open(now)),
--- a/coord/src/planner/wait_queue.rs
+++ b/coord/src/planner/wait_queue.rs
@@ -15,6 +15,8 @@
     pub job: Job,
     /// Engine time to prefill the prompt, in milliseconds.
     pub prefill_ms: f64,
+    /// Time from the first to the last event of the answer on an engine with all slots in use, in milliseconds.
+    pub answer_ms: f64,
     /// Whether one engine can prefill the prompt without exceeding the gap target of an answer like its own.
     pub is_short: bool,
     /// Time after which the prompt would be late even if it started at once.
--- a/coord/tests/planner_load/main.rs
+++ b/coord/tests/planner_load/main.rs
@@ -5,4 +5,5 @@
 mod common;
 mod mix;
 mod play;
+mod reservations;
 mod turnover;
--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -11,7 +11,7 @@
 
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Grant, Id, Job, Planner, Policy};
+use coord::planner::{Features, Grant, Id, Job, Planner, Policy};
 use coord::time::Moment;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -151,6 +151,7 @@
 
 pub struct Simulation {
     policy: Policy,
+    features: Features,
     /// End of the outage of all entries, if there is one.
     outage_until: Option<u64>,
     planner: Planner,
@@ -178,6 +179,7 @@
         let (event_queue, events) = (BinaryHeap::new(), BTreeMap::new());
         Self {
             policy,
+            features: Features::default(),
             outage_until: None,
             planner,
             profile,
@@ -194,6 +196,12 @@
         }
     }
 
+    /// Sets the features of this planner and of the one after an outage.
+    pub fn set_features(&mut self, features: Features) {
+        self.features = features;
+        self.planner.set_features(features);
+    }
+
     /// Schedules an outage of all entries that starts at `second` and lasts for `outage`.
     pub fn schedule_outage(&mut self, second: f64, outage: Duration) {
         self.schedule((second * 1e6) as u64, Event::Outage { outage });
@@ -337,6 +345,7 @@
             }
         }
         self.planner = planner(self.policy, &self.profile);
+        self.planner.set_features(self.features);
         self.planner.begin_settling(Moment::from_micros(until));
     }
 
--- a/coord/tests/planner_load/turnover.rs
+++ b/coord/tests/planner_load/turnover.rs
@@ -10,7 +10,7 @@
 use crate::play::{Outcomes, Simulation};
 
 /// Returns the profile of engines with a large model, where attention dominates the prefill time of long prompts.
-fn large_model_profile() -> Arc<Profile> {
+pub fn large_model_profile() -> Arc<Profile> {
     Arc::new(Profile {
         slots: 12,
         memory: 344_250,
