--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -22,6 +22,7 @@
 mod policy;
 mod rate_limited;
 mod reservation;
+mod served;
 mod slowdown;
 mod snapshot;
 mod unresponsive;
@@ -353,7 +354,7 @@
 
     /// Records the grant and updates breakers, rate limits and the snapshot.
     fn grant(&mut self, candidate: &Candidate, team: Team, now: Moment) -> Grant {
-        self.record_reserved_start(candidate.id, now);
+        self.record_reserved_start(candidate, now);
         let expected_ms = self.record_grant(candidate.id, &candidate.prompt.job, team.clone(), true, now);
         for name in team.engines() {
             let Some(index) = self.fleet.position(name) else { continue };
--- a/coord/src/planner/reservation.rs
+++ b/coord/src/planner/reservation.rs
@@ -7,12 +7,14 @@
 //!
 //! All teams are computed anew in each pump, so that they follow engines that join, leave, slow down or overrun.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::Planner;
 use super::job::Id;
 use super::policy::Policy;
+use super::served::{Group, Served};
 use super::snapshot::EngineState;
 use super::wait_queue::Candidate;
 use crate::engine::duration_from_ms;
@@ -20,6 +22,9 @@
 
 /// Bounds the number of reservations, and with it the time that a pump spends on them.
 const MAX_RESERVATIONS: usize = 4;
+/// Bounds the number of engines that teams are chosen from. It is several times what all reservations use, since a
+/// prompt that waits longest needs engines with a larger prefill budget than the others.
+const MAX_CONSIDERED_ENGINES: usize = 256;
 /// Largest share of the engines that is reserved, so that other prompts always find some.
 const MAX_RESERVED_SHARE: f64 = 0.5;
 
@@ -80,6 +85,11 @@
         let (free_memory, has_slot) = (state.free_memory, state.has_slot);
         Self { index, free_ms: state.pending_ms.max(short_ms), budget_ms, free_memory, has_slot }
     }
+
+    /// Orders engines by the time at which they are free.
+    fn cmp_free(&self, other: &Self) -> Ordering {
+        self.free_ms.total_cmp(&other.free_ms).then(self.index.cmp(&other.index))
+    }
 }
 
 /// Team that is kept for one prompt.
@@ -146,9 +156,13 @@
 pub struct Reservations {
     /// Long prompts that found no team in an earlier pump.
     unplaced: BTreeSet<Id>,
+    /// Prompts among these that became late before the last pump.
+    given_up: Vec<Id>,
+    /// Which prompts were lately in time.
+    served: Served,
     active: Vec<Reservation>,
-    /// Position in `active` by engine.
-    by_engine: BTreeMap<usize, usize>,
+    /// Position in `active` by index of the engine.
+    by_engine: Vec<Option<u8>>,
     counts: ReservationCounts,
     changes: Vec<ReservationChange>,
 }
@@ -161,44 +175,82 @@
 
     /// Returns whether `candidate` may use the engine at `index` for `busy_ms` milliseconds from now.
     pub fn allows(&self, candidate: &Candidate, index: usize, busy_ms: f64, now: Moment) -> bool {
-        let Some(reservation) = self.by_engine.get(&index).map(|position| &self.active[*position]) else { return true };
+        let Some(position) = self.by_engine.get(index).copied().flatten() else { return true };
+        let reservation = &self.active[usize::from(position)];
         let is_more_urgent = !candidate.is_late && candidate.prompt.job.priority < reservation.priority;
         is_more_urgent || reservation.id == candidate.id || now + duration_from_ms(busy_ms) <= reservation.start
     }
 
     /// Records that a prompt started.
-    fn record_start(&mut self, id: Id, now: Moment) {
+    fn record_start(&mut self, candidate: &Candidate, now: Moment) {
+        let id = candidate.id;
+        match candidate.is_late {
+            true if candidate.prompt.is_short => self.served.record_missed(&candidate.prompt, now),
+            true => {}
+            false => self.served.record_in_time(&candidate.prompt, now),
+        }
         self.unplaced.remove(&id);
         let Some(position) = self.active.iter().position(|reservation| reservation.id == id) else { return };
         let reservation = self.active.remove(position);
         self.counts.kept += 1;
         self.record_change(&reservation, ReservationOutcome::Kept, now);
-        self.index_engines();
+        self.index_engines(self.by_engine.len());
+    }
+
+    /// Forgets the prompts that no longer wait or are late; returns those that can still be in time.
+    fn retain_waiting<'a>(&mut self, candidates: &'a [Candidate], now: Moment) -> Vec<&'a Candidate> {
+        let unplaced = std::mem::take(&mut self.unplaced);
+        let is_unplaced = |candidate: &&Candidate| !candidate.prompt.is_short && unplaced.contains(&candidate.id);
+        let (late, timely): (Vec<&Candidate>, Vec<&Candidate>) =
+            candidates.iter().filter(is_unplaced).partition(|candidate| candidate.is_late);
+        late.iter().for_each(|candidate| self.served.record_missed(&candidate.prompt, now));
+        self.given_up = late.iter().map(|candidate| candidate.id).collect();
+        self.unplaced = timely.iter().map(|candidate| candidate.id).collect();
+        timely
+    }
+
+    /// Returns requests for those prompts whose groups are served less than others, the least served group first and
+    /// within a group the one that must start the soonest.
+    fn select_underserved(&self, timely: &[&Candidate], policy: &Policy, now: Moment) -> Vec<Request> {
+        let group = |candidate: &Candidate| self.served.group(&candidate.prompt);
+        let mut waiting: BTreeMap<Group, usize> = BTreeMap::new();
+        timely.iter().for_each(|candidate| *waiting.entry(group(candidate)).or_default() += 1);
+        let shares = self.served.shares(&waiting);
+        let underserved = timely.iter().filter(|candidate| shares.is_underserved(group(candidate)));
+        let mut ranked: Vec<(f64, Request)> = underserved
+            .map(|candidate| (shares.of_group(group(candidate)), Request::of(candidate, policy, now)))
+            .collect();
+        ranked.sort_by(|(share_a, a), (share_b, b)| {
+            let by_start = a.latest_start_ms(policy.max_parts).total_cmp(&b.latest_start_ms(policy.max_parts));
+            a.priority.cmp(&b.priority).then(share_a.total_cmp(share_b)).then(by_start)
+        });
+        ranked.into_iter().map(|(_, request)| request).collect()
     }
 
-    /// Replaces all reservations by those for `requests`, the most important first.
+    /// Replaces all reservations by those for `requests`, the most important first. `available` is sorted by the time
+    /// at which engines are free; `engines` is the number of engines of the service.
     fn replan(
         &mut self,
         requests: &[Request],
-        mut available: Vec<Availability>,
-        max_engines: usize,
+        available: &[Availability],
+        engines: usize,
         policy: &Policy,
         now: Moment,
     ) {
-        available.sort_unstable_by(|a, b| a.free_ms.total_cmp(&b.free_ms).then(a.index.cmp(&b.index)));
         let previous = std::mem::take(&mut self.active);
-        let mut remaining = max_engines;
+        let mut remaining = (engines as f64 * MAX_RESERVED_SHARE) as usize;
+        let mut available = available.to_vec();
         for request in requests {
+            if self.active.len() == MAX_RESERVATIONS {
+                break;
+            }
             let Some(reservation) = reserve(request, &available, remaining, policy, now) else { continue };
             available.retain(|engine| !reservation.engines.contains(&engine.index));
             remaining -= reservation.engines.len();
             self.active.push(reservation);
-            if self.active.len() == MAX_RESERVATIONS {
-                break;
-            }
         }
         self.record_changes(&previous, now);
-        self.index_engines();
+        self.index_engines(engines);
     }
 
     /// Compares the reservations with those of the previous pump.
@@ -214,7 +266,7 @@
             }
         }
         for reservation in previous {
-            let is_waiting = self.unplaced.contains(&reservation.id);
+            let is_waiting = self.unplaced.contains(&reservation.id) || self.given_up.contains(&reservation.id);
             if is_waiting && !active.iter().any(|active| active.id == reservation.id) {
                 self.counts.given_up += 1;
                 self.record_change(reservation, ReservationOutcome::GivenUp, now);
@@ -232,10 +284,11 @@
         });
     }
 
-    fn index_engines(&mut self) {
+    fn index_engines(&mut self, engines: usize) {
         self.by_engine.clear();
+        self.by_engine.resize(engines, None);
         for (position, reservation) in self.active.iter().enumerate() {
-            self.by_engine.extend(reservation.engines.iter().map(|index| (*index, position)));
+            reservation.engines.iter().for_each(|index| self.by_engine[*index] = Some(position as u8));
         }
     }
 }
@@ -277,33 +330,25 @@
         &self.reservations.changes
     }
 
-    /// Recomputes the reservations from the last snapshot.
+    /// Recomputes the reservations from the last snapshot, for the waiting prompts `candidates`.
     pub(super) fn plan_reservations(&mut self, candidates: &[Candidate], now: Moment) {
         self.reservations.changes.clear();
         if !self.features.reservations {
             self.reservations = Reservations::default();
             return;
         }
-        let unplaced = &self.reservations.unplaced;
-        let waiting = candidates.iter().filter(|candidate| unplaced.contains(&candidate.id));
-        let waiting: Vec<&Candidate> = waiting.collect();
-        let still_unplaced: BTreeSet<Id> = waiting.iter().map(|candidate| candidate.id).collect();
-        let timely = waiting.iter().filter(|candidate| !candidate.is_late);
-        let mut requests: Vec<Request> = timely.map(|candidate| Request::of(candidate, &self.policy, now)).collect();
-        self.reservations.unplaced = still_unplaced;
-        if requests.is_empty() && self.reservations.is_empty() {
+        let timely = self.reservations.retain_waiting(candidates, now);
+        if timely.is_empty() && self.reservations.is_empty() {
             return;
         }
-        let max_parts = self.policy.max_parts;
-        let urgency = |request: &Request| request.latest_start_ms(max_parts);
-        requests.sort_by(|a, b| a.priority.cmp(&b.priority).then(urgency(a).total_cmp(&urgency(b))));
-        let available = self.available_engines(now);
-        let max_engines = (available.len() as f64 * MAX_RESERVED_SHARE) as usize;
-        self.reservations.replan(&requests, available, max_engines, &self.policy, now);
+        let requests = self.reservations.select_underserved(&timely, &self.policy, now);
+        let available = if requests.is_empty() { Vec::new() } else { self.available_engines(&requests, now) };
+        self.reservations.replan(&requests, &available, self.snapshot.states().len(), &self.policy, now);
     }
 
-    /// Returns the engines that teams may use, with the times at which they are predicted to be free.
-    fn available_engines(&self, now: Moment) -> Vec<Availability> {
+    /// Returns the engines that teams may use in time for any of `requests`, with the times at which they are
+    /// predicted to be free, soonest first.
+    fn available_engines(&self, requests: &[Request], now: Moment) -> Vec<Availability> {
         let eligibility = self.snapshot.eligibility(&self.policy);
         let allow_half_open = self.snapshot.needs_half_open(&self.policy);
         let is_suitable = |state: &EngineState| {
@@ -311,11 +356,19 @@
                 && (allow_half_open || !state.is_half_open)
                 && self.snapshot.is_fast_enough(state, &self.policy)
         };
+        let max_free_ms = requests.iter().map(|request| request.slack_ms).fold(0.0, f64::max);
         let states = self.snapshot.states().iter().enumerate().filter(|(_, state)| is_suitable(state));
-        states.map(|(index, state)| Availability::of(index, state, &self.policy, now)).collect()
+        let engines = states.map(|(index, state)| Availability::of(index, state, &self.policy, now));
+        let mut available: Vec<Availability> = engines.filter(|engine| engine.free_ms < max_free_ms).collect();
+        if available.len() > MAX_CONSIDERED_ENGINES {
+            available.select_nth_unstable_by(MAX_CONSIDERED_ENGINES, Availability::cmp_free);
+            available.truncate(MAX_CONSIDERED_ENGINES);
+        }
+        available.sort_unstable_by(Availability::cmp_free);
+        available
     }
 
-    /// Records that a long prompt found no team, so that engines are reserved for it.
+    /// Records that a prompt found no engines. If it is a long one, engines are reserved for it.
     pub(super) fn record_unplaced(&mut self, candidate: &Candidate) {
         if self.features.reservations && !candidate.prompt.is_short && !candidate.is_late {
             self.reservations.unplaced.insert(candidate.id);
@@ -323,7 +376,9 @@
     }
 
     /// Records that a prompt started.
-    pub(super) fn record_reserved_start(&mut self, id: Id, now: Moment) {
-        self.reservations.record_start(id, now);
+    pub(super) fn record_reserved_start(&mut self, candidate: &Candidate, now: Moment) {
+        if self.features.reservations {
+            self.reservations.record_start(candidate, now);
+        }
     }
 }
--- a/coord/tests/planner_load/reservations.rs
+++ b/coord/tests/planner_load/reservations.rs
@@ -56,7 +56,22 @@
 
 #[test]
 fn probe() {
-    let kinds = longest_fourfold();
+    let mut kinds = longest_fourfold();
+    if let Ok(x) = std::env::var("MILD") {
+        kinds[2].arrivals_per_s = if x == "1" {
+            |second| if (6.0..14.0).contains(&second) { 4.5 } else { 1.8 }
+        } else {
+            |second| if (6.0..14.0).contains(&second) { 11.0 } else { 1.8 }
+        }
+    }
+    if std::env::var("FLOOD").is_ok() {
+        kinds[0].arrivals_per_s = |second| if (6.0..14.0).contains(&second) { 230.0 } else { 75.0 };
+        kinds[2].arrivals_per_s = |_| 2.5;
+    }
+    if std::env::var("TURN").is_ok() {
+        kinds = crate::turnover::alternating_mix();
+        kinds[2].arrivals_per_s = |second| if crate::turnover::is_short_phase(second) { 0.08 } else { 8.0 }
+    }
     for features in [Features::default(), WITH] {
         let (by_kind, largest) = simulate(&kinds, features);
         println!("{features:?}");
--- a/coord/tests/planner_load/turnover.rs
+++ b/coord/tests/planner_load/turnover.rs
@@ -28,13 +28,13 @@
 /// Time for which the mix stays the same, in seconds.
 const PHASE_S: f64 = 9.5;
 
-fn is_short_phase(second: f64) -> bool {
+pub fn is_short_phase(second: f64) -> bool {
     ((second / PHASE_S) as u64).is_multiple_of(2)
 }
 
 /// Returns a mix that alternates between two phases: 2.4 times the rate of short prompts with hardly any of the
 /// longest, and few short prompts with 2.7 times the rate of the longest.
-fn alternating_mix() -> [PromptKind; 3] {
+pub fn alternating_mix() -> [PromptKind; 3] {
     [
         PromptKind {
             arrivals_per_s: |second| if is_short_phase(second) { 171.0 } else { 21.0 },
