--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -16,7 +16,7 @@
 
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Features, Id, Job, Planner, Policy, Team};
+use coord::planner::{Features, Id, Job, Planner, Policy, ReservationCounts, Team};
 use coord::quarantine::Fingerprint;
 use coord::time::Moment;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -24,7 +24,7 @@
 use self::follower::LeaderChannel;
 use super::now;
 use super::peer_protocol::{FollowerMessage, HEARTBEAT_INTERVAL, LeaderMessage, Placement, PromptSpec};
-use crate::util;
+use crate::{metric, util};
 
 /// Interval at which waiting prompts are checked without a triggering event. Engines become free at times that the
 /// planner's model predicts, which is accurate to a few milliseconds.
@@ -120,6 +120,11 @@
 }
 
 impl Lease {
+    /// Returns the number by which the planner knows the prompt.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Reports that the engines are unresponsive.
     pub fn report_unresponsive(&self) {
         if let Some(queue) = self.queue.upgrade() {
@@ -418,11 +423,13 @@
         let mut grants = Vec::new();
         let mut refusals = Vec::new();
         let mut has_waiting = false;
-        for planner in self.planners.borrow_mut().values_mut() {
+        for (service, planner) in self.planners.borrow_mut().iter_mut() {
             if planner.has_waiting() {
+                let counts = planner.reservation_counts();
                 grants.extend(planner.grant_ready(now()));
                 refusals.extend(planner.refuse(now()));
                 has_waiting |= planner.has_waiting();
+                report_reservations(service, planner, counts);
             }
         }
         self.log_waiting_reasons();
@@ -456,6 +463,22 @@
     }
 }
 
+/// Logs the reservations that the last pump changed, and counts those since `previous`. The planner's entry knows a
+/// prompt by its number; the entry that has the prompt logs the number with the request's id.
+fn report_reservations(service: &Name, planner: &Planner, previous: ReservationCounts) {
+    for change in planner.reservation_changes() {
+        let Id { entry, number } = change.id;
+        crate::event!("reservation", service = %service, entry, number, outcome = change.outcome.as_str(), engines = change.engines, starts_in_ms = change.starts_in.as_millis());
+    }
+    let counts = planner.reservation_counts();
+    metric::record_reservations(&[
+        ("made", counts.made - previous.made),
+        ("kept", counts.kept - previous.kept),
+        ("moved", counts.moved - previous.moved),
+        ("given-up", counts.given_up - previous.given_up),
+    ]);
+}
+
 fn own_id(number: u64) -> Id {
     Id { entry: OWN_ENTRY, number }
 }
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -26,6 +26,8 @@
 /// Minimum time that a prompt may wait for engines, even if an earlier attempt has used up its wait time. A free engine
 /// is granted within a few milliseconds.
 const MIN_GRANT_WAIT: Duration = Duration::from_millis(100);
+/// Shortest wait for engines that is logged; a burst that lasts no longer needs no explanation.
+const MIN_LOGGED_WAIT: Duration = Duration::from_millis(500);
 
 /// Maximum fraction of a backoff that is added to the retry delay of refused callers, so that they do not all retry at
 /// the same time.
@@ -220,7 +222,8 @@
             if self.gateway.roster.borrow().usable(&self.service).next().is_none() {
                 return Err(self.no_replica_error());
             }
-            let time_left = until.since(now());
+            let requested_at = now();
+            let time_left = until.since(requested_at);
             let lease = tokio::select! {
                 // Granted engines are used even if the wait has ended at the same time.
                 biased;
@@ -245,6 +248,10 @@
                     return Err(error);
                 }
             };
+            let waited = now().since(requested_at);
+            if waited >= MIN_LOGGED_WAIT {
+                event!("granted", request = %self.request_head.id, number = lease.number(), waited_ms = waited.as_millis());
+            }
             let reserved = match self.locate_team(&lease.placement.team) {
                 Some((record, helpers)) => self.reserve_memory(helpers).await.map(|reserved| (record, reserved)),
                 // The leader has not learned yet that an engine is gone.
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -34,6 +34,7 @@
     limited_replicas: Gauge<u64>,
     limit_waits: Counter<u64>,
     limit_refusals: Counter<u64>,
+    reservations: Counter<u64>,
     draining_responses: Counter<u64>,
     backoff_requests: Counter<u64>,
     ttft: Histogram<f64>,
@@ -76,6 +77,7 @@
         limited_replicas: meter.u64_gauge("sorrelpass_replicas_limited").build(),
         limit_waits: meter.u64_counter("sorrelpass_limit_waits").build(),
         limit_refusals: meter.u64_counter("sorrelpass_limit_refusals").build(),
+        reservations: meter.u64_counter("sorrelpass_reservations").build(),
         draining_responses: meter.u64_counter("sorrelpass_leaving_told").build(),
         backoff_requests: meter.u64_counter("sorrelpass_rests_asked").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BUCKET_BOUNDS_S.to_vec()).build(),
@@ -189,6 +191,15 @@
     record(|metrics| metrics.limit_refusals.add(1, &[]));
 }
 
+/// Counts reservations of engines for long prompts by what became of them.
+pub fn record_reservations(counts: &[(&'static str, u64)]) {
+    record(|metrics| {
+        for (outcome, count) in counts.iter().filter(|(_, count)| *count > 0) {
+            metrics.reservations.add(*count, &[KeyValue::new("outcome", *outcome)]);
+        }
+    });
+}
+
 /// Counts a response by which a replica announced that it is draining.
 pub fn record_draining_response() {
     record(|metrics| metrics.draining_responses.add(1, &[]));
