--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -30,6 +30,8 @@
 mod promise;
 mod rate_limited;
 mod refusal;
+mod reservation;
+mod served;
 mod share;
 mod slowdown;
 mod snapshot;
@@ -59,12 +61,14 @@
 use self::promise::Promises;
 pub use self::promise::{Promise, PromiseCounts, PromiseId};
 pub use self::refusal::{Forecast, Reason, Refusal, Rejection};
+use self::reservation::Reservations;
+pub use self::reservation::{ReservationChange, ReservationCounts, ReservationOutcome};
 use self::share::Usage;
 use self::snapshot::FleetSnapshot;
 pub use self::snapshot::{EngineCounts, Exclusion};
 use self::wait_queue::{Candidate, WaitQueue};
 use crate::backoff;
-use crate::engine::Profile;
+use crate::engine::{Profile, duration_from_ms};
 use crate::limit::TokenBucket;
 use crate::name::Name;
 use crate::pick::rendezvous;
@@ -99,6 +103,7 @@
     engines_for_long: usize,
     forecaster: Forecaster,
     promises: Promises,
+    reservations: Reservations,
     /// Fingerprints of requests that are suspected of crashing engines.
     suspects: BTreeSet<Fingerprint>,
     /// Backoffs that engines requested, by entry.
@@ -178,8 +183,14 @@
             }
         }
         let suspect = self.suspected_fingerprint(job);
-        let sequence =
-            |tokens, suspect| Sequence { tokens, gap_target_ms: job.gap_target_ms, is_short: prompt.is_short, suspect };
+        let expected_end = now + duration_from_ms(expected_ms + prompt.answer_ms);
+        let sequence = |tokens, suspect| Sequence {
+            tokens,
+            gap_target_ms: job.gap_target_ms,
+            is_short: prompt.is_short,
+            expected_end,
+            suspect,
+        };
         self.add_sequence(&team.decoder, id, sequence(job.memory_tokens().saturating_sub(held_tokens), suspect));
         for helper in team.helpers.iter().filter(|helper| helper.held_tokens > 0) {
             self.add_sequence(&helper.engine, id, sequence(helper.held_tokens, None));
@@ -334,6 +345,7 @@
         let mut grants = Vec::new();
         if self.waiting.is_empty() || self.fleet.engines().is_empty() {
             self.overload.record(false, now);
+            self.plan_reservations(&[], now);
             return grants;
         }
         self.snapshot.refresh(self.fleet.engines(), &self.policy, now);
@@ -342,6 +354,7 @@
         let mut has_timely_unplaced = false;
         let candidates = self.waiting.list_ordered(now);
         self.prepare_spreading(&candidates, now);
+        self.plan_reservations(&candidates, now);
         for candidate in self.order_candidates(&candidates, now) {
             // A late prompt must not take engines that a prompt still in time waits for.
             let scope = match candidate.is_late && has_unplaced && self.policy.late_last {
@@ -361,6 +374,7 @@
                 }
                 has_unplaced = true;
                 has_timely_unplaced |= !candidate.is_late;
+                self.record_unplaced(candidate);
                 if excluded.is_empty() && !is_unplaceable {
                     unplaceable.record(&candidate.prompt, scope);
                 }
@@ -395,6 +409,7 @@
 
     /// Records the grant and updates breakers, rate limits and the snapshot.
     fn grant(&mut self, candidate: &Candidate, team: Team, now: Moment) -> Grant {
+        self.record_reserved_start(candidate, now);
         let expected_ms = self.record_grant(candidate.id, &candidate.prompt.job, team.clone(), true, now);
         for name in team.engines() {
             let Some(index) = self.fleet.position(name) else { continue };
--- a/coord/tests/planner_load/main.rs
+++ b/coord/tests/planner_load/main.rs
@@ -6,6 +6,7 @@
 mod fairness;
 mod mix;
 mod play;
+mod reservations;
 mod returns;
 mod spreading;
 mod turnover;
--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -289,7 +289,7 @@
         }
     }
 
-    /// Sets the features of the planner.
+    /// Sets the features of this planner and of those that replace it.
     pub fn set_features(&mut self, features: Features) {
         self.features = features;
         self.planner.set_features(features);
--- a/coord/tests/planner_load/turnover.rs
+++ b/coord/tests/planner_load/turnover.rs
@@ -28,7 +28,7 @@
 /// Time for which the mix stays the same, in seconds.
 const PHASE_S: f64 = 9.5;
 
-fn is_short_phase(second: f64) -> bool {
+pub fn is_short_phase(second: f64) -> bool {
     ((second / PHASE_S) as u64).is_multiple_of(2)
 }
 
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -18,7 +18,7 @@
 use coord::distance::Distances;
 use coord::engine::Profile;
 use coord::name::Name;
-use coord::planner::{Features, HeldBack, Id, Job, Planner, Policy, Reason, Rejection, Team};
+use coord::planner::{Features, HeldBack, Id, Job, Planner, Policy, Reason, Rejection, ReservationCounts, Team};
 use coord::quarantine::Fingerprint;
 use coord::time::Moment;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -137,6 +137,11 @@
 }
 
 impl Lease {
+    /// Returns the number by which the planner knows the prompt.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Reports that the engines are unresponsive.
     pub fn report_unresponsive(&self) {
         if let Some(queue) = self.queue.upgrade() {
@@ -448,14 +453,16 @@
         let mut refusals = Vec::new();
         let mut has_waiting = false;
         let mut held_back = HeldBack::default();
-        for planner in self.planners.borrow_mut().values_mut() {
+        for (service, planner) in self.planners.borrow_mut().iter_mut() {
             if planner.has_waiting() {
+                let counts = planner.reservation_counts();
                 grants.extend(planner.grant_ready(now()));
                 refusals.extend(planner.refuse(now()));
                 metric::record_promises(planner.take_promise_counts());
                 metric::set_forecast_margins(planner.forecast_margin(true), planner.forecast_margin(false));
                 has_waiting |= planner.has_waiting();
                 held_back += planner.held_back();
+                report_reservations(service, planner, counts);
             }
         }
         metric::set_held_back(held_back);
@@ -491,6 +498,22 @@
     }
 }
 
+/// Logs the reservations that the last pump changed, and counts those since `previous`. The planner's entry knows a
+/// prompt by its number; the entry that has the prompt logs the number with the request's id.
+fn report_reservations(service: &Name, planner: &Planner, previous: ReservationCounts) {
+    for change in planner.reservation_changes() {
+        let Id { entry, number } = change.id;
+        crate::event!("reservation", service = %service, entry, number, outcome = change.outcome.as_str(), engines = change.engines, starts_in_ms = change.starts_in.as_millis());
+    }
+    let counts = planner.reservation_counts();
+    metric::record_reservations(&[
+        ("made", counts.made - previous.made),
+        ("kept", counts.kept - previous.kept),
+        ("moved", counts.moved - previous.moved),
+        ("given-up", counts.given_up - previous.given_up),
+    ]);
+}
+
 fn own_id(number: u64) -> Id {
     Id { entry: OWN_ENTRY, number }
 }
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -38,6 +38,7 @@
     rejections: Counter<u64>,
     promises: Counter<u64>,
     forecast_margin: Gauge<f64>,
+    reservations: Counter<u64>,
     draining_responses: Counter<u64>,
     backoff_requests: Counter<u64>,
     unread_bytes: Gauge<u64>,
@@ -90,6 +91,7 @@
         rejections: meter.u64_counter("sorrelpass_prompts_refused").build(),
         promises: meter.u64_counter("sorrelpass_promises").build(),
         forecast_margin: meter.f64_gauge("sorrelpass_forecast_margin_seconds").build(),
+        reservations: meter.u64_counter("sorrelpass_reservations").build(),
         draining_responses: meter.u64_counter("sorrelpass_leaving_told").build(),
         backoff_requests: meter.u64_counter("sorrelpass_rests_asked").build(),
         unread_bytes: meter.u64_gauge("sorrelpass_unread_bytes").build(),
@@ -237,6 +239,15 @@
     });
 }
 
+/// Counts reservations of engines for long prompts by what became of them.
+pub fn record_reservations(counts: &[(&'static str, u64)]) {
+    record(|metrics| {
+        for (outcome, count) in counts.iter().filter(|(_, count)| *count > 0) {
+            metrics.reservations.add(*count, &[KeyValue::new("outcome", *outcome)]);
+        }
+    });
+}
+
 /// Counts a response by which a replica announced that it is draining.
 pub fn record_draining_response() {
     record(|metrics| metrics.draining_responses.add(1, &[]));
