Bound what slow callers take in memory: real-process test, read buffers, pages

With 300 callers that read nothing an entry took 192 MB; the read buffers of the connections to replicas, 400 KB each, were the larger part.

--- a/sorrelpass/src/gateway/upstream.rs
+++ b/sorrelpass/src/gateway/upstream.rs
@@ -17,6 +17,10 @@
 use platform::headers;
 use tokio::task::JoinHandle;
 
+/// Size of the read buffer of a connection to a replica, and so of the longest response head, in bytes. The data of a
+/// stream that is not read on stays in this buffer, so that hundreds of such streams must fit into the memory.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Caller's request in the form that is sent to replicas.
 pub struct UpstreamRequest {
     /// HTTP method of the caller's request.
@@ -63,7 +67,9 @@
     let request = build_request(record, upstream_request, added_headers).map_err(SendError::NotConnected)?;
     let stream = connect_to_replica(record).await.map_err(SendError::NotConnected)?;
     let peer = &record.id;
-    let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES);
+    let handshake = builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
     let (mut sender, driver) =
         handshake.map_err(|error| SendError::NotConnected(eyre::eyre!("step=connect peer={peer}: {error}")))?;
     let connection = Connection(tokio::task::spawn_local(async move {
--- a/standin/src/platform/replica/answers.rs
+++ b/standin/src/platform/replica/answers.rs
@@ -185,16 +185,24 @@
 fn event_stream(guard: CancellationGuard, service_time: Duration, last_event_id: u64, behavior: Behavior) -> Response {
     let final_event = match behavior {
         Behavior::AbortAfter(events) => last_event_id + events + 1,
+        Behavior::LargeStream { events, .. } => events,
         _ => STREAM_EVENTS,
     };
     let is_aborted = matches!(behavior, Behavior::AbortAfter(_));
+    let is_large = matches!(behavior, Behavior::LargeStream { .. });
     let chunks = stream::unfold((guard, last_event_id + 1), move |(guard, event)| async move {
         if event > final_event {
             guard.complete();
             return None;
         }
-        tokio::time::sleep(service_time).await;
-        let text = format!("id: {event}\ndata: piece {event} of {}\n\n", guard.id);
+        if !is_large {
+            tokio::time::sleep(service_time).await;
+        }
+        let padding = match behavior {
+            Behavior::LargeStream { padding_bytes, .. } => " ".repeat(padding_bytes),
+            _ => String::new(),
+        };
+        let text = format!("id: {event}\ndata: piece {event} of {}{padding}\n\n", guard.id);
         if is_aborted && event == final_event {
             let half = Bytes::from(text[..text.len() / 2].to_owned());
             return Some((vec![Ok(half), Err(std::io::Error::other("broken off"))], (guard, u64::MAX)));
--- a/standin/src/platform/replica/mod.rs
+++ b/standin/src/platform/replica/mod.rs
@@ -38,6 +38,13 @@
     UnconfirmedRefusal,
     /// A stream is aborted in the middle of the event that follows this many events.
     AbortAfter(u64),
+    /// A stream has large events without a delay between them.
+    LargeStream {
+        /// Number of events.
+        events: u64,
+        /// Bytes that are added to each event.
+        padding_bytes: usize,
+    },
     /// The response starts only after this many milliseconds; then the request runs and succeeds.
     Stall(u64),
 }
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -16,6 +16,7 @@
 use super::replica::Replica;
 use super::store::{Store, StoreListener};
 use crate::fleet::{allocate_address, find_binary};
+use crate::resource_usage::{self, ProcessUsage};
 
 /// Host name in all routes of the configuration.
 pub const HOST: &str = "site.example";
@@ -41,6 +42,8 @@
     pub plain_replicas: usize,
     /// Time that a replica takes for a response, or for each event of a stream.
     pub service_time: Duration,
+    /// Lines that the section `[gateway]` of each entry's settings gets.
+    pub gateway: String,
     /// Lines that the section `[bounds]` of each entry's settings gets.
     pub bounds: String,
     /// Whether the settings of an entry name the peer addresses of the entries started before it.
@@ -64,6 +67,7 @@
             engines: 3,
             plain_replicas: 2,
             service_time,
+            gateway: String::new(),
             bounds: String::new(),
             has_seeds: false,
             is_isolated: false,
@@ -179,7 +183,7 @@
         let earlier_peers = &self.peer_addresses[..self.peer_addresses.len().min(MAX_SEEDS)];
         let seeds = if spec.has_seeds { earlier_peers.join(",") } else { String::new() };
         self.peer_addresses.push(peer_address.clone());
-        let bounds = &spec.bounds;
+        let (gateway, bounds) = (&spec.gateway, &spec.bounds);
         let (mut store_address, mut caller_address) = (store_listener.address.clone(), entry_address.clone());
         if spec.has_proxies {
             let (store_proxy, caller_proxy) = (Proxy::start(store_address).await?, Proxy::start(caller_address).await?);
@@ -191,7 +195,7 @@
         let peer_listen = if spec.is_isolated { String::new() } else { format!("peer_listen = {peer_address}\n") };
         let settings = format!(
             "[process]\nname = entry-{index}\nfailure_domain = here\nlog_level = {log_level}\n\n[gateway]\nlisten = {entry_address}\n\
-             ready_listen = {ready_address}\nstore = {store_address}\n{peer_listen}seeds = {seeds}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
+             ready_listen = {ready_address}\nstore = {store_address}\n{peer_listen}seeds = {seeds}\n{gateway}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
         );
         std::fs::write(self.settings_file(index), settings).wrap_err("step=write-settings")?;
         self.addresses.push(caller_address);
@@ -311,6 +315,11 @@
         kill_process(pid, signal).wrap_err("step=signal")
     }
 
+    /// Returns the resource usage of an entry's process, or `None` if it does not run.
+    pub fn resource_usage(&self, entry: usize) -> Option<ProcessUsage> {
+        resource_usage::read_process(self.processes[entry].as_ref()?.id())
+    }
+
     /// Waits until an entry's process has exited, and returns whether it exited as expected.
     pub async fn wait_exit(&mut self, entry: usize) -> Result<bool> {
         let Some(mut process) = self.processes[entry].take() else {
