--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -48,9 +48,10 @@
     // A resumed stream may have another length; the chunked encoding marks its end.
     headers.remove(hyper::header::CONTENT_LENGTH);
     let status = opened.response.status();
-    let (caller, body) = match request.gateway.settings.has_contention {
-        true => request.gateway.relay_buffers.open(),
-        false => caller_stream::open_channel(),
+    let (caller, body) = if request.gateway.settings.has_contention {
+        request.gateway.relay_buffers.open()
+    } else {
+        caller_stream::open_channel()
     };
     let relay = Relay {
         request,
