--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -66,10 +66,11 @@
         // send.
         self.attempts += 1;
         self.possible_executions += 1;
+        let has_slow_callers = self.gateway.settings.has_contention;
         let result = tokio::select! {
             // A response that has arrived takes precedence over the reasons to give up the attempt.
             biased;
-            result = upstream::send(&record, &self.upstream_request, &head) => result,
+            result = upstream::send(&record, &self.upstream_request, &head, has_slow_callers) => result,
             next = self.fallback_target(&slot) => return Outcome::Unresponsive(Box::new(next)),
             // If the attempt is aborted before the replica starts the request, the replica does not crash.
             () = self.gateway.quarantine.wait_until_condemned(self.fingerprint) => return Outcome::Condemned,
--- a/sorrelpass/src/gateway/upstream.rs
+++ b/sorrelpass/src/gateway/upstream.rs
@@ -17,9 +17,9 @@
 use platform::headers;
 use tokio::task::JoinHandle;
 
-/// Size of the read buffer of a connection to a replica, and so of the longest response head, in bytes. The data of a
+/// Size of the small read buffer of a connection to a replica, and so of the longest response head, in bytes. The data of a
 /// stream that is not read on stays in this buffer, so that hundreds of such streams must fit into the memory.
-const READ_BUFFER_BYTES: usize = 32 << 10;
+const SMALL_READ_BUFFER_BYTES: usize = 32 << 10;
 
 /// Caller's request in the form that is sent to replicas.
 pub struct UpstreamRequest {
@@ -59,16 +59,20 @@
 }
 
 /// Sends a request with `added_headers` beside the caller's headers, and waits for the head of the response.
+/// `has_slow_callers` tells that many streams may stay unread, so that the connection gets a small read buffer.
 pub async fn send(
     record: &Record,
     upstream_request: &UpstreamRequest,
     added_headers: &headers::UpstreamHead,
+    has_slow_callers: bool,
 ) -> Result<(Response<Incoming>, Connection), SendError> {
     let request = build_request(record, upstream_request, added_headers).map_err(SendError::NotConnected)?;
     let stream = connect_to_replica(record).await.map_err(SendError::NotConnected)?;
     let peer = &record.id;
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(READ_BUFFER_BYTES);
+    if has_slow_callers {
+        builder.max_buf_size(SMALL_READ_BUFFER_BYTES);
+    }
     let handshake = builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
     let (mut sender, driver) =
         handshake.map_err(|error| SendError::NotConnected(eyre::eyre!("step=connect peer={peer}: {error}")))?;
