Promise only the capacity that newcomers leave, and let returned callers wait

Cause: returned callers displaced newcomers, and were refused again after a wait. Change: the time of a return allows for the drift of late prompts, a returned caller waits for up to 0.6 of its time, and entries leave the limit of the wait to the planner.

--- a/coord/src/planner/admission.rs
+++ b/coord/src/planner/admission.rs
@@ -18,10 +18,12 @@
 use crate::time::Moment;
 
 /// Bounds the waiting prompts of one forecast. Those behind them wait for the next one.
-const MAX_FORECAST_PROMPTS: usize = 512;
-/// Share of a caller's time within which its prompt must start. Entries withdraw prompts soon after it, since the rest
-/// of the time is needed to prefill and to answer.
+const MAX_FORECAST_PROMPTS: usize = 256;
+/// Share of a caller's time within which its prompt must start. A caller that is refused has time left to return.
 const MAX_START_SHARE: f64 = 0.4;
+/// Share of the remaining time of a returned caller within which its prompt must start. It gets no better offer, so only
+/// the time to prefill and to answer is left.
+const MAX_RETURN_START_SHARE: f64 = 0.6;
 /// Share of the first-event target within which a caller can be told to return and still be in time.
 const EARLY_SHARE: f64 = 0.25;
 
@@ -30,6 +32,8 @@
 struct Situation {
     start_ms: f64,
     first_event_ms: f64,
+    /// Time from which there is capacity that prompts still to come do not need.
+    spare_ms: f64,
     /// Margin by which the forecast may be wrong.
     margin_ms: f64,
     /// Time since the prompt arrived.
@@ -54,7 +58,8 @@
         if self.start_ms <= 0.0 {
             return Verdict::Wait;
         }
-        if self.start_ms - self.margin_ms > latest_start_ms(self.waited_ms, self.remaining_ms) {
+        let share = if self.is_return { MAX_RETURN_START_SHARE } else { MAX_START_SHARE };
+        if self.start_ms - self.margin_ms > latest_start_ms(share, self.waited_ms, self.remaining_ms) {
             return self.refuse(Reason::StartsTooLate, self.can_promise && self.is_useful_after_return());
         }
         let is_late = self.first_event_ms - self.margin_ms > self.slack_ms;
@@ -84,18 +89,23 @@
         self.remaining_ms * RETRY_AFTER_SHARE
     }
 
-    /// Returns the time of a return that finds the prompt at the head of the queue.
+    /// Returns the time of a return that takes no capacity from prompts still to come.
     fn return_ms(&self) -> f64 {
-        self.start_ms.min(self.heeded_ms())
+        self.spare_ms.min(self.heeded_ms())
+    }
+
+    /// Returns the time from a return to the start.
+    fn wait_after_return_ms(&self) -> f64 {
+        self.spare_ms - self.return_ms() + self.margin_ms
     }
 
     fn is_in_time_after_return(&self) -> bool {
-        self.first_event_ms + self.margin_ms - self.return_ms() <= self.target_ms()
+        self.wait_after_return_ms() + self.first_event_ms - self.start_ms <= self.target_ms()
     }
 
     fn is_useful_after_return(&self) -> bool {
-        let return_ms = self.return_ms();
-        self.start_ms + self.margin_ms - return_ms <= latest_start_ms(0.0, self.remaining_ms - return_ms)
+        let remaining_ms = self.remaining_ms - self.return_ms();
+        self.wait_after_return_ms() <= latest_start_ms(MAX_RETURN_START_SHARE, 0.0, remaining_ms)
     }
 }
 
@@ -105,9 +115,10 @@
     waited_ms <= (waited_ms + slack_ms) * EARLY_SHARE
 }
 
-/// Returns the latest useful start of a prompt that has waited for `waited_ms`, in milliseconds from now.
-fn latest_start_ms(waited_ms: f64, remaining_ms: f64) -> f64 {
-    (waited_ms + remaining_ms) * MAX_START_SHARE - waited_ms
+/// Returns the latest useful start of a prompt that has waited for `waited_ms` and must start within `share` of its
+/// time, in milliseconds from now.
+fn latest_start_ms(share: f64, waited_ms: f64, remaining_ms: f64) -> f64 {
+    (waited_ms + remaining_ms) * share - waited_ms
 }
 
 /// Prediction and decision for one waiting prompt.
@@ -156,8 +167,15 @@
                 prediction = next;
             }
             let decision = self.decide_one(candidate, &demand, &prediction, ahead, now);
-            let keeps_place = !matches!(decision.verdict, Verdict::Refuse { is_promised: false, .. });
-            if keeps_place {
+            let place = match decision.verdict {
+                Verdict::Wait => Some((demand, prediction)),
+                Verdict::Refuse { is_promised: false, .. } => None,
+                Verdict::Refuse { retry_after_ms, .. } => {
+                    let on_return = Demand { earliest_ms: retry_after_ms, ..demand };
+                    timeline.predict(&on_return).map(|prediction| (on_return, prediction))
+                }
+            };
+            if let Some((demand, prediction)) = place {
                 timeline.schedule(&demand, &prediction);
                 ahead += 1;
             }
@@ -184,11 +202,12 @@
         // Prompts still to come do not rank ahead of those of returning callers, and are seen to delay others only
         // after a while.
         if !is_return && !is_early(waited_ms, demand.slack_ms) {
-            start_ms = accuracy.correct_drift(class, start_ms);
+            start_ms = accuracy.correct_drift(class, start_ms, now);
         }
         let situation = Situation {
             start_ms,
             first_event_ms: start_ms + prediction.first_event_ms - prediction.start_ms,
+            spare_ms: accuracy.spare_start_ms(class.is_short, start_ms, now).max(start_ms),
             margin_ms: accuracy.margin_ms(class.is_short),
             waited_ms,
             slack_ms: demand.slack_ms,
@@ -272,6 +291,11 @@
         std::mem::take(&mut self.promises.counts)
     }
 
+    /// Returns whether the planner refuses each prompt that waits for too long, so that entries need not limit the wait.
+    pub fn has_forecasts(&self) -> bool {
+        self.features.forecasts && self.policy.refuse_early
+    }
+
     /// Returns the margin by which forecasts for short or long prompts may currently be wrong.
     pub fn forecast_margin(&self, is_short: bool) -> Duration {
         duration_from_ms(self.forecaster.accuracy.margin_ms(is_short))
--- a/coord/src/planner/forecast/accuracy.rs
+++ b/coord/src/planner/forecast/accuracy.rs
@@ -11,9 +11,13 @@
 
 /// Half-life of the learned values: long enough to cover dozens of starts, short enough to follow a burst.
 const HALF_LIFE: Duration = Duration::from_secs(1);
-/// Largest drift, in seconds per second. At 1, a prompt would never start; but a queue that stands still for a while
-/// often moves again when the answers end that fill the engines.
-const MAX_DRIFT: f64 = 0.5;
+/// Largest drift, in seconds per second. At 1, a prompt would never start.
+const MAX_DRIFT: f64 = 0.9;
+/// Largest drift that counts against a prompt that waits. A queue that stands still for a while often moves again when
+/// the answers end that fill the engines.
+const MAX_QUEUE_DRIFT: f64 = 0.5;
+/// Observed time without drift that is assumed at first, in milliseconds.
+const ASSUMED_OBSERVATION_MS: f64 = 500.0;
 /// Weight of a new error in the mean error and the mean deviation.
 const ERROR_WEIGHT: f64 = 0.1;
 /// Mean deviations that the margin covers, as in the retransmission timer of TCP.
@@ -49,15 +53,20 @@
 
 impl Drift {
     fn record(&mut self, moved_ms: f64, observed_ms: f64, now: Moment) {
-        let decay = (-now.since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
+        let decay = self.decay(now);
         self.moved_ms = self.moved_ms * decay + moved_ms;
         self.observed_ms = self.observed_ms * decay + observed_ms;
         self.updated_at = now;
     }
 
     /// Returns the drift in seconds per second; zero for starts that do not move away.
-    fn rate(&self) -> f64 {
-        if self.observed_ms <= 0.0 { 0.0 } else { (self.moved_ms / self.observed_ms).clamp(0.0, MAX_DRIFT) }
+    fn rate(&self, now: Moment) -> f64 {
+        let decay = self.decay(now);
+        (self.moved_ms * decay / (self.observed_ms * decay + ASSUMED_OBSERVATION_MS)).clamp(0.0, MAX_DRIFT)
+    }
+
+    fn decay(&self, now: Moment) -> f64 {
+        (-now.since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
     }
 }
 
@@ -103,9 +112,14 @@
         if start_ms <= 0.0 { start_ms } else { (start_ms + self.error(is_short).mean_ms).max(0.0) }
     }
 
-    /// Returns the expected start of a prompt that prompts still to come delay, in milliseconds.
-    pub fn correct_drift(&self, class: Class, start_ms: f64) -> f64 {
-        start_ms / (1.0 - self.drifts[class.index()].rate())
+    /// Returns the expected start of a waiting prompt that prompts still to come delay, in milliseconds.
+    pub fn correct_drift(&self, class: Class, start_ms: f64, now: Moment) -> f64 {
+        start_ms / (1.0 - self.drifts[class.index()].rate(now).min(MAX_QUEUE_DRIFT))
+    }
+
+    /// Returns when there is capacity for a prompt that prompts still to come do not need, in milliseconds.
+    pub fn spare_start_ms(&self, is_short: bool, start_ms: f64, now: Moment) -> f64 {
+        start_ms / (1.0 - self.drifts[Class { is_short, is_late: true }.index()].rate(now))
     }
 
     /// Returns the margin of a predicted start, in milliseconds.
--- a/coord/src/planner/forecast/timeline.rs
+++ b/coord/src/planner/forecast/timeline.rs
@@ -129,13 +129,13 @@
         let options = self.engines.iter().enumerate().filter_map(|(index, engine)| {
             let prefill_ms = demand.prompt.prefill_ms * engine.slowdown;
             let prefill_start_ms = engine.prefill_start_ms(prefill_ms, f64::INFINITY);
-            let start_ms = prefill_start_ms.max(engine.slot_ms(tokens)?).max(engine.admits_ms).max(demand.earliest_ms);
+            let start_ms = prefill_start_ms.max(engine.admits_ms).max(demand.earliest_ms);
+            let start_ms = start_ms.max(engine.slot_ms(tokens)?);
             let first_event_ms = start_ms.max(engine.free_ms) + prefill_ms + engine.pass_ms * PASSES_TO_FIRST_EVENT;
-            Some(Prediction { start_ms, first_event_ms, engines: vec![index] })
+            Some((start_ms, first_event_ms, index))
         });
-        options.min_by(|a, b| {
-            a.start_ms.total_cmp(&b.start_ms).then_with(|| a.first_event_ms.total_cmp(&b.first_event_ms))
-        })
+        let soonest = options.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
+        soonest.map(|(start_ms, first_event_ms, index)| Prediction { start_ms, first_event_ms, engines: vec![index] })
     }
 
     /// Predicts the service by the team that starts first.
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -197,6 +197,11 @@
         planner.set_features(features);
     }
 
+    /// Returns whether the planner of a service refuses each prompt that waits for too long.
+    pub fn has_forecasts(&self, service: &Name) -> bool {
+        self.planners.borrow().get(service).is_some_and(Planner::has_forecasts)
+    }
+
     fn new_planner(&self) -> Planner {
         let mut planner = Planner::new(self.policy, util::incarnation().0);
         planner.set_suspects(self.suspects.borrow().iter().copied());
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -27,6 +27,10 @@
 /// is granted within a few milliseconds.
 const MIN_GRANT_WAIT: Duration = Duration::from_millis(100);
 
+/// Fraction of the caller's time that a prompt may wait for engines where the planner refuses prompts by forecast. It is
+/// a bound for the case that no refusal arrives.
+const MAX_FORECAST_WAIT_SHARE: f64 = 0.65;
+
 /// Maximum fraction of a backoff that is added to the retry delay of refused callers, so that they do not all retry at
 /// the same time.
 const MAX_BACKOFF_JITTER: f64 = 0.25;
@@ -215,8 +219,7 @@
     /// Waits until engines are granted, for at most the time that the caller's deadline and the policy allow.
     async fn choose_engine_target(&self, tokens: u64) -> Result<Target, PlacementError> {
         let job = self.planner_job(tokens);
-        let max_wait =
-            self.route.client_timeout().min(self.timeout).mul_f64(self.gateway.settings.policy.timeout_share);
+        let max_wait = self.route.client_timeout().min(self.timeout).mul_f64(self.max_wait_share());
         let until = (self.started + max_wait).max(now() + MIN_GRANT_WAIT);
         loop {
             if self.gateway.roster.borrow().usable(&self.service).next().is_none() {
@@ -279,6 +282,15 @@
         );
     }
 
+    /// Returns the share of the caller's time that a prompt may wait for engines.
+    fn max_wait_share(&self) -> f64 {
+        let share = self.gateway.settings.policy.timeout_share;
+        match self.gateway.admission.has_forecasts(&self.service) {
+            true => share.max(MAX_FORECAST_WAIT_SHARE),
+            false => share,
+        }
+    }
+
     /// Returns the error of a request that no replica of the service accepts now.
     fn no_replica_error(&self) -> PlacementError {
         if self.gateway.roster.borrow().is_evacuated(&self.service) {
