Keep the place of returned callers, and use drift for return times only

Cause: returned callers became late and then got no engines; prompts without predecessors were refused because predicted starts had drifted. Change: returned prompts are not demoted, the drift only delays returns.

--- a/coord/src/planner/admission.rs
+++ b/coord/src/planner/admission.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::Planner;
-use super::forecast::{Class, Demand, Prediction};
+use super::forecast::{Demand, Prediction};
 use super::job::Job;
 use super::overload::RETRY_AFTER_SHARE;
 use super::promise::{Promise, PromiseCounts, PromiseId};
@@ -125,9 +125,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Decision {
     candidate: Candidate,
-    class: Class,
-    /// Predicted start without allowance for prompts still to come.
+    /// Predicted start without correction.
     start: Moment,
+    /// Whether that is too late for the target.
+    is_late: bool,
     forecast: Forecast,
     first_event_within: Duration,
     is_return: bool,
@@ -194,21 +195,16 @@
     ) -> Decision {
         let waiting = self.forecaster.waiting(candidate.id);
         let start = now + duration_from_ms(prediction.start_ms);
-        let class = Class { is_short: candidate.prompt.is_short, is_late: start > candidate.prompt.late_after };
+        let is_short = candidate.prompt.is_short;
         let is_return = waiting.is_some_and(|waiting| waiting.promise.is_some());
         let waited_ms = waiting.map_or(0.0, |waiting| now.since(waiting.since).as_secs_f64() * 1e3);
         let accuracy = &self.forecaster.accuracy;
-        let mut start_ms = accuracy.correct(class.is_short, prediction.start_ms);
-        // Prompts still to come do not rank ahead of those of returning callers, and are seen to delay others only
-        // after a while.
-        if !is_return && !is_early(waited_ms, demand.slack_ms) {
-            start_ms = accuracy.correct_drift(class, start_ms, now);
-        }
+        let start_ms = accuracy.correct(is_short, prediction.start_ms);
         let situation = Situation {
             start_ms,
             first_event_ms: start_ms + prediction.first_event_ms - prediction.start_ms,
-            spare_ms: accuracy.spare_start_ms(class.is_short, start_ms, now).max(start_ms),
-            margin_ms: accuracy.margin_ms(class.is_short),
+            spare_ms: accuracy.spare_start_ms(is_short, start_ms, now).max(start_ms),
+            margin_ms: accuracy.margin_ms(is_short),
             waited_ms,
             slack_ms: demand.slack_ms,
             remaining_ms: demand.remaining_ms,
@@ -217,8 +213,8 @@
         };
         Decision {
             candidate: *candidate,
-            class,
             start,
+            is_late: start > candidate.prompt.late_after,
             forecast: Forecast {
                 start_in: duration_from_ms(situation.start_ms),
                 first_event_in: duration_from_ms(situation.first_event_ms),
@@ -234,7 +230,7 @@
     fn apply(&mut self, decision: &Decision, now: Moment) -> Option<Refusal> {
         let id = decision.candidate.id;
         let Verdict::Refuse { reason, retry_after_ms, is_promised } = decision.verdict else {
-            self.forecaster.record_prediction(id, decision.class, decision.start, now);
+            self.forecaster.record_prediction(id, decision.start, decision.is_late, now);
             return None;
         };
         let retry_after = duration_from_ms(retry_after_ms);
--- a/coord/src/planner/forecast/accuracy.rs
+++ b/coord/src/planner/forecast/accuracy.rs
@@ -1,9 +1,10 @@
 //! Learns how far forecasts are from what happens.
 //!
-//! A forecast knows the queue but not the prompts that are still to come. Those that rank ahead of a waiting prompt
-//! delay it, so that its predicted start moves away while it waits. The drift of the predicted starts tells a queue
-//! that is short but does not move from one that is long but moves. The error of the starts themselves gives the
-//! margin by which a prediction must miss a limit before a prompt is refused.
+//! The error of predicted starts gives the margin by which a prediction must miss a limit before a prompt is refused.
+//!
+//! A forecast knows the queue but not the prompts that are still to come. Those that rank ahead of a late prompt delay
+//! it, so that its predicted start moves away while it waits. This drift tells how much of the capacity is left for
+//! callers that are told to return.
 
 use std::time::Duration;
 
@@ -13,9 +14,6 @@
 const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Largest drift, in seconds per second. At 1, a prompt would never start.
 const MAX_DRIFT: f64 = 0.9;
-/// Largest drift that counts against a prompt that waits. A queue that stands still for a while often moves again when
-/// the answers end that fill the engines.
-const MAX_QUEUE_DRIFT: f64 = 0.5;
 /// Observed time without drift that is assumed at first, in milliseconds.
 const ASSUMED_OBSERVATION_MS: f64 = 500.0;
 /// Weight of a new error in the mean error and the mean deviation.
@@ -27,20 +25,6 @@
 /// Largest margin, in milliseconds. A larger one would let hopeless prompts wait.
 const MAX_MARGIN_MS: f64 = 1_000.0;
 
-/// Group of prompts whose starts drift alike.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Class {
-    pub is_short: bool,
-    /// Whether the prompt starts too late for its target, so that prompts in time rank ahead of it.
-    pub is_late: bool,
-}
-
-impl Class {
-    fn index(self) -> usize {
-        usize::from(self.is_short) + 2 * usize::from(self.is_late)
-    }
-}
-
 /// Decaying sums from which a drift is computed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Drift {
@@ -85,23 +69,30 @@
     }
 }
 
+/// Learned errors of the forecasts for short or for long prompts.
+#[derive(Clone, Copy, Debug, Default)]
+struct Errors {
+    start: StartError,
+    /// Drift of the predicted starts of late prompts, which those in time rank ahead of.
+    drift: Drift,
+}
+
 /// Learned errors of the forecasts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Accuracy {
-    drifts: [Drift; 4],
-    short: StartError,
-    long: StartError,
+    short: Errors,
+    long: Errors,
 }
 
 impl Accuracy {
-    /// Records that the predicted start of a waiting prompt moved by `moved_ms` within `observed_ms`.
-    pub fn record_drift(&mut self, class: Class, moved_ms: f64, observed_ms: f64, now: Moment) {
-        self.drifts[class.index()].record(moved_ms, observed_ms, now);
+    /// Records that the predicted start of a late prompt moved by `moved_ms` within `observed_ms`.
+    pub fn record_drift(&mut self, is_short: bool, moved_ms: f64, observed_ms: f64, now: Moment) {
+        self.errors_mut(is_short).drift.record(moved_ms, observed_ms, now);
     }
 
     /// Records by how much a prompt started after its predicted start, in milliseconds; negative if before.
     pub fn record_error(&mut self, is_short: bool, error_ms: f64) {
-        let error = if is_short { &mut self.short } else { &mut self.long };
+        let error = &mut self.errors_mut(is_short).start;
         error.deviation_ms += ((error_ms - error.mean_ms).abs() - error.deviation_ms) * ERROR_WEIGHT;
         error.mean_ms += (error_ms - error.mean_ms) * ERROR_WEIGHT;
     }
@@ -109,25 +100,24 @@
     /// Returns when a prompt that is predicted to start after `start_ms` is expected to do so, in milliseconds. A
     /// prompt that could start now has no error.
     pub fn correct(&self, is_short: bool, start_ms: f64) -> f64 {
-        if start_ms <= 0.0 { start_ms } else { (start_ms + self.error(is_short).mean_ms).max(0.0) }
-    }
-
-    /// Returns the expected start of a waiting prompt that prompts still to come delay, in milliseconds.
-    pub fn correct_drift(&self, class: Class, start_ms: f64, now: Moment) -> f64 {
-        start_ms / (1.0 - self.drifts[class.index()].rate(now).min(MAX_QUEUE_DRIFT))
+        if start_ms <= 0.0 { start_ms } else { (start_ms + self.errors(is_short).start.mean_ms).max(0.0) }
     }
 
     /// Returns when there is capacity for a prompt that prompts still to come do not need, in milliseconds.
     pub fn spare_start_ms(&self, is_short: bool, start_ms: f64, now: Moment) -> f64 {
-        start_ms / (1.0 - self.drifts[Class { is_short, is_late: true }.index()].rate(now))
+        start_ms / (1.0 - self.errors(is_short).drift.rate(now))
     }
 
     /// Returns the margin of a predicted start, in milliseconds.
     pub fn margin_ms(&self, is_short: bool) -> f64 {
-        (self.error(is_short).deviation_ms * COVERED_DEVIATIONS).min(MAX_MARGIN_MS)
+        (self.errors(is_short).start.deviation_ms * COVERED_DEVIATIONS).min(MAX_MARGIN_MS)
     }
 
-    fn error(&self, is_short: bool) -> &StartError {
+    fn errors(&self, is_short: bool) -> &Errors {
         if is_short { &self.short } else { &self.long }
     }
+
+    fn errors_mut(&mut self, is_short: bool) -> &mut Errors {
+        if is_short { &mut self.short } else { &mut self.long }
+    }
 }
--- a/coord/src/planner/forecast/mod.rs
+++ b/coord/src/planner/forecast/mod.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use self::accuracy::Accuracy;
-pub(super) use self::accuracy::Class;
 use self::answers::Answers;
 pub(super) use self::timeline::{Demand, Prediction};
 use self::timeline::{Occupant, Outlook, Timeline};
@@ -102,17 +101,18 @@
         self.answers.remove(id, now);
     }
 
-    /// Records the predicted start of a waiting prompt.
-    pub fn record_prediction(&mut self, id: Id, class: Class, start: Moment, now: Moment) {
+    /// Records the predicted start of a waiting prompt; `is_late` tells that it is too late for its target.
+    pub fn record_prediction(&mut self, id: Id, start: Moment, is_late: bool, now: Moment) {
         let Some(waiting) = self.waiting.get_mut(&id) else { return };
         waiting.first_start.get_or_insert(start);
-        let Some((at, previous)) = waiting.last else {
-            waiting.last = Some((now, start));
+        let (at, previous) = *waiting.last.get_or_insert((now, start));
+        if now.since(at) < DRIFT_INTERVAL {
             return;
-        };
-        if now.since(at) >= DRIFT_INTERVAL {
-            self.accuracy.record_drift(class, signed_ms(start, previous), now.since(at).as_secs_f64() * 1e3, now);
-            waiting.last = Some((now, start));
+        }
+        waiting.last = Some((now, start));
+        if is_late {
+            let observed_ms = now.since(at).as_secs_f64() * 1e3;
+            self.accuracy.record_drift(waiting.is_short, signed_ms(start, previous), observed_ms, now);
         }
     }
 }
--- a/coord/src/planner/wait_queue.rs
+++ b/coord/src/planner/wait_queue.rs
@@ -1,8 +1,8 @@
 //! Queue of waiting prompts in the order in which they are placed.
 //!
-//! Prompts that can still be in time go first, then the more urgent priority, then those of callers that returned as
-//! promised, then the cheaper prompt. The estimates
-//! that this order depends on are computed once per prompt, so that a scan of the queue sorts nothing.
+//! Prompts that can still be in time, and those of callers that returned as promised, go first, then the more urgent
+//! priority, then those of returned callers, then the cheaper prompt. The estimates that this order depends on are
+//! computed once per prompt, so that a scan of the queue sorts nothing.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
@@ -61,7 +61,7 @@
 #[derive(Debug, Default)]
 pub struct WaitQueue {
     prompts: BTreeMap<Id, Prompt>,
-    /// Prompts that could still be in time when the queue was last read.
+    /// Prompts that could still be in time when the queue was last read, and all of callers that returned as promised.
     timely: BTreeMap<Rank, Prompt>,
     /// Prompts that were late already at that time.
     late: BTreeMap<Rank, Prompt>,
@@ -138,13 +138,13 @@
     /// Returns all waiting prompts in the order in which they are to be placed at `now`.
     pub fn list_ordered(&mut self, now: Moment) -> Vec<Candidate> {
         self.demote_late(now);
-        list_ordered(&self.timely, false).chain(list_ordered(&self.late, true)).collect()
+        list_ordered(&self.timely, now).chain(list_ordered(&self.late, now)).collect()
     }
 
     /// Returns the waiting prompts that would be late even if they started now.
     pub fn list_late(&mut self, now: Moment) -> Vec<Candidate> {
         self.demote_late(now);
-        list_ordered(&self.late, true).collect()
+        list_ordered(&self.late, now).collect()
     }
 
     /// Moves the prompts that have become late behind the others.
@@ -154,6 +154,10 @@
                 return;
             }
             self.late_times.pop_first();
+            // A caller that returned as promised keeps its place.
+            if self.returned.contains(&id) {
+                continue;
+            }
             let prompt = self.prompts[&id];
             let rank = self.rank(id, &prompt);
             self.timely.remove(&rank);
@@ -168,6 +172,7 @@
     }
 }
 
-fn list_ordered(prompts: &BTreeMap<Rank, Prompt>, is_late: bool) -> impl Iterator<Item = Candidate> {
-    prompts.iter().map(move |(rank, prompt)| Candidate { id: rank.id, prompt: *prompt, is_late })
+fn list_ordered(prompts: &BTreeMap<Rank, Prompt>, now: Moment) -> impl Iterator<Item = Candidate> {
+    let is_late = move |prompt: &Prompt| now > prompt.late_after;
+    prompts.iter().map(move |(rank, prompt)| Candidate { id: rank.id, prompt: *prompt, is_late: is_late(prompt) })
 }
