--- a/coord/src/planner/admission.rs
+++ b/coord/src/planner/admission.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::Planner;
-use super::forecast::{Class, Demand, Prediction};
+use super::forecast::{Demand, Prediction};
 use super::job::Job;
 use super::overload::RETRY_AFTER_SHARE;
 use super::promise::{Promise, PromiseCounts, PromiseId};
@@ -18,10 +18,12 @@
 use crate::time::Moment;
 
 /// Bounds the waiting prompts of one forecast. Those behind them wait for the next one.
-const MAX_FORECAST_PROMPTS: usize = 512;
-/// Share of a caller's time within which its prompt must start. Entries withdraw prompts soon after it, since the rest
-/// of the time is needed to prefill and to answer.
+const MAX_FORECAST_PROMPTS: usize = 256;
+/// Share of a caller's time within which its prompt must start. A caller that is refused has time left to return.
 const MAX_START_SHARE: f64 = 0.4;
+/// Share of the remaining time of a returned caller within which its prompt must start. It gets no better offer, so only
+/// the time to prefill and to answer is left.
+const MAX_RETURN_START_SHARE: f64 = 0.6;
 /// Share of the first-event target within which a caller can be told to return and still be in time.
 const EARLY_SHARE: f64 = 0.25;
 
@@ -30,6 +32,8 @@
 struct Situation {
     start_ms: f64,
     first_event_ms: f64,
+    /// Time from which there is capacity that prompts still to come do not need.
+    spare_ms: f64,
     /// Margin by which the forecast may be wrong.
     margin_ms: f64,
     /// Time since the prompt arrived.
@@ -54,7 +58,8 @@
         if self.start_ms <= 0.0 {
             return Verdict::Wait;
         }
-        if self.start_ms - self.margin_ms > latest_start_ms(self.waited_ms, self.remaining_ms) {
+        let share = if self.is_return { MAX_RETURN_START_SHARE } else { MAX_START_SHARE };
+        if self.start_ms - self.margin_ms > latest_start_ms(share, self.waited_ms, self.remaining_ms) {
             return self.refuse(Reason::StartsTooLate, self.can_promise && self.is_useful_after_return());
         }
         let is_late = self.first_event_ms - self.margin_ms > self.slack_ms;
@@ -84,18 +89,23 @@
         self.remaining_ms * RETRY_AFTER_SHARE
     }
 
-    /// Returns the time of a return that finds the prompt at the head of the queue.
+    /// Returns the time of a return that takes no capacity from prompts still to come.
     fn return_ms(&self) -> f64 {
-        self.start_ms.min(self.heeded_ms())
+        self.spare_ms.min(self.heeded_ms())
+    }
+
+    /// Returns the time from a return to the start.
+    fn wait_after_return_ms(&self) -> f64 {
+        self.spare_ms - self.return_ms() + self.margin_ms
     }
 
     fn is_in_time_after_return(&self) -> bool {
-        self.first_event_ms + self.margin_ms - self.return_ms() <= self.target_ms()
+        self.wait_after_return_ms() + self.first_event_ms - self.start_ms <= self.target_ms()
     }
 
     fn is_useful_after_return(&self) -> bool {
-        let return_ms = self.return_ms();
-        self.start_ms + self.margin_ms - return_ms <= latest_start_ms(0.0, self.remaining_ms - return_ms)
+        let remaining_ms = self.remaining_ms - self.return_ms();
+        self.wait_after_return_ms() <= latest_start_ms(MAX_RETURN_START_SHARE, 0.0, remaining_ms)
     }
 }
 
@@ -105,18 +115,20 @@
     waited_ms <= (waited_ms + slack_ms) * EARLY_SHARE
 }
 
-/// Returns the latest useful start of a prompt that has waited for `waited_ms`, in milliseconds from now.
-fn latest_start_ms(waited_ms: f64, remaining_ms: f64) -> f64 {
-    (waited_ms + remaining_ms) * MAX_START_SHARE - waited_ms
+/// Returns the latest useful start of a prompt that has waited for `waited_ms` and must start within `share` of its
+/// time, in milliseconds from now.
+fn latest_start_ms(share: f64, waited_ms: f64, remaining_ms: f64) -> f64 {
+    (waited_ms + remaining_ms) * share - waited_ms
 }
 
 /// Prediction and decision for one waiting prompt.
 #[derive(Clone, Copy, Debug)]
 struct Decision {
     candidate: Candidate,
-    class: Class,
-    /// Predicted start without allowance for prompts still to come.
+    /// Predicted start without correction.
     start: Moment,
+    /// Whether that is too late for the target.
+    is_late: bool,
     forecast: Forecast,
     first_event_within: Duration,
     is_return: bool,
@@ -156,8 +168,15 @@
                 prediction = next;
             }
             let decision = self.decide_one(candidate, &demand, &prediction, ahead, now);
-            let keeps_place = !matches!(decision.verdict, Verdict::Refuse { is_promised: false, .. });
-            if keeps_place {
+            let place = match decision.verdict {
+                Verdict::Wait => Some((demand, prediction)),
+                Verdict::Refuse { is_promised: false, .. } => None,
+                Verdict::Refuse { retry_after_ms, .. } => {
+                    let on_return = Demand { earliest_ms: retry_after_ms, ..demand };
+                    timeline.predict(&on_return).map(|prediction| (on_return, prediction))
+                }
+            };
+            if let Some((demand, prediction)) = place {
                 timeline.schedule(&demand, &prediction);
                 ahead += 1;
             }
@@ -176,20 +195,16 @@
     ) -> Decision {
         let waiting = self.forecaster.waiting(candidate.id);
         let start = now + duration_from_ms(prediction.start_ms);
-        let class = Class { is_short: candidate.prompt.is_short, is_late: start > candidate.prompt.late_after };
+        let is_short = candidate.prompt.is_short;
         let is_return = waiting.is_some_and(|waiting| waiting.promise.is_some());
         let waited_ms = waiting.map_or(0.0, |waiting| now.since(waiting.since).as_secs_f64() * 1e3);
         let accuracy = &self.forecaster.accuracy;
-        let mut start_ms = accuracy.correct(class.is_short, prediction.start_ms);
-        // Prompts still to come do not rank ahead of those of returning callers, and are seen to delay others only
-        // after a while.
-        if !is_return && !is_early(waited_ms, demand.slack_ms) {
-            start_ms = accuracy.correct_drift(class, start_ms);
-        }
+        let start_ms = accuracy.correct(is_short, prediction.start_ms);
         let situation = Situation {
             start_ms,
             first_event_ms: start_ms + prediction.first_event_ms - prediction.start_ms,
-            margin_ms: accuracy.margin_ms(class.is_short),
+            spare_ms: accuracy.spare_start_ms(is_short, start_ms, now).max(start_ms),
+            margin_ms: accuracy.margin_ms(is_short),
             waited_ms,
             slack_ms: demand.slack_ms,
             remaining_ms: demand.remaining_ms,
@@ -198,8 +213,8 @@
         };
         Decision {
             candidate: *candidate,
-            class,
             start,
+            is_late: start > candidate.prompt.late_after,
             forecast: Forecast {
                 start_in: duration_from_ms(situation.start_ms),
                 first_event_in: duration_from_ms(situation.first_event_ms),
@@ -215,7 +230,7 @@
     fn apply(&mut self, decision: &Decision, now: Moment) -> Option<Refusal> {
         let id = decision.candidate.id;
         let Verdict::Refuse { reason, retry_after_ms, is_promised } = decision.verdict else {
-            self.forecaster.record_prediction(id, decision.class, decision.start, now);
+            self.forecaster.record_prediction(id, decision.start, decision.is_late, now);
             return None;
         };
         let retry_after = duration_from_ms(retry_after_ms);
@@ -272,6 +287,11 @@
         std::mem::take(&mut self.promises.counts)
     }
 
+    /// Returns whether the planner refuses each prompt that waits for too long, so that entries need not limit the wait.
+    pub fn has_forecasts(&self) -> bool {
+        self.features.forecasts && self.policy.refuse_early
+    }
+
     /// Returns the margin by which forecasts for short or long prompts may currently be wrong.
     pub fn forecast_margin(&self, is_short: bool) -> Duration {
         duration_from_ms(self.forecaster.accuracy.margin_ms(is_short))
