--- a/coord/tests/planner_load/play.rs
+++ b/coord/tests/planner_load/play.rs
@@ -48,7 +48,7 @@
         prefill_ms: f64,
     },
     /// The first event of a prompt reaches the entry.
-    FirstEvent {
+    Report {
         number: u64,
     },
     GiveUp {
@@ -290,7 +290,7 @@
                 Some(Event::Arrival { kind }) => self.arrive(kinds, kind),
                 Some(Event::PassEnd { engine }) => self.end_pass(kinds, engine),
                 Some(Event::Part { engine, number, prefill_ms }) => self.add_part(engine, number, prefill_ms),
-                Some(Event::FirstEvent { number }) => {
+                Some(Event::Report { number }) => {
                     self.planner.record_first_event(Id { entry: 0, number }, self.moment());
                 }
                 Some(Event::GiveUp { number }) => self.refuse(number),
@@ -531,7 +531,7 @@
             self.planner.finish(id, moment);
         }
         if let Some(arrives_at) = first_event_at {
-            self.schedule(arrives_at, Event::FirstEvent { number });
+            self.schedule(arrives_at, Event::Report { number });
         }
     }
 }
