--- a/coord/src/planner/long_demand.rs
+++ b/coord/src/planner/long_demand.rs
@@ -15,8 +15,8 @@
 /// Time after which a prompt counts half in the demand. Answers to short prompts take about as long, so that engines
 /// are not given up faster than they can be freed again.
 const HALF_LIFE: Duration = Duration::from_secs(2);
-/// Engines that are left for each engine that long prompts keep busy. At two thirds of the capacity, a prompt that
-/// arrives finds engines for its team more often than not.
+/// Engines that are left for each engine that long prompts keep busy on average. They arrive irregularly, so that the
+/// average alone would let many of them wait.
 const HEADROOM: f64 = 1.5;
 
 /// Decaying demand of long prompts.
--- a/sorrelpass/src/gateway/admission/prediction.rs
+++ b/sorrelpass/src/gateway/admission/prediction.rs
@@ -10,10 +10,11 @@
 const PREDICTION_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
 impl Queue {
-    /// Sets the metric of the prediction error, and logs it periodically.
+    /// Sets the metric of the prediction error, and logs it periodically. A follower's planner does not know the prompts
+    /// of other entries, so that its predictions say nothing.
     pub(super) fn report_prediction_error(&self) {
         let now = now();
-        if now.since(self.last_prediction_report.get()) < PREDICTION_REPORT_INTERVAL {
+        if self.has_leader() || now.since(self.last_prediction_report.get()) < PREDICTION_REPORT_INTERVAL {
             return;
         }
         self.last_prediction_report.set(now);
