--- a/coord/src/planner/estimate.rs
+++ b/coord/src/planner/estimate.rs
@@ -47,7 +47,7 @@
         let max_wait_ms = engines.clone().map(|engine| engine.wait_ms(now)).fold(0.0, f64::max);
         let max_pass_ms = engines.clone().map(Engine::pass_ms).fold(0.0, f64::max);
         let slowdown = engines.map(Engine::slowdown).fold(1.0, f64::max);
-        let way_ms = self.way_of_team(entry, team).as_secs_f64() * 1e3;
-        max_wait_ms + prefill_ms * slowdown / (1 + team.helpers.len()) as f64 + max_pass_ms + way_ms
+        let network_ms = self.team_delay(entry, team).as_secs_f64() * 1e3;
+        max_wait_ms + prefill_ms * slowdown / (1 + team.helpers.len()) as f64 + max_pass_ms + network_ms
     }
 }
--- a/coord/src/planner/locations.rs
+++ b/coord/src/planner/locations.rs
@@ -26,13 +26,13 @@
 
 impl Locations {
     /// Returns the time of all trips between an entry and an engine until the first event.
-    pub fn way_to_engine(&self, entry: u64, engine: &Name) -> Duration {
+    pub fn delay_to_engine(&self, entry: u64, engine: &Name) -> Duration {
         self.one_way(self.entries.get(&entry), self.engines.get(engine)) * TRIPS_TO_ENGINE
     }
 
     /// Returns the time that the submission of a prompt and its grant take. The report of the first event and the
     /// grant take as long together.
-    pub fn way_to_planner(&self, entry: u64) -> Duration {
+    pub fn delay_to_planner(&self, entry: u64) -> Duration {
         self.one_way(self.entries.get(&PLANNER_ENTRY), self.entries.get(&entry)) * TRIPS_TO_PLANNER
     }
 
@@ -71,21 +71,23 @@
         if !self.features.spreading {
             return job;
         }
-        Job { first_event_target: job.first_event_target - self.locations.way_to_planner(entry), ..job }
+        Job { first_event_target: job.first_event_target - self.locations.delay_to_planner(entry), ..job }
     }
 
     /// Returns the time of all trips between an entry and an engine until the first event; zero if distances do not
     /// matter.
-    pub(super) fn way_to_engine(&self, entry: u64, engine: &Name) -> Duration {
-        if self.features.spreading { self.locations.way_to_engine(entry, engine) } else { Duration::ZERO }
+    pub(super) fn delay_to_engine(&self, entry: u64, engine: &Name) -> Duration {
+        if self.features.spreading { self.locations.delay_to_engine(entry, engine) } else { Duration::ZERO }
     }
 
     /// Returns the part of the time from a grant until the report of the first event that messages take.
-    pub(super) fn way_of_team(&self, entry: u64, team: &Team) -> Duration {
+    pub(super) fn team_delay(&self, entry: u64, team: &Team) -> Duration {
         if !self.features.spreading {
             return Duration::ZERO;
         }
         let locations = &self.locations;
-        locations.way_to_engine(entry, &team.decoder) + locations.helper_trip(team) + locations.way_to_planner(entry)
+        locations.delay_to_engine(entry, &team.decoder)
+            + locations.helper_trip(team)
+            + locations.delay_to_planner(entry)
     }
 }
--- a/coord/src/planner/place/short.rs
+++ b/coord/src/planner/place/short.rs
@@ -73,7 +73,9 @@
             self.fits(state) && self.serves_similar(state) && self.is_in_time(*index, state, margin_ms)
         };
         let engines = self.eligible_engines().filter(is_suitable);
-        engines.max_by_key(|(index, state)| (Reverse(self.way(*index)), state.sequence_count)).map(|(index, _)| index)
+        engines
+            .max_by_key(|(index, state)| (Reverse(self.network_delay(*index)), state.sequence_count))
+            .map(|(index, _)| index)
     }
 
     /// Returns an engine that serves no similar answers yet, if enough engines without short answers remain for long
@@ -115,7 +117,7 @@
     }
 
     fn select_shortest_wait(&self, engines: impl Iterator<Item = (usize, &'a EngineState)>) -> Option<usize> {
-        let wait_ms = |(index, state): &(usize, &EngineState)| state.wait_ms + self.way_ms(*index);
+        let wait_ms = |(index, state): &(usize, &EngineState)| state.wait_ms + self.network_ms(*index);
         engines.min_by(|a, b| wait_ms(a).total_cmp(&wait_ms(b))).map(|(index, _)| index)
     }
 
@@ -137,17 +139,17 @@
     /// its target.
     fn is_in_time(&self, index: usize, state: &EngineState, margin_ms: f64) -> bool {
         let prefill_ms = self.prompt().prefill_ms * state.slowdown;
-        let first_event_ms = state.wait_ms + prefill_ms + state.pass_ms + self.way_ms(index) + margin_ms;
+        let first_event_ms = state.wait_ms + prefill_ms + state.pass_ms + self.network_ms(index) + margin_ms;
         self.has_prefill_budget(state) && self.now + duration_from_ms(first_event_ms) <= self.job().first_event_target
     }
 
     /// Returns the time that messages between the entry and an engine take until the first event.
-    fn way(&self, index: usize) -> Duration {
-        self.planner.way_to_engine(self.candidate.id.entry, self.name(index))
+    fn network_delay(&self, index: usize) -> Duration {
+        self.planner.delay_to_engine(self.candidate.id.entry, self.name(index))
     }
 
-    fn way_ms(&self, index: usize) -> f64 {
-        self.way(index).as_secs_f64() * 1e3
+    fn network_ms(&self, index: usize) -> f64 {
+        self.network_delay(index).as_secs_f64() * 1e3
     }
 
     /// Compares two engines by the cost of starting to serve short prompts there.
@@ -155,7 +157,7 @@
         let extra_ms = |state: &EngineState| self.prompt().prefill_ms * (state.slowdown - 1.0);
         let cost = |index: usize, state: &EngineState| {
             let context_ms = state.context_tokens as f64 / TOKENS_PER_WAIT_MS;
-            state.wait_ms + context_ms + extra_ms(state) + self.way_ms(index)
+            state.wait_ms + context_ms + extra_ms(state) + self.network_ms(index)
         };
         let tie_break = |index| rendezvous(self.planner.salt, self.name(index));
         cost(a, state_a).total_cmp(&cost(b, state_b)).then_with(|| tie_break(a).cmp(&tie_break(b)))
