--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -96,7 +96,9 @@
 
     /// Sets the engines that accept work. Jobs on an engine that is left out are forgotten.
     pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Name, Arc<Profile>)>) {
+        let reserved_teams = self.reserved_teams();
         self.fleet.set(engines);
+        self.restore_reserved_teams(&reserved_teams);
         self.path_failures.retain_engines(|name| self.fleet.position(name).is_some());
         let profile = self.fleet.nominal_profile().map(AsRef::as_ref);
         let engines = self.fleet.engines().len();
--- a/coord/src/planner/reservation.rs
+++ b/coord/src/planner/reservation.rs
@@ -18,6 +18,7 @@
 use super::snapshot::EngineState;
 use super::wait_queue::Candidate;
 use crate::engine::duration_from_ms;
+use crate::name::Name;
 use crate::time::Moment;
 
 /// Bounds the number of reservations, and with it the time that a pump spends on them.
@@ -330,6 +331,32 @@
         &self.reservations.changes
     }
 
+    /// Returns the names of the engines of each reserved team.
+    pub(super) fn reserved_teams(&self) -> Vec<Vec<Name>> {
+        let name = |index: &usize| Some(self.fleet.engines().get(*index)?.name.clone());
+        let teams = self.reservations.active.iter().map(|reservation| &reservation.engines);
+        teams.map(|team| team.iter().filter_map(name).collect()).collect()
+    }
+
+    /// Looks up the indexes of reserved engines after a change of the fleet. Engines that left are removed, so that the
+    /// next pump moves the reservation.
+    pub(super) fn restore_reserved_teams(&mut self, teams: &[Vec<Name>]) {
+        for (reservation, team) in self.reservations.active.iter_mut().zip(teams) {
+            reservation.engines = team.iter().filter_map(|name| self.fleet.position(name)).collect();
+        }
+        self.reservations.index_engines(self.fleet.engines().len());
+    }
+
+    /// Returns the reserved engines, each with the prompt that it is reserved for.
+    pub fn reserved_engines(&self) -> impl Iterator<Item = (&Name, Id)> {
+        let engines = self
+            .reservations
+            .active
+            .iter()
+            .flat_map(|reservation| reservation.engines.iter().map(|index| (*index, reservation.id)));
+        engines.filter_map(|(index, id)| Some((&self.fleet.engines().get(index)?.name, id)))
+    }
+
     /// Recomputes the reservations from the last snapshot, for the waiting prompts `candidates`.
     pub(super) fn plan_reservations(&mut self, candidates: &[Candidate], now: Moment) {
         self.reservations.changes.clear();
--- a/coord/tests/planner_load/reservations.rs
+++ b/coord/tests/planner_load/reservations.rs
@@ -6,7 +6,7 @@
 
 use crate::mix::{Distribution, PromptKind};
 use crate::play::{Outcomes, Simulation};
-use crate::turnover::large_model_profile;
+use crate::turnover::{alternating_mix, is_short_phase, large_model_profile};
 
 /// Tokens that a fifth of the longest prompts exceed.
 const LARGEST_FIFTH_TOKENS: u64 = 355_000;
@@ -42,7 +42,7 @@
 fn simulate(kinds: &[PromptKind], features: Features) -> (Vec<Outcomes>, Outcomes) {
     let mut totals = vec![Outcomes::default(); kinds.len()];
     let mut largest = Outcomes::default();
-    for seed in 1..=6 {
+    for seed in 1..=std::env::var("SEEDS").map_or(6, |n| n.parse().unwrap()) {
         let mut simulation = Simulation::new(Policy::default(), large_model_profile(), seed);
         simulation.set_features(features);
         let (by_kind, of_largest) = simulation.run(kinds, Duration::from_secs(26), LARGEST_FIFTH_TOKENS);
@@ -52,39 +52,61 @@
     (totals, largest)
 }
 
-const WITH: Features = Features { reservations: true, forecasts: false, fair_shares: false, spreading: false };
+/// Returns the results without and with reservations.
+fn compare(kinds: &[PromptKind]) -> [(Vec<Outcomes>, Outcomes); 2] {
+    let with = Features { reservations: true, ..Features::default() };
+    [simulate(kinds, Features::default()), simulate(kinds, with)]
+}
+
+/// Returns how often the largest fifth is in time in relation to all prompts of its kind.
+fn relative_share((by_kind, largest): &(Vec<Outcomes>, Outcomes)) -> f64 {
+    largest.in_time_share() / by_kind[2].in_time_share()
+}
 
 #[test]
-fn probe() {
+fn while_the_longest_prompts_exceed_the_capacity_the_largest_are_in_time_nearly_as_often() {
+    let [without, with] = compare(&longest_fourfold());
+    let (relative, relative_without) = (relative_share(&with), relative_share(&without));
+    assert!(relative >= 0.75 && relative >= relative_without + 0.1, "{relative:.3} and {relative_without:.3}");
+    let (by_kind, _) = with;
+    assert!(by_kind[0].in_time_share() >= 0.86 && by_kind[2].in_time_share() >= 0.8, "{by_kind:?}");
+}
+
+#[test]
+fn beside_a_flood_of_short_prompts_the_largest_are_in_time_more_often() {
     let mut kinds = longest_fourfold();
-    if let Ok(x) = std::env::var("MILD") {
-        kinds[2].arrivals_per_s = if x == "1" {
-            |second| if (6.0..14.0).contains(&second) { 4.5 } else { 1.8 }
-        } else {
-            |second| if (6.0..14.0).contains(&second) { 11.0 } else { 1.8 }
-        }
-    }
-    if std::env::var("FLOOD").is_ok() {
-        kinds[0].arrivals_per_s = |second| if (6.0..14.0).contains(&second) { 230.0 } else { 75.0 };
-        kinds[2].arrivals_per_s = |_| 2.5;
-    }
-    if std::env::var("TURN").is_ok() {
-        kinds = crate::turnover::alternating_mix();
-        kinds[2].arrivals_per_s = |second| if crate::turnover::is_short_phase(second) { 0.08 } else { 8.0 }
-    }
-    for features in [Features::default(), WITH] {
-        let (by_kind, largest) = simulate(&kinds, features);
-        println!("{features:?}");
-        for o in by_kind.iter().chain([&largest]) {
-            println!(
-                "  all {} in time {:.3} late {} refused {} earned {:.3} hold {:.0}",
-                o.all,
-                o.in_time_share(),
-                o.late,
-                o.refused,
-                o.earned_share(),
-                o.mean_hold_ms()
-            );
+    kinds[0].arrivals_per_s = |second| if (6.0..14.0).contains(&second) { 230.0 } else { 75.0 };
+    kinds[2].arrivals_per_s = |_| 2.5;
+    let [without, with] = compare(&kinds);
+    let (relative, relative_without) = (relative_share(&with), relative_share(&without));
+    assert!(relative >= 0.75 && relative >= relative_without + 0.05, "{relative:.3} and {relative_without:.3}");
+    assert!(with.0[0].in_time_share() >= 0.86, "{:?}", with.0);
+}
+
+#[test]
+fn when_the_load_turns_from_short_to_long_prompts_the_largest_are_in_time_nearly_as_often() {
+    let mut kinds = alternating_mix();
+    kinds[2].arrivals_per_s = |second| if is_short_phase(second) { 0.08 } else { 8.0 };
+    let [without, with] = compare(&kinds);
+    let (relative, relative_without) = (relative_share(&with), relative_share(&without));
+    assert!(relative >= 0.75 && relative >= relative_without + 0.1, "{relative:.3} and {relative_without:.3}");
+    assert!(with.0[0].in_time_share() >= 0.86, "{:?}", with.0);
+}
+
+#[test]
+fn probe() {
+    let mut load = longest_fourfold();
+    let mut flood = longest_fourfold();
+    flood[0].arrivals_per_s = |second| if (6.0..14.0).contains(&second) { 230.0 } else { 75.0 };
+    flood[2].arrivals_per_s = |_| 2.5;
+    let mut turn = alternating_mix();
+    turn[2].arrivals_per_s = |second| if is_short_phase(second) { 0.08 } else { 8.0 };
+    for (name, kinds) in [("fourfold", &load), ("flood", &flood), ("turn", &turn)] {
+        for (by_kind, largest) in compare(kinds) {
+            let shares: Vec<String> =
+                by_kind.iter().chain([&largest]).map(|o| format!("{:.3}", o.in_time_share())).collect();
+            println!("{name} {} earned {:.3} of {}", shares.join(" "), by_kind[2].earned_share(), largest.all);
         }
     }
+    load.reverse();
 }
