--- a/coord/src/planner/reservation.rs
+++ b/coord/src/planner/reservation.rs
@@ -70,6 +70,8 @@
     budget_ms: f64,
     free_memory: u64,
     has_slot: bool,
+    /// Whether short prompts would have to leave the engine.
+    serves_short: bool,
 }
 
 impl Availability {
@@ -84,7 +86,14 @@
             _ => (state.short_until.since(now).as_secs_f64() * 1e3).max(state.pass_ms),
         };
         let (free_memory, has_slot) = (state.free_memory, state.has_slot);
-        Self { index, free_ms: state.pending_ms.max(short_ms), budget_ms, free_memory, has_slot }
+        Self {
+            index,
+            free_ms: state.pending_ms.max(short_ms),
+            budget_ms,
+            free_memory,
+            has_slot,
+            serves_short: state.short_sequence_count > 0,
+        }
     }
 
     /// Orders engines by the time at which they are free.
@@ -308,7 +317,9 @@
         let start_ms = request.latest_start_ms(parts);
         let part_ms = request.prefill_ms / parts as f64;
         let usable = available.iter().take_while(|engine| engine.free_ms <= start_ms);
-        let team: Vec<&Availability> = usable.filter(|engine| engine.budget_ms >= part_ms).take(parts).collect();
+        let (shared, others): (Vec<&Availability>, Vec<&Availability>) =
+            usable.filter(|engine| engine.budget_ms >= part_ms).partition(|engine| engine.serves_short);
+        let team: Vec<&Availability> = others.into_iter().chain(shared).take(parts).collect();
         let memory: u64 = team.iter().map(|engine| engine.free_memory).sum();
         let fits = memory >= request.memory_tokens && team.iter().any(|engine| engine.has_slot);
         (team.len() == parts && fits).then(|| Reservation {
