--- a/coord/benches/planner.rs
+++ b/coord/benches/planner.rs
@@ -26,7 +26,7 @@
 
 use common::profile;
 use coord::name::Name;
-use coord::planner::{Id, Job, Planner, Policy, Team};
+use coord::planner::{Features, Id, Job, Planner, Policy, Team};
 use coord::time::Moment;
 use divan::{Bencher, black_box};
 
@@ -103,6 +103,21 @@
     });
 }
 
+/// Measures grants as `planner` does, but with reservations for the long prompts that wait.
+#[divan::bench(args = [(150, 100), (12_000, 100), (12_000, 2_000)])]
+fn reserving_planner(bencher: Bencher, size: (usize, u64)) {
+    let now = Moment::from_millis(10_000);
+    let mut planner = loaded!(Planner::new(Policy::default(), 0), size, now);
+    planner.set_features(Features { reservations: true, ..Features::default() });
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        planner.submit(event_id(number), job(3_000, now));
+        black_box(planner.grant_ready(now));
+        planner.finish(event_id(number), now);
+    });
+}
+
 /// Measures grants as `planner` does, but with rate-limited engines and advancing time.
 #[divan::bench(args = LIMITED_SIZES)]
 fn limited_planner(bencher: Bencher, (engines, waiting, limited_engines): (usize, u64, usize)) {
--- a/coord/src/planner/reservation.rs
+++ b/coord/src/planner/reservation.rs
@@ -23,6 +23,8 @@
 
 /// Bounds the number of reservations, and with it the time that a pump spends on them.
 const MAX_RESERVATIONS: usize = 4;
+/// Bounds the number of prompts for which a pump looks for a team.
+const MAX_REQUESTS: usize = 4 * MAX_RESERVATIONS;
 /// Bounds the number of engines that teams are chosen from. It is several times what all reservations use, since a
 /// prompt that waits longest needs engines with a larger prefill budget than the others.
 const MAX_CONSIDERED_ENGINES: usize = 256;
@@ -230,11 +232,13 @@
         let mut ranked: Vec<(f64, Request)> = underserved
             .map(|candidate| (shares.of_group(group(candidate)), Request::of(candidate, policy, now)))
             .collect();
+        // A prompt that no team could serve in time must not take the place of another.
+        ranked.retain(|(_, request)| request.latest_start_ms(policy.max_parts) > 0.0);
         ranked.sort_by(|(share_a, a), (share_b, b)| {
             let by_start = a.latest_start_ms(policy.max_parts).total_cmp(&b.latest_start_ms(policy.max_parts));
             a.priority.cmp(&b.priority).then(share_a.total_cmp(share_b)).then(by_start)
         });
-        ranked.into_iter().map(|(_, request)| request).collect()
+        ranked.into_iter().take(MAX_REQUESTS).map(|(_, request)| request).collect()
     }
 
     /// Replaces all reservations by those for `requests`, the most important first. `available` is sorted by the time
