--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -41,6 +41,8 @@
     pub plain_replicas: usize,
     /// Time that a replica takes for a response, or for each event of a stream.
     pub service_time: Duration,
+    /// Requirements that the settings of each entry name.
+    pub requirements: &'static str,
     /// Lines that the section `[bounds]` of each entry's settings gets.
     pub bounds: String,
     /// Whether the settings of an entry name the peer addresses of the entries started before it.
@@ -64,6 +66,7 @@
             engines: 3,
             plain_replicas: 2,
             service_time,
+            requirements: "",
             bounds: String::new(),
             has_seeds: false,
             is_isolated: false,
@@ -179,7 +182,7 @@
         let earlier_peers = &self.peer_addresses[..self.peer_addresses.len().min(MAX_SEEDS)];
         let seeds = if spec.has_seeds { earlier_peers.join(",") } else { String::new() };
         self.peer_addresses.push(peer_address.clone());
-        let bounds = &spec.bounds;
+        let (requirements, bounds) = (spec.requirements, &spec.bounds);
         let (mut store_address, mut caller_address) = (store_listener.address.clone(), entry_address.clone());
         if spec.has_proxies {
             let (store_proxy, caller_proxy) = (Proxy::start(store_address).await?, Proxy::start(caller_address).await?);
@@ -191,7 +194,7 @@
         let peer_listen = if spec.is_isolated { String::new() } else { format!("peer_listen = {peer_address}\n") };
         let settings = format!(
             "[process]\nname = entry-{index}\nfailure_domain = here\nlog_level = {log_level}\n\n[gateway]\nlisten = {entry_address}\n\
-             ready_listen = {ready_address}\nstore = {store_address}\n{peer_listen}seeds = {seeds}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
+             ready_listen = {ready_address}\nstore = {store_address}\n{peer_listen}seeds = {seeds}\nrequirements = {requirements}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
         );
         std::fs::write(self.settings_file(index), settings).wrap_err("step=write-settings")?;
         self.addresses.push(caller_address);
--- a/standin/tests/common/load.rs
+++ b/standin/tests/common/load.rs
@@ -38,7 +38,7 @@
     site: &Site,
     rate: u32,
     duration: Duration,
-    build_request: fn(&str) -> RequestSpec,
+    build_request: impl Fn(&str) -> RequestSpec,
 ) -> Vec<Outcome> {
     let addresses: Arc<[String]> = site.addresses.clone().into();
     let mut interval = tokio::time::interval(Duration::from_secs(1) / rate);
