Estimate the load of plain replicas from recent reports

Cause: entries compared reports of any age and broke ties alike, so that after a restart all of them chose the same replica. Change: the load is the entry's own requests plus what the replica reported of others, halved each 200 ms; ties differ between processes; a replica that refused ranks last for 50 ms.

--- a/coord/src/demand.rs
+++ b/coord/src/demand.rs
@@ -19,7 +19,13 @@
 /// compete for capacity.
 pub fn required_features(table: &Table, has_contention: bool) -> Features {
     let is_needed = has_contention || table.services().any(|service| is_spread_out(table, service));
-    Features { forecasts: is_needed, reservations: is_needed, fair_shares: is_needed, spreading: is_needed }
+    Features {
+        forecasts: is_needed,
+        reservations: is_needed,
+        fair_shares: is_needed,
+        spreading: is_needed,
+        plain_balancing: is_needed,
+    }
 }
 
 /// Returns whether the distances between the failure domains take a considerable part of the first-event targets of a
--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod queue;
 pub mod quota;
 pub mod replay;
+pub mod replica_load;
 pub mod retry_delay;
 pub mod roster;
 pub mod route;
--- a/coord/src/planner/features.rs
+++ b/coord/src/planner/features.rs
@@ -14,6 +14,8 @@
     /// Whether short prompts spread over the engines that long prompts do not need, and predictions of first events
     /// allow for their distance and their error.
     pub spreading: bool,
+    /// Whether entries estimate the load of the replicas of plain services from what is recent.
+    pub plain_balancing: bool,
 }
 
 impl Features {
@@ -24,6 +26,7 @@
             reservations: self.reservations && other.reservations,
             fair_shares: self.fair_shares && other.fair_shares,
             spreading: self.spreading && other.spreading,
+            plain_balancing: self.plain_balancing && other.plain_balancing,
         }
     }
 }
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -162,6 +162,7 @@
         reservations: reader.flag("policy", "reservations", true),
         fair_shares: reader.flag("policy", "fair_shares", true),
         spreading: reader.flag("policy", "spreading", true),
+        plain_balancing: reader.flag("policy", "plain_balancing", true),
     }
 }
 
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -183,6 +183,7 @@
         self.possible_executions -= 1;
         let responsible = self.responsible_replica(record, response);
         self.record_failure(&responsible, REFUSAL_WEIGHT);
+        self.gateway.replica_picker.borrow_mut().record_refusal(&responsible);
         if response.is_misdirected && responsible == record.id {
             self.gateway.remove_displaced(&record.id);
         }
--- a/sorrelpass/src/gateway/replica_picker.rs
+++ b/sorrelpass/src/gateway/replica_picker.rs
@@ -8,11 +8,12 @@
 
 use coord::breaker::Breaker;
 use coord::name::Name;
+use coord::replica_load::{Load, Rank};
 use coord::roster::{Record, Roster};
 use coord::route::Idempotency;
 
 use super::now;
-use crate::config;
+use crate::{config, util};
 
 /// Weight of an error response as a failure of the replica. Some services fail one valid request in seven, so only
 /// several error responses within seconds open the breaker.
@@ -23,15 +24,6 @@
 /// Weight of a missing response, or of a response that belongs to another request.
 pub const NO_RESPONSE_WEIGHT: f64 = 1.0;
 
-/// Load of one replica as this entry knows it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Load {
-    /// Number of this entry's requests at the replica.
-    own_requests: u32,
-    /// Number of all entries' requests at the replica, as reported in its last response.
-    reported_requests: u32,
-}
-
 /// Selects replicas and tracks their load and failures.
 pub struct ReplicaPicker {
     local_failure_domain: Name,
@@ -39,6 +31,8 @@
     prefers_local: bool,
     /// Whether circuit breakers keep requests away from failing replicas.
     has_breakers: bool,
+    /// Whether replicas are ranked by an estimate of their load from recent reports.
+    has_balancing: bool,
     loads: HashMap<Name, Load>,
     breakers: HashMap<Name, Breaker>,
 }
@@ -50,14 +44,19 @@
             local_failure_domain,
             prefers_local: policy.prefer_own_domain,
             has_breakers: policy.plain_breakers,
+            has_balancing: false,
             loads: HashMap::new(),
             breakers: HashMap::new(),
         }
     }
 
+    /// Sets whether replicas are ranked by an estimate of their load from recent reports.
+    pub fn set_balancing(&mut self, has_balancing: bool) {
+        self.has_balancing = has_balancing;
+    }
+
     /// Selects a replica among those for which `is_eligible` returns true: the one with the best breaker state, then
-    /// with the fewest requests of this entry, then with the fewest reported requests, then in the local failure
-    /// domain.
+    /// with the least load, then in the local failure domain.
     pub fn pick(
         &self,
         roster: &Roster,
@@ -66,20 +65,29 @@
         is_eligible: impl Fn(&Name) -> bool,
     ) -> Option<Record> {
         let candidates = roster.usable(service).filter(|record| is_eligible(&record.id));
+        // Entries that know equally little must not all select the same replica.
+        let salt = if self.has_balancing { util::incarnation().0 } else { 0 };
         let key = |record: &&Record| {
-            let load = self.loads.get(&record.id).copied().unwrap_or_default();
-            let breaker_rank = self.breaker_rank(&record.id, repeat);
             (
-                breaker_rank,
-                load.own_requests,
-                load.reported_requests,
+                self.breaker_rank(&record.id, repeat),
+                self.load_rank(&record.id),
                 self.prefers_local && record.failure_domain != self.local_failure_domain,
-                coord::pick::rendezvous(0, &record.id),
+                coord::pick::rendezvous(salt, &record.id),
             )
         };
         candidates.min_by_key(key).cloned()
     }
 
+    /// Ranks a replica by its load; the lowest rank is selected first. Without balancing, the rank is the number of
+    /// requests of this entry, then the number that the replica last reported.
+    fn load_rank(&self, replica: &Name) -> (Rank, u32) {
+        let load = self.loads.get(replica).copied().unwrap_or_default();
+        if self.has_balancing {
+            return (load.rank(now()), 0);
+        }
+        (Rank { is_full: false, requests: load.own_requests() }, load.reported_requests())
+    }
+
     /// Ranks a replica by the state of its breaker; the lowest rank is selected first. A replica on trial ranks
     /// before healthy ones for requests that may be executed more than once, and after them for other requests. A
     /// replica whose breaker is open ranks last, but is selected if there is no other.
@@ -115,7 +123,7 @@
     pub fn forget(&mut self, replica: &Name) {
         self.breakers.remove(replica);
         if let Some(load) = self.loads.get_mut(replica) {
-            load.reported_requests = 0;
+            load.forget_reports();
         }
     }
 
@@ -124,18 +132,23 @@
         if let Some(breaker) = self.breakers.get_mut(replica) {
             breaker.record_request(now());
         }
-        self.loads.entry(replica.clone()).or_default().own_requests += 1;
+        self.loads.entry(replica.clone()).or_default().begin_request();
     }
 
     /// Records the end of a request at a replica.
     pub fn end_request(&mut self, replica: &Name) {
         if let Some(load) = self.loads.get_mut(replica) {
-            load.own_requests = load.own_requests.saturating_sub(1);
+            load.end_request();
         }
     }
 
     /// Records the number of requests that a replica reported as its load.
     pub fn record_load(&mut self, replica: &Name, load: u32) {
-        self.loads.entry(replica.clone()).or_default().reported_requests = load;
+        self.loads.entry(replica.clone()).or_default().record_report(load, now());
+    }
+
+    /// Records that a replica refused a request.
+    pub fn record_refusal(&mut self, replica: &Name) {
+        self.loads.entry(replica.clone()).or_default().record_refusal(now());
     }
 }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -209,6 +209,7 @@
         let table = self.table();
         let required = demand::required_features(&table, self.settings.has_contention);
         let features = required.and(self.settings.policy.features);
+        self.replica_picker.borrow_mut().set_balancing(features.plain_balancing);
         for service in table.services() {
             let Some(profile) = &service.engine else { continue };
             let engines = roster.usable(&service.name).map(|record| record.id.clone());
