--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -298,7 +298,8 @@
         let mut has_timely_unplaced = false;
         let candidates = self.waiting.list_ordered(now);
         for candidate in self.order_candidates(&candidates, now) {
-            // A late prompt must not take engines that a prompt still in time waits for.
+            // A late prompt must not take engines that a prompt still in time waits for. Prompts in time may follow it:
+            // those beyond the share of their workspace.
             let scope = match candidate.is_late && has_unplaced && self.policy.late_last {
                 true if self.policy.late_shared => CandidateScope::SharedOnly,
                 true => continue,
