--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod quota;
 pub mod relay_buffer;
 pub mod replay;
+pub mod replica_load;
 pub mod retry_delay;
 pub mod roster;
 pub mod route;
