--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -168,8 +168,8 @@
 
 fn read_features(reader: &mut Reader) -> planner::Features {
     planner::Features {
-        forecasts: reader.flag("policy", "forecasts", true),
-        reservations: reader.flag("policy", "reservations", true),
+        forecasts: reader.flag("policy", "forecasts", false),
+        reservations: reader.flag("policy", "reservations", false),
         fair_shares: reader.flag("policy", "fair_shares", true),
         spreading: reader.flag("policy", "spreading", true),
         plain_balancing: reader.flag("policy", "plain_balancing", true),
