Fair levels and use survive rounding and long jobs; the largest reported load does not overflow

The search for a fair level alternated between two levels without end where rounding put the level below a demand that it had met: workspaces with equal use, one of them without waiting prompts. The planner hung (timeout in the new test).

The use of a job that ended after more than 1,074 half-lives was divided by a scale of zero, so that its workspace counted as unused from then on.

A replica that reports the largest number overflowed its rank: a panic with overflow checks, the best rank without.

--- a/coord/src/planner/share.rs
+++ b/coord/src/planner/share.rs
@@ -83,6 +83,8 @@
     /// Records that a job ends. Does nothing if the job is unknown.
     pub fn end(&mut self, id: Id, now: Moment) {
         let Some(RunningJob { owner, slot_ms }) = self.running.remove(&id) else { return };
+        // Resets a scale that has decayed to zero, by which the use must not be divided.
+        self.prune(now);
         let scale = self.scale(now);
         let Some(account) = self.accounts.get_mut(&owner) else { return };
         account.running_ms -= slot_ms;
@@ -184,7 +186,9 @@
         let unmet = demands.iter().filter(|demand| **demand > level).count();
         match unmet {
             0 => return f64::INFINITY,
-            _ if unmet == unmet_count => return level,
+            // Rounding may lower the level below a demand that it met. Without the inequality, the search would alternate
+            // between two levels without end.
+            _ if unmet >= unmet_count => return level,
             _ => unmet_count = unmet,
         }
         let met: f64 = demands.iter().filter(|demand| **demand <= level).sum();
--- a/coord/src/replica_load.rs
+++ b/coord/src/replica_load.rs
@@ -68,7 +68,7 @@
     pub fn rank(&self, now: Moment) -> Rank {
         let half_lives = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
         let others = f64::from(self.others_requests) * (-half_lives).exp2();
-        Rank { is_full: now < self.full_until, requests: self.own_requests + others.round() as u32 }
+        Rank { is_full: now < self.full_until, requests: self.own_requests.saturating_add(others.round() as u32) }
     }
 }
 
--- a/coord/tests/planner_shares.rs
+++ b/coord/tests/planner_shares.rs
@@ -119,3 +119,53 @@
     assert_eq!(first_granted, [1, 1], "the workspace that holds the engines waits");
     assert_eq!(planner.held_back().workspaces, 1);
 }
+
+/// Rounding may put the use of a workspace just above or just below the fair level that is computed from it.
+#[test]
+fn fair_levels_are_found_for_workspaces_with_equal_use() {
+    for prompt_tokens in 1_000..1_064 {
+        let mut planner = planner();
+        let team = |number| Team { decoder: format!("engine-{}", number % 2).into(), helpers: Vec::new() };
+        for number in 0..21 {
+            let job = Job { prompt_tokens, ..job(number as usize % 3) };
+            planner.add_granted(Id { entry: 1, number }, &job, team(number), false, START);
+        }
+        submit(&mut planner, &[0, 20, 20]);
+        let now = START + Duration::from_secs(2);
+        assert!(planner.grant_ready(now).is_empty(), "all slots are taken");
+        planner.grant_ready(now + END_INTERVAL);
+        assert!(planner.held_back().workspaces <= 2, "the workspace without waiting prompts has nothing to hold back");
+    }
+}
+
+/// After more than a thousand half-lives, decayed use is zero, by which nothing may be divided.
+#[test]
+fn the_use_of_a_workspace_counts_after_one_of_its_jobs_ran_for_very_long() {
+    let mut planner = planner();
+    let team = |number| Team { decoder: format!("engine-{}", number % 2).into(), helpers: Vec::new() };
+    let later = START + Duration::from_secs(2_000);
+    let job_at = |workspace, now: Moment| Job {
+        first_event_target: now + Duration::from_secs(10),
+        deadline: now + Duration::from_secs(3_000),
+        ..job(workspace)
+    };
+    for number in 0..2 {
+        planner.add_granted(Id { entry: 1, number }, &job_at(0, START), team(number), false, START);
+    }
+    planner.finish(Id { entry: 1, number: 0 }, later);
+    for number in 2..16 {
+        planner.add_granted(Id { entry: 1, number }, &job_at(0, later), team(number), false, later);
+    }
+    for number in 0..22 {
+        planner.submit(Id { entry: 0, number }, job_at(usize::from(number >= 20), later));
+    }
+    let mut now = later;
+    let mut first_granted = Vec::new();
+    planner.grant_ready(now);
+    for number in 1..3 {
+        now = now + END_INTERVAL;
+        planner.finish(Id { entry: 1, number }, now);
+        first_granted.extend(planner.grant_ready(now).iter().map(|grant| grant.id.number >= 20));
+    }
+    assert_eq!(first_granted, [true, true], "the workspace that holds the engines waits");
+}
--- a/coord/tests/replica_load.rs
+++ b/coord/tests/replica_load.rs
@@ -162,3 +162,12 @@
     load.end_request();
     assert_eq!(load.rank(now).requests, 4);
 }
+
+#[test]
+fn a_replica_that_reports_the_largest_load_is_selected_last() {
+    let now = Moment::from_millis(1_000);
+    let mut load = replica_load::Load::default();
+    load.record_report(u32::MAX, now);
+    (0..3).for_each(|_| load.begin_request());
+    assert_eq!(load.rank(now).requests, u32::MAX);
+}
