--- a/coord/src/demand.rs
+++ b/coord/src/demand.rs
@@ -1,16 +1,16 @@
 //! Derives from a deployment's settings and configuration which planner features it needs.
 //!
-//! Most deployments have capacity for all callers, close to each of them, and need none of the features. Two facts
-//! call for them. The operator may declare that callers compete for capacity. Or the failure domains may be so far
-//! apart that a domain under load cannot use the idle engines of the others in time, so that its callers compete.
+//! Most deployments have capacity for all callers, close to each of them, and need none of the features.
+//! They are needed in two cases. The operator declares that callers compete for capacity. Or the failure domains are so
+//! far apart that a domain under load cannot use the idle engines of the others in time, so that its callers compete.
 
 use std::time::Duration;
 
 use crate::planner::Features;
 use crate::route::{Route, Service, Table};
 
-/// Share of the strictest first-event target that the round trips to the farthest engine may take without mattering.
-/// A larger share exceeds the error of a prediction, so that near and far engines must be told apart.
+/// Largest share of the strictest first-event target that round trips to the farthest engine may take while distances
+/// are ignored. A larger share exceeds the error of a prediction, so that near and far engines must be distinguished.
 const MAX_NEGLIGIBLE_SHARE: f64 = 0.05;
 /// One-way trips until the first event: two to set up the connection, one for the request and one for the event.
 const TRIPS_TO_FIRST_EVENT: u32 = 4;
--- a/coord/src/distance.rs
+++ b/coord/src/distance.rs
@@ -6,7 +6,7 @@
 
 use crate::name::Name;
 
-/// Longest one-way delay that is believed; a delay between any two places on Earth is shorter.
+/// Longest one-way delay that is accepted as valid; a delay between any two places on Earth is shorter.
 const MAX_DELAY: Duration = Duration::from_secs(1);
 
 /// One-way delays between failure domains, as far as they are configured. A delay is the same in both directions.
@@ -55,7 +55,7 @@
 
 impl Distances {
     /// Sets the one-way delay between two failure domains; an earlier one is replaced. Returns whether the delay is
-    /// valid; one that is not is left out.
+    /// valid; an invalid one is rejected, so that the pair has no delay.
     pub fn set_ms(&mut self, a: &Name, b: &Name, delay_ms: f64) -> bool {
         let is_valid = (0.0..=MAX_DELAY.as_secs_f64() * 1e3).contains(&delay_ms);
         if is_valid {
--- a/coord/src/planner/features.rs
+++ b/coord/src/planner/features.rs
@@ -1,7 +1,7 @@
 //! Features of the planner that only some deployments need.
 
-/// Features that a deployment's settings and configuration switch on. All are off by default, so that a deployment
-/// that asks for none of them is served as without them.
+/// Features that a deployment's settings and configuration switch on. All are off by default; without them, the planner
+/// decides as if they did not exist.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Features {
     /// Whether prompts are refused as soon as their predicted start is too late, with the time at which there will
@@ -14,12 +14,12 @@
     /// Whether short prompts spread over the engines that long prompts do not need, and predictions of first events
     /// allow for their distance and their error.
     pub spreading: bool,
-    /// Whether entries estimate the load of the replicas of plain services from what is recent.
+    /// Whether entries rank the replicas of plain services by an estimate from recent load reports.
     pub plain_balancing: bool,
 }
 
 impl Features {
-    /// Returns the features that are on in both.
+    /// Returns the features that are on in both `self` and `other`.
     pub fn and(self, other: Self) -> Self {
         Self {
             forecasts: self.forecasts && other.forecasts,
--- a/coord/src/planner/locations.rs
+++ b/coord/src/planner/locations.rs
@@ -30,8 +30,8 @@
         self.one_way(self.entries.get(&entry), self.engines.get(engine)) * TRIPS_TO_ENGINE
     }
 
-    /// Returns the time that the submission of a prompt and its grant take. The report of the first event and the
-    /// grant take as long together.
+    /// Returns the time that the submission of a prompt and its grant take between an entry and the planner. The grant
+    /// and the later report of the first event take the same time together.
     pub fn delay_to_planner(&self, entry: u64) -> Duration {
         self.one_way(self.entries.get(&PLANNER_ENTRY), self.entries.get(&entry)) * TRIPS_TO_PLANNER
     }
@@ -65,8 +65,9 @@
         self.locations.entries.remove(&entry);
     }
 
-    /// Returns the job as the planner must see it. Its target is relative to the time at which the entry submitted it,
-    /// so that the target passes earlier than the planner reads, and the grant still has to reach the entry.
+    /// Returns the job with a target that allows for the messages between the entry and the planner. The entry sends
+    /// the time until the target, which has become shorter when the submission arrives, and the grant must still reach
+    /// the entry.
     pub(super) fn allow_for_distance(&self, entry: u64, job: Job) -> Job {
         if !self.features.spreading {
             return job;
--- a/coord/src/planner/long_demand.rs
+++ b/coord/src/planner/long_demand.rs
@@ -12,11 +12,11 @@
 use super::wait_queue::{Candidate, Prompt};
 use crate::time::Moment;
 
-/// Time after which a prompt counts half in the demand. Answers to short prompts take about as long, so that engines
-/// are not given up faster than they can be freed again.
+/// Time after which a prompt counts half in the demand. Answers to short prompts take about as long, so that short
+/// prompts do not take engines over faster than these can be freed for long prompts again.
 const HALF_LIFE: Duration = Duration::from_secs(2);
-/// Engines that are left for each engine that long prompts keep busy on average. They arrive irregularly, so that the
-/// average alone would let many of them wait.
+/// Number of engines left to long prompts for each engine that they keep busy on average. They arrive irregularly, so
+/// that with the average alone many of them would wait.
 const HEADROOM: f64 = 2.0;
 
 /// Decaying demand of long prompts.
@@ -27,26 +27,26 @@
     /// Engine time that arrived, in milliseconds, decayed to `updated_at`.
     prefill_ms: f64,
     /// Size of the largest team that was needed, decayed to `updated_at`.
-    team: f64,
+    team_size: f64,
     updated_at: Moment,
 }
 
 impl LongDemand {
-    /// Records a long prompt that takes `prefill_ms` of engine time and needs a `team` of engines to be in time.
-    pub fn record(&mut self, prefill_ms: f64, team: usize, now: Moment) {
+    /// Records a long prompt that takes `prefill_ms` of engine time and needs `team_size` engines to be in time.
+    pub fn record(&mut self, prefill_ms: f64, team_size: usize, now: Moment) {
         let decay = self.decay(now);
         self.prefill_ms = self.prefill_ms * decay + prefill_ms;
-        self.team = (self.team * decay).max(team as f64);
+        self.team_size = (self.team_size * decay).max(team_size as f64);
         self.updated_at = now;
     }
 
     /// Returns the number of engines that long prompts need: those that they keep busy, and a team for the next one. It
-    /// is at least `waiting_teams`, the number of engines in the teams that the waiting prompts need.
-    pub fn engines(&self, waiting_teams: usize, now: Moment) -> usize {
+    /// is at least `waiting_engines`, the sum of the engines that the waiting prompts need.
+    pub fn engines(&self, waiting_engines: usize, now: Moment) -> usize {
         let decay = self.decay(now);
         let busy = self.prefill_ms * decay / 1e3 * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
-        let recent = busy * HEADROOM + self.team * decay;
-        (recent.round() as usize).max(waiting_teams)
+        let recent = busy * HEADROOM + self.team_size * decay;
+        (recent.round() as usize).max(waiting_engines)
     }
 
     fn decay(&self, now: Moment) -> f64 {
@@ -55,14 +55,14 @@
 }
 
 /// Returns the number of engines that must prefill a long prompt together so that it is in time.
-fn timely_team(prompt: &Prompt, policy: &Policy, now: Moment) -> usize {
+fn timely_team_size(prompt: &Prompt, policy: &Policy, now: Moment) -> usize {
     let slack_ms = prompt.job.first_event_target.since(now).as_secs_f64() * 1e3 * policy.in_time_share;
     let parts = (prompt.prefill_ms / slack_ms.max(1.0)).ceil() as usize;
     parts.clamp(1, policy.max_parts)
 }
 
 impl Planner {
-    /// Returns the number of engines that short prompts left to long ones at the last pump.
+    /// Returns the number of engines that short prompts had to leave to long ones at the last pump.
     pub fn engines_for_long(&self) -> usize {
         self.engines_for_long
     }
@@ -81,10 +81,10 @@
         }
         self.predictions.expire(now);
         for prompt in std::mem::take(&mut self.long_demand.arrived) {
-            self.long_demand.record(prompt.prefill_ms, timely_team(&prompt, &self.policy, now), now);
+            self.long_demand.record(prompt.prefill_ms, timely_team_size(&prompt, &self.policy, now), now);
         }
         let long = waiting.iter().filter(|candidate| !candidate.prompt.is_short && !candidate.is_late);
-        let waiting_teams = long.map(|candidate| timely_team(&candidate.prompt, &self.policy, now)).sum();
-        self.engines_for_long = self.long_demand.engines(waiting_teams, now);
+        let waiting_engines = long.map(|candidate| timely_team_size(&candidate.prompt, &self.policy, now)).sum();
+        self.engines_for_long = self.long_demand.engines(waiting_engines, now);
     }
 }
--- a/coord/src/planner/order.rs
+++ b/coord/src/planner/order.rs
@@ -1,9 +1,9 @@
-//! Orders the waiting prompts by fair shares while room is short.
+//! Orders the waiting prompts by fair shares while engines are short.
 //!
-//! This answers a load in which some workspaces ask for more than their share while others wait. Within each priority,
+//! This handles a load in which some workspaces ask for more than their share while others wait. Within each priority,
 //! the prompts that keep their workspace within its share go before the others; among these and among the others, the
-//! order of the queue stays. With room for all prompts nothing changes, so that a workspace may use what the others
-//! leave.
+//! order of the queue stays. With engines for all prompts the order does not change, so that a workspace may use the
+//! engine time that the others leave.
 
 use std::collections::BTreeMap;
 use std::ops::AddAssign;
@@ -49,7 +49,7 @@
 #[derive(Debug, Default)]
 pub struct FairOrder {
     levels: Levels,
-    /// Time at which the levels were computed; `None` while room is not short.
+    /// Time at which the levels were computed; `None` while engines are not short.
     computed_at: Option<Moment>,
     held_back: HeldBack,
 }
--- a/coord/src/planner/owner.rs
+++ b/coord/src/planner/owner.rs
@@ -12,17 +12,20 @@
 /// Workspace at one priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Owner {
+    /// Priority of the requests; owners of different priorities do not share.
     pub priority: u32,
-    /// Workspace; requests without one share as if they had the same workspace.
+    /// Workspace of the requests; those without one count as one workspace.
     workspace: Option<Workspace>,
 }
 
 impl Owner {
+    /// Returns the owner of a job.
     pub fn of(job: &Job) -> Self {
         Self { priority: job.priority, workspace: job.workspace }
     }
 }
 
+/// Hash map by owner.
 pub type OwnerMap<V> = HashMap<Owner, V, BuildHasherDefault<OwnerHasher>>;
 
 /// Hasher for owners. Workspaces are hashes already, so that one multiplication for each field suffices.
--- a/coord/src/planner/prediction.rs
+++ b/coord/src/planner/prediction.rs
@@ -13,20 +13,23 @@
 
 /// Share of the predictions whose error the margin covers.
 const COVERED_SHARE: f64 = 0.9;
-/// Number of recent errors below which there is no margin: a quantile of fewer is one of their extremes.
+/// Minimum number of recent errors for a margin: the upper quantile of fewer is their maximum.
 const MIN_ERRORS: usize = 10;
-/// Largest number of errors that are kept.
+/// Maximum number of recent errors.
 const MAX_ERRORS: usize = 128;
-/// Age above which an error says nothing about the present load: a short answer has ended by then.
+/// Age above which an error is discarded: short answers of its time have ended, so that the load has changed.
 const MAX_AGE: Duration = Duration::from_secs(3);
 /// Largest margin as a share of the time until the target. A larger one would leave no engine to pack prompts on.
 const MAX_MARGIN_SHARE: f64 = 0.5;
 
-/// Prediction of a first event, and when the event came.
+/// Predicted and actual time of a first event.
 #[derive(Clone, Copy, Debug)]
 struct Outcome {
-    at: Moment,
+    /// Time of the first event.
+    observed_at: Moment,
+    /// Predicted time from the grant to the first event, in milliseconds.
     predicted_ms: f64,
+    /// Actual time from the grant to the first event, in milliseconds.
     actual_ms: f64,
 }
 
@@ -38,7 +41,7 @@
 
 /// Summary of the recent predictions of a planner.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Error {
+pub struct Summary {
     /// Number of recent predictions.
     pub count: usize,
     /// Mean of the predicted times from the grant to the first event, in milliseconds.
@@ -62,13 +65,13 @@
         if self.recent.len() == MAX_ERRORS {
             self.recent.pop_front();
         }
-        self.recent.push_back(Outcome { at: now, predicted_ms, actual_ms });
+        self.recent.push_back(Outcome { observed_at: now, predicted_ms, actual_ms });
         self.expire(now);
         self.margin_ms = self.quantile_ms();
     }
 
-    /// Records the first event of a short prompt. An overdue one tells of a slow engine, and a postponed one of a
-    /// process that was suspended.
+    /// Records the first event of a short prompt. Overdue and postponed ones do not count: their delay comes from a
+    /// slow engine or from a process that was suspended, and not from the load.
     pub(super) fn record_first_event(&mut self, job: &GrantedJob, now: Moment) {
         if job.is_short && !job.is_postponed && !job.is_overdue(now) {
             self.record(job.expected_ms, now.since(job.granted_at).as_secs_f64() * 1e3, now);
@@ -78,7 +81,7 @@
     /// Forgets outcomes that are too old.
     pub fn expire(&mut self, now: Moment) {
         let count = self.recent.len();
-        while self.recent.front().is_some_and(|outcome| now.since(outcome.at) > MAX_AGE) {
+        while self.recent.front().is_some_and(|outcome| now.since(outcome.observed_at) > MAX_AGE) {
             self.recent.pop_front();
         }
         if self.recent.len() < count {
@@ -97,10 +100,10 @@
     }
 
     /// Returns the summary of the recent predictions; `None` if there is none.
-    pub fn summary(&self) -> Option<Error> {
+    pub fn summary(&self) -> Option<Summary> {
         let count = self.recent.len();
         let mean = |ms: fn(&Outcome) -> f64| self.recent.iter().map(ms).sum::<f64>() / count as f64;
-        (count > 0).then(|| Error {
+        (count > 0).then(|| Summary {
             count,
             predicted_ms: mean(|outcome| outcome.predicted_ms),
             actual_ms: mean(|outcome| outcome.actual_ms),
@@ -108,7 +111,8 @@
         })
     }
 
-    /// Returns the upper quantile of the recent errors, in milliseconds; zero if predictions are late enough.
+    /// Returns the upper quantile of the recent errors, in milliseconds; zero if it is negative or there are fewer than
+    /// [`MIN_ERRORS`].
     fn quantile_ms(&self) -> f64 {
         if self.recent.len() < MIN_ERRORS {
             return 0.0;
@@ -122,7 +126,7 @@
 
 impl Planner {
     /// Returns the summary of the recent predictions of short prompts; `None` if there is none.
-    pub fn prediction_error(&self) -> Option<Error> {
+    pub fn prediction_error(&self) -> Option<Summary> {
         self.predictions.summary()
     }
 }
--- a/coord/src/planner/share.rs
+++ b/coord/src/planner/share.rs
@@ -1,6 +1,6 @@
-//! Tracks the engine time that each workspace has used lately, and computes how much of it is a fair share.
+//! Tracks the engine time that each workspace has used recently, and computes how much of it is a fair share.
 //!
-//! This answers a load in which one workspace sends many times what there is room for: without shares, each workspace
+//! This handles a load in which one workspace sends many times what there is room for: without shares, each workspace
 //! gets engines in proportion to what it sends, so that workspaces that send little are starved by one that sends
 //! much. Shares are max-min fair: a workspace that asks for less than an equal share gets all that it asks for, and
 //! what it leaves goes to the others. All workspaces have the same weight. Workspaces of different priorities do not
@@ -23,7 +23,7 @@
 /// Number of half-lives after which the scale of the recorded use is reset, well before it exceeds the range of `f64`.
 const MAX_SCALE_HALF_LIVES: f64 = 64.0;
 
-/// Engine time that one owner has used lately.
+/// Engine time that one owner has used recently.
 ///
 /// The use at a time is `decaying_ms * scale + running_ms`. Running jobs use a constant share of an engine, and the
 /// decayed sum of a constant rate approaches `running_ms`, so that only the distance from it decays.
@@ -40,7 +40,8 @@
 }
 
 impl Account {
-    fn ms(&self, scale: f64) -> f64 {
+    /// Returns the use at the time of `scale`, in milliseconds.
+    fn used_ms(&self, scale: f64) -> f64 {
         (self.decaying_ms * scale + self.running_ms).max(0.0)
     }
 }
@@ -61,8 +62,9 @@
     /// Time at which the scale is 1.
     scale_origin: Moment,
     pruned_at: Moment,
-    /// Number of the round of claims, and the scale at its time.
+    /// Number of the current round of claims.
     round: u64,
+    /// Scale at the start of the current round.
     round_scale: f64,
 }
 
@@ -104,7 +106,7 @@
         let is_first = account.round != self.round;
         if is_first {
             account.round = self.round;
-            account.claimed_ms = account.ms(self.round_scale);
+            account.claimed_ms = account.used_ms(self.round_scale);
         }
         let claimed_ms = account.claimed_ms;
         account.claimed_ms += ms;
@@ -115,7 +117,7 @@
     pub fn levels(&self) -> Levels {
         let mut by_priority: BTreeMap<u32, Demand> = BTreeMap::new();
         for (owner, account) in &self.accounts {
-            let used_ms = account.ms(self.round_scale);
+            let used_ms = account.used_ms(self.round_scale);
             let demand = by_priority.entry(owner.priority).or_default();
             demand.used_ms += used_ms;
             demand.by_owner_ms.push(if account.round == self.round { account.claimed_ms } else { used_ms });
@@ -140,7 +142,7 @@
         }
         self.pruned_at = now;
         let scale = self.scale(now);
-        let is_idle = |account: &Account| account.running_ms < MIN_USE_MS && account.ms(scale) < MIN_USE_MS;
+        let is_idle = |account: &Account| account.running_ms < MIN_USE_MS && account.used_ms(scale) < MIN_USE_MS;
         self.accounts.retain(|_, account| !is_idle(account));
         if self.half_lives(now) > MAX_SCALE_HALF_LIVES {
             self.accounts.values_mut().for_each(|account| account.decaying_ms *= scale);
@@ -158,9 +160,10 @@
     pub is_first: bool,
 }
 
-/// What the owners of one priority use and ask for.
+/// Engine time that the owners of one priority use and ask for.
 #[derive(Debug, Default)]
 struct Demand {
+    /// Use of all owners, in milliseconds.
     used_ms: f64,
     /// Use plus waiting engine time of each owner, in milliseconds.
     by_owner_ms: Vec<f64>,
@@ -186,8 +189,8 @@
         let unmet = demands.iter().filter(|demand| **demand > level).count();
         match unmet {
             0 => return f64::INFINITY,
-            // Rounding may lower the level below a demand that it met. Without the inequality, the search would alternate
-            // between two levels without end.
+            // Rounding may lower the level below a demand that it met. With a test for equality, the search would then
+            // alternate between two levels without end.
             _ if unmet >= unmet_count => return level,
             _ => unmet_count = unmet,
         }
--- a/coord/src/relay_buffer.rs
+++ b/coord/src/relay_buffer.rs
@@ -1,13 +1,14 @@
-//! Memory for response data that callers have not read yet: which replicas are read on, and which callers are given up.
+//! Memory for response data that callers have not read yet: decides which replicas are read further, and which callers
+//! are evicted.
 //!
-//! Answers a load of many callers that read slowly or not at all, beside callers that read at once. Data is buffered so
+//! This handles many callers that read slowly or not at all, beside callers that read at once. Data is buffered so
 //! that a replica finishes its response, and is free for the next request, before a slow caller has read it. Each
 //! caller has a bound, so that a replica is not read faster than its caller for long. All callers together have a bound
 //! as well, since the process would otherwise run out of memory and end the streams of all callers.
 //!
 //! A caller that has read everything always has room, so it is not affected by the others: the total exceeds its bound
-//! by at most one read per caller. When the total is exhausted, stalled callers are given up. Callers that keep reading
-//! are never given up; their replicas are read on as they make progress.
+//! by at most one read per caller. When the total is exhausted, stalled callers are evicted. Callers that keep reading
+//! are never evicted; their replicas are read further as they make progress.
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
@@ -16,10 +17,11 @@
 use crate::invariant;
 use crate::time::Moment;
 
-/// Time after which a caller that has unread data and reads nothing counts as stalled: several retransmissions on a
-/// lossy link.
+/// Time after which a caller that has unread data and reads nothing counts as stalled. Several retransmissions fit into
+/// it, so that a lossy link alone does not stall a caller.
 pub const STALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Memory that a buffered chunk takes beside its data, in bytes: its place in the queue of the stream and in this one.
+/// Memory that a buffered chunk takes beside its data, in bytes: its entries in
+/// the channel of the stream and in the queue of this module.
 pub const CHUNK_OVERHEAD_BYTES: u64 = 96;
 
 /// Bounds on buffered data, in bytes.
@@ -31,11 +33,11 @@
     pub total: u64,
 }
 
-/// Number of a caller's stream.
+/// Identifies the stream of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamId(u64);
 
-/// Caller that was given up because it stalled while the total was exhausted.
+/// Removal of a caller that stalled while the total was exhausted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Eviction {
     /// Stream that is to be aborted.
@@ -67,7 +69,7 @@
         self.chunks.front().map(|oldest| oldest.received_at.max(self.last_read_at))
     }
 
-    /// Returns the arrival time of the oldest chunk, or the end of time if there is none.
+    /// Returns the arrival time of the oldest chunk, or the latest possible time if there is none.
     fn oldest(&self) -> Moment {
         self.chunks.front().map_or(Moment::from_micros(u64::MAX), |oldest| oldest.received_at)
     }
@@ -129,8 +131,8 @@
         self.total -= chunk.bytes;
     }
 
-    /// Removes stalled callers while the total is exhausted: first those whose oldest data has waited longest, and among
-    /// them those with the most data.
+    /// Removes stalled callers while the total is exhausted: first those whose oldest data has waited longest, and
+    /// among them those with the most data.
     pub fn evict_stalled(&mut self, now: Moment) -> Vec<Eviction> {
         let mut evictions = Vec::new();
         if !self.is_exhausted() || now < self.next_stall_at {
@@ -167,7 +169,7 @@
         self.total >= self.bounds.total
     }
 
-    /// Returns the stalled streams in the order in which they are given up.
+    /// Returns the stalled streams in the order in which they are evicted.
     fn stalled(&self, now: Moment) -> Vec<StreamId> {
         let is_stalled =
             |backlog: &Backlog| backlog.idle_since().is_some_and(|since| now.since(since) >= STALL_TIMEOUT);
--- a/coord/src/replica_load.rs
+++ b/coord/src/replica_load.rs
@@ -1,6 +1,6 @@
-//! Load of a replica of a plain service, as one of many entries estimates it.
+//! Load of a replica of a plain service, as each entry estimates it.
 //!
-//! This answers bursts that reach many entries at once: each entry sees only its own requests, and the load that a
+//! This handles bursts that reach many entries at once: each entry sees only its own requests, and the load that a
 //! replica reported in its last response, however old. Entries that compare the same old reports choose the same
 //! replica, which refuses most of them, while the others have free slots.
 
@@ -9,17 +9,19 @@
 use crate::time::Moment;
 
 /// Half-life of a reported load. Requests to plain services take some tens of milliseconds, so that after a few
-/// half-lives the replica serves other requests than it reported.
+/// half-lives the requests in the report have ended.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(200);
-/// Time for which a replica counts as full after a refusal; a few requests end in it.
+/// Time for which a replica counts as full after a refusal; a few of its requests end within it.
 const FULL_PERIOD: Duration = Duration::from_millis(50);
 
 /// Load of one replica as one entry knows it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
+    /// Number of outstanding requests of this entry.
     own_requests: u32,
+    /// Number of requests of all entries in the last report.
     reported_requests: u32,
-    /// Part of the reported requests that other entries sent.
+    /// Number of reported requests that other entries sent.
     others_requests: u32,
     reported_at: Moment,
     full_until: Moment,
@@ -49,7 +51,7 @@
         self.full_until = now + FULL_PERIOD;
     }
 
-    /// Discards what the replica told about itself, after a restart.
+    /// Discards the reports and refusals of the replica after its restart.
     pub fn forget_reports(&mut self) {
         *self = Self { own_requests: self.own_requests, ..Self::default() };
     }
--- a/coord/src/search.rs
+++ b/coord/src/search.rs
@@ -73,8 +73,8 @@
         self.is_appointed = false;
     }
 
-    /// Returns whether this process leads although the list of candidates ranks others ahead of it. It then tries only
-    /// the candidates of each round.
+    /// Returns whether this process leads although the list of candidates ranks others ahead of it. It then still tries
+    /// the candidates of each round, but does not ask other processes for their leader.
     pub fn is_appointed(&self) -> bool {
         self.is_appointed
     }
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -22,7 +22,7 @@
 const MAX_MEMORY_MB: f64 = 1e6;
 /// Memory limit of the process if no setting gives it, in MB: that of the smallest VM that is in use.
 const DEFAULT_MEMORY_MB: f64 = 160.0;
-/// Bytes in a MB, as memory limits count.
+/// Number of bytes in a MB of a memory limit.
 const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 
 /// Settings of an entry that serves replicas directly.
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -218,7 +218,7 @@
     record(|metrics| metrics.rejections.add(1, &labels));
 }
 
-/// Counts promises to refused callers by what became of them.
+/// Counts promises to refused callers by their outcomes.
 pub fn record_promises(counts: PromiseCounts) {
     let PromiseCounts { made, kept, broken, expired } = counts;
     record(|metrics| {
@@ -239,7 +239,7 @@
     });
 }
 
-/// Counts reservations of engines for long prompts by what became of them.
+/// Counts reservations of engines for long prompts by their outcomes.
 pub fn record_reservations(counts: &[(&'static str, u64)]) {
     record(|metrics| {
         for (outcome, count) in counts.iter().filter(|(_, count)| *count > 0) {
@@ -263,7 +263,7 @@
     record(|metrics| metrics.unread_bytes.record(bytes, &[]));
 }
 
-/// Counts a caller that was given up because it did not read its response.
+/// Counts a caller that was evicted because it did not read its response.
 pub fn record_evicted_caller() {
     record(|metrics| metrics.evicted_callers.add(1, &[]));
 }
@@ -302,7 +302,7 @@
 
 /// Sets the mean predicted and actual times from the grant of a short prompt to its first event, and the margin that
 /// packing keeps for the difference.
-pub fn set_prediction(service: &str, error: &prediction::Error) {
+pub fn set_prediction(service: &str, error: &prediction::Summary) {
     let labels = [KeyValue::new("service", service.to_owned())];
     record(|metrics| {
         metrics.predicted_first_event.record(error.predicted_ms / 1e3, &labels);
