Mend faults of reservations, refusals by rate limit and large token counts

Switching reservations off reset their counts, so that the entry subtracted a larger count from a smaller one. A returned caller that the rate limits refuse counts as a broken promise. Token counts beyond the range of a duration made the planner panic. Without forecasts, the log line prompts-waiting and the gauge of the margin show none; without reservations there is no line granted.

--- a/coord/src/engine.rs
+++ b/coord/src/engine.rs
@@ -71,7 +71,7 @@
     }
 }
 
-/// Converts milliseconds to a duration; negative values become zero.
+/// Converts milliseconds to a duration; negative values become zero, and values beyond its range the largest duration.
 pub fn duration_from_ms(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1e3)
+    Duration::try_from_secs_f64(ms.max(0.0) / 1e3).unwrap_or(Duration::MAX)
 }
--- a/coord/src/planner/forecast/timeline.rs
+++ b/coord/src/planner/forecast/timeline.rs
@@ -62,7 +62,7 @@
         let mut sequences = self.occupants.len();
         let mut at_ms = 0.0;
         let mut occupants = self.occupants.iter();
-        while sequences >= self.max_sequences || held_tokens + tokens > self.max_tokens {
+        while sequences >= self.max_sequences || held_tokens.saturating_add(tokens) > self.max_tokens {
             let occupant = occupants.next()?;
             held_tokens -= occupant.tokens;
             sequences -= 1;
--- a/coord/src/planner/job.rs
+++ b/coord/src/planner/job.rs
@@ -56,7 +56,7 @@
 impl Job {
     /// Returns the memory that the job takes, in tokens.
     pub(in crate::planner) fn memory_tokens(&self) -> u64 {
-        self.prompt_tokens + self.max_output_tokens.min(MAX_RESERVED_OUTPUT_TOKENS)
+        self.prompt_tokens.saturating_add(self.max_output_tokens.min(MAX_RESERVED_OUTPUT_TOKENS))
     }
 }
 
--- a/coord/src/planner/mod.rs
+++ b/coord/src/planner/mod.rs
@@ -122,6 +122,11 @@
         self.features = features;
     }
 
+    /// Returns the features that are on.
+    pub fn features(&self) -> Features {
+        self.features
+    }
+
     /// Sets the engines that accept work. Jobs on an engine that is left out are forgotten.
     pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Name, Arc<Profile>)>) {
         let reserved_teams = self.reserved_teams();
--- a/coord/src/planner/rate_limited.rs
+++ b/coord/src/planner/rate_limited.rs
@@ -69,9 +69,11 @@
                 next_wait = send_slots.consume(1);
             }
         }
-        for refusal in &refusals {
-            self.waiting.remove(refusal.id);
-            self.forecaster.remove_waiting(refusal.id);
+        for Refusal { id, rejection } in &mut refusals {
+            self.waiting.remove(*id);
+            let waiting = self.forecaster.remove_waiting(*id);
+            rejection.is_return = waiting.is_some_and(|waiting| waiting.promise.is_some());
+            self.promises.counts.broken += u64::from(rejection.is_return);
         }
         refusals
     }
--- a/coord/src/planner/reservation.rs
+++ b/coord/src/planner/reservation.rs
@@ -336,7 +336,8 @@
 }
 
 impl Planner {
-    /// Returns the number of reservations by what became of them.
+    /// Returns the number of reservations by what became of them, since the planner was created. The counts never
+    /// decrease, also when the feature is switched off.
     pub fn reservation_counts(&self) -> ReservationCounts {
         self.reservations.counts
     }
@@ -376,7 +377,7 @@
     pub(super) fn plan_reservations(&mut self, candidates: &[Candidate], now: Moment) {
         self.reservations.changes.clear();
         if !self.features.reservations {
-            self.reservations = Reservations::default();
+            self.reservations = Reservations { counts: self.reservations.counts, ..Reservations::default() };
             return;
         }
         let timely = self.reservations.retain_waiting(candidates, now);
--- a/coord/tests/planner_reservations.rs
+++ b/coord/tests/planner_reservations.rs
@@ -187,3 +187,27 @@
     planner.submit(id(1_000), Job { priority: 0, ..job(4_000, at(500)) });
     assert_eq!(planner.grant_ready(at(500)).len(), 1);
 }
+
+#[test]
+fn switching_reservations_off_releases_the_engines_and_resets_no_count() {
+    let mut planner = planner_with_waiting(true);
+    let before = planner.reservation_counts();
+    assert!(before.made > 0, "{before:?}");
+    planner.set_features(Features::default());
+    planner.grant_ready(at(20));
+    assert_eq!(planner.reservation_counts(), before);
+    assert_eq!(reserved(&planner), BTreeSet::new());
+}
+
+#[test]
+fn token_counts_beyond_any_engine_are_not_granted_and_end_no_planner() {
+    for (reservations, forecasts) in [(false, false), (true, false), (false, true)] {
+        let mut planner = new_planner(reservations);
+        planner.set_features(Features { reservations, forecasts, ..Features::default() });
+        planner.submit(id(LONG), Job { max_output_tokens: u64::MAX, ..job(u64::MAX, start()) });
+        for ms in [0, 30, 60] {
+            assert_eq!(planner.grant_ready(at(ms)), []);
+            planner.refuse(at(ms));
+        }
+    }
+}
--- a/coord/tests/planner_returns.rs
+++ b/coord/tests/planner_returns.rs
@@ -175,6 +175,23 @@
     assert!(planner.grant_ready(now).iter().all(|grant| grant.id != refused));
 }
 
+#[test]
+fn a_returned_caller_that_rate_limits_refuse_counts_as_a_broken_promise() {
+    let (_, promise) = planner_with_promise();
+    let now = promise.due;
+    let mut next = planner(1);
+    next.add_promise(promise, START);
+    next.set_limit(&"engine-0".into(), Some(0.1), 1.0, now);
+    next.submit(id(1), Job { priority: 0, ..job(98, now) });
+    next.submit(id(2), Job { fingerprint: promise.job.fingerprint, ..job(0, now) });
+    assert_eq!(next.grant_ready(now), [], "the rate limit admits nothing now");
+    let refusals = next.refuse(now);
+    let refusal = refusals.iter().find(|refusal| refusal.id == id(2)).expect("there is no send for the second prompt");
+    assert!(refusal.rejection.is_return, "{refusal:?}");
+    assert_eq!(next.take_promise_counts().broken, 1);
+    assert_eq!(next.promises(now), []);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Submit(u8),
--- a/sorrelpass/src/gateway/admission/mod.rs
+++ b/sorrelpass/src/gateway/admission/mod.rs
@@ -218,6 +218,11 @@
         self.planners.borrow().get(service).is_some_and(Planner::has_forecasts)
     }
 
+    /// Returns whether engines of a service are reserved for long prompts.
+    pub fn has_reservations(&self, service: &Name) -> bool {
+        self.planners.borrow().get(service).is_some_and(|planner| planner.features().reservations)
+    }
+
     fn new_planner(&self) -> Planner {
         let mut planner = Planner::new(self.policy, util::incarnation().0);
         planner.set_suspects(self.suspects.borrow().iter().copied());
@@ -464,7 +469,9 @@
                 grants.extend(planner.grant_ready(now()));
                 refusals.extend(planner.refuse(now()));
                 metric::record_promises(planner.take_promise_counts());
-                metric::set_forecast_margins(planner.forecast_margin(true), planner.forecast_margin(false));
+                if planner.has_forecasts() {
+                    metric::set_forecast_margins(planner.forecast_margin(true), planner.forecast_margin(false));
+                }
                 has_waiting |= planner.has_waiting();
                 held_back += planner.held_back();
                 report_reservations(service, planner, counts);
@@ -497,7 +504,10 @@
                     .iter()
                     .map(|(engine, reason)| format!("{engine}:{}", reason.as_str()))
                     .collect();
-                crate::event!("prompts-waiting", service = %service, for_ms = held_time.as_millis(), waiting, held_back = ?planner.held_back(), short_margin_ms = planner.forecast_margin(true).as_millis(), long_margin_ms = planner.forecast_margin(false).as_millis(), counts = ?counts, exclusions = exclusions.join(" "));
+                let margin_ms =
+                    |is_short| planner.has_forecasts().then(|| planner.forecast_margin(is_short).as_millis());
+                let held_back = planner.features().fair_shares.then(|| tracing::field::debug(planner.held_back()));
+                crate::event!("prompts-waiting", service = %service, for_ms = held_time.as_millis(), waiting, held_back, short_margin_ms = margin_ms(true), long_margin_ms = margin_ms(false), counts = ?counts, exclusions = exclusions.join(" "));
             }
         }
     }
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -26,9 +26,9 @@
 /// Minimum time that a prompt may wait for engines, even if an earlier attempt has used up its wait time. A free engine
 /// is granted within a few milliseconds.
 const MIN_GRANT_WAIT: Duration = Duration::from_millis(100);
-/// Shortest wait for engines that is logged; a burst that lasts no longer needs no explanation.
+/// Shortest wait for engines that is logged where engines are reserved; a burst that lasts no longer needs no
+/// explanation.
 const MIN_LOGGED_WAIT: Duration = Duration::from_millis(500);
-
 /// Fraction of the caller's time that a prompt may wait for engines where the planner refuses prompts by forecast. It is
 /// a bound for the case that no refusal arrives.
 const MAX_FORECAST_WAIT_SHARE: f64 = 0.65;
@@ -255,7 +255,7 @@
                 }
             };
             let waited = now().since(requested_at);
-            if waited >= MIN_LOGGED_WAIT {
+            if waited >= MIN_LOGGED_WAIT && self.gateway.admission.has_reservations(&self.service) {
                 event!("granted", request = %self.request_head.id, number = lease.number(), waited_ms = waited.as_millis());
             }
             let reserved = match self.locate_team(&lease.placement.team) {
