--- a/coord/src/planner/admission.rs
+++ b/coord/src/planner/admission.rs
@@ -19,20 +19,21 @@
 
 /// Bounds the waiting prompts of one forecast. Those behind them wait for the next one.
 const MAX_FORECAST_PROMPTS: usize = 256;
-/// Share of a caller's time within which its prompt must start. A caller that is refused has time left to return.
+/// Share of a caller's time within which its prompt must start. It is small enough that a refused caller has time left
+/// to return.
 const MAX_START_SHARE: f64 = 0.4;
-/// Share of the remaining time of a returned caller within which its prompt must start. It gets no better offer, so only
-/// the time to prefill and to answer is left.
+/// Share of the remaining time of a returned caller within which its prompt must start. No better time can
+/// be offered to it, so only the time to prefill and to answer is left.
 const MAX_RETURN_START_SHARE: f64 = 0.6;
-/// Share of the first-event target within which a caller can be told to return and still be in time.
-const EARLY_SHARE: f64 = 0.25;
+/// Largest share of the first-event target for which a prompt may have waited when its caller is told to return.
+const MAX_EARLY_WAIT_SHARE: f64 = 0.25;
 
 /// Forecast for a prompt and the times of its caller, in milliseconds from now.
 #[derive(Clone, Copy, Debug)]
 struct Situation {
     start_ms: f64,
     first_event_ms: f64,
-    /// Time from which there is capacity that prompts still to come do not need.
+    /// Time at which there is capacity that prompts still to arrive do not need.
     spare_ms: f64,
     /// Margin by which the forecast may be wrong.
     margin_ms: f64,
@@ -41,7 +42,7 @@
     slack_ms: f64,
     remaining_ms: f64,
     is_return: bool,
-    /// Whether a promise to the caller can be kept in the book.
+    /// Whether the planner has room for another promise to the caller.
     can_promise: bool,
 }
 
@@ -75,7 +76,7 @@
     }
 
     fn refuse(&self, reason: Reason, is_promised: bool) -> Verdict {
-        // Without a promise, a later return is more likely to find capacity.
+        // Without a promise, the latest time is best: a later return is more likely to find capacity.
         let retry_after_ms = if is_promised { self.return_ms() } else { self.heeded_ms() };
         Verdict::Refuse { reason, retry_after_ms, is_promised }
     }
@@ -89,7 +90,7 @@
         self.remaining_ms * RETRY_AFTER_SHARE
     }
 
-    /// Returns the time of a return that takes no capacity from prompts still to come.
+    /// Returns the time of a return that takes no capacity from prompts still to arrive.
     fn return_ms(&self) -> f64 {
         self.spare_ms.min(self.heeded_ms())
     }
@@ -112,7 +113,7 @@
 /// Returns whether a prompt has waited for a small part of its target only, so that its caller can still be told to
 /// return.
 fn is_early(waited_ms: f64, slack_ms: f64) -> bool {
-    waited_ms <= (waited_ms + slack_ms) * EARLY_SHARE
+    waited_ms <= (waited_ms + slack_ms) * MAX_EARLY_WAIT_SHARE
 }
 
 /// Returns the latest useful start of a prompt that has waited for `waited_ms` and must start within `share` of its
@@ -125,9 +126,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Decision {
     candidate: Candidate,
-    /// Predicted start without correction.
+    /// Predicted start without correction for the learned error.
     start: Moment,
-    /// Whether that is too late for the target.
+    /// Whether the uncorrected start is too late for the target.
     is_late: bool,
     forecast: Forecast,
     first_event_within: Duration,
@@ -282,7 +283,7 @@
         self.promises.standing().copied().collect()
     }
 
-    /// Returns the number of promises by what became of them since the last call.
+    /// Returns the counts of promises by outcome since the last call.
     pub fn take_promise_counts(&mut self) -> PromiseCounts {
         std::mem::take(&mut self.promises.counts)
     }
--- a/coord/src/planner/forecast/accuracy.rs
+++ b/coord/src/planner/forecast/accuracy.rs
@@ -2,7 +2,7 @@
 //!
 //! The error of predicted starts gives the margin by which a prediction must miss a limit before a prompt is refused.
 //!
-//! A forecast knows the queue but not the prompts that are still to come. Those that rank ahead of a late prompt delay
+//! A forecast includes the queue but not the prompts that are still to arrive. Those that rank ahead of a late prompt delay
 //! it, so that its predicted start moves away while it waits. This drift tells how much of the capacity is left for
 //! callers that are told to return.
 
@@ -12,17 +12,17 @@
 
 /// Half-life of the learned values: long enough to cover dozens of starts, short enough to follow a burst.
 const HALF_LIFE: Duration = Duration::from_secs(1);
-/// Largest drift, in seconds per second. At 1, a prompt would never start.
+/// Largest drift, in seconds per second. At a drift of 1, a prompt would never start.
 const MAX_DRIFT: f64 = 0.9;
 /// Observed time without drift that is assumed at first, in milliseconds.
 const ASSUMED_OBSERVATION_MS: f64 = 500.0;
 /// Weight of a new error in the mean error and the mean deviation.
 const ERROR_WEIGHT: f64 = 0.1;
-/// Mean deviations that the margin covers, as in the retransmission timer of TCP.
+/// Number of mean deviations that the margin covers, as in the retransmission timer of TCP.
 const COVERED_DEVIATIONS: f64 = 2.0;
 /// Mean deviation before any start was observed, in milliseconds.
 const INITIAL_DEVIATION_MS: f64 = 100.0;
-/// Largest margin, in milliseconds. A larger one would let hopeless prompts wait.
+/// Largest margin, in milliseconds. A larger one would let prompts wait that cannot be served usefully.
 const MAX_MARGIN_MS: f64 = 1_000.0;
 
 /// Decaying sums from which a drift is computed.
@@ -71,7 +71,7 @@
 
 /// Learned errors of the forecasts for short or for long prompts.
 #[derive(Clone, Copy, Debug, Default)]
-struct Errors {
+struct ClassError {
     start: StartError,
     /// Drift of the predicted starts of late prompts, which those in time rank ahead of.
     drift: Drift,
@@ -80,8 +80,8 @@
 /// Learned errors of the forecasts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Accuracy {
-    short: Errors,
-    long: Errors,
+    short: ClassError,
+    long: ClassError,
 }
 
 impl Accuracy {
@@ -103,7 +103,7 @@
         if start_ms <= 0.0 { start_ms } else { (start_ms + self.errors(is_short).start.mean_ms).max(0.0) }
     }
 
-    /// Returns when there is capacity for a prompt that prompts still to come do not need, in milliseconds.
+    /// Returns when there is capacity for a prompt that prompts still to arrive do not need, in milliseconds.
     pub fn spare_start_ms(&self, is_short: bool, start_ms: f64, now: Moment) -> f64 {
         start_ms / (1.0 - self.errors(is_short).drift.rate(now))
     }
@@ -113,11 +113,11 @@
         (self.errors(is_short).start.deviation_ms * COVERED_DEVIATIONS).min(MAX_MARGIN_MS)
     }
 
-    fn errors(&self, is_short: bool) -> &Errors {
+    fn errors(&self, is_short: bool) -> &ClassError {
         if is_short { &self.short } else { &self.long }
     }
 
-    fn errors_mut(&mut self, is_short: bool) -> &mut Errors {
+    fn errors_mut(&mut self, is_short: bool) -> &mut ClassError {
         if is_short { &mut self.short } else { &mut self.long }
     }
 }
--- a/coord/src/planner/forecast/mod.rs
+++ b/coord/src/planner/forecast/mod.rs
@@ -1,9 +1,9 @@
 //! Forecasts when waiting prompts will start.
 //!
 //! This answers a load that exceeds the capacity for longer than callers wait. A forecast schedules the waiting
-//! prompts, in the order in which they are served, on the capacity that the engines free up: pending prefill ends at
-//! known times, and running answers end after a number of passes that their sizes tell. The forecast learns how far it
-//! is from what happens ([`Accuracy`]).
+//! prompts, in the order in which they are served, on the capacity that becomes free: pending prefill ends at known
+//! times, and running answers end after a number of passes that follows from their sizes. The forecast learns how far it
+//! is from the actual starts ([`Accuracy`]).
 
 mod accuracy;
 mod answers;
@@ -32,9 +32,9 @@
 /// pass.
 const DRIFT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// What is known of a waiting prompt beside its job.
+/// Observations of a waiting prompt since its submission.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Waiting {
+pub(super) struct WaitingPrompt {
     /// Time at which the planner first saw the prompt.
     pub since: Moment,
     /// Promise by which its caller returned.
@@ -46,12 +46,12 @@
     last: Option<(Moment, Moment)>,
 }
 
-/// State that forecasts need beside the queue and the engines.
+/// State that forecasts need in addition to the queue and the engines.
 #[derive(Debug, Default)]
 pub(super) struct Forecaster {
     pub accuracy: Accuracy,
     answers: Answers,
-    waiting: BTreeMap<Id, Waiting>,
+    waiting: BTreeMap<Id, WaitingPrompt>,
     /// Prompts that were submitted since the last call of [`Planner::admit_arrivals`].
     arrivals: Vec<Id>,
     made_at: Moment,
@@ -71,12 +71,12 @@
         self.arrivals.push(id);
     }
 
-    pub fn waiting(&self, id: Id) -> Option<&Waiting> {
+    pub fn waiting(&self, id: Id) -> Option<&WaitingPrompt> {
         self.waiting.get(&id)
     }
 
     /// Forgets a waiting prompt.
-    pub fn remove_waiting(&mut self, id: Id) -> Option<Waiting> {
+    pub fn remove_waiting(&mut self, id: Id) -> Option<WaitingPrompt> {
         self.waiting.remove(&id)
     }
 
@@ -142,7 +142,7 @@
             if promise.is_some() {
                 self.waiting.promote(id);
             }
-            let waiting = Waiting { since: now, promise, is_short, first_start: None, last: None };
+            let waiting = WaitingPrompt { since: now, promise, is_short, first_start: None, last: None };
             self.forecaster.waiting.insert(id, waiting);
         }
     }
--- a/coord/src/planner/forecast/timeline.rs
+++ b/coord/src/planner/forecast/timeline.rs
@@ -12,7 +12,7 @@
     pub prompt: Prompt,
     /// Number of passes until the answer ends.
     pub passes: f64,
-    /// Time at which its caller is there.
+    /// Time at which its caller has sent it: zero, or the time of a promised return.
     pub earliest_ms: f64,
     /// Time from then to its first-event target.
     pub slack_ms: f64,
--- a/coord/src/planner/promise.rs
+++ b/coord/src/planner/promise.rs
@@ -1,9 +1,10 @@
-//! Keeps the promises that refused callers were given: a time to return, at which there will be capacity for them.
+//! Records the promises that refused callers were given: a time to return, at which there will be capacity for them.
 //!
 //! This answers the load after a burst, when refused callers come back while new ones still arrive. A caller that
 //! returns when told ranks before newcomers of its priority, so that it is not refused a second time. A return is
 //! recognized by the fingerprint and the workspace of its request, which are the same in each attempt. Each return
-//! consumes one promise. The book is bounded, and each promise ends soon after its time.
+//! consumes one promise. The number of promises is bounded, and each ends soon
+//! after its time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,15 +15,16 @@
 use super::job::{Id, Job};
 use crate::time::Moment;
 
-/// Bounds the promises of one planner. Some hundred callers are served within the time that a caller heeds.
+/// Bounds the number of promises of one planner. Some hundred callers are served within the longest retry delay that
+/// callers heed.
 const MAX_PROMISES: usize = 512;
-/// Bounds the promises for the same request, so that a caller that repeats it at once cannot take up the capacity of
+/// Bounds the number of promises for the same request, so that a caller that repeats it at once cannot take up the capacity of
 /// others.
 const MAX_PROMISES_PER_REQUEST: usize = 4;
-/// Time by which a caller may return too early: clocks and timers of callers are not exact.
-const MAX_EARLY: Duration = Duration::from_millis(50);
-/// Time by which a caller may return too late. It covers a new connection, and the search for another entry.
-const MAX_DELAY: Duration = Duration::from_secs(1);
+/// Longest time by which a caller may return too early, since clocks and timers of callers are not exact.
+const MAX_EARLY_RETURN: Duration = Duration::from_millis(50);
+/// Longest time by which a caller may return too late. It covers a new connection, and the search for another entry.
+const MAX_RETURN_DELAY: Duration = Duration::from_secs(1);
 
 /// Identity of a promise, the same at all entries that know it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -54,7 +56,7 @@
 impl Promise {
     /// Creates a promise for a job that is refused.
     pub fn new(id: PromiseId, job: Job, first_event_within: Duration, due: Moment) -> Self {
-        Self { id, job, first_event_within, due, expires_at: (due + MAX_DELAY).min(job.deadline) }
+        Self { id, job, first_event_within, due, expires_at: (due + MAX_RETURN_DELAY).min(job.deadline) }
     }
 
     fn is_expired(&self, now: Moment) -> bool {
@@ -66,7 +68,7 @@
     }
 }
 
-/// Number of promises by what became of them.
+/// Counts of promises by outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PromiseCounts {
     /// Promises that were made.
@@ -79,7 +81,7 @@
     pub expired: u64,
 }
 
-/// Promises that a planner knows.
+/// Promises that a planner made or was told of.
 #[derive(Debug, Default)]
 pub struct Promises {
     /// Promises whose callers have not returned, by the time of the return.
@@ -115,7 +117,7 @@
 
     /// Consumes the earliest promise for the job, if its time has come.
     pub fn redeem(&mut self, job: &Job, now: Moment) -> Option<PromiseId> {
-        let until = now + MAX_EARLY;
+        let until = now + MAX_EARLY_RETURN;
         let is_due = |promise: &&Promise| promise.is_for(job) && !promise.is_expired(now);
         let promise = *self.standing.values().take_while(|promise| promise.due <= until).find(is_due)?;
         self.standing.remove(&(promise.due, promise.id));
--- a/coord/src/planner/refusal.rs
+++ b/coord/src/planner/refusal.rs
@@ -14,9 +14,9 @@
     RateLimited,
     /// The prompts ahead of a late one need longer than its caller will wait.
     Overload,
-    /// The prompt cannot start before its answer is useless to the caller.
+    /// The prompt is predicted to start only when its answer is useless to the caller.
     StartsTooLate,
-    /// The prompt would be late now, but can be in time when its caller returns.
+    /// The prompt would be late now, and is predicted to be in time when its caller returns.
     ReturnInTime,
     /// The engines asked for a backoff.
     Backoff,
@@ -49,7 +49,7 @@
     pub ahead: usize,
 }
 
-/// What the caller of a refused prompt is told, and why.
+/// Answer to the caller of a refused prompt, with the reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rejection {
     /// Reason of the refusal.
@@ -76,6 +76,6 @@
 pub struct Refusal {
     /// Identity of the refused job.
     pub id: Id,
-    /// What its caller is told.
+    /// Answer to its caller.
     pub rejection: Rejection,
 }
--- a/coord/src/planner/reservation.rs
+++ b/coord/src/planner/reservation.rs
@@ -1,7 +1,7 @@
 //! Reserves engines for long prompts that must wait.
 //!
 //! A long prompt needs several engines at the same moment. While other prompts take each engine as soon as it is free,
-//! it finds too few of them until its target has passed, the largest prompt first. This module answers that load: it
+//! it finds too few of them until its target has passed; the larger the prompt, the likelier that is. This module
 //! predicts when the engines will be free, and keeps the smallest sufficient team free for the prompt. Other prompts
 //! use the engines of a team only where they are predicted to be done with them by the reserved start.
 //!
@@ -14,7 +14,7 @@
 use super::Planner;
 use super::job::Id;
 use super::policy::Policy;
-use super::served::{Group, Served};
+use super::served::{Group, StartRecord};
 use super::snapshot::EngineState;
 use super::wait_queue::Candidate;
 use crate::engine::duration_from_ms;
@@ -39,7 +39,8 @@
     /// Engine time to prefill the prompt, in milliseconds.
     prefill_ms: f64,
     memory_tokens: u64,
-    /// Time until the target of the first event of which `Policy::in_time_share` is left, in milliseconds.
+    /// Time within which the prompt must be prefilled, in milliseconds: the share `Policy::in_time_share` of the time
+    /// until the first-event target.
     slack_ms: f64,
 }
 
@@ -61,7 +62,7 @@
     }
 }
 
-/// Predicted availability of one engine.
+/// Prediction of when and for which part one engine is available.
 #[derive(Clone, Copy, Debug)]
 struct Availability {
     /// Index of the engine in the fleet.
@@ -72,7 +73,7 @@
     budget_ms: f64,
     free_memory: u64,
     has_slot: bool,
-    /// Whether short prompts would have to leave the engine.
+    /// Whether the engine decodes answers to short prompts, which must end before the reserved start.
     serves_short: bool,
 }
 
@@ -115,7 +116,7 @@
     engines: Vec<usize>,
 }
 
-/// Number of reservations by what became of them.
+/// Counts of reservations by outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReservationCounts {
     /// Reservations made.
@@ -128,7 +129,7 @@
     pub given_up: u64,
 }
 
-/// What became of a reservation.
+/// Result of a reservation: made, and later kept or given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReservationOutcome {
     /// The reservation was made.
@@ -155,7 +156,7 @@
 pub struct ReservationChange {
     /// Prompt that the engines were reserved for.
     pub id: Id,
-    /// What became of the reservation.
+    /// Result of the reservation.
     pub outcome: ReservationOutcome,
     /// Number of reserved engines.
     pub engines: usize,
@@ -170,10 +171,10 @@
     unplaced: BTreeSet<Id>,
     /// Prompts among these that became late before the last pump.
     given_up: Vec<Id>,
-    /// Which prompts were lately in time.
-    served: Served,
+    /// Record of the prompts that recently started in time.
+    starts: StartRecord,
     active: Vec<Reservation>,
-    /// Position in `active` by index of the engine.
+    /// Position in `active` of the reservation of each engine, by index of the engine.
     by_engine: Vec<Option<u8>>,
     counts: ReservationCounts,
     changes: Vec<ReservationChange>,
@@ -197,9 +198,9 @@
     fn record_start(&mut self, candidate: &Candidate, now: Moment) {
         let id = candidate.id;
         match candidate.is_late {
-            true if candidate.prompt.is_short => self.served.record_missed(&candidate.prompt, now),
+            true if candidate.prompt.is_short => self.starts.record_missed(&candidate.prompt, now),
             true => {}
-            false => self.served.record_in_time(&candidate.prompt, now),
+            false => self.starts.record_in_time(&candidate.prompt, now),
         }
         self.unplaced.remove(&id);
         let Some(position) = self.active.iter().position(|reservation| reservation.id == id) else { return };
@@ -215,7 +216,7 @@
         let is_unplaced = |candidate: &&Candidate| !candidate.prompt.is_short && unplaced.contains(&candidate.id);
         let (late, timely): (Vec<&Candidate>, Vec<&Candidate>) =
             candidates.iter().filter(is_unplaced).partition(|candidate| candidate.is_late);
-        late.iter().for_each(|candidate| self.served.record_missed(&candidate.prompt, now));
+        late.iter().for_each(|candidate| self.starts.record_missed(&candidate.prompt, now));
         self.given_up = late.iter().map(|candidate| candidate.id).collect();
         self.unplaced = timely.iter().map(|candidate| candidate.id).collect();
         timely
@@ -224,10 +225,10 @@
     /// Returns requests for those prompts whose groups are served less than others, the least served group first and
     /// within a group the one that must start the soonest.
     fn select_underserved(&self, timely: &[&Candidate], policy: &Policy, now: Moment) -> Vec<Request> {
-        let group = |candidate: &Candidate| self.served.group(&candidate.prompt);
+        let group = |candidate: &Candidate| self.starts.group(&candidate.prompt);
         let mut waiting: BTreeMap<Group, usize> = BTreeMap::new();
         timely.iter().for_each(|candidate| *waiting.entry(group(candidate)).or_default() += 1);
-        let shares = self.served.shares(&waiting);
+        let shares = self.starts.shares(&waiting);
         let underserved = timely.iter().filter(|candidate| shares.is_underserved(group(candidate)));
         let mut ranked: Vec<(f64, Request)> = underserved
             .map(|candidate| (shares.of_group(group(candidate)), Request::of(candidate, policy, now)))
@@ -336,7 +337,7 @@
 }
 
 impl Planner {
-    /// Returns the number of reservations by what became of them, since the planner was created. The counts never
+    /// Returns the counts of reservations by outcome since the planner was created. The counts never
     /// decrease, also when the feature is switched off.
     pub fn reservation_counts(&self) -> ReservationCounts {
         self.reservations.counts
--- a/coord/src/planner/served.rs
+++ b/coord/src/planner/served.rs
@@ -1,4 +1,4 @@
-//! Tracks which share of the prompts of each kind and size lately started in time.
+//! Tracks which share of the prompts of each kind and size recently started in time.
 //!
 //! While there is more work than capacity, cheap prompts find engines before expensive ones, and short prompts before
 //! long ones. These shares tell which group of prompts is served less than the others, so that engines are reserved
@@ -10,13 +10,13 @@
 use super::wait_queue::Prompt;
 use crate::time::Moment;
 
-/// Half-life of the recorded prompts. It spans several of the bursts in which a team is busy, and is shorter than the
-/// time for which callers wait.
+/// Half-life of the counts of prompts. It spans several prefills of a team, and is shorter than the time for which
+/// callers wait.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 /// Weight of the newest prompt in the mean cost of its kind.
 const MEAN_WEIGHT: f64 = 0.05;
-/// Share of the rate of its kind at which a group counts as served nearly as often.
-const NEARLY: f64 = 0.9;
+/// Smallest share of a group, as a part of the share of its kind, at which the group counts as served as often.
+const MIN_RELATIVE_SHARE: f64 = 0.9;
 /// Bounds the number of kinds; the gap targets of a deployment's routes are far fewer.
 const MAX_KINDS: usize = 64;
 
@@ -66,16 +66,16 @@
     }
 }
 
-/// Shares of the prompts that started in time, by group.
+/// Record of the prompts that started in time or missed their target, by group.
 #[derive(Debug, Default)]
-pub struct Served {
+pub struct StartRecord {
     tallies: BTreeMap<Group, Tally>,
     /// Mean prefill time of the prompts of a kind, in milliseconds.
     mean_ms: BTreeMap<Kind, f64>,
     decayed_at: Moment,
 }
 
-impl Served {
+impl StartRecord {
     /// Returns the group of a prompt.
     pub fn group(&self, prompt: &Prompt) -> Group {
         let kind = Kind::of(prompt);
@@ -124,7 +124,7 @@
     }
 }
 
-/// Shares at one moment.
+/// Shares of the prompts that started in time at one moment, by group.
 #[derive(Debug)]
 pub struct Shares(BTreeMap<Group, Tally>);
 
@@ -137,7 +137,7 @@
     /// Returns whether a group is served less than the other prompts of its kind, or its kind less than short prompts.
     pub fn is_underserved(&self, group: Group) -> bool {
         let of_kind = self.share_of(|other| other.kind == group.kind);
-        self.of_group(group) < of_kind * NEARLY || of_kind < self.share_of(|other| other.kind.is_short)
+        self.of_group(group) < of_kind * MIN_RELATIVE_SHARE || of_kind < self.share_of(|other| other.kind.is_short)
     }
 
     fn share_of(&self, is_included: impl Fn(&Group) -> bool) -> f64 {
--- a/coord/src/planner/wait_queue.rs
+++ b/coord/src/planner/wait_queue.rs
@@ -49,8 +49,8 @@
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
         let by_priority = self.priority.cmp(&other.priority);
-        let by_arrival = by_priority.then_with(|| self.is_newcomer.cmp(&other.is_newcomer));
-        by_arrival.then_with(|| self.sort_key.total_cmp(&other.sort_key)).then_with(|| self.id.cmp(&other.id))
+        let by_return = by_priority.then_with(|| self.is_newcomer.cmp(&other.is_newcomer));
+        by_return.then_with(|| self.sort_key.total_cmp(&other.sort_key)).then_with(|| self.id.cmp(&other.id))
     }
 }
 
--- a/sorrelpass/src/gateway/admission/follower.rs
+++ b/sorrelpass/src/gateway/admission/follower.rs
@@ -57,7 +57,7 @@
         for (number, waiter) in &*self.waiting.borrow() {
             self.with_planner(&waiter.service, |planner| planner.finish(own_id(*number), now));
         }
-        // A returned caller that still waits must find its promise at the leader.
+        // Promises are reported before waiting prompts, so that the leader recognizes the prompts of returned callers.
         for (service, promise) in self.promises(now) {
             self.report_to_leader(FollowerMessage::Promise {
                 service,
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -29,8 +29,8 @@
 /// Shortest wait for engines that is logged where engines are reserved; a burst that lasts no longer needs no
 /// explanation.
 const MIN_LOGGED_WAIT: Duration = Duration::from_millis(500);
-/// Fraction of the caller's time that a prompt may wait for engines where the planner refuses prompts by forecast. It is
-/// a bound for the case that no refusal arrives.
+/// Fraction of the caller's time that a prompt may wait for engines where the planner refuses prompts by forecast. It
+/// applies if no refusal arrives.
 const MAX_FORECAST_WAIT_SHARE: f64 = 0.65;
 
 /// Maximum fraction of a backoff that is added to the retry delay of refused callers, so that they do not all retry at
