--- a/coord/src/planner/admission.rs
+++ b/coord/src/planner/admission.rs
@@ -22,8 +22,8 @@
 /// Share of a caller's time within which its prompt must start. It is small enough that a refused caller has time left
 /// to return.
 const MAX_START_SHARE: f64 = 0.4;
-/// Share of the remaining time of a returned caller within which its prompt must start. No better time can
-/// be offered to it, so only the time to prefill and to answer is left.
+/// Share of the remaining time of a returned caller within which its prompt must start. No better time can be offered
+/// to it, so only the time to prefill and to answer is left.
 const MAX_RETURN_START_SHARE: f64 = 0.6;
 /// Largest share of the first-event target for which a prompt may have waited when its caller is told to return.
 const MAX_EARLY_WAIT_SHARE: f64 = 0.25;
@@ -288,7 +288,8 @@
         std::mem::take(&mut self.promises.counts)
     }
 
-    /// Returns whether the planner refuses each prompt that waits for too long, so that entries need not limit the wait.
+    /// Returns whether the planner refuses each prompt that waits for too long, so that entries need not limit the
+    /// wait.
     pub fn has_forecasts(&self) -> bool {
         self.features.forecasts && self.policy.refuse_early
     }
--- a/coord/src/planner/forecast/accuracy.rs
+++ b/coord/src/planner/forecast/accuracy.rs
@@ -2,9 +2,9 @@
 //!
 //! The error of predicted starts gives the margin by which a prediction must miss a limit before a prompt is refused.
 //!
-//! A forecast includes the queue but not the prompts that are still to arrive. Those that rank ahead of a late prompt delay
-//! it, so that its predicted start moves away while it waits. This drift tells how much of the capacity is left for
-//! callers that are told to return.
+//! A forecast includes the queue but not the prompts that are still to arrive. Those that rank ahead of a late prompt
+//! delay it, so that its predicted start moves away while it waits. This drift tells how much of the capacity is left
+//! for callers that are told to return.
 
 use std::time::Duration;
 
--- a/coord/src/planner/forecast/mod.rs
+++ b/coord/src/planner/forecast/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! This answers a load that exceeds the capacity for longer than callers wait. A forecast schedules the waiting
 //! prompts, in the order in which they are served, on the capacity that becomes free: pending prefill ends at known
-//! times, and running answers end after a number of passes that follows from their sizes. The forecast learns how far it
-//! is from the actual starts ([`Accuracy`]).
+//! times, and running answers end after a number of passes that follows from their sizes. The forecast learns how far
+//! it is from the actual starts ([`Accuracy`]).
 
 mod accuracy;
 mod answers;
--- a/coord/src/planner/promise.rs
+++ b/coord/src/planner/promise.rs
@@ -3,8 +3,7 @@
 //! This answers the load after a burst, when refused callers come back while new ones still arrive. A caller that
 //! returns when told ranks before newcomers of its priority, so that it is not refused a second time. A return is
 //! recognized by the fingerprint and the workspace of its request, which are the same in each attempt. Each return
-//! consumes one promise. The number of promises is bounded, and each ends soon
-//! after its time.
+//! consumes one promise. The number of promises is bounded, and each ends soon after its time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,8 +17,8 @@
 /// Bounds the number of promises of one planner. Some hundred callers are served within the longest retry delay that
 /// callers heed.
 const MAX_PROMISES: usize = 512;
-/// Bounds the number of promises for the same request, so that a caller that repeats it at once cannot take up the capacity of
-/// others.
+/// Bounds the number of promises for the same request, so that a caller that repeats it at once cannot take up the
+/// capacity of others.
 const MAX_PROMISES_PER_REQUEST: usize = 4;
 /// Longest time by which a caller may return too early, since clocks and timers of callers are not exact.
 const MAX_EARLY_RETURN: Duration = Duration::from_millis(50);
