--- a/coord/src/planner/forecast/timeline.rs
+++ b/coord/src/planner/forecast/timeline.rs
@@ -12,7 +12,7 @@
     pub prompt: Prompt,
     /// Number of passes until the answer ends.
     pub passes: f64,
-    /// Time at which its caller is there.
+    /// Time at which its caller has sent it: zero, or the time of a promised return.
     pub earliest_ms: f64,
     /// Time from then to its first-event target.
     pub slack_ms: f64,
@@ -62,7 +62,7 @@
         let mut sequences = self.occupants.len();
         let mut at_ms = 0.0;
         let mut occupants = self.occupants.iter();
-        while sequences >= self.max_sequences || held_tokens + tokens > self.max_tokens {
+        while sequences >= self.max_sequences || held_tokens.saturating_add(tokens) > self.max_tokens {
             let occupant = occupants.next()?;
             held_tokens -= occupant.tokens;
             sequences -= 1;
