An evicted caller's response ends with an error, whichever side is polled first

Found by reading: the relay drops its sender after it aborts the connection, so that the connection's task could see the end of the data and write the last chunk. No test plays the race; platform_slow_callers plays evictions.

--- a/sorrelpass/src/gateway/relay_buffers.rs
+++ b/sorrelpass/src/gateway/relay_buffers.rs
@@ -12,7 +12,7 @@
 
 use super::caller_stream::{BodyFrame, CallerLoss, CallerStream};
 use super::now;
-use super::response::Body;
+use super::response::{Body, BodyError};
 use crate::metric;
 
 /// Buffered bytes for one caller. A response of a few thousand tokens fits, so that its replica is free for the next
@@ -176,13 +176,16 @@
 
 impl BufferReader {
     async fn next(&mut self) -> Option<BodyFrame> {
-        let frame = self.frames.recv().await?;
+        let frame = self.frames.recv().await;
         let mut state = self.buffers.lock();
+        let Some(status) = state.statuses.get(&self.stream) else {
+            // The caller was evicted. The end of its data must not look like the end of a complete response.
+            return Some(Err(BodyError));
+        };
+        status.send_modify(|_| {});
+        let frame = frame?;
         state.buffer.record_read(self.stream, now());
         state.report();
-        if let Some(status) = state.statuses.get(&self.stream) {
-            status.send_modify(|_| {});
-        }
         Some(frame)
     }
 }
--- a/sorrelpass/src/gateway/server.rs
+++ b/sorrelpass/src/gateway/server.rs
@@ -89,17 +89,20 @@
     let serving = builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     let mut serving = std::pin::pin!(serving);
     tokio::select! {
+        // An aborted response is incomplete, so nothing more of it is written.
+        biased;
+        () = activity.aborted.notified() => return,
         // The caller may close its connection during a request, which is not an error of this process.
         _ = serving.as_mut() => return,
-        () = activity.aborted.notified() => return,
         () = gateway.wait_for_phase(Phase::Closing) => {}
         () = wait_until_idle(&gateway, &activity) => {}
     }
     serving.as_mut().graceful_shutdown();
     tokio::select! {
+        biased;
+        () = activity.aborted.notified() => {}
         // An error here means that the caller has closed its connection too.
         _ = serving => {}
-        () = activity.aborted.notified() => {}
     }
 }
 
