The test of 24,000 records accepts either source of the records before its restart

Its log: the leader was busy with the new records for 521 ms, the follower lost it (no heartbeat in time) and read the records from the store itself, with a log line for each, where the test counted only the summary line of records that a peer sent. What the test asserts is unchanged: after its restart the entry gets 24,000 records from its leader, in few bytes, without a call to the store and without a line for each.

--- a/standin/tests/platform_members.rs
+++ b/standin/tests/platform_members.rs
@@ -194,6 +194,11 @@
     updates.filter_map(|remainder| remainder.split_whitespace().next()?.parse::<usize>().ok()).sum()
 }
 
+/// Returns the number of replica records that an entry has read from the store itself: it logs a line for each.
+fn count_read_records(site: &Site, entry: usize) -> usize {
+    site.log(entry).matches("step=replica ").count()
+}
+
 /// Guards against a second request for a snapshot that is in transit: it makes the first answer obsolete, and on a
 /// link that is slower than the interval between requests no answer would ever be accepted.
 #[tokio::test(flavor = "multi_thread")]
@@ -229,16 +234,20 @@
     let leader = leader(&site).await;
     let joining_entry = 1 - leader;
     add_records(&site, REPLICAS);
+    // An entry that loses its leader for a moment, while both handle the new records, reads them itself.
     wait_until("the joining entry has all records", || {
-        std::future::ready(count_received_updates(&site, joining_entry) >= REPLICAS)
+        let known = count_received_updates(&site, joining_entry) + count_read_records(&site, joining_entry);
+        std::future::ready(known >= REPLICAS)
     })
     .await;
+    let received_before = count_received_updates(&site, joining_entry);
+    let read_before = count_read_records(&site, joining_entry);
     let (calls, sent) =
         (site.store_listeners[joining_entry].call_count(), metric_total(&site, leader, "sorrelpass_peer_bytes").await);
     site.restart(joining_entry).await.expect("the process restarts");
     site.wait_ready(joining_entry, true).await.expect("ready");
     wait_until("the joining entry has all records again", || {
-        std::future::ready(count_received_updates(&site, joining_entry) >= 2 * REPLICAS)
+        std::future::ready(count_received_updates(&site, joining_entry) >= received_before + REPLICAS)
     })
     .await;
     let bytes = (metric_total(&site, leader, "sorrelpass_peer_bytes").await - sent) / REPLICAS as f64;
@@ -247,6 +256,6 @@
         site.store_listeners[joining_entry].call_count() <= calls + 1,
         "the joining entry reads nothing from the store"
     );
-    assert_eq!(site.log(joining_entry).matches("step=replica ").count(), 0, "one log line for all replicas");
+    assert_eq!(count_read_records(&site, joining_entry), read_before, "one log line for all replicas");
     site.close().expect("no invariant was breached");
 }
