Log and count each retry that the budget decides

Cause: a retry that was refused was logged, one that was allowed was not, and neither the level of the budget nor the number of entries that divide the allowance stood anywhere: who used what could only be counted afterwards from the send lines of all entries. Change: lines retry and retry-refused with available= and entries=; counters of both, gauge sorrelpass_retries_available by service. No decision changes.

--- a/coord/src/budget.rs
+++ b/coord/src/budget.rs
@@ -76,6 +76,12 @@
         self.first_attempts.push_back(now);
     }
 
+    /// Returns the number of retries that the budget allows now, with fractions of a retry.
+    pub fn available(&mut self, now: Moment) -> f64 {
+        self.evict_expired(now);
+        self.allowance + self.share * self.first_attempts.len() as f64 - self.retries.len() as f64
+    }
+
     /// Takes one retry from the budget, or returns `false` if the budget is exhausted.
     pub fn try_retry(&mut self, now: Moment) -> bool {
         self.evict_expired(now);
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -192,8 +192,15 @@
     /// Charges one retry to the budget of the service. Returns whether the budget allows it.
     fn try_retry(&self) -> bool {
         let is_allowed = self.gateway.charge_retry(&self.service);
-        if !is_allowed {
-            event!("retry-refused", request = %self.request_head.id, service = %self.service, reason = "budget");
+        let available = self.gateway.available_retries(&self.service);
+        metric::record_available_retries(&self.service, available);
+        let (request, service, entries) = (&self.request_head.id, &self.service, self.gateway.entry_count());
+        if is_allowed {
+            metric::record_retry();
+            event!("retry", request = %request, service = %service, available = format_args!("{available:.2}"), entries);
+        } else {
+            metric::record_refused_retry();
+            event!("retry-refused", request = %request, service = %service, reason = "budget", available = format_args!("{available:.2}"), entries);
         }
         is_allowed
     }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -356,6 +356,11 @@
         self.with_retry_budget(service, |budget| budget.try_retry(now()))
     }
 
+    /// Returns the number of retries that the service's retry budget allows now.
+    pub fn available_retries(&self, service: &Name) -> f64 {
+        self.with_retry_budget(service, |budget| budget.available(now()))
+    }
+
     fn with_retry_budget<T>(&self, service: &Name, action: impl FnOnce(&mut WindowedBudget) -> T) -> T {
         let bounds = self.bounds();
         let allowance = budget::allowance_per_process(bounds.retry_allowance, self.entry_count.get());
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -19,6 +19,8 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     retries: Counter<u64>,
+    refused_retries: Counter<u64>,
+    available_retries: Gauge<f64>,
     full_channels: Counter<u64>,
     stale_verifications: Counter<u64>,
     replica_terminations: Counter<u64>,
@@ -73,6 +75,8 @@
         registry,
         requests: meter.u64_counter("sorrelpass_requests").build(),
         retries: meter.u64_counter("sorrelpass_retries").build(),
+        refused_retries: meter.u64_counter("sorrelpass_retries_refused").build(),
+        available_retries: meter.f64_gauge("sorrelpass_retries_available").build(),
         full_channels: meter.u64_counter("sorrelpass_ring_full").build(),
         stale_verifications: meter.u64_counter("sorrelpass_served_on_old_proof").build(),
         replica_terminations: meter.u64_counter("sorrelpass_replicas_ended").build(),
@@ -154,6 +158,18 @@
     record(|metrics| metrics.condemned_fingerprints.add(1, &[]));
 }
 
+/// Counts a retry that the retry budget refused.
+pub fn record_refused_retry() {
+    record(|metrics| metrics.refused_retries.add(1, &[]));
+}
+
+/// Records the number of retries that the retry budget of a service still allows.
+pub fn record_available_retries(service: &Name, retries: f64) {
+    record(|metrics| {
+        metrics.available_retries.record(retries, &[KeyValue::new("service", service.to_string())]);
+    });
+}
+
 /// Counts a request that was not sent, or not retried, because its fingerprint is condemned.
 pub fn record_refused_condemned() {
     record(|metrics| metrics.condemned_refusals.add(1, &[]));
