--- a/coord/tests/windowed_budget.rs
+++ b/coord/tests/windowed_budget.rs
@@ -7,6 +7,9 @@
 use proptest::prelude::*;
 
 const WINDOW: Duration = Duration::from_secs(10);
+/// Retries that a deployment allows all processes together in a window, beside a share of the requests.
+const ALLOWANCE: f64 = 136.0;
+const SHARE: f64 = 0.2;
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
@@ -61,3 +64,51 @@
     budget.set_allowance(allowance_per_process(allowance, processes));
     assert!(!budget.try_retry(now), "earlier retries still count");
 }
+
+/// Returns the largest number of retries that 32 processes make within a window beyond what the requests of the same
+/// time allow. Every process ends after `lifetime` and starts again at once, and retries whenever its budget allows it.
+fn max_retries_beyond_share(lifetime: Duration) -> f64 {
+    const PROCESSES: usize = 32;
+    const STEP: Duration = Duration::from_millis(100);
+    const DURATION: Duration = Duration::from_secs(60);
+    let start = Moment::from_millis(20_000);
+    let allowance = allowance_per_process(ALLOWANCE, PROCESSES);
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for process in 0..PROCESSES {
+        let mut budget = WindowedBudget::new(SHARE, allowance, WINDOW);
+        // Processes end one after the other, spread over a lifetime.
+        let mut started = start - lifetime.mul_f64(process as f64 / PROCESSES as f64);
+        let mut now = start;
+        while now < start + DURATION {
+            if now.since(started) >= lifetime {
+                budget = WindowedBudget::new(SHARE, allowance, WINDOW);
+                started = now;
+            }
+            budget.record_request(now);
+            requests.push(now);
+            while budget.try_retry(now) {
+                retries.push(now);
+            }
+            now = now + STEP;
+        }
+    }
+    let count =
+        |times: &[Moment], end: Moment| times.iter().filter(|at| **at <= end && end.since(**at) < WINDOW).count();
+    // Requests come at a constant rate, so that the window with the most of them has those of any full window.
+    let request_count = count(&requests, start + WINDOW * 2);
+    let mut end = start;
+    let mut max_retries = 0;
+    while end < start + DURATION {
+        max_retries = max_retries.max(count(&retries, end));
+        end = end + STEP;
+    }
+    max_retries as f64 - SHARE * request_count as f64
+}
+
+#[test]
+fn processes_that_restart_within_a_window_keep_the_common_bound() {
+    for lifetime_ms in [1_000, 3_000, 7_000, 11_000, 40_000, 600_000] {
+        let excess = max_retries_beyond_share(Duration::from_millis(lifetime_ms));
+        assert!(excess <= ALLOWANCE, "{excess} of {ALLOWANCE} retries, lifetime {lifetime_ms} ms");
+    }
+}
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -44,6 +44,8 @@
     pub service_time: Duration,
     /// Lines that the section `[gateway]` of each entry's settings gets.
     pub gateway: String,
+    /// Retries that all entries together may make in a window in addition to their share of the requests.
+    pub retry_allowance: u32,
     /// Lines that the section `[bounds]` of each entry's settings gets.
     pub bounds: String,
     /// Whether the settings of an entry name the peer addresses of the entries started before it.
@@ -68,6 +70,7 @@
             plain_replicas: 2,
             service_time,
             gateway: String::new(),
+            retry_allowance: 100,
             bounds: String::new(),
             has_seeds: false,
             is_isolated: false,
@@ -183,7 +186,7 @@
         let earlier_peers = &self.peer_addresses[..self.peer_addresses.len().min(MAX_SEEDS)];
         let seeds = if spec.has_seeds { earlier_peers.join(",") } else { String::new() };
         self.peer_addresses.push(peer_address.clone());
-        let (gateway, bounds) = (&spec.gateway, &spec.bounds);
+        let (gateway, retry_allowance, bounds) = (&spec.gateway, spec.retry_allowance, &spec.bounds);
         let (mut store_address, mut caller_address) = (store_listener.address.clone(), entry_address.clone());
         if spec.has_proxies {
             let (store_proxy, caller_proxy) = (Proxy::start(store_address).await?, Proxy::start(caller_address).await?);
@@ -195,7 +198,7 @@
         let peer_listen = if spec.is_isolated { String::new() } else { format!("peer_listen = {peer_address}\n") };
         let settings = format!(
             "[process]\nname = entry-{index}\nfailure_domain = here\nlog_level = {log_level}\n\n[gateway]\nlisten = {entry_address}\n\
-             ready_listen = {ready_address}\nstore = {store_address}\n{peer_listen}seeds = {seeds}\n{gateway}\n\n[bounds]\nretry_allowance = 100\n{bounds}\n"
+             ready_listen = {ready_address}\nstore = {store_address}\n{peer_listen}seeds = {seeds}\n{gateway}\n\n[bounds]\nretry_allowance = {retry_allowance}\n{bounds}\n"
         );
         std::fs::write(self.settings_file(index), settings).wrap_err("step=write-settings")?;
         self.addresses.push(caller_address);
