Entries that start again keep the common retry budget

Cause: each process bounds its own window. A process that starts knew nothing of its predecessor's retries, and had its whole part of the allowance and, by then, the share of all its requests again. Change: a process uses its part of the allowance only when it is older than the window, unless the platform says that no process ran before (first_start). Each request earns a fraction of a retry, of which few are saved, so that all processes together make no more than the requests of the window earn. Requests count when they are taken, as the deployment counts them, also those whose first send stays silent. One start of a process is random, so that the fractions of many processes are not lost.

--- a/coord/tests/windowed_budget.rs
+++ b/coord/tests/windowed_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coord::budget::{WindowedBudget, allowance_per_process};
+use coord::budget::{Start, WindowedBudget, allowance_per_process};
 use coord::time::Moment;
 use proptest::prelude::*;
 
@@ -16,7 +16,7 @@
 
     #[test]
     fn no_retry_exceeds_the_share_of_the_window_that_ends_with_it(steps in prop::collection::vec((any::<bool>(), 0..1_500u64), 1..200)) {
-        let mut budget = WindowedBudget::new(0.2, 3.0, WINDOW);
+        let mut budget = WindowedBudget::new(0.2, 3.0, WINDOW, Start::First);
         let mut now = Moment::from_millis(20_000);
         let (mut first_attempts, mut retries) = (Vec::new(), Vec::new());
         for (is_first_attempt, pause) in steps {
@@ -35,7 +35,7 @@
 
 #[test]
 fn processes_that_keep_their_parts_keep_the_common_bound() {
-    let mut parts: Vec<WindowedBudget> = (0..4).map(|_| WindowedBudget::new(0.2, 2.0, WINDOW)).collect();
+    let mut parts: Vec<WindowedBudget> = (0..4).map(|_| WindowedBudget::new(0.2, 2.0, WINDOW, Start::First)).collect();
     let now = Moment::from_millis(20_000);
     let mut retries = 0;
     for (index, part) in parts.iter_mut().enumerate() {
@@ -53,62 +53,135 @@
     let now = Moment::from_millis(20_000);
     let spend = |assumed_processes: usize| -> usize {
         let mut parts: Vec<WindowedBudget> = (0..processes)
-            .map(|_| WindowedBudget::new(0.2, allowance_per_process(allowance, assumed_processes), WINDOW))
+            .map(|_| {
+                WindowedBudget::new(0.2, allowance_per_process(allowance, assumed_processes), WINDOW, Start::First)
+            })
             .collect();
         parts.iter_mut().map(|budget| (0..20).filter(|_| budget.try_retry(now)).count()).sum()
     };
     assert!(spend(32) as f64 > allowance, "32 processes were assumed");
     assert!(spend(processes) as f64 <= allowance);
-    let mut budget = WindowedBudget::new(0.2, allowance_per_process(allowance, 32), WINDOW);
+    let mut budget = WindowedBudget::new(0.2, allowance_per_process(allowance, 32), WINDOW, Start::First);
     assert!((0..8).all(|_| budget.try_retry(now)));
     budget.set_allowance(allowance_per_process(allowance, processes));
     assert!(!budget.try_retry(now), "earlier retries still count");
 }
 
-/// Returns the largest number of retries that 32 processes make within a window beyond what the requests of the same
-/// time allow. Every process ends after `lifetime` and starts again at once, and retries whenever its budget allows it.
-fn max_retries_beyond_share(lifetime: Duration) -> f64 {
-    const PROCESSES: usize = 32;
-    const STEP: Duration = Duration::from_millis(100);
-    const DURATION: Duration = Duration::from_secs(60);
-    let start = Moment::from_millis(20_000);
-    let allowance = allowance_per_process(ALLOWANCE, PROCESSES);
-    let (mut requests, mut retries) = (Vec::new(), Vec::new());
-    for process in 0..PROCESSES {
-        let mut budget = WindowedBudget::new(SHARE, allowance, WINDOW);
-        // Processes end one after the other, spread over a lifetime.
-        let mut started = start - lifetime.mul_f64(process as f64 / PROCESSES as f64);
-        let mut now = start;
-        while now < start + DURATION {
-            if now.since(started) >= lifetime {
-                budget = WindowedBudget::new(SHARE, allowance, WINDOW);
-                started = now;
+#[test]
+fn a_process_that_starts_again_uses_its_allowance_after_one_window() {
+    let started = Moment::from_millis(20_000);
+    let mut budget = WindowedBudget::new(SHARE, 3.0, WINDOW, Start::Again { at: started, earned: 0.0 });
+    assert!(!budget.try_retry(started + WINDOW - Duration::from_millis(1)));
+    assert!((0..3).all(|_| budget.try_retry(started + WINDOW)));
+    assert!(!budget.try_retry(started + WINDOW));
+}
+
+/// Number of processes among which the allowance is divided.
+const PROCESSES: usize = 32;
+/// Time between two requests or retries of a process.
+const STEP: Duration = Duration::from_millis(100);
+/// Returns the start of a process after earlier ones; the fractions of the processes are spread evenly from 0 to 1.
+fn start_again(process: usize, at: Moment) -> Start {
+    Start::Again { at, earned: process as f64 / PROCESSES as f64 }
+}
+
+/// Requests and retries of all processes together.
+#[derive(Default)]
+struct Traffic {
+    requests: Vec<Moment>,
+    retries: Vec<Moment>,
+}
+
+impl Traffic {
+    /// Plays `steps` steps of one process. Before a step the process starts again where `restarts` says so, then has the
+    /// number of requests that `requests` returns, and retries as often as its budget allows where `retries` says so.
+    fn play_process(
+        &mut self,
+        process: usize,
+        steps: usize,
+        restarts: impl Fn(usize) -> bool,
+        requests: impl Fn(usize) -> usize,
+        retries: impl Fn(usize) -> bool,
+    ) {
+        let allowance = allowance_per_process(ALLOWANCE, PROCESSES);
+        let new_budget = |start| WindowedBudget::new(SHARE, allowance, WINDOW, start);
+        let mut budget = new_budget(Start::First);
+        for step in 0..steps {
+            let now = Moment::from_millis(20_000) + STEP * step as u32;
+            if restarts(step) {
+                budget = new_budget(start_again(process, now));
             }
-            budget.record_request(now);
-            requests.push(now);
-            while budget.try_retry(now) {
-                retries.push(now);
+            for _ in 0..requests(step) {
+                budget.record_request(now);
+                self.requests.push(now);
+            }
+            while retries(step) && budget.try_retry(now) {
+                self.retries.push(now);
             }
-            now = now + STEP;
         }
     }
-    let count =
-        |times: &[Moment], end: Moment| times.iter().filter(|at| **at <= end && end.since(**at) < WINDOW).count();
-    // Requests come at a constant rate, so that the window with the most of them has those of any full window.
-    let request_count = count(&requests, start + WINDOW * 2);
-    let mut end = start;
-    let mut max_retries = 0;
-    while end < start + DURATION {
-        max_retries = max_retries.max(count(&retries, end));
-        end = end + STEP;
+
+    /// Returns the largest number of retries within a window beyond the share of the requests that came in this window,
+    /// in the one before it, or in the one half a window before it.
+    fn max_retries_beyond_share(&mut self) -> f64 {
+        self.requests.sort();
+        self.retries.sort();
+        let count = |times: &[Moment], end: Moment| {
+            let until = |time: Moment| times.partition_point(|at| *at <= time);
+            until(end) - until(end - WINDOW)
+        };
+        let excess = |end: &Moment| {
+            let ends = [*end, *end - WINDOW / 2, *end - WINDOW];
+            let requests = ends.iter().map(|end| count(&self.requests, *end)).max().unwrap_or(0);
+            count(&self.retries, *end) as f64 - SHARE * requests as f64
+        };
+        self.retries.iter().map(excess).fold(0.0, f64::max)
     }
-    max_retries as f64 - SHARE * request_count as f64
 }
 
 #[test]
 fn processes_that_restart_within_a_window_keep_the_common_bound() {
-    for lifetime_ms in [1_000, 3_000, 7_000, 11_000, 40_000, 600_000] {
-        let excess = max_retries_beyond_share(Duration::from_millis(lifetime_ms));
-        assert!(excess <= ALLOWANCE, "{excess} of {ALLOWANCE} retries, lifetime {lifetime_ms} ms");
+    for lifetime_steps in [10, 30, 70, 110, 400, 6_000] {
+        let mut traffic = Traffic::default();
+        for process in 0..PROCESSES {
+            // Processes end one after the other, spread over a lifetime.
+            let offset = lifetime_steps * process / PROCESSES;
+            traffic.play_process(process, 600, |step| (step + offset) % lifetime_steps == 0, |_| 1, |_| true);
+        }
+        let excess = traffic.max_retries_beyond_share();
+        assert!(excess <= ALLOWANCE, "{excess} of {ALLOWANCE} retries, lifetime of {lifetime_steps} steps");
+    }
+}
+
+#[test]
+fn processes_that_end_together_after_they_used_their_budgets_keep_the_common_bound() {
+    for kill_interval in [15, 25, 60, 95] {
+        let mut traffic = Traffic::default();
+        for process in 0..PROCESSES {
+            let restarts = |step| step >= 200 && step % kill_interval == 0;
+            // Nothing is retried until shortly before the first end, so that all that can be saved is saved.
+            traffic.play_process(process, 500, restarts, |_| 1, |step| step > 180);
+        }
+        let excess = traffic.max_retries_beyond_share();
+        assert!(excess <= ALLOWANCE, "{excess} of {ALLOWANCE} retries, all end every {kill_interval} steps");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Covers traffic that comes in bursts and moves between processes while they restart at any time.
+    #[test]
+    fn moving_traffic_and_restarts_at_any_time_keep_the_common_bound(
+        seeds in prop::collection::vec((0..300usize, 5..200usize, 1..80usize, 0..3usize), PROCESSES),
+    ) {
+        let mut traffic = Traffic::default();
+        for (process, (first_end, lifetime, burst, idle_requests)) in seeds.into_iter().enumerate() {
+            let restarts = |step: usize| step >= first_end && (step - first_end) % lifetime == 0;
+            let requests = |step: usize| if (step / burst).is_multiple_of(2) { 3 } else { idle_requests };
+            traffic.play_process(process, 500, restarts, requests, |step| step % 40 > 20);
+        }
+        let excess = traffic.max_retries_beyond_share();
+        prop_assert!(excess <= ALLOWANCE, "{excess} of {ALLOWANCE} retries");
     }
 }
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -50,6 +50,8 @@
     pub bounds: Bounds,
     /// Whether the operator declares that callers compete for capacity and may be slow to read.
     pub has_contention: bool,
+    /// Whether the platform declares that no process of the system ran before this one.
+    pub is_first_start: bool,
     /// Placement policy.
     pub policy: Policy,
 }
@@ -131,6 +133,7 @@
     let link_mbps = reader.number("gateway", "link_mbps", 0.0..=MAX_LINK_MBPS, 0.0);
     let memory_mb = reader.number("gateway", "memory_mb", 1.0..=MAX_MEMORY_MB, DEFAULT_MEMORY_MB);
     let capacity = Capacity::of(cores, link_mbps);
+    let is_first_start = reader.flag("gateway", "first_start", false);
     let has_contention = platform::requirement::declares_contention(&reader.names("gateway", "requirements"));
     let bounds = read_bounds(reader);
     let policy = read_policy(reader);
@@ -146,6 +149,7 @@
         link_mbps,
         memory_bytes: (memory_mb * BYTES_PER_MB) as u64,
         has_contention,
+        is_first_start,
         bounds,
         policy,
     })
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -107,6 +107,7 @@
     );
     event!("request", request = %request_head.id, work = %fingerprint, route = %route.name, service = %service, prompt_tokens = request_head.prompt_tokens.unwrap_or(0),
         version = gateway.table().version(), proof_age_ms = gateway.verification_age_ms().unwrap_or(0), allowed_ms = timeout.as_millis());
+    gateway.record_request(&service);
     Ok(PendingRequest {
         gateway: gateway.clone(),
         request_head,
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -61,7 +61,6 @@
             after_event = last_event_id.map_or(-1, |event| event as i64));
         let can_run = self.possible_executions == 0 || self.route.is_retryable();
         invariant!(can_run, "a request that may run once is not sent again after it may have run");
-        let is_first = self.attempts == 0;
         // Counted before the send, since the replica may have executed the request if the deadline passes during the
         // send.
         self.attempts += 1;
@@ -75,9 +74,6 @@
             // If the attempt is aborted before the replica starts the request, the replica does not crash.
             () = self.gateway.quarantine.wait_until_condemned(self.fingerprint) => return Outcome::Condemned,
         };
-        if is_first && !matches!(result, Err(SendError::NotConnected(_))) {
-            self.gateway.record_first_send(&self.service);
-        }
         match result {
             Ok((response, connection)) => self.classify(OpenResponse { record, response, connection, slot, sent_at }),
             Err(SendError::ConnectionLost(error)) => {
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -48,8 +48,8 @@
 /// all. If all of them read it, the snapshots of 3,000 replicas for 300 entries take longer than the timeout of a
 /// store call.
 const JOINING_FIRST_READ_DELAY: Duration = Duration::from_millis(1_500);
-/// Fraction of the deployment's retry share that the entries use, so that retries around the boundary of two windows
-/// never exceed the share.
+/// Fraction of the deployment's retry share that the entries use. The rest covers retries that reach a replica in a
+/// later window than the one in which they were charged.
 const RETRY_SHARE_USED: f64 = 0.9;
 /// Minimum number of entries among which the common retry allowance is divided, even if fewer are known.
 const MIN_ENTRY_COUNT: usize = 32;
@@ -346,8 +346,8 @@
         InFlight(self.clone())
     }
 
-    /// Records the first send of a request to a service, which adds to the service's retry budget.
-    pub fn record_first_send(&self, service: &Name) {
+    /// Records a request to a service, which adds to the service's retry budget.
+    pub fn record_request(&self, service: &Name) {
         self.with_retry_budget(service, |budget| budget.record_request(now()));
     }
 
@@ -361,10 +361,19 @@
         self.with_retry_budget(service, |budget| budget.available(now()))
     }
 
+    /// Returns what is known of the retries that earlier processes of this entry made.
+    fn retry_budget_start(&self) -> budget::Start {
+        match self.settings.is_first_start {
+            true => budget::Start::First,
+            false => budget::Start::Again { at: self.started_at, earned: rand::random_range(0.0..1.0) },
+        }
+    }
+
     fn with_retry_budget<T>(&self, service: &Name, action: impl FnOnce(&mut WindowedBudget) -> T) -> T {
         let bounds = self.bounds();
         let allowance = budget::allowance_per_process(bounds.retry_allowance, self.entry_count.get());
-        let new_budget = || WindowedBudget::new(bounds.retry_share * RETRY_SHARE_USED, allowance, bounds.retry_window);
+        let share = bounds.retry_share * RETRY_SHARE_USED;
+        let new_budget = || WindowedBudget::new(share, allowance, bounds.retry_window, self.retry_budget_start());
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(new_budget);
         budget.set_allowance(allowance);
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -22,6 +22,10 @@
 pub const HOST: &str = "site.example";
 /// API key in the first configuration of a site.
 pub const KEY: &str = "key-of-workspace-0";
+/// Setting of an entry's first process.
+const FIRST_START: &str = "first_start = true";
+/// Setting of the processes after an entry's first one.
+const LATER_START: &str = "first_start = false";
 /// Bounds the peer addresses in an entry's `seeds` setting.
 const MAX_SEEDS: usize = 3;
 /// Bounds the wait for a process to become ready or to exit.
@@ -198,7 +202,7 @@
         let peer_listen = if spec.is_isolated { String::new() } else { format!("peer_listen = {peer_address}\n") };
         let settings = format!(
             "[process]\nname = entry-{index}\nfailure_domain = here\nlog_level = {log_level}\n\n[gateway]\nlisten = {entry_address}\n\
-             ready_listen = {ready_address}\nstore = {store_address}\n{peer_listen}seeds = {seeds}\n{gateway}\n\n[bounds]\nretry_allowance = {retry_allowance}\n{bounds}\n"
+             ready_listen = {ready_address}\nstore = {store_address}\n{FIRST_START}\n{peer_listen}seeds = {seeds}\n{gateway}\n\n[bounds]\nretry_allowance = {retry_allowance}\n{bounds}\n"
         );
         std::fs::write(self.settings_file(index), settings).wrap_err("step=write-settings")?;
         self.addresses.push(caller_address);
@@ -352,12 +356,15 @@
         self.log(entry).matches("step=start ").count() >= self.start_counts[entry]
     }
 
-    /// Kills an entry's process if it runs, and starts a new one with the same settings.
+    /// Kills an entry's process if it runs, and starts a new one with the same settings, except that they declare an
+    /// earlier process.
     pub async fn restart(&mut self, entry: usize) -> Result<()> {
         if let Some(mut process) = self.processes[entry].take() {
             process.kill()?;
             process.wait()?;
         }
+        let settings = std::fs::read_to_string(self.settings_file(entry))?.replace(FIRST_START, LATER_START);
+        std::fs::write(self.settings_file(entry), settings).wrap_err("step=write-settings")?;
         self.start_process(entry)
     }
 
