--- a/coord/src/budget.rs
+++ b/coord/src/budget.rs
@@ -43,7 +43,7 @@
 /// one retry is saved, since an entry with few requests could never retry otherwise.
 const MAX_SAVED_SHARE: f64 = 0.1;
 
-/// What is known at the start of a process of the retries that were made on its behalf before.
+/// What a process knows at its start of the retries that earlier processes made.
 #[derive(Clone, Copy, Debug)]
 pub enum Start {
     /// No process ran before, so that the whole allowance is unused.
@@ -76,7 +76,7 @@
 /// - A process uses its part of the allowance only when it is older than the window, so that everything that an earlier
 ///   process took from the same part has left the window.
 /// - Each request earns a fraction of one retry, and only a few earned retries are saved. All processes together then
-///   make no more earned retries in a window than its requests earn, and those that were saved before it.
+///   make no more earned retries in a window than the requests of the window earn, beside the few that were saved before.
 #[derive(Clone, Debug)]
 pub struct WindowedBudget {
     share: f64,
--- a/coord/tests/windowed_budget.rs
+++ b/coord/tests/windowed_budget.rs
@@ -93,8 +93,8 @@
 }
 
 impl Traffic {
-    /// Plays `steps` steps of one process. Before a step the process starts again where `restarts` says so, then has the
-    /// number of requests that `requests` returns, and retries as often as its budget allows where `retries` says so.
+    /// Plays `steps` steps of one process. In each step, the process starts again if `restarts` returns true, gets the
+    /// number of requests that `requests` returns, and retries as often as its budget allows if `retries` returns true.
     fn play_process(
         &mut self,
         process: usize,
@@ -146,7 +146,13 @@
         for process in 0..PROCESSES {
             // Processes end one after the other, spread over a lifetime.
             let offset = lifetime_steps * process / PROCESSES;
-            traffic.play_process(process, 600, |step| (step + offset) % lifetime_steps == 0, |_| 1, |_| true);
+            traffic.play_process(
+                process,
+                600,
+                |step: usize| (step + offset).is_multiple_of(lifetime_steps),
+                |_| 1,
+                |_| true,
+            );
         }
         let excess = traffic.max_retries_beyond_share();
         assert!(excess <= ALLOWANCE, "{excess} of {ALLOWANCE} retries, lifetime of {lifetime_steps} steps");
@@ -158,7 +164,7 @@
     for kill_interval in [15, 25, 60, 95] {
         let mut traffic = Traffic::default();
         for process in 0..PROCESSES {
-            let restarts = |step| step >= 200 && step % kill_interval == 0;
+            let restarts = |step: usize| step >= 200 && step.is_multiple_of(kill_interval);
             // Nothing is retried until shortly before the first end, so that all that can be saved is saved.
             traffic.play_process(process, 500, restarts, |_| 1, |step| step > 180);
         }
@@ -177,7 +183,7 @@
     ) {
         let mut traffic = Traffic::default();
         for (process, (first_end, lifetime, burst, idle_requests)) in seeds.into_iter().enumerate() {
-            let restarts = |step: usize| step >= first_end && (step - first_end) % lifetime == 0;
+            let restarts = |step: usize| step >= first_end && (step - first_end).is_multiple_of(lifetime);
             let requests = |step: usize| if (step / burst).is_multiple_of(2) { 3 } else { idle_requests };
             traffic.play_process(process, 500, restarts, requests, |step| step % 40 > 20);
         }
