--- a/standin/src/platform/proxy.rs
+++ b/standin/src/platform/proxy.rs
@@ -2,6 +2,7 @@
 //! directions.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -65,6 +66,8 @@
     /// Whether the proxy listens. It stops while its server is down, so that connections are refused as by a process
     /// that has exited.
     is_listening: watch::Sender<bool>,
+    /// Whether streamed answers are delimited by the end of the connection.
+    is_unframed: AtomicBool,
 }
 
 impl Proxy {
@@ -72,7 +75,12 @@
     pub async fn start(target: String) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?.to_string();
-        let proxy = Arc::new(Self { address, fault: Mutex::default(), is_listening: watch::Sender::new(true) });
+        let proxy = Arc::new(Self {
+            address,
+            fault: Mutex::default(),
+            is_listening: watch::Sender::new(true),
+            is_unframed: AtomicBool::new(false),
+        });
         tokio::spawn(proxy.clone().serve(listener, target));
         Ok(proxy)
     }
@@ -87,6 +95,26 @@
         self.is_listening.send_replace(is_listening);
     }
 
+    /// Delimits the server's streamed answers by the end of the connection, without a length or chunks. The proxy
+    /// forwards the first request of each connection as HTTP/1.0 and its answer as HTTP/1.1.
+    pub fn set_unframed(&self) {
+        self.is_unframed.store(true, Ordering::Relaxed);
+    }
+
+    /// Replaces the HTTP version at the start of a connection's bytes if answers are to be unframed.
+    fn translate_head(&self, bytes: &mut [u8], direction: Direction) {
+        let (old, new) = match direction {
+            Direction::Forward => (b"HTTP/1.1", b"HTTP/1.0"),
+            Direction::Backward => (b"HTTP/1.0", b"HTTP/1.1"),
+        };
+        if !self.is_unframed.load(Ordering::Relaxed) {
+            return;
+        }
+        if let Some(at) = bytes.windows(old.len()).position(|window| window == old) {
+            bytes[at..at + new.len()].copy_from_slice(new);
+        }
+    }
+
     fn fault(&self) -> NetworkFault {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -145,8 +173,12 @@
     async fn forward(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, direction: Direction) -> Termination {
         let mut buffer = vec![0; BUFFER_BYTES];
         let mut has_lost_bytes = false;
+        let mut is_first = true;
         loop {
             let Ok(read) = from.read(&mut buffer).await else { return Termination::Reset(Box::new(from)) };
+            if std::mem::take(&mut is_first) {
+                self.translate_head(&mut buffer[..read], direction);
+            }
             let fault = self.fault();
             match fault {
                 NetworkFault::Reset => return Termination::Reset(Box::new(from)),
--- a/standin/src/platform/replica/answers.rs
+++ b/standin/src/platform/replica/answers.rs
@@ -18,6 +18,8 @@
 const STREAM_EVENTS: u64 = 8;
 /// Bounds the request bodies that are read; far larger than any body that a test sends.
 const MAX_BODY_BYTES: usize = 64 << 20;
+/// Delay before a response is broken off. The server discards the bytes that it has not sent by then.
+const FLUSH_DELAY: Duration = Duration::from_millis(5);
 /// Time from a crash by overload in a cold period to the next start of the process.
 const OVERLOAD_DOWNTIME: Duration = Duration::from_millis(500);
 
@@ -163,8 +165,14 @@
 
 /// Builds a response whose connection is closed in the middle of the body.
 fn aborted_body() -> Response {
-    let chunks = stream::iter([Ok(Bytes::from_static(b"par")), Err(std::io::Error::other("broken off"))]);
-    Body::from_stream(chunks).into_response()
+    let start = stream::iter([Ok(Bytes::from_static(b"par"))]);
+    Body::from_stream(futures_util::StreamExt::chain(start, stream::once(break_off()))).into_response()
+}
+
+/// Returns the error that closes the connection of a response, once the bytes before it are sent.
+async fn break_off() -> std::io::Result<Bytes> {
+    tokio::time::sleep(FLUSH_DELAY).await;
+    Err(std::io::Error::other("broken off"))
 }
 
 /// Builds a response whose body never sends a byte and never ends.
@@ -191,6 +199,9 @@
     let is_aborted = matches!(behavior, Behavior::AbortAfter(_));
     let is_large = matches!(behavior, Behavior::LargeStream { .. });
     let chunks = stream::unfold((guard, last_event_id + 1), move |(guard, event)| async move {
+        if is_aborted && event > final_event {
+            return Some((break_off().await, (guard, event)));
+        }
         if event > final_event {
             guard.complete();
             return None;
@@ -205,11 +216,10 @@
         let text = format!("id: {event}\ndata: piece {event} of {}{padding}\n\n", guard.id);
         if is_aborted && event == final_event {
             let half = Bytes::from(text[..text.len() / 2].to_owned());
-            return Some((vec![Ok(half), Err(std::io::Error::other("broken off"))], (guard, u64::MAX)));
+            return Some((Ok(half), (guard, event + 1)));
         }
-        Some((vec![Ok(Bytes::from(text))], (guard, event + 1)))
+        Some((Ok(Bytes::from(text)), (guard, event + 1)))
     });
-    let chunks = futures_util::StreamExt::flat_map(chunks, stream::iter);
     let mut response = Body::from_stream(chunks).into_response();
     set_header(&mut response, "content-type", "text/event-stream");
     response
--- /dev/null
+++ b/standin/tests/platform_unframed.rs
@@ -0,0 +1,93 @@
+//! Answers that have neither a length nor chunks and end with their connection.
+
+use std::time::Duration;
+
+use serde_json::json;
+use standin::platform::{Behavior, KEY, Outcome, RequestSpec, Site, Spec};
+
+/// Number of streams that each test sends.
+const STREAMS: usize = 10;
+
+async fn start_site(name: &str) -> Site {
+    let site = Site::start(Spec { has_proxies: true, ..Spec::small(name) }).await.expect("the site starts");
+    site.proxies.replicas.iter().for_each(|proxy| proxy.set_unframed());
+    site
+}
+
+async fn send_prompt(site: &Site, id: &str) -> Outcome {
+    let prompt = RequestSpec::new("POST", "/prompt/1", id, KEY)
+        .with_header("token-usage", "500,400")
+        .with_header("deadline-ms", "2500");
+    site.send(0, &prompt).await
+}
+
+fn stream(id: &str, events: u64) -> String {
+    (1..=events).map(|event| format!("id: {event}\ndata: piece {event} of {id}\n\n")).collect()
+}
+
+/// Makes the engine that gets the next stream, and only that one, break it off inside the event after `events`.
+fn break_next(site: &Site, events: u64) {
+    site.engines.iter().for_each(|engine| {
+        engine.clear_behaviors();
+        engine.queue_behaviors([Behavior::AbortAfter(events)]);
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_that_ends_inside_an_event_is_never_complete_for_its_caller() {
+    let site = start_site("unframed-once").await;
+    site.configure(&[KEY], |config| config["routes"][0]["stream_resume"] = json!(false));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for number in 0..STREAMS {
+        let id = format!("b{number}");
+        break_next(&site, 3);
+        let outcome = send_prompt(&site, &id).await;
+        assert_eq!((outcome.status, outcome.is_complete), (200, false), "{outcome:?}");
+        assert_eq!(outcome.body, stream(&id, 3), "the half event is withheld");
+        assert_eq!(site.engines.iter().map(|engine| engine.run_count(&id)).sum::<usize>(), 1);
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_that_ends_inside_an_event_goes_on_at_another_engine() {
+    let site = start_site("unframed-resume").await;
+    let mut resumed = 0;
+    for number in 0..STREAMS {
+        let id = format!("r{number}");
+        // The second engine of a stream breaks it off too, unless its behavior was used up before.
+        if number % 2 == 0 {
+            break_next(&site, 3);
+        }
+        let outcome = send_prompt(&site, &id).await;
+        assert!(!outcome.is_complete || outcome.body == stream(&id, 8), "{outcome:?}");
+        assert!(stream(&id, 8).starts_with(&outcome.body), "no event is missing, doubled or partial: {outcome:?}");
+        let runs: usize = site.engines.iter().map(|engine| engine.run_count(&id)).sum();
+        resumed += usize::from(outcome.is_complete && runs == 2);
+    }
+    assert!(resumed > 0, "no stream was resumed to its end");
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_that_ends_before_its_first_event_is_never_complete_for_its_caller() {
+    let site = start_site("unframed-empty").await;
+    site.engines.iter().for_each(|engine| engine.queue_behaviors([Behavior::DropResponse; STREAMS * 2]));
+    for number in 0..STREAMS {
+        let outcome = send_prompt(&site, &format!("e{number}")).await;
+        assert!(!outcome.is_complete || outcome.status >= 500, "{outcome:?}");
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_unframed_stream_is_complete_and_runs_once() {
+    let site = start_site("unframed-whole").await;
+    for number in 0..STREAMS {
+        let id = format!("w{number}");
+        let outcome = send_prompt(&site, &id).await;
+        assert_eq!((outcome.is_complete, &outcome.body), (true, &stream(&id, 8)), "{outcome:?}");
+        assert_eq!(site.engines.iter().map(|engine| engine.run_count(&id)).sum::<usize>(), 1);
+    }
+    site.close().expect("no invariant was breached");
+}
