Log what marks the end of a replica's stream

Cause: 'done' and 'broke' did not tell an answer with a length or chunks from one that ends with its connection, so that no log distinguishes a complete stream from one that only closed. Change: framing= in both lines. No decision uses it.

--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -16,6 +16,7 @@
 use super::caller_stream::{self, CallerLoss, CallerStream};
 use super::response::{BodyError, CallerResponse};
 use super::sse::Splitter;
+use super::upstream::Framing;
 use super::{now, quarantine};
 use crate::{event, metric};
 
@@ -60,6 +61,7 @@
         last_event_id: None,
         event_count: 0,
         awaits_first_event: true,
+        framing: Framing::of(opened.response.headers()),
         longest_pause: Duration::ZERO,
     };
     tokio::task::spawn_local(relay.run(opened));
@@ -81,6 +83,8 @@
     event_count: u64,
     /// Whether the current replica has sent no event yet.
     awaits_first_event: bool,
+    /// Framing of the current replica's response.
+    framing: Framing,
     /// Longest time for which the current replica was not read because its caller read slowly.
     longest_pause: Duration,
 }
@@ -108,6 +112,7 @@
     /// Relays the stream of one replica until it ends.
     async fn relay_from(&mut self, opened: &mut OpenResponse) -> StreamEnd {
         self.awaits_first_event = true;
+        self.framing = Framing::of(opened.response.headers());
         self.longest_pause = Duration::ZERO;
         let deadline = Instant::now() + self.request.time_left();
         let mut late_since = None;
@@ -196,7 +201,7 @@
         let after_ms = now().since(self.request.started).as_millis();
         match end {
             StreamEnd::Complete => {
-                event!("done", request = %id, peer, events = self.event_count, after_ms);
+                event!("done", request = %id, peer, events = self.event_count, framing = self.framing.as_str(), after_ms);
                 metric::record_request("ok");
                 quarantine::record_success(&self.request.gateway, self.request.fingerprint);
                 None
@@ -215,7 +220,7 @@
                 self.abort("deadline").await
             }
             StreamEnd::Interrupted(error) => {
-                event!("broke", request = %id, work = %self.request.fingerprint, peer, events = self.event_count, silent = self.awaits_first_event, paused_ms = self.longest_pause.as_millis(), after_ms, error = %error);
+                event!("broke", request = %id, work = %self.request.fingerprint, peer, events = self.event_count, framing = self.framing.as_str(), silent = self.awaits_first_event, paused_ms = self.longest_pause.as_millis(), after_ms, error = %error);
                 if self.longest_pause < MIN_BLAMELESS_PAUSE {
                     self.request.gateway.admission.record_failure(&self.request.service, peer);
                     let weight = if self.awaits_first_event { Weight::Strong } else { Weight::Faint };
--- a/sorrelpass/src/gateway/upstream.rs
+++ b/sorrelpass/src/gateway/upstream.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
 use platform::connection::{self, CONNECT_TIMEOUT, ProbeResult, connect};
@@ -42,6 +43,39 @@
     ConnectionLost(eyre::Report),
 }
 
+/// What marks the end of a response body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The header `content-length`.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection, which does not prove that the body is complete.
+    Close,
+}
+
+impl Framing {
+    /// Returns the framing of a response with these headers.
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Framing::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Close
+        }
+    }
+
+    /// Returns the name that log lines use.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Framing::Length => "length",
+            Framing::Chunks => "chunks",
+            Framing::Close => "close",
+        }
+    }
+}
+
 /// Open connection to a replica. Dropping it closes the connection, upon which the replica cancels the request.
 pub struct Connection(JoinHandle<()>);
 
