A stream that ends inside an event is broken off, however its connection ends

Callers saw a stream that its replica had broken off end as complete (200, seal, short body). Cause: an answer with neither a length nor chunks ends with its connection. A replica that crashes closes it as one that is done, the HTTP client then reports the end of the body without an error, and the relay took that for the end of the answer: it sent the half event on and wrote the last chunk. Change: at the end of a body the splitter says whether it ends inside an event; such a stream is interrupted as one whose connection broke: the half event is withheld, the stream goes on at another engine where it may, and is broken off visibly where not. A stream without a length, without chunks and without any event is interrupted too. Why it works: completeness is judged by what arrived, no longer by how the connection closed. A close between two events cannot be told from a complete stream by anything in the answer.

--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -63,6 +63,7 @@
         awaits_first_event: true,
         framing: Framing::of(opened.response.headers()),
         longest_pause: Duration::ZERO,
+        is_continuation: false,
     };
     tokio::task::spawn_local(relay.run(opened));
     let mut response = Response::new(body);
@@ -87,6 +88,8 @@
     framing: Framing,
     /// Longest time for which the current replica was not read because its caller read slowly.
     longest_pause: Duration,
+    /// Whether the current stream goes on after an event that the caller has, so that it may be empty.
+    is_continuation: bool,
 }
 
 impl Relay {
@@ -114,6 +117,7 @@
         self.awaits_first_event = true;
         self.framing = Framing::of(opened.response.headers());
         self.longest_pause = Duration::ZERO;
+        self.is_continuation = self.last_event_id.or(self.request.request_head.last_event_id).is_some();
         let deadline = Instant::now() + self.request.time_left();
         let mut late_since = None;
         loop {
@@ -140,7 +144,7 @@
                 }
             };
             let data = match frame {
-                None => return self.relay_remainder().await,
+                None => return self.handle_end_of_body().await,
                 Some(Err(error)) => return StreamEnd::Interrupted(error.to_string()),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
@@ -182,6 +186,19 @@
         Ok(())
     }
 
+    /// Handles the end of a response body that ended without an error. It does not prove that the stream is complete: the
+    /// connection of a replica that crashes closes as that of one that is done.
+    async fn handle_end_of_body(&mut self) -> StreamEnd {
+        if self.splitter.is_inside_event() {
+            return StreamEnd::Interrupted("the stream ended inside an event".to_owned());
+        }
+        // A prompt has at least one event, so a connection that closed before it has lost the stream.
+        if self.framing == Framing::Close && self.awaits_first_event && !self.is_continuation {
+            return StreamEnd::Interrupted("the connection closed before the first event".to_owned());
+        }
+        self.relay_remainder().await
+    }
+
     /// Relays the bytes after the last event of a completed stream.
     async fn relay_remainder(&mut self) -> StreamEnd {
         let remainder = self.splitter.take_remainder();
