A reset of the stand-in's proxy reaches both sides; unframed streams in the soak

Cause: a reset closed the side from which bytes came and ended the other side in order, so that no test played a reset to an entry in the middle of an answer. With framed streams that made no difference. Change: both connections are reset, without an orderly close before.

--- a/standin/src/cmd/site_soak.rs
+++ b/standin/src/cmd/site_soak.rs
@@ -2,7 +2,7 @@
 //! guarantee.
 //!
 //! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N]
-//!                          [--fatal] [--limits] [--evacuations] [--words]
+//!                          [--fatal] [--limits] [--evacuations] [--words] [--unframed]
 //!
 //! Entries are killed, suspended, shut down and made to reload. Connections from callers, to the store and to
 //! replicas are delayed, reset, cut in one direction or blackholed. The store and the replicas return faulty
@@ -50,6 +50,8 @@
     evacuations: bool,
     /// Have replicas announce draining or request backoff in responses, and recover the store from older copies
     words: bool,
+    /// Have replicas delimit their streams by the end of the connection; not with `--fatal`
+    unframed: bool,
 }
 
 /// Runs all seeds and prints their reports; the exit status is 1 if a seed violated a guarantee.
@@ -66,6 +68,7 @@
         has_rate_limits: args.limits,
         has_evacuations: args.evacuations,
         has_response_signals: args.words,
+        has_unframed_streams: args.unframed,
     };
     let seeds = stream::iter(args.seed..args.seed + args.seeds);
     let mut reports =
--- a/standin/src/platform/proxy.rs
+++ b/standin/src/platform/proxy.rs
@@ -157,38 +157,42 @@
         // If the server process has exited, closing the client's connection stands for a refused connection.
         let Ok(server) = TcpStream::connect(target).await else { return };
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
-        let (from_client, to_client) = client.into_split();
-        let (from_server, to_server) = server.into_split();
+        let (mut from_client, mut to_client) = client.into_split();
+        let (mut from_server, mut to_server) = server.into_split();
         let termination = tokio::select! {
-            termination = self.forward(from_client, to_server, Direction::Forward) => termination,
-            termination = self.forward(from_server, to_client, Direction::Backward) => termination,
+            termination = self.forward(&mut from_client, &mut to_server, Direction::Forward) => termination,
+            termination = self.forward(&mut from_server, &mut to_client, Direction::Backward) => termination,
         };
-        if let Termination::Reset(stream) = termination {
-            reset_on_close(stream.as_ref().as_ref());
+        if termination == Termination::Reset {
+            reset_on_close(from_client.as_ref());
+            reset_on_close(from_server.as_ref());
+            // A write half that is dropped closes its connection in order, before the reset.
+            to_client.forget();
+            to_server.forget();
         }
     }
 
     /// Forwards bytes in one direction. The end of either direction ends the connection, since neither side uses
     /// half-open connections.
-    async fn forward(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, direction: Direction) -> Termination {
+    async fn forward(&self, from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, direction: Direction) -> Termination {
         let mut buffer = vec![0; BUFFER_BYTES];
         let mut has_lost_bytes = false;
         let mut is_first = true;
         loop {
-            let Ok(read) = from.read(&mut buffer).await else { return Termination::Reset(Box::new(from)) };
+            let Ok(read) = from.read(&mut buffer).await else { return Termination::Reset };
             if std::mem::take(&mut is_first) {
                 self.translate_head(&mut buffer[..read], direction);
             }
             let fault = self.fault();
             match fault {
-                NetworkFault::Reset => return Termination::Reset(Box::new(from)),
+                NetworkFault::Reset => return Termination::Reset,
                 NetworkFault::Delay(delay) => tokio::time::sleep(delay).await,
                 _ => {}
             }
             has_lost_bytes |= read > 0 && fault.drops(direction);
             if has_lost_bytes && !fault.drops(direction) {
                 // TCP never delivers a stream with missing bytes, so the connection must not continue.
-                return Termination::Reset(Box::new(from));
+                return Termination::Reset;
             }
             if read == 0 && !has_lost_bytes {
                 return Termination::Closed;
@@ -199,7 +203,7 @@
                 while self.fault().drops(direction) {
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
-                return Termination::Reset(Box::new(from));
+                return Termination::Reset;
             }
             if !has_lost_bytes && to.write_all(&buffer[..read]).await.is_err() {
                 return Termination::Closed;
@@ -220,11 +224,12 @@
 }
 
 /// Manner in which a connection terminates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Termination {
     /// Orderly close.
     Closed,
-    /// Reset of the connection that this half belongs to.
-    Reset(Box<OwnedReadHalf>),
+    /// Reset of the connections on both sides.
+    Reset,
 }
 
 /// Makes the later close of a connection send a reset.
--- a/standin/src/platform/soak/mod.rs
+++ b/standin/src/platform/soak/mod.rs
@@ -76,6 +76,9 @@
     /// Whether replicas announce draining or ask for a backoff in their responses, and the store is restored from older
     /// snapshots.
     pub has_response_signals: bool,
+    /// Whether replicas delimit their streams by the end of the connection. Excludes fatal requests: a crash between two
+    /// events then looks like the end of a stream.
+    pub has_unframed_streams: bool,
 }
 
 /// Result of a soak.
@@ -124,6 +127,9 @@
         last_replicas(&site).for_each(|replica| replica.set_failure_domain(EVACUATED_DOMAIN));
         site.write_replica_records();
     }
+    if plan.has_unframed_streams {
+        site.proxies.replicas.iter().for_each(|proxy| proxy.set_unframed());
+    }
     let shared = Arc::new(SharedState::default());
     let first_key = api_key(0);
     site.configure(&[first_key.as_str()], |_| {});
--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -29,6 +29,7 @@
         has_rate_limits: false,
         has_evacuations: false,
         has_response_signals: false,
+        has_unframed_streams: false,
     }
 }
 
@@ -101,3 +102,8 @@
 async fn seed_1032_with_a_refusal_in_flight_when_the_backoff_ends() {
     run_soak(Plan { has_response_signals: true, ..plan_with_seed(1032) }).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_11_with_unframed_streams() {
+    run_soak(Plan { has_unframed_streams: true, ..plan_with_seed(11) }).await;
+}
--- a/standin/tests/platform_unframed.rs
+++ b/standin/tests/platform_unframed.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use standin::platform::{Behavior, KEY, Outcome, RequestSpec, Site, Spec};
+use standin::platform::{Behavior, KEY, NetworkFault, Outcome, RequestSpec, Site, Spec};
 
 /// Number of streams that each test sends.
 const STREAMS: usize = 10;
@@ -91,3 +91,24 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_whose_connection_is_reset_is_never_complete_for_its_caller() {
+    let site = start_site("unframed-reset").await;
+    site.configure(&[KEY], |config| config["routes"][0]["stream_resume"] = json!(false));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for number in 0..STREAMS {
+        let id = format!("x{number}");
+        let reset = async {
+            // A stream takes 160 ms.
+            tokio::time::sleep(Duration::from_millis(70)).await;
+            site.proxies.replicas.iter().for_each(|proxy| proxy.set_fault(NetworkFault::Reset));
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            site.proxies.replicas.iter().for_each(|proxy| proxy.set_fault(NetworkFault::None));
+        };
+        let (outcome, ()) = tokio::join!(send_prompt(&site, &id), reset);
+        assert!(!outcome.is_complete || outcome.body == stream(&id, 8), "{outcome:?}");
+        assert!(stream(&id, 8).starts_with(&outcome.body), "{outcome:?}");
+    }
+    site.close().expect("no invariant was breached");
+}
