--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -105,7 +105,7 @@
         &upstream_request,
         workspace.as_ref().map(|workspace| &workspace.name),
     );
-    event!("request", request = %request_head.id, work = %fingerprint, route = %route.name, service = %service, prompt_tokens = request_head.prompt_tokens.unwrap_or(0),
+    event!("request", request = %request_head.id, work = %fingerprint, route = %route.name, service = %service, parts = request_head.shared_parts.join(","), prompt_tokens = request_head.prompt_tokens.unwrap_or(0),
         version = gateway.table().version(), proof_age_ms = gateway.verification_age_ms().unwrap_or(0), allowed_ms = timeout.as_millis());
     gateway.record_request(&service);
     Ok(PendingRequest {
