--- a/standin/src/platform/replica/answers.rs
+++ b/standin/src/platform/replica/answers.rs
@@ -98,7 +98,7 @@
     let id = header(&head.headers, "request-id").to_owned();
     let is_streaming = head.headers.contains_key("token-usage");
     let last_event_id: u64 = header(&head.headers, "last-event-id").parse().unwrap_or(0);
-    let crash_trigger = replica.find_crash_trigger(&body);
+    let crash_trigger = replica.find_crash_trigger(&head.headers, &body);
     let Some(behavior) = replica.record_request(&id, head, body) else {
         let misdirected = (StatusCode::MISDIRECTED_REQUEST, [("replica-id", replica.id.clone())]).into_response();
         return add_replica_headers(misdirected, &replica, Behavior::Refuse, &id);
--- a/standin/src/platform/replica/mod.rs
+++ b/standin/src/platform/replica/mod.rs
@@ -122,7 +122,7 @@
 /// Describes requests that crash a replica's process.
 #[derive(Clone, Debug)]
 struct CrashTrigger {
-    /// Text that the body of such a request contains.
+    /// Text that the body or the header `prompt-prefix` of such a request contains.
     marker: String,
     /// Time from the crash to the next start of the process.
     downtime: Duration,
@@ -202,7 +202,7 @@
         }
     }
 
-    /// Makes each request whose body contains `marker` crash the process. The process starts again after `downtime`
+    /// Makes each request whose body or header `prompt-prefix` contains `marker` crash the process. The process starts again after `downtime`
     /// with the same id and without its memory reservations.
     pub fn crash_on(&self, marker: &str, downtime: Duration) {
         self.lock().crash_trigger =
@@ -232,11 +232,12 @@
         self.lock().crash_count
     }
 
-    /// Returns the crash trigger if the body contains its marker.
-    fn find_crash_trigger(&self, body: &[u8]) -> Option<CrashTrigger> {
+    /// Returns the crash trigger if the body or the header `prompt-prefix` contains its marker.
+    fn find_crash_trigger(&self, headers: &HeaderMap, body: &[u8]) -> Option<CrashTrigger> {
         let trigger = self.lock().crash_trigger.clone()?;
         let marker = trigger.marker.as_bytes();
-        body.windows(marker.len()).any(|window| window == marker).then_some(trigger)
+        let is_in_body = body.windows(marker.len()).any(|window| window == marker);
+        (is_in_body || header(headers, "prompt-prefix").contains(&trigger.marker)).then_some(trigger)
     }
 
     /// Schedules a crash and the next start of the process. A request crashes only the process that received it,
--- /dev/null
+++ b/standin/tests/platform_part_crashes.rs
@@ -0,0 +1,128 @@
+//! Prompts that share one part which crashes every engine that begins to answer them, while no two of them are alike.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rand::RngExt;
+use standin::platform::{HOST, KEY, Outcome, Replica, RequestSpec, Site, Spec, send};
+
+/// Id of the part that crashes engines.
+const FATAL_PART: &str = "dead0001";
+/// Time after which a crashed engine is up again.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
+/// Time after the fifth crash in which the entries may still learn the cause.
+const LEARNING_TIME: Duration = Duration::from_secs(3);
+/// Prompts with the fatal part that may reach engines after that.
+const MAX_LATE_ARRIVALS: usize = 3;
+/// Interval between two prompts with the fatal part, and between two others.
+const FATAL_INTERVAL: Duration = Duration::from_millis(120);
+const SOUND_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Builds a prompt with these parts; its last part and its body are its own.
+fn prompt(id: &str, parts: &str) -> RequestSpec {
+    let request = RequestSpec::new("POST", "/prompt/1", id, KEY)
+        .with_header("token-usage", "500,400")
+        .with_header("deadline-ms", "2500")
+        .with_header("prompt-prefix", &format!("{parts},{id}:200"));
+    RequestSpec { body: Bytes::from(id.to_owned()), ..request }
+}
+
+/// Observations of a play.
+#[derive(Default)]
+struct Play {
+    /// Time of the fifth crash; `None` if there were fewer.
+    fifth_crash: Option<Instant>,
+    /// Outcomes of the sound prompts with the times at which they were sent.
+    sound: Vec<(Instant, Outcome)>,
+}
+
+impl Play {
+    /// Returns the share of the sound prompts sent after `LEARNING_TIME` from the fifth crash that were served whole.
+    fn served_share(&self) -> f64 {
+        let from = self.fifth_crash.expect("five engines crashed") + 2 * LEARNING_TIME;
+        let late: Vec<_> = self.sound.iter().filter(|(sent, _)| *sent >= from).collect();
+        assert!(late.len() >= 20, "too few sound prompts to judge: {}", late.len());
+        let served = late.iter().filter(|(_, outcome)| outcome.status == 200 && outcome.is_complete).count();
+        served as f64 / late.len() as f64
+    }
+}
+
+async fn start_site(name: &str) -> Site {
+    let site = Site::start(Spec { entries: 3, engines: 8, ..Spec::small(name) }).await.expect("the site starts");
+    site.engines.iter().for_each(|engine| engine.crash_on(FATAL_PART, RESTART_DELAY));
+    // Entries that have just found each other have not exchanged all yet.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    site
+}
+
+fn crash_count(engines: &[Arc<Replica>]) -> usize {
+    engines.iter().map(|engine| engine.crash_count()).sum()
+}
+
+/// Returns how many prompts with the fatal part reached engines after this time.
+fn fatal_arrivals_after(site: &Site, from: Instant) -> usize {
+    let received = site.engines.iter().flat_map(|engine| engine.received_requests());
+    let is_fatal = |headers: &axum::http::HeaderMap| {
+        headers.get("prompt-prefix").and_then(|value| value.to_str().ok()).is_some_and(|raw| raw.contains(FATAL_PART))
+    };
+    received.filter(|request| request.received_at > from && is_fatal(&request.headers)).count()
+}
+
+/// Sends prompts with the fatal part and sound ones to all entries for `length`. Sound prompts share the caller, the
+/// path and all parts but the fatal one.
+async fn play(site: &Site, length: Duration, fatal_parts: &str) -> Play {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let is_over = AtomicBool::new(false);
+    let next_id = |kind: &str| format!("{kind}{}", NUMBER.fetch_add(1, Ordering::Relaxed));
+    let address = || site.addresses[rand::rng().random_range(0..site.addresses.len())].clone();
+    let fatal = async {
+        while !is_over.load(Ordering::Relaxed) {
+            let (id, address, parts) = (next_id("f"), address(), fatal_parts.to_owned());
+            tokio::spawn(async move { send(&address, HOST, &prompt(&id, &parts)).await });
+            tokio::time::sleep(FATAL_INTERVAL).await;
+        }
+    };
+    let sound = async {
+        let mut sent = Vec::new();
+        while !is_over.load(Ordering::Relaxed) {
+            let (id, address) = (next_id("s"), address());
+            let request = async move { send(&address, HOST, &prompt(&id, "aaaa0001:40")).await.unwrap_or_default() };
+            sent.push((Instant::now(), tokio::spawn(request)));
+            tokio::time::sleep(SOUND_INTERVAL).await;
+        }
+        let mut outcomes = Vec::new();
+        for (sent_at, request) in sent {
+            outcomes.push((sent_at, request.await.expect("the request ends")));
+        }
+        outcomes
+    };
+    let watch = async {
+        let started = Instant::now();
+        let mut fifth_crash = None;
+        while started.elapsed() < length {
+            if fifth_crash.is_none() && crash_count(&site.engines) >= 5 {
+                fifth_crash = Some(Instant::now());
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        is_over.store(true, Ordering::Relaxed);
+        fifth_crash
+    };
+    let (fifth_crash, (), sound) = tokio::join!(watch, fatal, sound);
+    Play { fifth_crash, sound }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_with_a_part_that_crashed_engines_are_not_sent_again_by_any_entry() {
+    let site = start_site("parts-crash").await;
+    let played = play(&site, Duration::from_secs(10), &format!("aaaa0001:40,{FATAL_PART}:100")).await;
+    let learned = played.fifth_crash.expect("five engines crashed") + LEARNING_TIME;
+    let late = fatal_arrivals_after(&site, learned);
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals, {} engines crashed", crash_count(&site.engines));
+    assert!(played.served_share() > 0.9, "sound prompts served: {}", played.served_share());
+    site.close().expect("no invariant was breached");
+}
