Prompts that share a part which ends engines are condemned by that part

Cause: the quarantine accuses one whole request. Prompts that share the fatal part have two ends each at most, so none is ever condemned. Class: a defence that knows only the exact thing it saw, not what things have in common. Change: coord::part_quarantine accuses the shared parts of prompts under which an engine ends before their first event. A part is condemned after four ends under three prompts at three times, if no prompt with it completed meanwhile, others did, it was on a quarter of all ends, and no other part explains them; a part with which prompts completed earlier needs eight. Observed ends go to the entry that plans, verdicts to all and to the store (keys part-...); a completed prompt clears its parts on all entries. A condemned prompt is refused at once, not run, as condemned requests are. Why it works: what all ended prompts have in common remains as the only part that never completes.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod memory;
 pub mod name;
 pub mod offset;
+pub mod part_quarantine;
 pub mod pick;
 pub mod placement;
 pub mod planner;
--- /dev/null
+++ b/coord/tests/part_quarantine.rs
@@ -0,0 +1,311 @@
+//! Conditions under which a prompt part is condemned because engines terminate under different prompts that share it.
+
+use std::collections::BTreeSet;
+
+use coord::name::Name;
+use coord::part_quarantine::{Event, SharedPart, State};
+use coord::quarantine::Fingerprint;
+use coord::time::Moment;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Part that all prompts of one caller share, and the part that terminates engines.
+const SHARED: u32 = 1;
+const FATAL: u32 = 2;
+
+fn fingerprint(number: u32) -> Fingerprint {
+    Fingerprint(u128::from(number).to_be_bytes())
+}
+
+fn parts(numbers: &[u32]) -> Vec<SharedPart> {
+    let numbered = numbers.iter().enumerate();
+    numbered.map(|(at, number)| SharedPart { fingerprint: fingerprint(*number), depth: at as u8 }).collect()
+}
+
+/// State with a clock, to which terminations and completed prompts are reported.
+#[derive(Default)]
+struct Register {
+    state: State,
+    now_ms: u64,
+    relayed: Vec<Event>,
+}
+
+impl Register {
+    fn apply(&mut self, event: Event) {
+        let now = Moment::from_millis(10_000 + self.now_ms);
+        self.relayed.extend(self.state.apply(event, now, now));
+    }
+
+    fn terminate(&mut self, run: &str, work: u32, numbers: &[u32]) {
+        self.apply(Event::Terminated { run: Name::from(run), work: fingerprint(1_000 + work), parts: parts(numbers) });
+    }
+
+    fn complete(&mut self, numbers: &[u32]) {
+        let now = Moment::from_millis(10_000 + self.now_ms);
+        self.relayed.extend(self.state.record_completion(&parts(numbers), now));
+    }
+
+    /// Reports terminations under different prompts with these parts, `gap_ms` apart, each with a completed prompt.
+    fn terminate_often(&mut self, count: u32, gap_ms: u64, numbers: &[u32]) {
+        for number in 0..count {
+            let run = format!("run-{}-{}", self.now_ms, number);
+            self.terminate(&run, self.now_ms as u32 * 100 + number, numbers);
+            self.complete(&[]);
+            self.now_ms += gap_ms;
+        }
+    }
+
+    fn is_condemned(&self, number: u32) -> bool {
+        self.state.is_condemned(fingerprint(number))
+    }
+}
+
+#[test]
+fn the_fourth_termination_under_different_prompts_condemns_their_common_part() {
+    let mut register = Register::default();
+    register.terminate_often(3, 300, &[SHARED, FATAL]);
+    assert!(!register.is_condemned(FATAL));
+    register.terminate_often(1, 300, &[SHARED, FATAL]);
+    assert!(register.is_condemned(FATAL) && !register.is_condemned(SHARED));
+    assert!(register.relayed.contains(&Event::Condemned(fingerprint(FATAL))));
+    // Later terminations of prompts that were in flight are held against no other part.
+    register.terminate_often(9, 300, &[SHARED, FATAL]);
+    assert!(!register.is_condemned(SHARED));
+}
+
+#[test]
+fn a_fatal_part_is_condemned_wherever_it_stands_in_the_prompt() {
+    for numbers in [[FATAL, 10, 11], [10, FATAL, 11], [10, 11, FATAL]] {
+        let mut register = Register::default();
+        for round in 0..12 {
+            let prompt = numbers.map(|number| if number == FATAL { FATAL } else { number + round * 10 });
+            register.terminate_often(1, 300, &prompt);
+        }
+        let condemned: Vec<_> = register.state.condemned().collect();
+        assert_eq!(condemned, [fingerprint(FATAL)], "{numbers:?}");
+    }
+}
+
+#[test]
+fn two_fatal_parts_at_once_are_both_condemned() {
+    let mut register = Register::default();
+    for _ in 0..6 {
+        register.terminate_often(1, 120, &[SHARED, FATAL]);
+        register.terminate_often(1, 120, &[SHARED, 3]);
+    }
+    assert!(register.is_condemned(FATAL) && register.is_condemned(3) && !register.is_condemned(SHARED));
+}
+
+#[test]
+fn a_part_that_completed_earlier_gives_way_to_one_that_never_did_and_is_condemned_alone() {
+    let mut register = Register::default();
+    register.complete(&[SHARED, 7]);
+    register.now_ms = 60_000;
+    register.terminate_often(5, 300, &[SHARED, FATAL, 7]);
+    assert!(register.is_condemned(FATAL) && !register.is_condemned(SHARED) && !register.is_condemned(7));
+    register.terminate_often(8, 300, &[7]);
+    assert!(register.is_condemned(7), "an engine may change so that a part becomes fatal");
+}
+
+#[test]
+fn a_part_of_which_another_process_knows_that_it_completed_needs_more_evidence() {
+    let mut register = Register::default();
+    register.terminate_often(2, 300, &[FATAL]);
+    assert!(register.relayed.contains(&Event::Suspected(fingerprint(FATAL))));
+    register.apply(Event::Sound(fingerprint(FATAL)));
+    register.terminate_often(5, 300, &[FATAL]);
+    assert!(!register.is_condemned(FATAL));
+    register.terminate_often(1, 300, &[FATAL]);
+    assert!(register.is_condemned(FATAL));
+}
+
+#[test]
+fn a_completed_prompt_clears_its_parts_and_proves_a_verdict_wrong() {
+    let mut register = Register::default();
+    register.terminate_often(3, 300, &[FATAL]);
+    register.complete(&[FATAL]);
+    assert!(register.relayed.contains(&Event::Cleared(fingerprint(FATAL))));
+    // The part is not suspected for a while after that.
+    register.terminate_often(6, 300, &[FATAL]);
+    assert!(!register.is_condemned(FATAL));
+    register.now_ms += 2_000;
+    register.terminate_often(8, 300, &[FATAL]);
+    assert!(register.is_condemned(FATAL));
+    register.complete(&[FATAL]);
+    assert!(!register.is_condemned(FATAL));
+    assert_eq!(register.relayed.last(), Some(&Event::Lifted(fingerprint(FATAL))));
+}
+
+#[test]
+fn repeats_of_one_prompt_condemn_no_part() {
+    let mut register = Register::default();
+    for number in 0..20 {
+        register.terminate(&format!("run-{number}"), number % 2, &[SHARED, FATAL]);
+        register.complete(&[]);
+        register.now_ms += 300;
+    }
+    assert_eq!(register.state.condemned().count(), 0);
+}
+
+#[test]
+fn engines_that_terminate_together_condemn_no_part() {
+    let mut register = Register::default();
+    register.terminate_often(30, 5, &[SHARED, FATAL]);
+    assert_eq!(register.state.condemned().count(), 0);
+}
+
+#[test]
+fn an_outage_in_which_nothing_completes_condemns_no_part() {
+    let mut register = Register::default();
+    for number in 0..40 {
+        register.terminate(&format!("run-{number}"), number, &[SHARED]);
+        register.now_ms += 300;
+    }
+    assert_eq!(register.state.condemned().count(), 0);
+}
+
+#[test]
+fn an_operator_lifts_a_verdict() {
+    let mut register = Register::default();
+    register.terminate_often(4, 300, &[FATAL]);
+    register.apply(Event::Lifted(fingerprint(FATAL)));
+    assert!(!register.is_condemned(FATAL));
+}
+
+#[test]
+fn the_state_stays_bounded_whatever_callers_name() {
+    let mut register = Register::default();
+    for number in 0..4_000u32 {
+        let named: Vec<u32> = (0..8).map(|at| 100 + number * 8 + at).collect();
+        register.terminate(&format!("run-{number}"), number, &named);
+        register.complete(&named.iter().map(|part| part + 1_000_000).collect::<Vec<_>>());
+        register.now_ms += 1;
+    }
+    assert!(register.state.events().len() <= 1_024, "{}", register.state.events().len());
+}
+
+/// Prompt in flight.
+#[derive(Clone)]
+struct Prompt {
+    parts: Vec<u32>,
+    number: u32,
+    /// Time of its first event. One with the fatal part has none.
+    first_event_at: u64,
+    ends_at: u64,
+}
+
+/// Played service: prompts of callers with parts of their own, engines that terminate in waves, and prompts with a
+/// fatal part.
+struct Service {
+    rng: SmallRng,
+    register: Register,
+    /// Prompts in flight at each engine.
+    engines: Vec<Vec<Prompt>>,
+    down_until: Vec<u64>,
+    prompts: u32,
+    terminations: usize,
+}
+
+impl Service {
+    fn new(seed: u64) -> Self {
+        let (engines, down_until) = (vec![Vec::new(); 18], vec![0; 18]);
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { rng, register: Register::default(), engines, down_until, prompts: 0, terminations: 0 }
+    }
+
+    fn send(&mut self, parts: Vec<u32>) {
+        let now = self.register.now_ms;
+        let up: Vec<usize> = (0..self.engines.len()).filter(|engine| self.down_until[*engine] <= now).collect();
+        if up.is_empty() {
+            return;
+        }
+        self.prompts += 1;
+        let engine = up[self.rng.random_range(0..up.len())];
+        let (first_event_at, ends_at) = if parts.contains(&FATAL) {
+            (u64::MAX, u64::MAX)
+        } else {
+            (now + self.rng.random_range(20..150), now + self.rng.random_range(200..900))
+        };
+        self.engines[engine].push(Prompt { parts, number: self.prompts, first_event_at, ends_at });
+    }
+
+    /// Terminates an engine.
+    fn terminate(&mut self, engine: usize) {
+        let now = self.register.now_ms;
+        self.down_until[engine] = now + self.rng.random_range(1_500..5_000);
+        self.terminations += 1;
+        let run = format!("engine-{engine}-{now}");
+        for prompt in std::mem::take(&mut self.engines[engine]) {
+            let is_silent = prompt.first_event_at > now;
+            self.register.terminate(&run, prompt.number, if is_silent { &prompt.parts } else { &[] });
+        }
+    }
+
+    /// Plays 10 ms: new prompts, completed ones, and engines with a prompt that has the fatal part.
+    fn step(&mut self, load: f64, hot_share: f64, fatal_share: f64) {
+        self.register.now_ms += 10;
+        let now = self.register.now_ms;
+        if self.rng.random_bool(load / 100.0) {
+            let caller = if self.rng.random_bool(hot_share) { 0 } else { self.rng.random_range(0..60) };
+            let is_fatal = self.rng.random_bool(fatal_share) && !self.register.is_condemned(FATAL);
+            self.send(if is_fatal { vec![100, FATAL] } else { vec![100 + caller] });
+        }
+        for engine in 0..self.engines.len() {
+            if self.engines[engine].iter().any(|prompt| prompt.parts.contains(&FATAL)) && self.rng.random_bool(0.1) {
+                self.terminate(engine);
+                continue;
+            }
+            let prompts = std::mem::take(&mut self.engines[engine]);
+            let (done, rest): (Vec<_>, Vec<_>) = prompts.into_iter().partition(|prompt| prompt.ends_at <= now);
+            self.engines[engine] = rest;
+            done.iter().for_each(|prompt| self.register.complete(&prompt.parts));
+        }
+    }
+
+    fn condemned(&self) -> BTreeSet<Fingerprint> {
+        self.register.state.condemned().collect()
+    }
+}
+
+#[test]
+fn no_part_is_condemned_however_engines_terminate_without_a_fatal_part() {
+    for seed in 0..300 {
+        let mut service = Service::new(seed);
+        let load = service.rng.random_range(20.0..60.0);
+        let hot_share = [0.0, 0.3, 0.7, 1.0][seed as usize % 4];
+        let wave_share = service.rng.random_range(0.05..1.0);
+        let mut next_wave = 500;
+        for _ in 0..1_500 {
+            service.step(load, hot_share, 0.0);
+            if service.register.now_ms >= next_wave {
+                for engine in 0..18 {
+                    if service.rng.random_bool(wave_share) {
+                        service.terminate(engine);
+                    }
+                }
+                next_wave += service.rng.random_range(200..2_500);
+            }
+        }
+        assert_eq!(service.condemned(), BTreeSet::new(), "seed {seed}, {} terminations", service.terminations);
+    }
+}
+
+#[test]
+fn only_the_fatal_part_is_condemned_and_soon() {
+    for seed in 0..300 {
+        let mut service = Service::new(seed);
+        let load = service.rng.random_range(30.0..60.0);
+        // The caller of the prompts with the fatal part has other prompts that share its first part.
+        let hot_share = service.rng.random_range(0.05..0.6);
+        (0..500).for_each(|_| service.step(load, hot_share, 0.0));
+        for _ in 0..500 {
+            service.step(load, hot_share, 0.15);
+            if service.rng.random_bool(0.004) {
+                let engine = service.rng.random_range(0..18);
+                service.terminate(engine);
+            }
+        }
+        assert_eq!(service.condemned(), BTreeSet::from([fingerprint(FATAL)]), "seed {seed}");
+        assert!(service.terminations < 30, "seed {seed}: {} engines terminated", service.terminations);
+    }
+}
--- a/sorrelpass/src/cmd/quarantine.rs
+++ b/sorrelpass/src/cmd/quarantine.rs
@@ -4,7 +4,8 @@
 //!
 //! The platform's store has a record for each request during which replicas terminated. Prints one line per record: the
 //! fingerprint of the request (`work=`, as in the entries' log lines), whether it is condemned (entries no longer send
-//! it) or only suspect, and the runs that terminated. --lift removes the record of a fingerprint; entries read the
+//! it) or only suspect, and the runs that terminated. A record for a part that several prompts share begins with `part=`
+//! instead. --lift removes the record of a fingerprint; entries read the
 //! change and send such requests again within two seconds. Lifting a fingerprint without a record is an error.
 
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use eyre::{Result, eyre};
 use platform::store::{Client, KeyedRecord, QUARANTINE_TOPIC};
 
+use crate::gateway::quarantine::parts;
 use crate::gateway::quarantine::record::{self, Record};
 use crate::util;
 
@@ -49,21 +51,25 @@
 
 /// Removes the record of a fingerprint from the store.
 async fn lift(client: &mut Client, records: &[KeyedRecord], fingerprint: Fingerprint) -> Result<()> {
-    let key = fingerprint.to_string();
-    if !records.iter().any(|record| *record.key == *key) {
+    let keys = [fingerprint.to_string(), format!("{}{fingerprint}", parts::KEY_PREFIX)];
+    let Some(record) = records.iter().find(|record| keys.iter().any(|key| **key == *record.key)) else {
         return Err(eyre!("step=lift work={fingerprint}: the store has no record of this fingerprint"));
-    }
-    client.put(QUARANTINE_TOPIC, &key, &[], STORE_TIMEOUT).await?;
+    };
+    client.put(QUARANTINE_TOPIC, &record.key, &[], STORE_TIMEOUT).await?;
     println!("work={fingerprint} lifted");
     Ok(())
 }
 
 fn print_record(record: &KeyedRecord) {
-    match record::decode(record) {
+    let (name, decoded) = match record.key.strip_prefix(parts::KEY_PREFIX) {
+        Some(key) => ("part", parts::decode(key, record)),
+        None => ("work", record::decode(record)),
+    };
+    match decoded {
         Ok((fingerprint, Some(Record { condemned, ends }))) => {
             let runs: Vec<&str> = ends.iter().map(|end| &*end.run).collect();
             let status = if condemned { "condemned" } else { "suspect" };
-            println!("work={fingerprint} standing={status} ends={}", runs.join(","));
+            println!("{name}={fingerprint} standing={status} ends={}", runs.join(","));
         }
         Ok((_, None)) => {}
         Err(error) => println!("{error:#}"),
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -14,6 +14,7 @@
 
 use super::super::fingerprint;
 use super::super::now;
+use super::super::quarantine::Identity;
 use super::super::response::{self, CallerResponse};
 use super::super::state::{Gateway, Phase};
 use super::super::upstream::UpstreamRequest;
@@ -105,7 +106,9 @@
         &upstream_request,
         workspace.as_ref().map(|workspace| &workspace.name),
     );
-    event!("request", request = %request_head.id, work = %fingerprint, route = %route.name, service = %service, parts = request_head.shared_parts.join(","), prompt_tokens = request_head.prompt_tokens.unwrap_or(0),
+    let parts = fingerprint::compute_parts(&service, &request_head.shared_parts);
+    let part_names: Vec<String> = parts.iter().map(|part| part.fingerprint.to_string()).collect();
+    event!("request", request = %request_head.id, work = %fingerprint, route = %route.name, service = %service, parts = part_names.join(","), prompt_tokens = request_head.prompt_tokens.unwrap_or(0),
         version = gateway.table().version(), proof_age_ms = gateway.verification_age_ms().unwrap_or(0), allowed_ms = timeout.as_millis());
     gateway.record_request(&service);
     Ok(PendingRequest {
@@ -115,7 +118,7 @@
         workspace,
         service,
         upstream_request,
-        fingerprint,
+        identity: Identity { work: fingerprint, parts },
         started,
         timeout,
         deadline,
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use coord::name::{ExecutionStatus, Name};
-use coord::quarantine::{Fingerprint, Weight};
+use coord::quarantine::Weight;
 use coord::roster::Record;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
@@ -25,7 +25,7 @@
 use self::send::Outcome;
 pub use self::target::ReplicaSlot;
 use self::target::Target;
-use super::quarantine::{self, LostConnection};
+use super::quarantine::{self, Identity, LostConnection};
 use super::replica_picker::NO_RESPONSE_WEIGHT;
 use super::response::{self, CallerResponse};
 use super::state::{Gateway, InFlight};
@@ -61,8 +61,8 @@
     pub service: Name,
     /// Request that is sent to replicas.
     pub upstream_request: UpstreamRequest,
-    /// Fingerprint of the request, which is the same for every retry.
-    pub fingerprint: Fingerprint,
+    /// What the quarantine recognizes the request by.
+    pub identity: Identity,
     /// Time at which the head of the request was received.
     pub started: Moment,
     /// Timeout that the caller allows.
@@ -155,7 +155,7 @@
 
     /// Returns whether the request is condemned because it crashes replicas.
     fn is_condemned(&self) -> bool {
-        self.gateway.quarantine.is_condemned(self.fingerprint)
+        self.gateway.quarantine.is_condemned(&self.identity)
     }
 
     /// Returns the failure of a condemned request. The status does not promise that the request was not executed, since
@@ -164,14 +164,18 @@
     fn condemned_failure(&self) -> Failure {
         metric::record_refused_condemned();
         let ran = if self.possible_executions == 0 { ExecutionStatus::No } else { ExecutionStatus::Unknown };
-        Failure::new(StatusCode::BAD_GATEWAY, "condemned", "replicas end under this request").with_ran(ran)
+        let message = match self.gateway.quarantine.condemned_part(&self.identity) {
+            Some(part) => format!("replicas end under part {part} of this prompt"),
+            None => "replicas end under this request".to_owned(),
+        };
+        Failure::new(StatusCode::BAD_GATEWAY, "condemned", message).with_ran(ran)
     }
 
     /// Reports that the connection to a replica was lost, and briefly waits for the probe of whether the replica
     /// terminated.
     pub async fn report_lost_connection(&self, record: &Record, sent_at: Moment, weight: Weight) {
-        let (request, fingerprint) = (self.request_head.id.clone(), self.fingerprint);
-        LostConnection { request, fingerprint, record: record.clone(), sent_at, weight }.probe(&self.gateway).await;
+        let (request, identity) = (self.request_head.id.clone(), self.identity.clone());
+        LostConnection { request, identity, record: record.clone(), sent_at, weight }.probe(&self.gateway).await;
     }
 
     /// Returns the target of the next attempt, or the failure if no attempt is possible. `is_retry_charged` tells that
@@ -228,12 +232,12 @@
                     event!("done", request = %self.request_head.id, peer = %record.id, status, after_ms);
                     metric::record_request("ok");
                     if response.status().is_success() {
-                        quarantine::record_success(&self.gateway, self.fingerprint);
+                        quarantine::record_success(&self.gateway, self.identity.work);
                     }
                     return Ok(response);
                 }
                 Ok(Err(error)) => {
-                    event!("lost", request = %self.request_head.id, work = %self.fingerprint, peer = %record.id, error = %format!("{error:#}"));
+                    event!("lost", request = %self.request_head.id, work = %self.identity.work, peer = %record.id, error = %format!("{error:#}"));
                     self.report_lost_connection(&record, sent_at, Weight::Strong).await;
                 }
             }
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -72,13 +72,13 @@
             result = upstream::send(&record, &self.upstream_request, &head, has_slow_callers) => result,
             next = self.fallback_target(&slot) => return Outcome::Unresponsive(Box::new(next)),
             // If the attempt is aborted before the replica starts the request, the replica does not crash.
-            () = self.gateway.quarantine.wait_until_condemned(self.fingerprint) => return Outcome::Condemned,
+            () = self.gateway.quarantine.wait_until_condemned(&self.identity) => return Outcome::Condemned,
         };
         match result {
             Ok((response, connection)) => self.classify(OpenResponse { record, response, connection, slot, sent_at }),
             Err(SendError::ConnectionLost(error)) => {
                 self.record_failure(&record.id, NO_RESPONSE_WEIGHT);
-                event!("lost", request = %self.request_head.id, work = %self.fingerprint, peer = %record.id, error = %error);
+                event!("lost", request = %self.request_head.id, work = %self.identity.work, peer = %record.id, error = %error);
                 // An engine opens its response when it starts the prompt, so before that the prompt may only have been
                 // queued. A plain replica may run a request for a long time before it responds.
                 let weight = if self.has_engines() { Weight::Faint } else { Weight::Strong };
--- a/sorrelpass/src/gateway/call/target.rs
+++ b/sorrelpass/src/gateway/call/target.rs
@@ -234,7 +234,7 @@
                 biased;
                 result = self.gateway.admission.request_engines(&self.service, job) => result,
                 () = tokio::time::sleep(time_left) => return Err(PlacementError::Exhausted),
-                () = self.gateway.quarantine.wait_until_condemned(self.fingerprint) => return Err(PlacementError::Exhausted),
+                () = self.gateway.quarantine.wait_until_condemned(&self.identity) => return Err(PlacementError::Exhausted),
                 backoff = self.all_in_backoff_beyond(until) => return Err(backoff_error(backoff)),
                 // The caller of a new request can still retry at another entry. A broken stream continues to wait,
                 // since only this entry can resume it.
@@ -338,7 +338,7 @@
             gap_target_ms: self.route.gap_target.as_secs_f64() * 1e3,
             deadline: self.deadline.min(self.started + self.route.client_timeout()),
             priority: combine_priorities(workspace_priority, self.route.priority),
-            fingerprint: Some(self.fingerprint),
+            fingerprint: Some(self.identity.work),
             workspace: self.workspace.as_ref().map(|workspace| planner::Workspace::from_name(&workspace.name)),
         }
     }
--- a/sorrelpass/src/gateway/fingerprint.rs
+++ b/sorrelpass/src/gateway/fingerprint.rs
@@ -1,6 +1,9 @@
 //! Fingerprints of requests, by which repeated requests for the same work are recognized.
 
+use std::rc::Rc;
+
 use coord::name::Name;
+use coord::part_quarantine::SharedPart;
 use coord::quarantine::Fingerprint;
 
 use super::upstream::UpstreamRequest;
@@ -15,3 +18,13 @@
     // A public request omits the workspace part: an empty part would equal a workspace with an empty name.
     Fingerprint::of(parts.into_iter().chain(workspace.map(|name| name.as_bytes())))
 }
+
+/// Prefix of the input of a part's fingerprint, which keeps it apart from the fingerprints of whole requests.
+const PART_CONTEXT: &[u8] = b"shared part";
+
+/// Computes the fingerprints of a prompt's shared parts. The same part of prompts to another service has another one.
+pub fn compute_parts(service: &Name, ids: &[Name]) -> Rc<[SharedPart]> {
+    let fingerprint = |id: &Name| Fingerprint::of([PART_CONTEXT, service.as_bytes(), id.as_bytes()]);
+    let numbered = ids.iter().zip(0..);
+    numbered.map(|(id, depth)| SharedPart { fingerprint: fingerprint(id), depth }).collect()
+}
--- a/sorrelpass/src/gateway/peer_protocol.rs
+++ b/sorrelpass/src/gateway/peer_protocol.rs
@@ -23,7 +23,7 @@
 use super::membership::Announcement;
 use super::packed::Packed;
 use super::peers::Peer;
-use super::quarantine::RelayedEvent;
+use super::quarantine::{self, RelayedEvent};
 use crate::metric;
 
 /// Bounds the size of a message, in bytes: an update about 24,000 replicas takes some 30 bytes for each.
@@ -284,6 +284,8 @@
     },
     /// Tells the failure domain of the sender, before its prompts.
     Location(Name),
+    /// Quarantine events about parts of prompts.
+    Parts(quarantine::parts::Message),
 }
 
 /// Message from a leader to a follower, or from an entry that redirects the other one to its leader.
@@ -341,6 +343,8 @@
     },
     /// Runs of replicas that reported that they are draining.
     Draining(Vec<DrainingRun>),
+    /// Quarantine events about parts of prompts.
+    Parts(quarantine::parts::Message),
 }
 
 /// Permit to send one request to a replica that announced a rate limit.
--- a/sorrelpass/src/gateway/quarantine/evidence.rs
+++ b/sorrelpass/src/gateway/quarantine/evidence.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coord::name::Name;
-use coord::quarantine::{Event, Fingerprint, Weight};
+use coord::quarantine::{Event, Weight};
 use coord::roster::Record;
 use coord::termination::Interval;
 use coord::time::Moment;
@@ -14,7 +14,7 @@
 use super::super::now;
 use super::super::state::Gateway;
 use super::super::upstream;
-use super::{Source, apply_events};
+use super::{Identity, Source, apply_events, parts};
 use crate::{event, metric};
 
 /// Time that a request waits for the probe of its replica before it is sent again: a few one-way latencies within a
@@ -31,8 +31,8 @@
 pub struct LostConnection {
     /// Request id that the caller sent.
     pub request: Name,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// What the quarantine recognizes the request by.
+    pub identity: Identity,
     /// Replica that the request was sent to.
     pub record: Record,
     /// Time at which the request was sent.
@@ -66,7 +66,7 @@
     /// Probes the replica once.
     async fn probe_once(&self, gateway: &Gateway) -> ProbeResult {
         let result = upstream::probe_process(&self.record).await;
-        event!("probe", request = %self.request, work = %self.fingerprint, peer = %self.record.id, liveness = result.as_str());
+        event!("probe", request = %self.request, work = %self.identity.work, peer = %self.record.id, liveness = result.as_str());
         if result == ProbeResult::Ended {
             self.record_termination(gateway);
         }
@@ -86,11 +86,9 @@
             metric::record_replica_termination();
         }
         forget_removed_replicas(gateway);
-        apply_events(
-            gateway,
-            vec![Event::Terminated { fingerprint: self.fingerprint, run, weight: self.weight }],
-            Source::Own,
-        );
+        let (fingerprint, weight) = (self.identity.work, self.weight);
+        parts::record_termination(gateway, run.clone(), is_new, fingerprint, &self.identity.parts, weight);
+        apply_events(gateway, vec![Event::Terminated { fingerprint, run, weight }], Source::Own);
     }
 }
 
--- a/sorrelpass/src/gateway/quarantine/mod.rs
+++ b/sorrelpass/src/gateway/quarantine/mod.rs
@@ -5,13 +5,16 @@
 //! entries are written to the store ([`record`], [`store`]).
 
 mod evidence;
+pub mod parts;
 pub mod record;
 mod relayed_event;
 pub mod store;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 
+use coord::part_quarantine::SharedPart;
 use coord::quarantine::{Event, Fingerprint, State, Status};
 use coord::termination::Terminations;
 use tokio::sync::{Notify, watch};
@@ -38,6 +41,15 @@
     Follower,
 }
 
+/// What the quarantine recognizes a request by.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Fingerprint of the whole request, which is the same for every retry.
+    pub work: Fingerprint,
+    /// Parts of the prompt that other prompts may share.
+    pub parts: Rc<[SharedPart]>,
+}
+
 /// Quarantine as this entry knows it.
 pub struct Quarantine {
     register: RefCell<State>,
@@ -49,6 +61,8 @@
     terminations: RefCell<Terminations>,
     /// Notified when a record may have to be written to the store.
     write_needed: Notify,
+    /// Prompt parts under which engines terminate.
+    parts: parts::Parts,
     /// Counter that increases with each verdict.
     verdicts: watch::Sender<u64>,
 }
@@ -62,13 +76,20 @@
             stored: RefCell::default(),
             terminations: RefCell::new(Terminations::new(util::incarnation())),
             write_needed: Notify::new(),
+            parts: parts::Parts::default(),
             verdicts: watch::Sender::default(),
         }
     }
 
-    /// Returns whether requests with the fingerprint are no longer sent.
-    pub fn is_condemned(&self, fingerprint: Fingerprint) -> bool {
-        self.register.borrow().status(fingerprint) == Status::Condemned
+    /// Returns whether a request is no longer sent, because of its content or one of its shared parts.
+    pub fn is_condemned(&self, identity: &Identity) -> bool {
+        self.register.borrow().status(identity.work) == Status::Condemned || self.condemned_part(identity).is_some()
+    }
+
+    /// Returns the condemned part of a request, or `None` if there is none.
+    pub fn condemned_part(&self, identity: &Identity) -> Option<Fingerprint> {
+        let mut parts = identity.parts.iter().map(|part| part.fingerprint);
+        parts.find(|part| self.parts.is_condemned(*part))
     }
 
     /// Passes all suspects to the planners and updates the metrics. A verdict also clears other suspects without an
@@ -86,10 +107,10 @@
         register.status(fingerprint) != Status::Clear || register.evidence(fingerprint).next().is_some()
     }
 
-    /// Waits until a fingerprint is condemned.
-    pub async fn wait_until_condemned(&self, fingerprint: Fingerprint) {
+    /// Waits until a request is condemned.
+    pub async fn wait_until_condemned(&self, identity: &Identity) {
         // Waiting fails only when the sender is dropped, which has the lifetime of `self`.
-        let _ = self.verdicts.subscribe().wait_for(|_| self.is_condemned(fingerprint)).await;
+        let _ = self.verdicts.subscribe().wait_for(|_| self.is_condemned(identity)).await;
     }
 
     /// Wakes the task that writes to the store. It is called when the entry that has to write may have changed.
--- /dev/null
+++ b/sorrelpass/src/gateway/quarantine/parts.rs
@@ -0,0 +1,249 @@
+//! Quarantine of prompt parts that terminate engines: applies and exchanges its events, and keeps its verdicts in the
+//! store.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+
+use coord::name::Name;
+use coord::part_quarantine::{Event, SharedPart, State};
+use coord::quarantine::{Fingerprint, Weight};
+use coord::termination::{Interval, IntervalAge, Terminations};
+use eyre::{Result, WrapErr};
+use platform::store::KeyedRecord;
+use serde::{Deserialize, Serialize};
+
+use super::super::now;
+use super::super::peer_protocol::{FollowerMessage, LeaderMessage};
+use super::super::state::Gateway;
+use super::record::{Record, Termination};
+use super::{MAX_EVENTS_PER_MESSAGE, Source, evidence};
+use crate::{event, metric, warn_event};
+
+/// Prefix of the store's keys of parts. Keys without it are fingerprints of whole requests.
+pub const KEY_PREFIX: &str = "part-";
+
+/// Prompt parts under which engines terminate, as this entry knows them.
+#[derive(Default)]
+pub(super) struct Parts {
+    state: RefCell<State>,
+    /// Condemned parts that the store has a record of.
+    stored: RefCell<HashSet<Fingerprint>>,
+    /// Completed prompts that the leader has been told of.
+    reported_completions: Cell<u64>,
+}
+
+impl Parts {
+    /// Returns whether prompts with the part are no longer sent.
+    pub fn is_condemned(&self, part: Fingerprint) -> bool {
+        self.state.borrow().is_condemned(part)
+    }
+
+    /// Forgets which records the store has.
+    pub fn forget_stored(&self) {
+        self.stored.borrow_mut().clear();
+    }
+}
+
+/// Event with the age of the termination that it reports.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct RelayedEvent {
+    event: Event,
+    /// Age of the termination, or `None` if the event reports none or its time is unknown.
+    termination_age: Option<IntervalAge>,
+}
+
+/// Events that entries send each other.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    events: Vec<RelayedEvent>,
+    /// Prompts that completed at the sender since its last message.
+    completions: u64,
+}
+
+impl Message {
+    fn new(events: &[Event], terminations: &Terminations) -> Self {
+        let relay = |event: &Event| {
+            let interval = match event {
+                Event::Terminated { run, .. } => terminations.interval(run),
+                _ => None,
+            };
+            RelayedEvent {
+                event: event.clone(),
+                termination_age: interval.map(|interval| IntervalAge::of(&interval, now())),
+            }
+        };
+        Self { events: events.iter().map(relay).collect(), completions: 0 }
+    }
+}
+
+/// Returns the messages that bring another entry up to date.
+pub fn sync_messages(gateway: &Gateway) -> Vec<Message> {
+    let terminations = gateway.quarantine.terminations.borrow();
+    let events = gateway.quarantine.parts.state.borrow().events();
+    events.chunks(MAX_EVENTS_PER_MESSAGE).map(|events| Message::new(events, &terminations)).collect()
+}
+
+/// Records the termination of a run under a prompt. A prompt that had events, or had not started, does not accuse its
+/// parts; its termination counts only once.
+pub(super) fn record_termination(
+    gateway: &Gateway,
+    run: Name,
+    is_new: bool,
+    work: Fingerprint,
+    parts: &[SharedPart],
+    weight: Weight,
+) {
+    let parts = if weight == Weight::Strong { parts.to_vec() } else { Vec::new() };
+    if is_new || !parts.is_empty() {
+        apply_event(gateway, Event::Terminated { run, work, parts }, Source::Own);
+    }
+}
+
+/// Records that a prompt completed. An engine must have sent an event of it, since a stream that resumes behind its last
+/// event completes without any work on its parts.
+pub fn record_completion(gateway: &Gateway, parts: &[SharedPart]) {
+    let relayed = gateway.quarantine.parts.state.borrow_mut().record_completion(parts, now());
+    distribute(gateway, &relayed, Source::Own);
+}
+
+/// Applies a message of another entry.
+pub fn apply_message(gateway: &Gateway, message: Message, source: Source) {
+    gateway.quarantine.parts.state.borrow_mut().add_completions(message.completions);
+    for relayed in message.events {
+        let event = into_local(relayed, &mut gateway.quarantine.terminations.borrow_mut());
+        apply_event(gateway, event, source);
+    }
+    evidence::forget_removed_replicas(gateway);
+}
+
+/// Returns the event with the name that its run has in this process.
+fn into_local(relayed: RelayedEvent, terminations: &mut Terminations) -> Event {
+    match relayed.event {
+        Event::Terminated { run, work, parts } => {
+            let now = now();
+            let interval = relayed.termination_age.map_or(Interval::before(now), |age| age.interval(now));
+            Event::Terminated { run: terminations.record_reported(&run, interval), work, parts }
+        }
+        other => other,
+    }
+}
+
+fn apply_event(gateway: &Gateway, event: Event, source: Source) {
+    let quarantine = &gateway.quarantine;
+    let at = match &event {
+        Event::Terminated { run, .. } => {
+            quarantine.terminations.borrow().interval(run).map(|interval| interval.not_after)
+        }
+        _ => None,
+    };
+    let mut relayed = quarantine.parts.state.borrow_mut().apply(event.clone(), at.unwrap_or(now()), now());
+    match source {
+        // The leader adds up the terminations that all entries observed.
+        Source::Own if matches!(event, Event::Terminated { .. }) && gateway.admission.has_leader() => {
+            send_to_leader(gateway, std::slice::from_ref(&event));
+        }
+        // The leader knows the event that it has sent, and needs only the answer to it.
+        Source::Leader => {
+            if relayed.contains(&event) {
+                log_change(gateway, &event);
+            }
+            relayed.retain(|answer| *answer != event);
+        }
+        Source::Own | Source::Follower => {}
+    }
+    distribute(gateway, &relayed, source);
+}
+
+fn send_to_leader(gateway: &Gateway, events: &[Event]) {
+    let parts = &gateway.quarantine.parts;
+    let mut message = Message::new(events, &gateway.quarantine.terminations.borrow());
+    let completions = parts.state.borrow().completions();
+    message.completions = completions - parts.reported_completions.replace(completions);
+    gateway.admission.report_to_leader(FollowerMessage::Parts(message));
+}
+
+/// Logs changes, and sends them to the leader or to the followers.
+fn distribute(gateway: &Gateway, changes: &[Event], source: Source) {
+    if changes.is_empty() {
+        return;
+    }
+    changes.iter().for_each(|change| log_change(gateway, change));
+    let quarantine = &gateway.quarantine;
+    let state = quarantine.parts.state.borrow();
+    metric::set_part_quarantine_size(state.suspect_count(), state.condemned().count());
+    drop(state);
+    if gateway.admission.has_leader() {
+        send_to_leader(gateway, changes);
+    }
+    if source != Source::Leader {
+        let message = Message::new(changes, &quarantine.terminations.borrow());
+        gateway.admission.broadcast(&LeaderMessage::Parts(message));
+    }
+    quarantine.notify_writer();
+}
+
+/// Logs a change, and announces a verdict to the tasks that wait for one.
+fn log_change(gateway: &Gateway, change: &Event) {
+    let quarantine = &gateway.quarantine;
+    match change {
+        Event::Terminated { .. } => {}
+        Event::Suspected(part) => {
+            let ends = quarantine.parts.state.borrow().termination_count(*part);
+            event!("part-suspect", part = %part, ends);
+        }
+        Event::Sound(part) => event!("part-sound", part = %part),
+        Event::Cleared(part) => event!("part-cleared", part = %part),
+        Event::Condemned(part) => {
+            let ends = quarantine.parts.state.borrow().runs(*part).map(|run| &**run).collect::<Vec<_>>().join(",");
+            warn_event!("part-condemned", part = %part, ends);
+            metric::record_condemned();
+            quarantine.verdicts.send_modify(|verdicts| *verdicts += 1);
+        }
+        Event::Lifted(part) => event!("part-lifted", part = %part),
+    }
+}
+
+/// Applies a record of the store whose key names a part. A record that cannot be decoded is logged and skipped.
+pub(super) fn apply_record(gateway: &Gateway, key: &str, record: &KeyedRecord) {
+    let parts = &gateway.quarantine.parts;
+    let event = match decode(key, record) {
+        Ok((part, Some(_))) => {
+            parts.stored.borrow_mut().insert(part);
+            Event::Condemned(part)
+        }
+        Ok((part, None)) if parts.stored.borrow_mut().remove(&part) => Event::Lifted(part),
+        // This entry has not seen a stored record that the removal could refer to.
+        Ok((_, None)) => return,
+        Err(error) => return warn_event!("quarantine-record", key, error = %format!("{error:#}")),
+    };
+    apply_event(gateway, event, Source::Own);
+}
+
+/// Decodes a record whose key is `part-` and `key`. The entry is `None` if the record was removed.
+pub fn decode(key: &str, record: &KeyedRecord) -> Result<(Fingerprint, Option<Record>)> {
+    let part = key.parse().wrap_err("step=decode-quarantine")?;
+    let Some(value) = &record.value else { return Ok((part, None)) };
+    let entry = serde_json::from_slice(value).wrap_err_with(|| format!("step=decode-quarantine part={part}"))?;
+    Ok((part, Some(entry)))
+}
+
+/// Returns the next part whose record in the store differs from the verdict, and whether it is condemned.
+pub(super) fn next_write(gateway: &Gateway) -> Option<(Fingerprint, Option<Record>)> {
+    let parts = &gateway.quarantine.parts;
+    let (state, stored) = (parts.state.borrow(), parts.stored.borrow());
+    if let Some(part) = state.condemned().find(|part| !stored.contains(part)) {
+        let ends = state.runs(part).map(|run| Termination { run: run.clone(), weight: Weight::Strong });
+        return Some((part, Some(Record { condemned: true, ends: ends.collect() })));
+    }
+    stored.iter().find(|part| !state.is_condemned(**part)).map(|part| (*part, None))
+}
+
+/// Records what the store has for a part.
+pub(super) fn mark_stored(gateway: &Gateway, part: Fingerprint, is_condemned: bool) {
+    let mut stored = gateway.quarantine.parts.stored.borrow_mut();
+    if is_condemned {
+        stored.insert(part);
+    } else {
+        stored.remove(&part);
+    }
+}
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -19,7 +19,7 @@
 use super::super::store_reader;
 use super::super::topic_reader::{RecordBatch, TopicReader};
 use super::record::{self, Record};
-use super::{Source, apply_events};
+use super::{Source, apply_events, parts};
 use crate::{event, metric, warn_event};
 
 /// Time for which the store holds a read if nothing changes. An entry that is isolated from other entries must stop
@@ -65,6 +65,7 @@
             let snapshot = reader.read_snapshot().await?;
             // Records that the snapshot does not contain were lost by the store, and are written again.
             gateway.quarantine.stored.borrow_mut().clear();
+            gateway.quarantine.parts.forget_stored();
             Some(snapshot)
         }
         Some(from) => reader.read_from(topic, from, LONG_POLL_TIMEOUT).await?,
@@ -77,6 +78,9 @@
 
 /// Applies one record. A record that cannot be decoded is logged and skipped.
 fn apply_record(gateway: &Gateway, record: &KeyedRecord) {
+    if let Some(key) = record.key.strip_prefix(parts::KEY_PREFIX) {
+        return parts::apply_record(gateway, key, record);
+    }
     let (fingerprint, record) = match record::decode(record) {
         Ok(decoded) => decoded,
         Err(error) => {
@@ -107,11 +111,7 @@
     while let Some(pending) = next_write(gateway) {
         let value = pending.record.as_ref().map_or(Ok(Vec::new()), Record::encode)?;
         let fingerprint = pending.fingerprint;
-        metric::record_store_calls("append", QUARANTINE_TOPIC, 1);
-        if let Err(error) = client.put(QUARANTINE_TOPIC, &fingerprint.to_string(), &value, RESPONSE_TIMEOUT).await {
-            warn_event!("quarantine-write", work = %fingerprint, error = %format!("{error:#}"));
-            return Err(error);
-        }
+        put(client, &fingerprint.to_string(), &value).await?;
         event!("quarantine-written", work = %fingerprint, condemned = pending.record.as_ref().is_some_and(|record| record.condemned));
         let mut stored = gateway.quarantine.stored.borrow_mut();
         match pending.record {
@@ -119,13 +119,39 @@
             None => drop(stored.remove(&fingerprint)),
         }
     }
+    while let Some((part, record)) = next_part_write(gateway) {
+        let value = record.as_ref().map_or(Ok(Vec::new()), Record::encode)?;
+        put(client, &format!("{}{part}", parts::KEY_PREFIX), &value).await?;
+        event!("quarantine-written", part = %part, condemned = record.is_some());
+        parts::mark_stored(gateway, part, record.is_some());
+    }
     Ok(())
 }
 
-/// Returns the next record to write. An entry that follows a leader, or has not read the topic yet, writes nothing.
+/// Writes one record.
+async fn put(client: &mut Client, key: &str, value: &[u8]) -> Result<()> {
+    metric::record_store_calls("append", QUARANTINE_TOPIC, 1);
+    let outcome = client.put(QUARANTINE_TOPIC, key, value, RESPONSE_TIMEOUT).await;
+    if let Err(error) = &outcome {
+        warn_event!("quarantine-write", key, error = %format!("{error:#}"));
+    }
+    outcome.map(drop)
+}
+
+/// Returns whether this entry writes records: one that follows a leader, or has not read the topic yet, does not.
+fn is_writer(gateway: &Gateway) -> bool {
+    !gateway.admission.has_leader() && gateway.quarantine.topic.next_offset().is_some()
+}
+
+/// Returns the next record of a part to write.
+fn next_part_write(gateway: &Gateway) -> Option<(Fingerprint, Option<Record>)> {
+    is_writer(gateway).then(|| parts::next_write(gateway)).flatten()
+}
+
+/// Returns the next record of a whole request to write.
 fn next_write(gateway: &Gateway) -> Option<PendingWrite> {
     let quarantine = &gateway.quarantine;
-    if gateway.admission.has_leader() || quarantine.topic.next_offset().is_none() {
+    if !is_writer(gateway) {
         return None;
     }
     let register = quarantine.register.borrow();
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -220,7 +220,10 @@
             StreamEnd::Complete => {
                 event!("done", request = %id, peer, events = self.event_count, framing = self.framing.as_str(), after_ms);
                 metric::record_request("ok");
-                quarantine::record_success(&self.request.gateway, self.request.fingerprint);
+                quarantine::record_success(&self.request.gateway, self.request.identity.work);
+                if !self.awaits_first_event {
+                    quarantine::parts::record_completion(&self.request.gateway, &self.request.identity.parts);
+                }
                 None
             }
             StreamEnd::CallerLost(CallerLoss::Evicted(_)) => {
@@ -237,7 +240,7 @@
                 self.abort("deadline").await
             }
             StreamEnd::Interrupted(error) => {
-                event!("broke", request = %id, work = %self.request.fingerprint, peer, events = self.event_count, framing = self.framing.as_str(), silent = self.awaits_first_event, paused_ms = self.longest_pause.as_millis(), after_ms, error = %error);
+                event!("broke", request = %id, work = %self.request.identity.work, peer, events = self.event_count, framing = self.framing.as_str(), silent = self.awaits_first_event, paused_ms = self.longest_pause.as_millis(), after_ms, error = %error);
                 if self.longest_pause < MIN_BLAMELESS_PAUSE {
                     self.request.gateway.admission.record_failure(&self.request.service, peer);
                     let weight = if self.awaits_first_event { Weight::Strong } else { Weight::Faint };
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -183,6 +183,14 @@
     });
 }
 
+/// Sets the numbers of suspected and of condemned prompt parts.
+pub fn set_part_quarantine_size(suspects: usize, condemned: usize) {
+    record(|metrics| {
+        metrics.quarantine_size.record(suspects as u64, &[KeyValue::new("standing", "suspect_part")]);
+        metrics.quarantine_size.record(condemned as u64, &[KeyValue::new("standing", "condemned_part")]);
+    });
+}
+
 /// Counts calls to the store, by kind of call and by topic.
 pub fn record_store_calls(kind: &'static str, topic: &'static str, calls: u64) {
     record(|metrics| metrics.store_calls.add(calls, &[KeyValue::new("kind", kind), KeyValue::new("topic", topic)]));
--- a/standin/tests/platform_part_crashes.rs
+++ b/standin/tests/platform_part_crashes.rs
@@ -126,3 +126,97 @@
     assert!(played.served_share() > 0.9, "sound prompts served: {}", played.served_share());
     site.close().expect("no invariant was breached");
 }
+
+/// Sends prompts with the fatal part until entry 0 has condemned it.
+async fn condemn(site: &Site) {
+    let parts = format!("aaaa0001:40,{FATAL_PART}:100");
+    play(site, Duration::from_secs(4), &parts).await;
+    let log = site.log(0);
+    assert!(log.contains("step=part-condemned"), "entry 0 has a verdict");
+}
+
+/// Asserts that each entry refuses a prompt with the fatal part at once and sends it to no engine.
+async fn assert_refused(site: &Site, round: &str) {
+    for entry in 0..site.addresses.len() {
+        let id = format!("{round}-{entry}");
+        let outcome = site.send(entry, &prompt(&id, &format!("bbbb0002:40,{FATAL_PART}:100"))).await;
+        assert_eq!((outcome.status, outcome.header("x-sorrelpass-ran")), (502, "no"), "{outcome:?}");
+        assert!(outcome.body.contains("under part"), "{outcome:?}");
+        assert_eq!(outcome.header("retry-after"), "", "{outcome:?}");
+        assert!(outcome.elapsed < Duration::from_millis(300), "{:?}", outcome.elapsed);
+        assert_eq!(site.engines.iter().map(|engine| engine.run_count(&id)).sum::<usize>(), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_condemned_part_is_refused_at_once_also_after_the_loss_of_all_entries() {
+    let mut site = start_site("parts-lasting").await;
+    condemn(&site).await;
+    assert_refused(&site, "before").await;
+    for entry in 0..site.addresses.len() {
+        site.restart(entry).await.expect("the entry restarts");
+    }
+    for entry in 0..site.addresses.len() {
+        site.wait_ready(entry, true).await.expect("the entry is ready");
+    }
+    assert_refused(&site, "after").await;
+    let outcome = site.send(0, &prompt("sound", "bbbb0002:40")).await;
+    assert_eq!((outcome.status, outcome.is_complete), (200, true), "{outcome:?}");
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_sees_a_condemned_part_and_lifts_it() {
+    let site = start_site("parts-lift").await;
+    condemn(&site).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let shown = quarantine(&site, None);
+    let line = shown.lines().find_map(|line| line.strip_prefix("part=")).unwrap_or_else(|| panic!("no part: {shown}"));
+    let (part, rest) = line.split_once(' ').expect("the line has a status");
+    assert!(rest.starts_with("standing=condemned ends=engine-"), "{shown}");
+    assert_eq!(quarantine(&site, Some(part)), format!("work={part} lifted\n"));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    for entry in 0..site.addresses.len() {
+        assert!(site.log(entry).contains(&format!("step=part-lifted part={part}")), "entry {entry} sends it again");
+    }
+    site.close().expect("no invariant was breached");
+}
+
+/// Runs `sorrelpass quarantine` and returns its output.
+fn quarantine(site: &Site, lift: Option<&str>) -> String {
+    let store = &site.store_listeners[0].address;
+    let binary = standin::fleet::find_binary("sorrelpass").expect("the binary is built");
+    let mut command = std::process::Command::new(binary);
+    command.args(["quarantine", "--store", store]).args(lift.into_iter().flat_map(|part| ["--lift", part]));
+    String::from_utf8(command.output().expect("the command runs").stdout).expect("the output is text")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_hear_nothing_of_each_other_learn_of_a_condemned_part_from_the_store() {
+    let spec = Spec { entries: 3, engines: 8, is_isolated: true, ..Spec::small("parts-isolated") };
+    let site = Site::start(spec).await.expect("the site starts");
+    site.engines.iter().for_each(|engine| engine.crash_on(FATAL_PART, RESTART_DELAY));
+    let played = play(&site, Duration::from_secs(12), &format!("aaaa0001:40,{FATAL_PART}:100")).await;
+    let learned = played.fifth_crash.expect("five engines crashed") + LEARNING_TIME;
+    let late = fatal_arrivals_after(&site, learned);
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals, {} engines crashed", crash_count(&site.engines));
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_is_condemned_in_time_although_all_entries_are_killed_while_they_learn() {
+    let mut site = start_site("parts-killed").await;
+    let parts = format!("aaaa0001:40,{FATAL_PART}:100");
+    play(&site, Duration::from_millis(600), &parts).await;
+    for entry in 0..site.addresses.len() {
+        site.restart(entry).await.expect("the entry restarts");
+    }
+    for entry in 0..site.addresses.len() {
+        site.wait_ready(entry, true).await.expect("the entry is ready");
+    }
+    let restarted = Instant::now();
+    play(&site, Duration::from_secs(9), &parts).await;
+    let late = fatal_arrivals_after(&site, restarted + LEARNING_TIME);
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals, {} engines crashed", crash_count(&site.engines));
+    site.close().expect("no invariant was breached");
+}
