Entries without exchange add up the crashes under a part through the store

Cause: the store held verdicts on parts only. Whole requests have had their evidence in the store in that case from the start.

Change: an entry with neither leader nor followers writes the evidence against suspected parts (run, whole prompt, age) and whether a prompt with the part completed; readers add it to their own. The record has a form and a module of its own. A condemned part's record and the behaviour of entries that exchange messages are as before.

--- a/coord/src/part_quarantine.rs
+++ b/coord/src/part_quarantine.rs
@@ -188,9 +188,26 @@
         self.suspects.get(&part).map_or(0, |suspect| suspect.terminations.len())
     }
 
-    /// Returns the number of parts that are suspected.
-    pub fn suspect_count(&self) -> usize {
-        self.suspects.values().filter(|suspect| suspect.terminations.len() >= SUSPECT_TERMINATIONS).count()
+    /// Returns the suspected parts.
+    pub fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
+        let suspects = self.suspects.iter().filter(|(_, suspect)| suspect.terminations.len() >= SUSPECT_TERMINATIONS);
+        suspects.map(|(part, _)| *part)
+    }
+
+    /// Returns the terminations under a part that is not condemned: the run, the whole prompt and the time.
+    pub fn evidence(&self, part: Fingerprint) -> impl Iterator<Item = (&Name, Fingerprint, Moment)> {
+        let terminations = self.suspects.get(&part).map(|suspect| &suspect.terminations).into_iter().flatten();
+        terminations.map(|(run, termination)| (run, termination.work, termination.at))
+    }
+
+    /// Returns the smallest known number of parts before a part that is not condemned.
+    pub fn depth(&self, part: Fingerprint) -> u8 {
+        self.suspects.get(&part).map_or(0, |suspect| suspect.depth)
+    }
+
+    /// Returns whether a prompt with a part that is not condemned completed before its first termination.
+    pub fn is_sound(&self, part: Fingerprint) -> bool {
+        self.suspects.get(&part).is_some_and(|suspect| suspect.is_sound)
     }
 
     /// Applies an event and returns the events to send to peers. `at` is the time of a termination.
--- a/sorrelpass/src/cmd/quarantine.rs
+++ b/sorrelpass/src/cmd/quarantine.rs
@@ -16,8 +16,7 @@
 use eyre::{Result, eyre};
 use platform::store::{Client, KeyedRecord, QUARANTINE_TOPIC};
 
-use crate::gateway::quarantine::parts;
-use crate::gateway::quarantine::record::{self, Record};
+use crate::gateway::quarantine::{part_record, record};
 use crate::util;
 
 /// Timeout of a call to the store, which normally answers within a few milliseconds.
@@ -51,7 +50,7 @@
 
 /// Removes the record of a fingerprint from the store.
 async fn lift(client: &mut Client, records: &[KeyedRecord], fingerprint: Fingerprint) -> Result<()> {
-    let keys = [fingerprint.to_string(), format!("{}{fingerprint}", parts::KEY_PREFIX)];
+    let keys = [fingerprint.to_string(), format!("{}{fingerprint}", part_record::KEY_PREFIX)];
     let Some(record) = records.iter().find(|record| keys.iter().any(|key| **key == *record.key)) else {
         return Err(eyre!("step=lift work={fingerprint}: the store has no record of this fingerprint"));
     };
@@ -61,17 +60,25 @@
 }
 
 fn print_record(record: &KeyedRecord) {
-    let (name, decoded) = match record.key.strip_prefix(parts::KEY_PREFIX) {
-        Some(key) => ("part", parts::decode(key, record)),
-        None => ("work", record::decode(record)),
+    let line = match record.key.strip_prefix(part_record::KEY_PREFIX) {
+        Some(key) => part_record::decode(key, record).map(|(part, record)| {
+            record.map(|record| format!("part={part} {}", status(record.is_condemned(), &record.runs())))
+        }),
+        None => record::decode(record).map(|(work, record)| {
+            let runs = |record: &record::Record| record.ends.iter().map(|end| end.run.clone()).collect::<Vec<_>>();
+            record.map(|record| format!("work={work} {}", status(record.condemned, &runs(&record))))
+        }),
     };
-    match decoded {
-        Ok((fingerprint, Some(Record { condemned, ends }))) => {
-            let runs: Vec<&str> = ends.iter().map(|end| &*end.run).collect();
-            let status = if condemned { "condemned" } else { "suspect" };
-            println!("{name}={fingerprint} standing={status} ends={}", runs.join(","));
-        }
-        Ok((_, None)) => {}
+    match line {
+        Ok(Some(line)) => println!("{line}"),
+        Ok(None) => {}
         Err(error) => println!("{error:#}"),
     }
 }
+
+/// Returns the second part of a line: whether requests are no longer sent, and the runs that terminated.
+fn status(is_condemned: bool, runs: &[impl AsRef<str>]) -> String {
+    let standing = if is_condemned { "condemned" } else { "suspect" };
+    let runs: Vec<&str> = runs.iter().map(AsRef::as_ref).collect();
+    format!("standing={standing} ends={}", runs.join(","))
+}
--- a/sorrelpass/src/gateway/quarantine/mod.rs
+++ b/sorrelpass/src/gateway/quarantine/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! Evidence is collected when a connection to a replica is lost ([`evidence`]). Every entry keeps a register, and
 //! receives the evidence of other entries through the leader. Evidence and verdicts that must survive the loss of all
-//! entries are written to the store ([`record`], [`store`]).
+//! entries are written to the store ([`record`], [`part_record`], [`store`]).
 
 mod evidence;
+pub mod part_record;
 pub mod parts;
 pub mod record;
 mod relayed_event;
--- a/sorrelpass/src/gateway/quarantine/parts.rs
+++ b/sorrelpass/src/gateway/quarantine/parts.rs
@@ -2,32 +2,32 @@
 //! store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::HashMap;
 
 use coord::name::Name;
 use coord::part_quarantine::{Event, SharedPart, State};
 use coord::quarantine::{self, Fingerprint, Weight};
 use coord::termination::{Interval, IntervalAge, Terminations};
-use eyre::{Result, WrapErr};
 use platform::store::KeyedRecord;
 use serde::{Deserialize, Serialize};
 
 use super::super::now;
 use super::super::peer_protocol::{FollowerMessage, LeaderMessage};
 use super::super::state::Gateway;
-use super::record::{Record, Termination};
+use super::part_record::{self, Record, Stored};
 use super::{MAX_EVENTS_PER_MESSAGE, Source, apply_events, evidence};
 use crate::{event, metric, warn_event};
 
-/// Prefix of the store's keys of parts. Keys without it are fingerprints of whole requests.
-pub const KEY_PREFIX: &str = "part-";
+/// Terminations under a suspected part above which its record is no longer written. It is a multiple of what a verdict
+/// needs, and keeps a record below 8 KB.
+const MAX_STORED_TERMINATIONS: usize = 64;
 
 /// Prompt parts under which engines terminate, as this entry knows them.
 #[derive(Default)]
 pub(super) struct Parts {
     state: RefCell<State>,
-    /// Condemned parts that the store has a record of.
-    stored: RefCell<HashSet<Fingerprint>>,
+    /// Contents of the store, as far as this entry has read or written them.
+    stored: RefCell<HashMap<Fingerprint, Stored>>,
     /// Completed prompts that the leader has been told of.
     reported_completions: Cell<u64>,
 }
@@ -96,6 +96,7 @@
     let parts = if weight == Weight::Strong { parts.to_vec() } else { Vec::new() };
     if is_new || !parts.is_empty() {
         apply_event(gateway, Event::Terminated { run, work, parts }, Source::Own);
+        gateway.quarantine.notify_writer();
     }
 }
 
@@ -186,7 +187,7 @@
         }
     }
     let state = gateway.quarantine.parts.state.borrow();
-    metric::set_part_quarantine_size(state.suspect_count(), state.condemned().count());
+    metric::set_part_quarantine_size(state.suspects().count(), state.condemned().count());
     drop(state);
     gateway.quarantine.notify_writer();
 }
@@ -230,44 +231,44 @@
 /// Applies a record of the store whose key names a part. A record that cannot be decoded is logged and skipped.
 pub(super) fn apply_record(gateway: &Gateway, key: &str, record: &KeyedRecord) {
     let parts = &gateway.quarantine.parts;
-    let event = match decode(key, record) {
-        Ok((part, Some(_))) => {
-            parts.stored.borrow_mut().insert(part);
-            Event::Condemned(part)
+    let events = match part_record::decode(key, record) {
+        Ok((part, Some(record))) => {
+            let record = record.with_local_run_names(&mut gateway.quarantine.terminations.borrow_mut(), now());
+            parts.stored.borrow_mut().insert(part, record.stored());
+            record.into_events(part)
         }
-        Ok((part, None)) if parts.stored.borrow_mut().remove(&part) => Event::Lifted(part),
+        Ok((part, None)) if parts.stored.borrow_mut().remove(&part).is_some() => vec![Event::Lifted(part)],
         // This entry has not seen a stored record that the removal could refer to.
         Ok((_, None)) => return,
         Err(error) => return warn_event!("quarantine-record", key, error = %format!("{error:#}")),
     };
-    apply_event(gateway, event, Source::Own);
-}
-
-/// Decodes a record whose key is `part-` and `key`. The entry is `None` if the record was removed.
-pub fn decode(key: &str, record: &KeyedRecord) -> Result<(Fingerprint, Option<Record>)> {
-    let part = key.parse().wrap_err("step=decode-quarantine")?;
-    let Some(value) = &record.value else { return Ok((part, None)) };
-    let entry = serde_json::from_slice(value).wrap_err_with(|| format!("step=decode-quarantine part={part}"))?;
-    Ok((part, Some(entry)))
+    for event in events {
+        apply_event(gateway, event, Source::Own);
+    }
+    // The record may lack what this entry knows.
+    gateway.quarantine.notify_writer();
 }
 
-/// Returns the next part whose record in the store differs from the verdict, and whether it is condemned.
+/// Returns the next part whose record in the store differs from the state, and its new record, or `None` to remove it.
+/// Entries that exchange something else write verdicts only.
 pub(super) fn next_write(gateway: &Gateway) -> Option<(Fingerprint, Option<Record>)> {
     let parts = &gateway.quarantine.parts;
     let (state, stored) = (parts.state.borrow(), parts.stored.borrow());
-    if let Some(part) = state.condemned().find(|part| !stored.contains(part)) {
-        let ends = state.runs(part).map(|run| Termination { run: run.clone(), weight: Weight::Strong });
-        return Some((part, Some(Record { condemned: true, ends: ends.collect() })));
+    let suspects = gateway.admission.is_standalone().then(|| state.suspects()).into_iter().flatten();
+    let suspects = suspects.filter(|part| state.termination_count(*part) <= MAX_STORED_TERMINATIONS);
+    let is_new = |part: &Fingerprint| stored.get(part).is_none_or(|stored| stored.lacks(&state, *part));
+    if let Some(part) = state.condemned().chain(suspects).find(is_new) {
+        return Some((part, Some(Record::of(&state, part, now()))));
     }
-    stored.iter().find(|part| !state.is_condemned(**part)).map(|part| (*part, None))
+    let is_clear = |part: &&Fingerprint| !state.is_condemned(**part) && state.evidence(**part).next().is_none();
+    stored.keys().find(is_clear).map(|part| (*part, None))
 }
 
-/// Records what the store has for a part.
-pub(super) fn mark_stored(gateway: &Gateway, part: Fingerprint, is_condemned: bool) {
+/// Records what the store has for a part, or `None` if its record was removed.
+pub(super) fn mark_stored(gateway: &Gateway, part: Fingerprint, record: Option<&Record>) {
     let mut stored = gateway.quarantine.parts.stored.borrow_mut();
-    if is_condemned {
-        stored.insert(part);
-    } else {
-        stored.remove(&part);
-    }
+    match record {
+        Some(record) => stored.insert(part, record.stored()),
+        None => stored.remove(&part),
+    };
 }
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -19,7 +19,7 @@
 use super::super::store_reader;
 use super::super::topic_reader::{RecordBatch, TopicReader};
 use super::record::{self, Record};
-use super::{Source, apply_events, parts};
+use super::{Source, apply_events, part_record, parts};
 use crate::{event, metric, warn_event};
 
 /// Time for which the store holds a read if nothing changes. An entry that is isolated from other entries must stop
@@ -78,7 +78,7 @@
 
 /// Applies one record. A record that cannot be decoded is logged and skipped.
 fn apply_record(gateway: &Gateway, record: &KeyedRecord) {
-    if let Some(key) = record.key.strip_prefix(parts::KEY_PREFIX) {
+    if let Some(key) = record.key.strip_prefix(part_record::KEY_PREFIX) {
         return parts::apply_record(gateway, key, record);
     }
     let (fingerprint, record) = match record::decode(record) {
@@ -120,10 +120,10 @@
         }
     }
     while let Some((part, record)) = next_part_write(gateway) {
-        let value = record.as_ref().map_or(Ok(Vec::new()), Record::encode)?;
-        put(client, &format!("{}{part}", parts::KEY_PREFIX), &value).await?;
-        event!("quarantine-written", part = %part, condemned = record.is_some());
-        parts::mark_stored(gateway, part, record.is_some());
+        let value = record.as_ref().map_or(Ok(Vec::new()), part_record::Record::encode)?;
+        put(client, &format!("{}{part}", part_record::KEY_PREFIX), &value).await?;
+        event!("quarantine-written", part = %part, condemned = record.as_ref().is_some_and(part_record::Record::is_condemned));
+        parts::mark_stored(gateway, part, record.as_ref());
     }
     Ok(())
 }
@@ -144,7 +144,7 @@
 }
 
 /// Returns the next record of a part to write.
-fn next_part_write(gateway: &Gateway) -> Option<(Fingerprint, Option<Record>)> {
+fn next_part_write(gateway: &Gateway) -> Option<(Fingerprint, Option<part_record::Record>)> {
     is_writer(gateway).then(|| parts::next_write(gateway)).flatten()
 }
 
