An entry that was asked about a suspected part reports the next completed prompt with it

Cause, found by reading: an entry answers the question about a part that others suspect with what it knows then. A prompt with the part that completed there later was reported to nobody, unless this entry suspected the part itself. The entry that plans kept its evidence, and could condemn after eight terminations over any time a part with which prompts had completed elsewhere in between.

Change: State remembers the parts that it was asked about, at most as many as suspects, until they are cleared, condemned or lifted; the next completed prompt with such a part is reported as Cleared, which the entry that plans sends to all.

--- a/coord/src/part_quarantine.rs
+++ b/coord/src/part_quarantine.rs
@@ -164,6 +164,8 @@
     completed: BTreeMap<Fingerprint, Moment>,
     /// Number of completed prompts.
     completions: u64,
+    /// Parts that another process suspects.
+    watched: BTreeSet<Fingerprint>,
     next_sequence: u64,
 }
 
@@ -316,6 +318,9 @@
             self.suspects.remove(&part);
             return vec![Event::Cleared(part)];
         }
+        if self.watched.len() < MAX_SUSPECTS {
+            self.watched.insert(part);
+        }
         self.completed.contains_key(&part).then_some(Event::Sound(part)).into_iter().collect()
     }
 
@@ -343,13 +348,16 @@
         self.completed.insert(part, now);
         forget_older_half(&mut self.completed, MAX_COMPLETED);
         if self.condemned.remove(&part).is_some() {
+            self.watched.remove(&part);
             return vec![Event::Lifted(part)];
         }
-        let was_suspected = self.suspects.remove(&part).is_some();
+        // Another process suspects a watched part, also if this one does not.
+        let was_suspected = self.suspects.remove(&part).is_some() | self.watched.remove(&part);
         was_suspected.then_some(Event::Cleared(part)).into_iter().collect()
     }
 
     fn lift(&mut self, part: Fingerprint) -> Vec<Event> {
+        self.watched.remove(&part);
         let was_recorded = self.suspects.remove(&part).is_some() | self.condemned.remove(&part).is_some();
         was_recorded.then_some(Event::Lifted(part)).into_iter().collect()
     }
@@ -411,6 +419,7 @@
         if self.is_condemned(part) {
             return Vec::new();
         }
+        self.watched.remove(&part);
         let runs = self.suspects.remove(&part).map(|suspect| suspect.terminations.into_keys().collect());
         self.next_sequence += 1;
         self.condemned.insert(part, Verdict { runs: BTreeSet::new(), sequence: self.next_sequence });
--- a/coord/tests/part_quarantine.rs
+++ b/coord/tests/part_quarantine.rs
@@ -164,6 +164,19 @@
     assert_eq!(register.state.condemned().count(), 0);
 }
 
+#[test]
+fn a_process_that_was_asked_about_a_part_reports_the_next_completed_prompt_with_it() {
+    let mut register = Register::default();
+    register.apply(Event::Suspected(fingerprint(SHARED)));
+    register.complete(&[7]);
+    assert_eq!(register.relayed, []);
+    register.now_ms += 5_000;
+    register.complete(&[SHARED]);
+    assert_eq!(register.relayed, [Event::Cleared(fingerprint(SHARED))]);
+    register.complete(&[SHARED]);
+    assert_eq!(register.relayed.len(), 1, "it was asked once");
+}
+
 #[test]
 fn an_operator_lifts_a_verdict() {
     let mut register = Register::default();
