A part is condemned also while engines terminate before any prompt completes

All eight engines were down at once, and each that came back got a prompt with the fatal part before a sound one had completed.

Change: first events show as well that engines serve prompts without the part, if no prompt with it is known to have had one. Since few observations can be chance, ten terminations are needed then; the four with completed prompts stay as they were. Processes exchange the number of first events with that of completed prompts, and Answered for a part that is suspected.

Measured: a_part_is_condemned_although_engines_terminate_before_any_prompt_completes failed before.

--- a/coord/src/part_quarantine.rs
+++ b/coord/src/part_quarantine.rs
@@ -24,6 +24,9 @@
 const MIN_TERMINATIONS: usize = 4;
 /// Terminations that condemn a part under which prompts completed earlier.
 const MIN_TERMINATIONS_OF_SOUND: usize = 8;
+/// Terminations that condemn a part while too few prompts complete. Where engines terminate soon after each start, every
+/// second prompt may have no event yet; ten of them in a row are then a chance of one in a thousand.
+const MIN_TERMINATIONS_OF_SILENT: usize = 10;
 /// Different prompts that the terminations must be spread over. Repeats of a single prompt are condemned by its content.
 const MIN_PROMPTS: usize = 3;
 /// Different times that the terminations must be spread over, so that a loss of many engines at once condemns nothing.
@@ -37,6 +40,9 @@
 /// Prompts that must have completed since the first termination, all of them without the part: an outage in which
 /// nothing completes condemns nothing.
 const MIN_COMPLETIONS: u64 = 3;
+/// Prompts that must have had their first event since the first termination, none of them with the part, where too few
+/// completed.
+const MIN_ANSWERS: u64 = 3;
 /// Time for which a completed prompt keeps its parts from being suspected.
 const RECENT: Duration = Duration::from_secs(2);
 /// Bounds the suspected parts; the one with the fewest terminations is evicted, the oldest first among equals.
@@ -45,7 +51,7 @@
 const MAX_VERDICTS: usize = 1_024;
 /// Bounds the remembered terminations; the older half is forgotten.
 const MAX_RUNS: usize = 1_024;
-/// Bounds the parts whose completion is remembered, at about 50 bytes each; the older half is forgotten.
+/// Bounds the parts whose completions, and those whose first events, are remembered, at about 50 bytes each; the older half is forgotten.
 const MAX_COMPLETED: usize = 8_192;
 
 /// Part of a prompt that other prompts may share.
@@ -73,6 +79,8 @@
     Suspected(Fingerprint),
     /// A prompt with the part completed some time ago.
     Sound(Fingerprint),
+    /// A prompt with the suspected part had its first event.
+    Answered(Fingerprint),
     /// A prompt with the part has just completed.
     Cleared(Fingerprint),
     /// Prompts with the part are no longer sent.
@@ -103,6 +111,8 @@
     is_announced: bool,
     /// Completed prompts at the first termination.
     completions_before: u64,
+    /// Prompts with a first event at the first termination.
+    answers_before: u64,
     /// Sequence number of insertion, for eviction of the oldest.
     sequence: u64,
 }
@@ -162,8 +172,12 @@
     runs: BTreeMap<Name, Moment>,
     /// Time of the last completed prompt with each part; zero if only another process knows it.
     completed: BTreeMap<Fingerprint, Moment>,
+    /// Time of the last prompt with each part that had its first event; zero if only another process knows it.
+    answered: BTreeMap<Fingerprint, Moment>,
     /// Number of completed prompts.
     completions: u64,
+    /// Number of prompts that had their first event.
+    answers: u64,
     /// Parts that another process suspects.
     watched: BTreeSet<Fingerprint>,
     next_sequence: u64,
@@ -218,6 +232,7 @@
             Event::Terminated { run, work, parts } => self.record_termination(&run, work, &parts, at),
             Event::Suspected(part) => self.answer_suspicion(part, now),
             Event::Sound(part) => self.mark_sound(part),
+            Event::Answered(part) => self.mark_answered(part, Moment::ZERO).into_iter().collect(),
             Event::Cleared(part) => {
                 let cleared = self.clear(part, now);
                 cleared.into_iter().chain(self.condemn_unexplained()).collect()
@@ -243,9 +258,16 @@
         relayed
     }
 
-    /// Adds prompts that completed at another process since its last report.
-    pub fn add_completions(&mut self, count: u64) {
-        self.completions += count;
+    /// Records a prompt that had its first event. Returns the events to send to peers.
+    pub fn record_answer(&mut self, parts: &[SharedPart], now: Moment) -> Vec<Event> {
+        self.answers += 1;
+        parts.iter().filter_map(|part| self.mark_answered(part.fingerprint, now)).collect()
+    }
+
+    /// Adds prompts that completed, and prompts that had their first event, at another process since its last report.
+    pub fn add_progress(&mut self, completions: u64, answers: u64) {
+        self.completions += completions;
+        self.answers += answers;
     }
 
     /// Returns the number of prompts that completed.
@@ -253,6 +275,11 @@
         self.completions
     }
 
+    /// Returns the number of prompts that had their first event.
+    pub fn answers(&self) -> u64 {
+        self.answers
+    }
+
     /// Returns the events that bring a new peer up to date.
     pub fn events(&self) -> Vec<Event> {
         let suspects = self.suspects.iter().flat_map(|(part, suspect)| {
@@ -292,7 +319,7 @@
             return None;
         }
         self.next_sequence += 1;
-        let (sequence, completions_before) = (self.next_sequence, self.completions);
+        let (sequence, completions_before, answers_before) = (self.next_sequence, self.completions, self.answers);
         let is_sound = self.completed.contains_key(&part.fingerprint);
         let suspect = self.suspects.entry(part.fingerprint).or_insert_with(|| Suspect {
             terminations: BTreeMap::new(),
@@ -301,6 +328,7 @@
             is_sound,
             is_announced: false,
             completions_before,
+            answers_before,
             sequence,
         });
         suspect.depth = suspect.depth.min(part.depth);
@@ -321,7 +349,18 @@
         if self.watched.len() < MAX_SUSPECTS {
             self.watched.insert(part);
         }
-        self.completed.contains_key(&part).then_some(Event::Sound(part)).into_iter().collect()
+        let sound = self.completed.contains_key(&part).then_some(Event::Sound(part));
+        let answered = self.answered.contains_key(&part).then_some(Event::Answered(part));
+        sound.into_iter().chain(answered).collect()
+    }
+
+    /// Records that a prompt with the part had its first event. Returns the event to send to peers that may not know.
+    fn mark_answered(&mut self, part: Fingerprint, at: Moment) -> Option<Event> {
+        let known_at = self.answered.get(&part).copied();
+        self.answered.insert(part, known_at.map_or(at, |known_at| known_at.max(at)));
+        forget_older_half(&mut self.answered, MAX_COMPLETED);
+        let is_suspected = self.suspects.contains_key(&part) || self.watched.contains(&part);
+        (known_at.is_none() && is_suspected).then_some(Event::Answered(part))
     }
 
     /// Returns whether a prompt with the part completed within [`RECENT`] before `time`, or later.
@@ -391,10 +430,19 @@
         let first_at = suspect.first_at();
         let all = self.runs.iter().filter(|(run, at)| **at >= first_at && !self.is_attributed(run)).count();
         count * MAX_TERMINATIONS_PER_OWN >= all
-            && self.completions - suspect.completions_before >= MIN_COMPLETIONS
+            && self.can_serve_others(part, suspect)
             && !self.is_explained_by_others(part, suspect)
     }
 
+    /// Returns whether engines serve prompts without the part. Prompts that completed show it. While each engine
+    /// terminates before any prompt completes, first events show it, if no prompt with the part is known to have had one.
+    fn can_serve_others(&self, part: Fingerprint, suspect: &Suspect) -> bool {
+        let has_others_answered = self.answers - suspect.answers_before >= MIN_ANSWERS;
+        let has_answered = self.answered.contains_key(&part);
+        let is_ever_silent = !has_answered && suspect.terminations.len() >= MIN_TERMINATIONS_OF_SILENT;
+        self.completions - suspect.completions_before >= MIN_COMPLETIONS || (is_ever_silent && has_others_answered)
+    }
+
     /// Returns whether a run terminated under a condemned part.
     pub fn is_attributed(&self, run: &Name) -> bool {
         self.condemned.values().any(|verdict| verdict.runs.contains(run))
--- a/coord/tests/part_quarantine.rs
+++ b/coord/tests/part_quarantine.rs
@@ -45,6 +45,12 @@
         self.relayed.extend(self.state.record_completion(&parts(numbers), now));
     }
 
+    /// Reports a prompt that had its first event.
+    fn answer(&mut self, numbers: &[u32]) {
+        let now = Moment::from_millis(10_000 + self.now_ms);
+        self.relayed.extend(self.state.record_answer(&parts(numbers), now));
+    }
+
     /// Reports terminations under different prompts with these parts, `gap_ms` apart, each with a completed prompt.
     fn terminate_often(&mut self, count: u32, gap_ms: u64, numbers: &[u32]) {
         for number in 0..count {
@@ -177,6 +183,44 @@
     assert_eq!(register.relayed.len(), 1, "it was asked once");
 }
 
+#[test]
+fn a_part_is_condemned_although_engines_terminate_before_any_prompt_completes() {
+    let mut register = Register::default();
+    for number in 0..10 {
+        assert!(!register.is_condemned(FATAL));
+        register.answer(&[SHARED]);
+        register.terminate(&format!("run-{number}"), number, &[SHARED, FATAL]);
+        register.now_ms += 300;
+    }
+    assert!(register.is_condemned(FATAL) && !register.is_condemned(SHARED));
+}
+
+#[test]
+fn a_part_whose_prompts_have_first_events_waits_for_completed_prompts() {
+    for is_answered_elsewhere in [false, true] {
+        let mut register = Register::default();
+        for number in 0..40 {
+            register.answer(&[7]);
+            register.terminate(&format!("run-{number}"), number, &[SHARED]);
+            match is_answered_elsewhere {
+                true => register.apply(Event::Answered(fingerprint(SHARED))),
+                false => register.answer(&[SHARED]),
+            }
+            register.now_ms += 300;
+        }
+        assert_eq!(register.state.condemned().count(), 0);
+    }
+}
+
+#[test]
+fn a_process_that_was_asked_about_a_part_reports_the_first_event_of_a_prompt_with_it_once() {
+    let mut register = Register::default();
+    register.apply(Event::Suspected(fingerprint(SHARED)));
+    register.answer(&[SHARED]);
+    register.answer(&[SHARED]);
+    assert_eq!(register.relayed, [Event::Answered(fingerprint(SHARED))]);
+}
+
 #[test]
 fn an_operator_lifts_a_verdict() {
     let mut register = Register::default();
@@ -269,6 +313,8 @@
                 continue;
             }
             let prompts = std::mem::take(&mut self.engines[engine]);
+            let is_answered = |prompt: &&Prompt| (now - 9..=now).contains(&prompt.first_event_at);
+            prompts.iter().filter(is_answered).for_each(|prompt| self.register.answer(&prompt.parts));
             let (done, rest): (Vec<_>, Vec<_>) = prompts.into_iter().partition(|prompt| prompt.ends_at <= now);
             self.engines[engine] = rest;
             done.iter().for_each(|prompt| self.register.complete(&prompt.parts));
@@ -303,6 +349,26 @@
     }
 }
 
+#[test]
+fn no_part_is_condemned_while_engines_terminate_so_often_that_nothing_completes() {
+    for seed in (0..300).chain([645, 1_641, 2_817]) {
+        let mut service = Service::new(seed);
+        let load = service.rng.random_range(20.0..60.0);
+        let hot_share = [0.0, 0.3, 0.7, 1.0][seed as usize % 4];
+        for step in 0..1_500 {
+            service.step(load, hot_share, 0.0);
+            // Prompts take 200 ms or longer.
+            for engine in 0..18 {
+                if (step + engine) % 18 == 0 {
+                    service.terminate(engine);
+                    service.down_until[engine] = 0;
+                }
+            }
+        }
+        assert_eq!(service.condemned(), BTreeSet::new(), "seed {seed}, {} terminations", service.terminations);
+    }
+}
+
 #[test]
 fn only_the_fatal_part_is_condemned_and_soon() {
     for seed in 0..300 {
--- a/sorrelpass/src/gateway/quarantine/parts.rs
+++ b/sorrelpass/src/gateway/quarantine/parts.rs
@@ -30,6 +30,8 @@
     stored: RefCell<HashMap<Fingerprint, Stored>>,
     /// Completed prompts that the leader has been told of.
     reported_completions: Cell<u64>,
+    /// Prompts with a first event that the leader has been told of.
+    reported_answers: Cell<u64>,
 }
 
 impl Parts {
@@ -58,6 +60,8 @@
     events: Vec<RelayedEvent>,
     /// Prompts that completed at the sender since its last message.
     completions: u64,
+    /// Prompts that had their first event at the sender since its last message.
+    answers: u64,
 }
 
 impl Message {
@@ -72,7 +76,7 @@
                 termination_age: interval.map(|interval| IntervalAge::of(&interval, now())),
             }
         };
-        Self { events: events.iter().map(relay).collect(), completions: 0 }
+        Self { events: events.iter().map(relay).collect(), completions: 0, answers: 0 }
     }
 }
 
@@ -122,9 +126,15 @@
     distribute(gateway, &relayed, Source::Own);
 }
 
+/// Records that an engine sent the first event of a prompt.
+pub fn record_answer(gateway: &Gateway, parts: &[SharedPart]) {
+    let relayed = gateway.quarantine.parts.state.borrow_mut().record_answer(parts, now());
+    distribute(gateway, &relayed, Source::Own);
+}
+
 /// Applies a message of another entry.
 pub fn apply_message(gateway: &Gateway, message: Message, source: Source) {
-    gateway.quarantine.parts.state.borrow_mut().add_completions(message.completions);
+    gateway.quarantine.parts.state.borrow_mut().add_progress(message.completions, message.answers);
     for relayed in message.events {
         let event = into_local(relayed, &mut gateway.quarantine.terminations.borrow_mut());
         apply_event(gateway, event, source);
@@ -173,8 +183,9 @@
 fn send_to_leader(gateway: &Gateway, events: &[Event]) {
     let parts = &gateway.quarantine.parts;
     let mut message = Message::new(events, &gateway.quarantine.terminations.borrow());
-    let completions = parts.state.borrow().completions();
+    let (completions, answers) = (parts.state.borrow().completions(), parts.state.borrow().answers());
     message.completions = completions - parts.reported_completions.replace(completions);
+    message.answers = answers - parts.reported_answers.replace(answers);
     gateway.admission.report_to_leader(FollowerMessage::Parts(message));
 }
 
@@ -217,6 +228,7 @@
             event!("part-suspect", part = %part, ends);
         }
         Event::Sound(part) => event!("part-sound", part = %part),
+        Event::Answered(part) => event!("part-answered", part = %part),
         Event::Cleared(part) => event!("part-cleared", part = %part),
         Event::Condemned(part) => {
             let ends = quarantine.parts.state.borrow().runs(*part).map(|run| &**run).collect::<Vec<_>>().join(",");
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -178,6 +178,7 @@
             if self.awaits_first_event {
                 self.awaits_first_event = false;
                 slot.report_first_event();
+                quarantine::parts::record_answer(&self.request.gateway, &self.request.identity.parts);
             }
             self.event_count += 1;
             self.last_event_id = event.id.or(self.last_event_id);
