A whole request is not condemned while a suspected part that it does not hold explains its terminations

Change: the quarantine of whole requests takes suspected parts, with their runs and prompts, as other causes: a request that does not hold the part is condemned only after ten ends while the part was on all its earlier ones. The entry that plans sends Evidence of suspected parts to all; a receiver uses it for nothing else. A request that holds the part, and a service whose prompts name no parts, are judged as before.

--- a/coord/src/part_quarantine.rs
+++ b/coord/src/part_quarantine.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::name::Name;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{Fingerprint, SharedCause};
 use crate::time::Moment;
 
 /// Terminations under a part from which on other processes are asked whether prompts with it completed.
@@ -45,8 +45,11 @@
 const MIN_ANSWERS: u64 = 3;
 /// Time for which a completed prompt keeps its parts from being suspected.
 const RECENT: Duration = Duration::from_secs(2);
-/// Bounds the suspected parts; the one with the fewest terminations is evicted, the oldest first among equals.
+/// Bounds the parts that this process suspects, and those that others do. Of the former the one with the fewest
+/// terminations is evicted, the oldest first among equals.
 const MAX_SUSPECTS: usize = 1_024;
+/// Bounds the remembered prompts with a suspected part. With more of them it is unknown which prompts contain the part.
+const MAX_WORKS: usize = 128;
 /// Bounds the verdicts; the oldest is evicted.
 const MAX_VERDICTS: usize = 1_024;
 /// Bounds the remembered terminations; the older half is forgotten.
@@ -77,6 +80,16 @@
     },
     /// Several engines terminated under the part. A process that knows of a completed prompt with it answers.
     Suspected(Fingerprint),
+    /// An engine terminated under a suspected part. The receiver condemns no whole request for it, and not the part either:
+    /// it does not know which engines terminated without the part.
+    Evidence {
+        /// Fingerprint of the part.
+        part: Fingerprint,
+        /// Name of the terminated run.
+        run: Name,
+        /// Fingerprint of the whole prompt.
+        work: Fingerprint,
+    },
     /// A prompt with the part completed some time ago.
     Sound(Fingerprint),
     /// A prompt with the suspected part had its first event.
@@ -101,6 +114,8 @@
 struct Suspect {
     /// Terminations by run.
     terminations: BTreeMap<Name, Termination>,
+    /// Prompts with the part on the terminated runs.
+    works: BTreeSet<Fingerprint>,
     /// Run of the most recently reported termination.
     newest_run: Name,
     /// Smallest depth of the part in a prompt.
@@ -178,8 +193,8 @@
     completions: u64,
     /// Number of prompts that had their first event.
     answers: u64,
-    /// Parts that another process suspects.
-    watched: BTreeSet<Fingerprint>,
+    /// Parts that another process suspects, with its evidence.
+    watched: BTreeMap<Fingerprint, SharedCause>,
     next_sequence: u64,
 }
 
@@ -210,6 +225,19 @@
         suspects.map(|(part, _)| *part)
     }
 
+    /// Returns the parts of more than one prompt that this process or another suspects, as causes that whole requests are
+    /// not condemned for.
+    pub fn shared_causes(&self) -> Vec<SharedCause> {
+        let mut causes = self.watched.clone();
+        for part in self.suspects() {
+            let Some(suspect) = self.suspects.get(&part) else { continue };
+            let cause = causes.entry(part).or_default();
+            cause.runs.extend(suspect.terminations.keys().cloned());
+            cause.works.extend(&suspect.works);
+        }
+        causes.into_values().filter(|cause| (2..MAX_WORKS).contains(&cause.works.len())).collect()
+    }
+
     /// Returns the terminations under a part that is not condemned: the run, the whole prompt and the time.
     pub fn evidence(&self, part: Fingerprint) -> impl Iterator<Item = (&Name, Fingerprint, Moment)> {
         let terminations = self.suspects.get(&part).map(|suspect| &suspect.terminations).into_iter().flatten();
@@ -231,6 +259,10 @@
         match event {
             Event::Terminated { run, work, parts } => self.record_termination(&run, work, &parts, at),
             Event::Suspected(part) => self.answer_suspicion(part, now),
+            Event::Evidence { part, run, work } => {
+                self.note_evidence(part, run, work);
+                Vec::new()
+            }
             Event::Sound(part) => self.mark_sound(part),
             Event::Answered(part) => self.mark_answered(part, Moment::ZERO).into_iter().collect(),
             Event::Cleared(part) => {
@@ -314,15 +346,16 @@
     }
 
     /// Records a termination as evidence against one part.
-    fn accuse(&mut self, part: SharedPart, run: &Name, termination: Termination) -> Option<Event> {
+    fn accuse(&mut self, part: SharedPart, run: &Name, termination: Termination) -> Vec<Event> {
         if self.has_just_completed(part.fingerprint, termination.at) {
-            return None;
+            return Vec::new();
         }
         self.next_sequence += 1;
         let (sequence, completions_before, answers_before) = (self.next_sequence, self.completions, self.answers);
         let is_sound = self.completed.contains_key(&part.fingerprint);
         let suspect = self.suspects.entry(part.fingerprint).or_insert_with(|| Suspect {
             terminations: BTreeMap::new(),
+            works: BTreeSet::new(),
             newest_run: run.clone(),
             depth: part.depth,
             is_sound,
@@ -332,12 +365,30 @@
             sequence,
         });
         suspect.depth = suspect.depth.min(part.depth);
+        if suspect.works.len() < MAX_WORKS {
+            suspect.works.insert(termination.work);
+        }
         if suspect.terminations.insert(run.clone(), termination).is_none() {
             suspect.newest_run = run.clone();
         }
-        let is_new_suspect = suspect.terminations.len() >= SUSPECT_TERMINATIONS && !suspect.is_announced;
-        suspect.is_announced |= is_new_suspect;
-        is_new_suspect.then_some(Event::Suspected(part.fingerprint))
+        let evidence = |run: &Name, work| Event::Evidence { part: part.fingerprint, run: run.clone(), work };
+        if suspect.terminations.len() < SUSPECT_TERMINATIONS {
+            return Vec::new();
+        }
+        if std::mem::replace(&mut suspect.is_announced, true) {
+            return vec![evidence(run, termination.work)];
+        }
+        let known = suspect.terminations.iter().map(|(run, termination)| evidence(run, termination.work));
+        std::iter::once(Event::Suspected(part.fingerprint)).chain(known).collect()
+    }
+
+    /// Records a termination under a part that another process suspects.
+    fn note_evidence(&mut self, part: Fingerprint, run: Name, work: Fingerprint) {
+        let Some(cause) = self.watched.get_mut(&part) else { return };
+        if cause.works.len() < MAX_WORKS && cause.runs.len() < MAX_RUNS {
+            cause.runs.insert(run);
+            cause.works.insert(work);
+        }
     }
 
     /// Returns what this process knows in favor of a part that another process suspects.
@@ -346,9 +397,10 @@
             self.suspects.remove(&part);
             return vec![Event::Cleared(part)];
         }
-        if self.watched.len() < MAX_SUSPECTS {
-            self.watched.insert(part);
+        if self.watched.len() >= MAX_SUSPECTS {
+            self.watched.pop_first();
         }
+        self.watched.entry(part).or_default();
         let sound = self.completed.contains_key(&part).then_some(Event::Sound(part));
         let answered = self.answered.contains_key(&part).then_some(Event::Answered(part));
         sound.into_iter().chain(answered).collect()
@@ -359,7 +411,7 @@
         let known_at = self.answered.get(&part).copied();
         self.answered.insert(part, known_at.map_or(at, |known_at| known_at.max(at)));
         forget_older_half(&mut self.answered, MAX_COMPLETED);
-        let is_suspected = self.suspects.contains_key(&part) || self.watched.contains(&part);
+        let is_suspected = self.suspects.contains_key(&part) || self.watched.contains_key(&part);
         (known_at.is_none() && is_suspected).then_some(Event::Answered(part))
     }
 
@@ -391,7 +443,7 @@
             return vec![Event::Lifted(part)];
         }
         // Another process suspects a watched part, also if this one does not.
-        let was_suspected = self.suspects.remove(&part).is_some() | self.watched.remove(&part);
+        let was_suspected = self.suspects.remove(&part).is_some() | self.watched.remove(&part).is_some();
         was_suspected.then_some(Event::Cleared(part)).into_iter().collect()
     }
 
--- a/coord/src/quarantine.rs
+++ b/coord/src/quarantine.rs
@@ -26,6 +26,9 @@
 /// Number of terminations at which a fingerprint is condemned even if another one was on the same replicas each time.
 /// It exceeds the four sends that one caller causes with a request and its repetition, at two sends each.
 const CERTAIN_TERMINATIONS: usize = 5;
+/// Number of terminations at which a fingerprint is condemned even if a suspected part that it does not contain was on the
+/// same replicas. Such a part is condemned by then, or a prompt with it has completed.
+const CERTAIN_TERMINATIONS_BESIDE_PART: usize = 10;
 /// Points at which requests are isolated from others.
 const SUSPECT_POINTS: u32 = 2;
 /// Points at which evidence is persisted beyond the lifetime of all processes: strong evidence from two terminations.
@@ -168,6 +171,15 @@
     }
 }
 
+/// Part of several requests that may have terminated replicas; see [`part_quarantine`](crate::part_quarantine).
+#[derive(Clone, Debug, Default)]
+pub struct SharedCause {
+    /// Runs that terminated under the part.
+    pub runs: BTreeSet<Name>,
+    /// Fingerprints of the requests that contain the part.
+    pub works: BTreeSet<Fingerprint>,
+}
+
 /// Verdict against a condemned fingerprint.
 #[derive(Clone, Debug, Default)]
 struct Verdict {
@@ -182,6 +194,8 @@
 pub struct State {
     suspects: BTreeMap<Fingerprint, Suspect>,
     condemned: BTreeMap<Fingerprint, Verdict>,
+    /// Suspected parts that requests share.
+    shared_causes: Vec<SharedCause>,
     next_sequence: u64,
 }
 
@@ -197,6 +211,11 @@
         }
     }
 
+    /// Replaces the suspected parts that requests share.
+    pub fn set_shared_causes(&mut self, causes: Vec<SharedCause>) {
+        self.shared_causes = causes;
+    }
+
     /// Applies an event and returns the events to send to peers. The result is empty if the event was already
     /// recorded or adds too little evidence.
     pub fn apply(&mut self, event: Event) -> Vec<Event> {
@@ -267,13 +286,12 @@
             suspect.terminations.insert(run, previous);
             return Vec::new();
         }
-        let (points, termination_count) = (suspect.points(), suspect.terminations.len());
+        let points = suspect.points();
         let mut relayed = Vec::new();
         if points >= SUSPECT_POINTS {
             relayed.push(Event::Terminated { fingerprint, run, weight });
         }
-        if points >= CONDEMNED_POINTS && (termination_count >= CERTAIN_TERMINATIONS || !self.is_ambiguous(fingerprint))
-        {
+        if points >= CONDEMNED_POINTS && self.is_certain(fingerprint) {
             relayed.extend(self.condemn(fingerprint));
         }
         self.evict();
@@ -287,14 +305,18 @@
         self.condemned.values().any(|verdict| verdict.terminations.contains_key(run))
     }
 
-    /// Returns whether another fingerprint was on all replicas that terminated under this one, so that either may be
-    /// the cause. The newest termination is left out because its report for the other fingerprint may still be in
-    /// transit.
-    fn is_ambiguous(&self, fingerprint: Fingerprint) -> bool {
+    /// Returns whether nothing else was on all replicas that terminated under a fingerprint, so that only this one can be
+    /// the cause. The newest termination is left out because its report for another one may still be in transit. With
+    /// many terminations a fingerprint is condemned whatever else was there.
+    fn is_certain(&self, fingerprint: Fingerprint) -> bool {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
         let earlier: Vec<&Name> = suspect.terminations.keys().filter(|run| **run != suspect.newest_run).collect();
+        let count = suspect.terminations.len();
         let mut others = self.suspects.iter().filter(|(other, _)| **other != fingerprint);
-        others.any(|(_, other)| earlier.iter().all(|run| other.terminations.contains_key(*run)))
+        let has_other = others.any(|(_, other)| earlier.iter().all(|run| other.terminations.contains_key(*run)));
+        let mut parts = self.shared_causes.iter().filter(|part| !part.works.contains(&fingerprint));
+        let has_part = parts.any(|part| earlier.iter().all(|run| part.runs.contains(*run)));
+        (!has_other || count >= CERTAIN_TERMINATIONS) && (!has_part || count >= CERTAIN_TERMINATIONS_BESIDE_PART)
     }
 
     /// Holds runs that terminated for another proven reason against no request. Returns the condemned fingerprints whose
--- a/coord/tests/part_quarantine.rs
+++ b/coord/tests/part_quarantine.rs
@@ -221,6 +221,37 @@
     assert_eq!(register.relayed, [Event::Answered(fingerprint(SHARED))]);
 }
 
+#[test]
+fn a_suspected_part_of_several_prompts_may_explain_the_terminations_of_others() {
+    let mut register = Register::default();
+    register.terminate("a", 1, &[FATAL]);
+    register.terminate("a", 2, &[FATAL]);
+    assert!(register.state.shared_causes().is_empty(), "one termination is no suspicion");
+    register.now_ms += 300;
+    register.terminate("b", 3, &[FATAL]);
+    let causes = register.state.shared_causes();
+    assert_eq!(causes.len(), 1);
+    assert_eq!(causes[0].runs, BTreeSet::from(["a", "b"].map(Name::from)));
+    assert_eq!(causes[0].works, BTreeSet::from([1_001, 1_002, 1_003].map(fingerprint)));
+    register.complete(&[FATAL]);
+    assert!(register.state.shared_causes().is_empty());
+}
+
+#[test]
+fn evidence_of_another_process_explains_terminations_and_condemns_nothing() {
+    let mut leader = Register::default();
+    let mut follower = Register::default();
+    leader.terminate_often(2, 300, &[FATAL]);
+    leader.terminate("c", 9, &[FATAL]);
+    leader.relayed.drain(..).for_each(|event| follower.apply(event));
+    assert_eq!(follower.state.shared_causes().len(), 1);
+    assert_eq!(follower.state.shared_causes()[0].runs, leader.state.shared_causes()[0].runs);
+    assert_eq!(follower.state.shared_causes()[0].works, leader.state.shared_causes()[0].works);
+    assert_eq!(follower.state.termination_count(fingerprint(FATAL)), 0);
+    follower.complete(&[FATAL]);
+    assert!(follower.state.shared_causes().is_empty());
+}
+
 #[test]
 fn an_operator_lifts_a_verdict() {
     let mut register = Register::default();
--- a/coord/tests/quarantine.rs
+++ b/coord/tests/quarantine.rs
@@ -1,7 +1,7 @@
 //! Conditions under which a fingerprint is condemned because replicas terminate while they hold its requests.
 
 use coord::name::Name;
-use coord::quarantine::{Event, Fingerprint, State, Status, Weight};
+use coord::quarantine::{Event, Fingerprint, SharedCause, State, Status, Weight};
 
 fn fingerprint(number: u32) -> Fingerprint {
     Fingerprint(u128::from(number).to_be_bytes())
@@ -43,6 +43,50 @@
     assert_eq!(state.status(fingerprint(1)), Status::Condemned);
 }
 
+/// Returns a part that was on these replicas, in the prompts with these numbers.
+fn cause(runs: &[&str], works: &[u32]) -> SharedCause {
+    let runs = runs.iter().map(|run| Name::from(*run)).collect();
+    SharedCause { runs, works: works.iter().map(|work| fingerprint(*work)).collect() }
+}
+
+#[test]
+fn a_request_is_not_condemned_while_a_part_that_it_does_not_hold_was_on_the_same_replicas() {
+    for (number, status) in [(1, Status::Suspect), (7, Status::Condemned)] {
+        let mut state = State::default();
+        state.set_shared_causes(vec![cause(&["a", "b", "c", "d"], &[7, 8])]);
+        ["a", "b", "c", "d"].iter().for_each(|run| drop(state.apply(termination(number, run, Weight::Strong))));
+        assert_eq!(state.status(fingerprint(number)), status, "the part is in request 7 only");
+    }
+}
+
+#[test]
+fn a_request_is_condemned_beside_a_part_that_was_elsewhere_or_that_is_no_longer_suspected() {
+    let mut state = State::default();
+    state.set_shared_causes(vec![cause(&["a"], &[7, 8])]);
+    ["a", "b", "c"].iter().for_each(|run| drop(state.apply(termination(1, run, Weight::Strong))));
+    assert_eq!(state.status(fingerprint(1)), Status::Condemned);
+
+    let mut state = State::default();
+    state.set_shared_causes(vec![cause(&["a", "b", "c"], &[7, 8])]);
+    ["a", "b", "c"].iter().for_each(|run| drop(state.apply(termination(1, run, Weight::Strong))));
+    assert_eq!(state.status(fingerprint(1)), Status::Suspect);
+    state.set_shared_causes(Vec::new());
+    state.apply(termination(1, "d", Weight::Strong));
+    assert_eq!(state.status(fingerprint(1)), Status::Condemned);
+}
+
+#[test]
+fn a_request_is_condemned_beside_a_part_after_ten_terminations() {
+    let runs = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+    let mut state = State::default();
+    state.set_shared_causes(vec![cause(&runs, &[7, 8])]);
+    for run in runs {
+        assert_ne!(state.status(fingerprint(1)), Status::Condemned);
+        state.apply(termination(1, run, Weight::Strong));
+    }
+    assert_eq!(state.status(fingerprint(1)), Status::Condemned);
+}
+
 #[test]
 fn a_request_that_shared_each_replica_with_a_condemned_one_is_cleared() {
     let mut state = state([
--- a/sorrelpass/src/gateway/quarantine/mod.rs
+++ b/sorrelpass/src/gateway/quarantine/mod.rs
@@ -147,6 +147,9 @@
         gateway.admission.report_to_leader(FollowerMessage::Quarantine(quarantine.to_wire(&events)));
     }
     let mut changes = Vec::new();
+    if events.iter().any(|event| matches!(event, Event::Terminated { .. })) {
+        quarantine.register.borrow_mut().set_shared_causes(parts::shared_causes(gateway));
+    }
     for event in events {
         changes.extend(quarantine.register.borrow_mut().apply(event));
     }
--- a/sorrelpass/src/gateway/quarantine/parts.rs
+++ b/sorrelpass/src/gateway/quarantine/parts.rs
@@ -68,7 +68,7 @@
     fn new(events: &[Event], terminations: &Terminations) -> Self {
         let relay = |event: &Event| {
             let interval = match event {
-                Event::Terminated { run, .. } => terminations.interval(run),
+                Event::Terminated { run, .. } | Event::Evidence { run, .. } => terminations.interval(run),
                 _ => None,
             };
             RelayedEvent {
@@ -109,6 +109,11 @@
     gateway.quarantine.parts.state.borrow().is_attributed(run)
 }
 
+/// Returns the suspected parts, which may explain why replicas terminated under whole requests.
+pub(super) fn shared_causes(gateway: &Gateway) -> Vec<quarantine::SharedCause> {
+    gateway.quarantine.parts.state.borrow().shared_causes()
+}
+
 /// Takes the runs that terminated under a condemned part off whole requests, and lifts the verdicts that rest on them. A
 /// request that many callers send alike is on many engines before the part is known.
 fn exonerate(gateway: &Gateway, part: Fingerprint) {
@@ -143,15 +148,13 @@
 }
 
 /// Returns the event with the name that its run has in this process.
-fn into_local(relayed: RelayedEvent, terminations: &mut Terminations) -> Event {
-    match relayed.event {
-        Event::Terminated { run, work, parts } => {
-            let now = now();
-            let interval = relayed.termination_age.map_or(Interval::before(now), |age| age.interval(now));
-            Event::Terminated { run: terminations.record_reported(&run, interval), work, parts }
-        }
-        other => other,
+fn into_local(mut relayed: RelayedEvent, terminations: &mut Terminations) -> Event {
+    if let Event::Terminated { run, .. } | Event::Evidence { run, .. } = &mut relayed.event {
+        let now = now();
+        let interval = relayed.termination_age.map_or(Interval::before(now), |age| age.interval(now));
+        *run = terminations.record_reported(run, interval);
     }
+    relayed.event
 }
 
 fn apply_event(gateway: &Gateway, event: Event, source: Source) {
@@ -222,7 +225,7 @@
 fn log_change(gateway: &Gateway, change: &Event) {
     let quarantine = &gateway.quarantine;
     match change {
-        Event::Terminated { .. } => {}
+        Event::Terminated { .. } | Event::Evidence { .. } => {}
         Event::Suspected(part) => {
             let ends = quarantine.parts.state.borrow().termination_count(*part);
             event!("part-suspect", part = %part, ends);
