Stand-in: a resumed stream that breaks off has no more events than a whole one

The soak's check saw an event that no whole answer has. The answer was broken off visibly; the entry relayed what it got.

Change: the stand-in breaks such a stream off in the eighth event at the latest. The soak's check is unchanged.

Conclusion: a fault of the stand-in, not of the entry.

--- a/standin/src/platform/replica/answers.rs
+++ b/standin/src/platform/replica/answers.rs
@@ -192,7 +192,8 @@
 /// Builds a stream of the events after `last_event_id`, each of which takes `service_time`.
 fn event_stream(guard: CancellationGuard, service_time: Duration, last_event_id: u64, behavior: Behavior) -> Response {
     let final_event = match behavior {
-        Behavior::AbortAfter(events) => last_event_id + events + 1,
+        // A resumed stream has no more events than a whole one either.
+        Behavior::AbortAfter(events) => (last_event_id + events + 1).min(STREAM_EVENTS),
         Behavior::LargeStream { events, .. } => events,
         _ => STREAM_EVENTS,
     };
--- a/standin/tests/platform_streams.rs
+++ b/standin/tests/platform_streams.rs
@@ -55,6 +55,17 @@
     site.close().expect("no invariant was breached");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_twice_holds_a_part_of_the_whole_answer() {
+    let site = start_site("streams-twice").await;
+    site.engines.iter().for_each(|engine| engine.queue_behaviors([Behavior::AbortAfter(6)]));
+    let outcome = site.send(0, &prompt("t1")).await;
+    assert!(!outcome.is_complete, "{outcome:?}");
+    assert!(outcome.body.len() > complete_stream("t1").len() / 2, "{outcome:?}");
+    assert!(complete_stream("t1").starts_with(&outcome.body), "{outcome:?}");
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_may_not_be_resumed_breaks_visibly_and_runs_once() {
     let site = start_site("streams-once").await;
