Two fatal parts at once are played with real entries

Cause: two fatal parts at once were judged without a network only.

Change: a test with three entries and eight engines whose prompts hold one of two fatal parts by turns; play_all takes several lists of parts.

Conclusion: both are condemned in time.

--- a/standin/tests/platform_part_crashes.rs
+++ b/standin/tests/platform_part_crashes.rs
@@ -63,25 +63,38 @@
     engines.iter().map(|engine| engine.crash_count()).sum()
 }
 
-/// Returns how many prompts with the fatal part reached engines after this time.
-fn fatal_arrivals_after(site: &Site, from: Instant) -> usize {
+/// Returns when prompts with this part reached engines, in order.
+fn arrivals(site: &Site, part: &str) -> Vec<Instant> {
     let received = site.engines.iter().flat_map(|engine| engine.received_requests());
-    let is_fatal = |headers: &axum::http::HeaderMap| {
-        headers.get("prompt-prefix").and_then(|value| value.to_str().ok()).is_some_and(|raw| raw.contains(FATAL_PART))
+    let has_part = |headers: &axum::http::HeaderMap| {
+        headers.get("prompt-prefix").and_then(|value| value.to_str().ok()).is_some_and(|raw| raw.contains(part))
     };
-    received.filter(|request| request.received_at > from && is_fatal(&request.headers)).count()
+    let mut times: Vec<Instant> =
+        received.filter(|request| has_part(&request.headers)).map(|request| request.received_at).collect();
+    times.sort_unstable();
+    times
 }
 
-/// Sends prompts with the fatal part and sound ones to all entries for `length`. Sound prompts share the caller, the
-/// path and all parts but the fatal one.
+/// Returns how many prompts with the fatal part reached engines after this time.
+fn fatal_arrivals_after(site: &Site, from: Instant) -> usize {
+    arrivals(site, FATAL_PART).into_iter().filter(|at| *at > from).count()
+}
+
+/// Plays prompts with one list of fatal parts; see [`play_all`].
 async fn play(site: &Site, length: Duration, fatal_parts: &str) -> Play {
+    play_all(site, length, &[fatal_parts]).await
+}
+
+/// Sends prompts with fatal parts, which take turns, and sound ones to all entries for `length`. Sound prompts share the
+/// caller, the path and all parts but the fatal ones.
+async fn play_all(site: &Site, length: Duration, fatal_parts: &[&str]) -> Play {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let is_over = AtomicBool::new(false);
     let next_id = |kind: &str| format!("{kind}{}", NUMBER.fetch_add(1, Ordering::Relaxed));
     let address = || site.addresses[rand::rng().random_range(0..site.addresses.len())].clone();
     let fatal = async {
-        while !is_over.load(Ordering::Relaxed) {
-            let (id, address, parts) = (next_id("f"), address(), fatal_parts.to_owned());
+        for parts in fatal_parts.iter().cycle().take_while(|_| !is_over.load(Ordering::Relaxed)) {
+            let (id, address, parts) = (next_id("f"), address(), (*parts).to_owned());
             tokio::spawn(async move { send(&address, HOST, &prompt(&id, &parts)).await });
             tokio::time::sleep(FATAL_INTERVAL).await;
         }
@@ -127,6 +140,25 @@
     site.close().expect("no invariant was breached");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn two_fatal_parts_at_once_are_both_condemned_in_time() {
+    let site = start_site("parts-two").await;
+    let parts = ["dead0001", "dead0002"];
+    // The text that crashes an engine stands in both ids.
+    site.engines.iter().for_each(|engine| engine.crash_on("dead000", RESTART_DELAY));
+    let lists = parts.map(|part| format!("aaaa0001:40,{part}:100"));
+    play_all(&site, Duration::from_secs(12), &lists.each_ref().map(|list| list.as_str())).await;
+    for part in parts {
+        let times = arrivals(&site, part);
+        // The fifth crash is not before the fifth arrival.
+        let learned = times.get(4).map(|fifth| *fifth + LEARNING_TIME);
+        let late = times.iter().filter(|at| learned.is_some_and(|learned| **at > learned)).count();
+        assert!(!times.is_empty(), "{part}: no engine received it");
+        assert!(late <= MAX_LATE_ARRIVALS, "{part}: {late} late arrivals of {}", times.len());
+    }
+    site.close().expect("no invariant was breached");
+}
+
 /// Sends prompts with the fatal part until entry 0 has condemned it.
 async fn condemn(site: &Site) {
     let parts = format!("aaaa0001:40,{FATAL_PART}:100");
