Comments say what evidence of another process is used for

Cause: the comments of Evidence, Stored and a pair of failure domains left open what they mean; one line was too long.

Change: comments only.

Conclusion: no logic changed.

--- a/coord/src/distance.rs
+++ b/coord/src/distance.rs
@@ -24,7 +24,7 @@
     Invalid {
         /// One of the two failure domains.
         from: Name,
-        /// The other one.
+        /// The other failure domain.
         to: Name,
         /// The delay as it is configured.
         delay: String,
--- a/coord/src/part_quarantine.rs
+++ b/coord/src/part_quarantine.rs
@@ -54,7 +54,8 @@
 const MAX_VERDICTS: usize = 1_024;
 /// Bounds the remembered terminations; the older half is forgotten.
 const MAX_RUNS: usize = 1_024;
-/// Bounds the parts whose completions, and those whose first events, are remembered, at about 50 bytes each; the older half is forgotten.
+/// Bounds the parts whose completions, and those whose first events, are remembered, at about 50 bytes each; the older
+/// half is forgotten.
 const MAX_COMPLETED: usize = 8_192;
 
 /// Part of a prompt that other prompts may share.
@@ -80,8 +81,9 @@
     },
     /// Several engines terminated under the part. A process that knows of a completed prompt with it answers.
     Suspected(Fingerprint),
-    /// An engine terminated under a suspected part. The receiver condemns no whole request for it, and not the part either:
-    /// it does not know which engines terminated without the part.
+    /// An engine terminated under a suspected part. The receiver takes it as another cause of what whole requests are
+    /// accused of. It does not count it against the part, since it does not know which engines terminated without the
+    /// part.
     Evidence {
         /// Fingerprint of the part.
         part: Fingerprint,
--- a/sorrelpass/src/cmd/quarantine.rs
+++ b/sorrelpass/src/cmd/quarantine.rs
@@ -5,8 +5,8 @@
 //! The platform's store has a record for each request during which replicas terminated. Prints one line per record: the
 //! fingerprint of the request (`work=`, as in the entries' log lines), whether it is condemned (entries no longer send
 //! it) or only suspect, and the runs that terminated. A record for a part that several prompts share begins with `part=`
-//! instead. --lift removes the record of a fingerprint; entries read the
-//! change and send such requests again within two seconds. Lifting a fingerprint without a record is an error.
+//! instead. --lift removes the record of a fingerprint; entries read the change and send such requests again within two
+//! seconds. Lifting a fingerprint without a record is an error.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/sorrelpass/src/gateway/quarantine/part_record.rs
+++ b/sorrelpass/src/gateway/quarantine/part_record.rs
@@ -23,7 +23,7 @@
         /// Runs that terminated under the part.
         runs: Vec<Name>,
     },
-    /// Entries that exchange nothing else add up their evidence.
+    /// Engines terminated under the part. Entries that exchange nothing else add up their evidence in this record.
     Suspected {
         /// Number of parts before it in the prompt.
         depth: u8,
@@ -48,8 +48,15 @@
 /// Contents of a record, with the names that the runs have in this process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Stored {
+    /// The part is condemned.
     Condemned,
-    Suspected { is_sound: bool, runs: BTreeSet<Name> },
+    /// The part is suspected.
+    Suspected {
+        /// Whether a prompt with the part completed earlier.
+        is_sound: bool,
+        /// Runs that terminated under the part.
+        runs: BTreeSet<Name>,
+    },
 }
 
 impl Record {
