The evidence of suspected parts that is sent to all entries is bounded

A lost failure domain with 4,000 engines and three prompts on each is 12,000 messages of some 100 bytes for each of their parts, to each of 769 entries: about a gigabyte from the entry that plans.

Change: evidence is sent for at most eight parts at a time and 16 ends each; a part whose newest end is 10 s old gives way to another. That is at most 13 KB to each entry, once.

The reports of whole requests to all entries are not bounded in this way; by the same reckoning they are 12,000 of 35 bytes.

--- a/coord/src/part_quarantine.rs
+++ b/coord/src/part_quarantine.rs
@@ -48,6 +48,14 @@
 /// Bounds the parts that this process suspects, and those that others do. Of the former the one with the fewest
 /// terminations is evicted, the oldest first among equals.
 const MAX_SUSPECTS: usize = 1_024;
+/// Bounds the parts whose evidence is sent at a time. The loss of a failure domain makes many parts suspected at once, and
+/// all processes receive what is sent.
+const MAX_EXPLAINED_PARTS: usize = 8;
+/// Bounds the pieces of evidence that are sent for a part: more than the terminations that condemn a whole request whatever
+/// else was there.
+const MAX_EVIDENCE_SENT: usize = 16;
+/// Time since a part's newest termination after which the evidence of another part is sent in place of its own.
+const EXPLANATION_TIME: Duration = Duration::from_secs(10);
 /// Bounds the remembered prompts with a suspected part. With more of them it is unknown which prompts contain the part.
 const MAX_WORKS: usize = 128;
 /// Bounds the verdicts; the oldest is evicted.
@@ -126,6 +134,8 @@
     is_sound: bool,
     /// Whether [`Event::Suspected`] was sent.
     is_announced: bool,
+    /// Number of pieces of evidence sent.
+    evidence_sent: usize,
     /// Completed prompts at the first termination.
     completions_before: u64,
     /// Prompts with a first event at the first termination.
@@ -195,6 +205,8 @@
     completions: u64,
     /// Number of prompts that had their first event.
     answers: u64,
+    /// Suspected parts whose evidence is sent to other processes.
+    explained: BTreeSet<Fingerprint>,
     /// Parts that another process suspects, with its evidence.
     watched: BTreeMap<Fingerprint, SharedCause>,
     next_sequence: u64,
@@ -362,6 +374,7 @@
             depth: part.depth,
             is_sound,
             is_announced: false,
+            evidence_sent: 0,
             completions_before,
             answers_before,
             sequence,
@@ -373,15 +386,33 @@
         if suspect.terminations.insert(run.clone(), termination).is_none() {
             suspect.newest_run = run.clone();
         }
-        let evidence = |run: &Name, work| Event::Evidence { part: part.fingerprint, run: run.clone(), work };
         if suspect.terminations.len() < SUSPECT_TERMINATIONS {
             return Vec::new();
         }
-        if std::mem::replace(&mut suspect.is_announced, true) {
-            return vec![evidence(run, termination.work)];
+        let is_new_suspect = !std::mem::replace(&mut suspect.is_announced, true);
+        let announced = is_new_suspect.then_some(Event::Suspected(part.fingerprint));
+        announced.into_iter().chain(self.explain(part.fingerprint, run, termination)).collect()
+    }
+
+    /// Returns the evidence against a suspected part to send to peers: the newest termination, or all if none was sent yet.
+    fn explain(&mut self, part: Fingerprint, run: &Name, newest: Termination) -> Vec<Event> {
+        let suspects = &mut self.suspects;
+        let is_recent = |suspect: &Suspect| {
+            suspect.terminations.values().any(|termination| termination.at + EXPLANATION_TIME > newest.at)
+        };
+        self.explained.retain(|part| suspects.get(part).is_some_and(is_recent));
+        if self.explained.len() >= MAX_EXPLAINED_PARTS && !self.explained.contains(&part) {
+            return Vec::new();
         }
-        let known = suspect.terminations.iter().map(|(run, termination)| evidence(run, termination.work));
-        std::iter::once(Event::Suspected(part.fingerprint)).chain(known).collect()
+        let Some(suspect) = suspects.get_mut(&part) else { return Vec::new() };
+        let evidence = |run: &Name, work| Event::Evidence { part, run: run.clone(), work };
+        let mut events = match self.explained.insert(part) {
+            true => suspect.terminations.iter().map(|(run, known)| evidence(run, known.work)).collect(),
+            false => vec![evidence(run, newest.work)],
+        };
+        events.truncate(MAX_EVIDENCE_SENT - suspect.evidence_sent.min(MAX_EVIDENCE_SENT));
+        suspect.evidence_sent += events.len();
+        events
     }
 
     /// Records a termination under a part that another process suspects.
--- a/coord/tests/part_quarantine.rs
+++ b/coord/tests/part_quarantine.rs
@@ -237,6 +237,24 @@
     assert!(register.state.shared_causes().is_empty());
 }
 
+#[test]
+fn the_evidence_that_is_sent_stays_small_however_many_engines_terminate() {
+    let mut register = Register::default();
+    for number in 0..3_000 {
+        let run = format!("run-{}", number / 3);
+        register.terminate(&run, number, &[number % 500, 1_000 + number % 40]);
+    }
+    let is_evidence = |event: &&Event| matches!(event, Event::Evidence { .. });
+    let sent = register.relayed.iter().filter(is_evidence).count();
+    assert!((8..=8 * 16).contains(&sent), "{sent}");
+    // Parts whose terminations are long past give way to others.
+    register.relayed.clear();
+    register.now_ms += 60_000;
+    register.terminate_often(3, 300, &[9_000]);
+    let of_new = |event: &Event| matches!(event, Event::Evidence { part, .. } if *part == fingerprint(9_000));
+    assert_eq!(register.relayed.iter().filter(|event| of_new(event)).count(), 3);
+}
+
 #[test]
 fn evidence_of_another_process_explains_terminations_and_condemns_nothing() {
     let mut leader = Register::default();
