--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -17,7 +17,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -299,6 +298,13 @@
 # --- The system's processes -------------------------------------------------------------------------------------------
 
 
+def read_role(name):
+    """Returns the texts that `deploy/system.toml` gives for a role."""
+    with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
+        section = file.read().split(f"[roles.{name}]")[1].split("\n[")[0]
+    return dict(re.findall(r'^(\w+) = "(.*)"$', section, flags=re.M))
+
+
 def fill_template(text, fields):
     """Fills a settings template as the platform does: `{{a.b}}` and `{{#a.b}} .. {{/a.b}}`."""
 
@@ -328,8 +334,7 @@
         self.name = name
         self.port, self.ready_port, self.control_port = free_port(), free_port(), free_port()
         self.settings, self.log = os.path.join(folder, f"{name}.ini"), os.path.join(folder, f"{name}.log")
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            role = tomllib.load(file)["roles"]["entry"]
+        role = read_role("entry")
         self.command = shlex.split(role["run"])
         self.command[0] = os.path.join(ROOT, self.command[0])
         with open(os.path.join(ROOT, role["template"])) as file:
