--- a/coord/src/roster.rs
+++ b/coord/src/roster/mod.rs
@@ -9,137 +9,35 @@
 //! work. Evacuations of failure domains are not part of the records; replicas in an evacuated domain stay alive,
 //! finish their requests and receive no new ones.
 
+mod record;
+mod replica;
+mod transfer;
+
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::name::Name;
 use crate::offset;
 use crate::time::Moment;
 
-/// Replica as described by its record in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Identity of the replica. It can survive a restart; `started_ms` then distinguishes the runs.
-    pub id: Name,
-    /// Start time of the run in Unix milliseconds, if the record states it.
-    pub started_ms: Option<u64>,
-    /// Service that the replica belongs to.
-    pub service: Name,
-    /// Listen address, `ip:port`.
-    pub address: Name,
-    /// Failure domain of the replica.
-    pub failure_domain: Name,
-    /// Number of requests that the replica runs concurrently.
-    pub slots: u32,
-    /// Whether the replica announced its end.
-    pub leaving: bool,
-    /// Remaining time, when the record was written, during which the replica is cold and accepts fewer requests.
-    pub cold_remaining: Duration,
-}
-
-/// State of a replica's record in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RecordState {
-    /// The record is present.
-    Present(Record),
-    /// The record was removed.
-    Removed(Name),
-    /// The record was not written by the replica itself, so the replica must not be used.
-    Unusable(Name),
-}
-
-impl RecordState {
-    /// Returns the identity of the replica.
-    pub fn id(&self) -> &Name {
-        match self {
-            RecordState::Present(record) => &record.id,
-            RecordState::Removed(id) | RecordState::Unusable(id) => id,
-        }
-    }
-}
-
-/// State of a replica's record at a store offset.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Update {
-    /// Store offset of the record's latest change.
-    pub offset: u64,
-    /// State of the record at the offset.
-    pub state: RecordState,
-}
-
-/// Run of a replica that is draining, as stated by the replica itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DrainingRun {
-    /// Identity of the replica.
-    pub id: Name,
-    /// Start time of the run in Unix milliseconds, if known.
-    pub started_ms: Option<u64>,
-}
-
-/// Availability of a replica for work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Availability {
-    /// The replica takes work.
-    Ready,
-    /// Another writer replaced the record; the replica takes no work until it writes the record again.
-    Unusable,
-    /// The record expired right after a store outage; the replica takes work until the given time.
-    Expired(Moment),
-    /// The replica is draining or gone and takes no new work.
-    Gone,
-}
-
-/// Replica with its availability.
-#[derive(Clone, Debug)]
-pub struct Replica {
-    /// Latest record of the replica.
-    pub record: Record,
-    /// Availability for work.
-    pub availability: Availability,
-    /// Offset of the latest record change, including heartbeats.
-    offset: u64,
-    /// Offset of the latest effective change; heartbeats rewrite unchanged records.
-    changed_offset: u64,
-    /// Whether the record exists in the store.
-    has_record: bool,
-    /// End of the period in which the replica accepts fewer requests.
-    cold_until: Moment,
-}
-
-impl Replica {
-    /// Returns whether the replica takes new work, regardless of evacuations.
-    pub fn takes_work(&self) -> bool {
-        matches!(self.availability, Availability::Ready | Availability::Expired(_))
-    }
-
-    /// Returns whether the replica is gone because its record was removed.
-    fn is_removed(&self) -> bool {
-        self.availability == Availability::Gone && !self.has_record
-    }
+pub use record::{DrainingRun, Record, RecordState, Update};
+pub use replica::{Availability, Change, Replica};
+use transfer::Coverage;
+pub use transfer::{Extent, Gap, Request, Transfer};
 
-    /// Returns the latest effective change in the form sent to peers at `now`.
-    fn to_update(&self, now: Moment) -> Update {
-        let state = match (self.has_record, self.availability) {
-            (true, Availability::Unusable) => RecordState::Unusable(self.record.id.clone()),
-            (true, _) => {
-                RecordState::Present(Record { cold_remaining: self.cold_until.since(now), ..self.record.clone() })
-            }
-            (false, _) => RecordState::Removed(self.record.id.clone()),
-        };
-        Update { offset: self.changed_offset, state }
-    }
-}
+/// Minimum extension of the cold period that counts as turning cold again.
+const MIN_COLD_EXTENSION: Duration = Duration::from_secs(1);
 
 /// Replicas that this process has recorded.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Roster {
     replicas: BTreeMap<Name, Replica>,
     /// Time until which a missing record counts as expired.
     grace_until: Moment,
-    /// End offset of the latest full snapshot. A record below it that was missing from the snapshot is removed.
-    snapshot_end: u64,
+    /// Part of the log that the records reflect.
+    coverage: Coverage,
+    /// Number of times that the records changed.
+    revision: u64,
     /// Evacuated failure domains.
     evacuated: BTreeSet<Name>,
     /// Failure domains whose evacuation ended, with the time of its end.
@@ -148,28 +46,6 @@
     draining_runs: BTreeMap<Name, Option<u64>>,
 }
 
-/// Minimum extension of the cold period that counts as turning cold again.
-const MIN_COLD_EXTENSION: Duration = Duration::from_secs(1);
-
-/// Change in the availability of a replica.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// Identity of the replica.
-    pub id: Name,
-    /// New availability.
-    pub availability: Availability,
-    /// Whether the replica has restarted, so that its requests and its memory contents are lost.
-    pub has_restarted: bool,
-    /// Whether the replica is cold and accepts fewer requests.
-    pub is_cold: bool,
-}
-
-impl Change {
-    fn of(id: &Name, availability: Availability) -> Self {
-        Self { id: id.clone(), availability, has_restarted: false, is_cold: false }
-    }
-}
-
 impl Roster {
     /// Records that the store is available again after an outage; records that disappear within `grace` count as
     /// expired.
@@ -182,20 +58,78 @@
         self.grace_until.since(now)
     }
 
-    /// Returns the latest update of each replica that changed at offset `from` or later. A peer without any data
-    /// (`from` 0) does not receive removed replicas, whose number grows without bound.
-    pub fn updates_since(&self, from: u64, now: Moment) -> Vec<Update> {
-        let is_relevant = |replica: &&Replica| replica.changed_offset >= from && (from > 0 || replica.has_record);
-        let changed = self.replicas.values().filter(is_relevant);
-        changed.map(|replica| replica.to_update(now)).collect()
+    /// Returns the offset after the newest record that the roster reflects, or 0 if it has read none.
+    pub fn end(&self) -> u64 {
+        self.coverage.end()
+    }
+
+    /// Returns a number that grows with each change of what [`Roster::transfer_for`] returns.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the request for the updates that this process lacks.
+    pub fn request(&self) -> Request {
+        Request { end: self.end() }
+    }
+
+    /// Returns the extent of the transfer that answers a request: the changes since the requester's end, or a snapshot
+    /// if this process has not seen all of them.
+    pub fn extent_for(&self, request: &Request) -> Extent {
+        self.coverage.extent_for(request.end)
+    }
+
+    /// Returns the updates that answer a request.
+    pub fn transfer_for(&self, request: &Request, now: Moment) -> Transfer {
+        let extent = self.extent_for(request);
+        let updates = if extent.is_snapshot() { self.snapshot(now) } else { self.changes_from(extent.start(), now) };
+        Transfer { extent, updates }
+    }
+
+    /// Returns the update of each replica that has a record.
+    fn snapshot(&self, now: Moment) -> Vec<Update> {
+        let recorded = self.replicas.values().filter(|replica| replica.has_record);
+        recorded.map(|replica| replica.to_update(now)).collect()
     }
 
-    /// Applies the state of a record at its offset; a state older than the recorded one is ignored.
-    pub fn apply(&mut self, offset: u64, state: RecordState, now: Moment) -> Option<Change> {
-        match state {
-            RecordState::Present(record) => self.apply_record(offset, record, now),
-            RecordState::Removed(id) => self.apply_removal(offset, &id, now),
-            RecordState::Unusable(id) => self.apply_unusable(offset, &id),
+    /// Returns the latest update of each replica that changed at offset `from` or later.
+    fn changes_from(&self, from: u64, now: Moment) -> Vec<Update> {
+        let recorded = self.replicas.values().filter(|replica| replica.changed_offset >= from);
+        recorded.map(|replica| replica.to_update(now)).collect()
+    }
+
+    /// Applies updates that were read from the store or sent by another process. A state older than the recorded one
+    /// is ignored. Fails, and applies nothing, if changes are missing between the roster's end and the updates.
+    pub fn apply_transfer(&mut self, transfer: Transfer, now: Moment) -> Result<Vec<Change>, Gap> {
+        let Transfer { extent, updates } = transfer;
+        let coverage = self.coverage.after(extent)?;
+        if extent.is_snapshot() && extent.end() < self.end() {
+            // The roster already reflects all that the snapshot shows.
+            return Ok(Vec::new());
+        }
+        self.revision += 1;
+        let missing = if extent.is_snapshot() { self.missing_from(extent.end(), &updates) } else { Vec::new() };
+        let mut changes: Vec<Change> =
+            updates.into_iter().filter_map(|update| self.apply_update(update, now)).collect();
+        let last_offset = extent.end().saturating_sub(1);
+        changes.extend(missing.iter().filter_map(|id| self.apply_removal(last_offset, id, now)));
+        self.coverage = coverage;
+        Ok(changes)
+    }
+
+    /// Returns the replicas that are not in a snapshot with the end offset `end`, and have no newer record.
+    fn missing_from(&self, end: u64, snapshot: &[Update]) -> Vec<Name> {
+        let snapshot_ids: HashSet<&Name> = snapshot.iter().map(|update| update.state.id()).collect();
+        let is_missing = |replica: &&Replica| replica.offset < end && !snapshot_ids.contains(&replica.record.id);
+        self.replicas.values().filter(is_missing).map(|replica| replica.record.id.clone()).collect()
+    }
+
+    /// Applies an update that is part of a transfer; a state older than the recorded one is ignored.
+    fn apply_update(&mut self, update: Update, now: Moment) -> Option<Change> {
+        match update.state {
+            RecordState::Present(record) => self.apply_record(update.offset, record, now),
+            RecordState::Removed(id) => self.apply_removal(update.offset, &id, now),
+            RecordState::Unusable(id) => self.apply_unusable(update.offset, &id),
         }
     }
 
@@ -204,7 +138,7 @@
         let current = self.replicas.get(&id);
         // A replica missing from the full snapshot is gone even if a peer still has it. Accepting and relaying the
         // peer's older record would keep that peer from ever receiving the removal.
-        if offset < current.map_or(self.snapshot_end, |current| current.offset) {
+        if offset < current.map_or(self.coverage.start(), |current| current.offset) {
             return None;
         }
         // A recovered log contains records of replicas that were removed after the copy was made. A replica that is
@@ -293,20 +227,6 @@
         changed.then(|| Change::of(id, availability))
     }
 
-    /// Applies a full snapshot with all offsets below `end_offset`; records missing from it were removed.
-    pub fn apply_snapshot(&mut self, end_offset: u64, records: Vec<Update>, now: Moment) -> Vec<Change> {
-        let snapshot_ids: HashSet<&Name> = records.iter().map(|update| update.state.id()).collect();
-        let is_missing = |replica: &&Replica| replica.offset < end_offset && !snapshot_ids.contains(&replica.record.id);
-        let missing: Vec<Name> =
-            self.replicas.values().filter(is_missing).map(|replica| replica.record.id.clone()).collect();
-        let mut changes: Vec<Change> =
-            records.into_iter().filter_map(|update| self.apply(update.offset, update.state, now)).collect();
-        self.snapshot_end = self.snapshot_end.max(end_offset);
-        let last_offset = end_offset.saturating_sub(1);
-        changes.extend(missing.iter().filter_map(|id| self.apply_removal(last_offset, id, now)));
-        changes
-    }
-
     /// Marks replicas with expired records as gone once their grace period is over.
     pub fn expire(&mut self, now: Moment) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -347,6 +267,7 @@
         if self.has_draining_run(&draining_run) {
             return None;
         }
+        self.revision += 1;
         let DrainingRun { id, started_ms } = draining_run;
         self.draining_runs.insert(id.clone(), started_ms);
         let replica = self.replicas.get_mut(&id)?;
--- a/coord/tests/eras.rs
+++ b/coord/tests/eras.rs
@@ -1,5 +1,8 @@
 //! Log recovered from an older copy of itself: the order of offsets, and the state that the recovered log has lost.
 
+#[path = "common/log_records.rs"]
+mod log_records;
+
 use std::time::Duration;
 
 use coord::evacuation::{Evacuations, Event as EvacuationEvent, Snapshot};
@@ -7,6 +10,7 @@
 use coord::offset::{Formatted, encode, era, plain_offset};
 use coord::roster::{Availability, Record, RecordState, Roster, Update};
 use coord::time::Moment;
+use log_records::LogRecords;
 
 const NOW: Moment = Moment::from_millis(1_000);
 const RECOVERY_GRACE: Duration = Duration::from_millis(500);
--- a/coord/tests/evacuation.rs
+++ b/coord/tests/evacuation.rs
@@ -1,5 +1,8 @@
 //! Evacuations as recorded by several processes that receive them from the log and from each other, in any order.
 
+#[path = "common/log_records.rs"]
+mod log_records;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -7,6 +10,7 @@
 use coord::name::Name;
 use coord::roster::{self, Record, Roster};
 use coord::time::Moment;
+use log_records::LogRecords;
 use proptest::prelude::*;
 
 /// Step of a simulation in which processes follow a log of evacuations.
--- /dev/null
+++ b/coord/tests/roster_copies.rs
@@ -0,0 +1,272 @@
+//! Each way in which a process's copy of the replicas' records jumps: what the copy keeps, what the process claims to
+//! other processes, and what it asks for afterwards (docs/design/24-copies-of-the-store.md, a test for each row).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coord::name::Name;
+use coord::offset;
+use coord::roster::{Gap, Record, RecordState, Request, Roster, Transfer, Update};
+use coord::time::Moment;
+
+const NOW: Moment = Moment::from_millis(10_000);
+
+/// Number of the replica whose record comes and goes; another one has a record throughout.
+const PASSING: u8 = 1;
+const STAYING: u8 = 2;
+
+fn name(number: u8) -> Name {
+    format!("replica-{number}").into()
+}
+
+fn record(number: u8) -> Record {
+    Record {
+        id: name(number),
+        started_ms: None,
+        service: "service".into(),
+        address: "10.0.0.1:1".into(),
+        failure_domain: "here".into(),
+        slots: 1,
+        leaving: false,
+        cold_remaining: Duration::ZERO,
+    }
+}
+
+/// What a log record says of its replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Entry {
+    Written,
+    Removed,
+}
+
+/// Stand-in for the store's log, which drops records from its beginning and can be restored from an older copy.
+#[derive(Clone, Debug, Default)]
+struct Log {
+    era: u64,
+    records: Vec<(u8, Entry)>,
+    /// Offset of the first record that a read can still return.
+    first: usize,
+}
+
+impl Log {
+    fn number(&self, plain: usize) -> u64 {
+        offset::encode(self.era, plain as u64)
+    }
+
+    fn end(&self) -> u64 {
+        self.number(self.records.len())
+    }
+
+    fn write(&mut self, number: u8, entry: Entry) {
+        self.records.push((number, entry));
+    }
+
+    fn trim(&mut self) {
+        self.first = self.records.len();
+    }
+
+    fn restore(&mut self, len: usize) {
+        self.records.truncate(len);
+        self.era += 1;
+        self.first = self.first.min(len);
+    }
+
+    fn update(&self, plain: usize) -> Update {
+        let (number, entry) = self.records[plain];
+        let state = match entry {
+            Entry::Written => RecordState::Present(record(number)),
+            Entry::Removed => RecordState::Removed(name(number)),
+        };
+        Update { offset: self.number(plain), state }
+    }
+
+    /// Returns the records from `from` on, or `None` if the log does not reach back to it.
+    fn read(&self, from: u64) -> Option<Transfer> {
+        let plain = usize::try_from(offset::plain_offset(from)).expect("a small log");
+        if offset::era(from) != self.era || plain < self.first || plain > self.records.len() {
+            return None;
+        }
+        Some(Transfer::of_log(from, self.end(), (plain..self.records.len()).map(|plain| self.update(plain)).collect()))
+    }
+
+    /// Returns the offset and the content of the newest record of each replica whose number is in `numbers`.
+    fn newest(&self, numbers: std::ops::Range<u8>) -> BTreeMap<u8, (usize, Entry)> {
+        let records = self.records.iter().enumerate().filter(|(_, (number, _))| numbers.contains(number));
+        records.map(|(plain, (number, entry))| (*number, (plain, *entry))).collect()
+    }
+
+    /// Returns one page of the newest records, without the removed ones.
+    fn page(&self, numbers: std::ops::Range<u8>) -> Vec<Update> {
+        let newest = self.newest(numbers).into_values();
+        newest.filter(|(_, entry)| *entry != Entry::Removed).map(|(plain, _)| self.update(plain)).collect()
+    }
+
+    fn read_newest(&self) -> Transfer {
+        Transfer::of_newest(self.end(), self.page(0..u8::MAX))
+    }
+}
+
+fn apply(roster: &mut Roster, transfer: Transfer) {
+    roster.apply_transfer(transfer, NOW).expect("no changes are missing");
+}
+
+/// Reads the log from the roster's end on.
+fn read_on(roster: &mut Roster, log: &Log) {
+    let transfer = log.read(roster.end()).expect("the log reaches back");
+    apply(roster, transfer);
+}
+
+/// Returns what `sender` sends to a process whose copy ends at `end`.
+fn transfer_from(sender: &Roster, end: u64) -> Transfer {
+    sender.transfer_for(&Request { end }, NOW)
+}
+
+/// Sends what the receiver lacks, as the answer to the receiver's request.
+fn send(sender: &Roster, receiver: &mut Roster) {
+    let transfer = sender.transfer_for(&receiver.request(), NOW);
+    apply(receiver, transfer);
+}
+
+fn is_used(roster: &Roster, number: u8) -> bool {
+    roster.usable_replica(&name(number)).is_some()
+}
+
+/// Returns a log in which one replica has a record, and a roster that has read it.
+fn start() -> (Log, Roster) {
+    let mut log = Log::default();
+    log.write(STAYING, Entry::Written);
+    let mut reader = Roster::default();
+    apply(&mut reader, log.read_newest());
+    (log, reader)
+}
+
+/// Writes the record of the passing replica, which `witness` reads and nobody else.
+fn arrive(log: &mut Log, witness: &mut Roster) {
+    log.write(PASSING, Entry::Written);
+    read_on(witness, log);
+    assert!(is_used(witness, PASSING));
+}
+
+/// Asserts that a process which used the replica learns from `sender` that it is gone, and keeps the other one.
+fn assert_learns_of_end(sender: &Roster, witness: &mut Roster) {
+    assert!(!is_used(sender, PASSING) && is_used(sender, STAYING));
+    send(sender, witness);
+    assert!(!is_used(witness, PASSING), "the receiver keeps a replica that is gone");
+    assert!(is_used(witness, STAYING));
+    assert_eq!(witness.end(), sender.end());
+}
+
+/// A reader of the log claims all that it saw: those that follow get the changes alone, and the removal with them.
+#[test]
+fn a_read_of_the_log_extends_the_claim() {
+    let (mut log, mut reader) = start();
+    let mut witness = reader.clone();
+    let start = reader.end();
+    arrive(&mut log, &mut witness);
+    log.write(PASSING, Entry::Removed);
+    read_on(&mut reader, &log);
+    let transfer = transfer_from(&reader, start);
+    assert!(!transfer.extent.is_snapshot(), "every change since the first read is known");
+    assert_learns_of_end(&reader, &mut witness);
+}
+
+/// Guards against claims about the time before the first read.
+#[test]
+fn a_process_that_starts_claims_nothing_before_its_first_read() {
+    let (mut log, mut witness) = start();
+    arrive(&mut log, &mut witness);
+    log.write(PASSING, Entry::Removed);
+    let mut fresh = Roster::default();
+    assert_eq!(fresh.end(), 0, "it asks for everything");
+    apply(&mut fresh, log.read_newest());
+    assert!(transfer_from(&fresh, witness.end()).extent.is_snapshot());
+    assert_learns_of_end(&fresh, &mut witness);
+}
+
+/// Guards against an old claim of a process whose log was trimmed: its followers kept a replica that came and went in
+/// the gap.
+#[test]
+fn a_process_whose_log_was_trimmed_claims_no_change_in_the_gap() {
+    let (mut log, mut reader) = start();
+    let mut witness = reader.clone();
+    arrive(&mut log, &mut witness);
+    log.write(PASSING, Entry::Removed);
+    log.trim();
+    assert_eq!(log.read(reader.end()), None);
+    apply(&mut reader, log.read_newest());
+    assert_learns_of_end(&reader, &mut witness);
+}
+
+/// Guards against an old claim of a process whose store was restored from an older copy.
+#[test]
+fn a_process_whose_store_was_restored_claims_no_change_before_that() {
+    let (mut log, mut reader) = start();
+    let mut witness = reader.clone();
+    arrive(&mut log, &mut witness);
+    log.restore(1);
+    assert_eq!(log.read(reader.end()), None);
+    apply(&mut reader, log.read_newest());
+    assert_learns_of_end(&reader, &mut witness);
+}
+
+/// Guards against an old claim of a process that another one brought up to date with a snapshot.
+#[test]
+fn a_process_that_received_a_snapshot_claims_no_change_before_its_end() {
+    let (mut log, mut follower) = start();
+    let mut witness = follower.clone();
+    arrive(&mut log, &mut witness);
+    log.write(PASSING, Entry::Removed);
+    let mut leader = Roster::default();
+    apply(&mut leader, log.read_newest());
+    send(&leader, &mut follower);
+    assert_learns_of_end(&follower, &mut witness);
+}
+
+/// Guards against a snapshot that is not applied as one: the receiver kept a replica that was no longer in it.
+#[test]
+fn a_process_whose_log_was_trimmed_drops_what_its_leader_does_not_have() {
+    let (mut log, mut witness) = start();
+    arrive(&mut log, &mut witness);
+    log.write(PASSING, Entry::Removed);
+    log.trim();
+    let mut leader = Roster::default();
+    apply(&mut leader, log.read_newest());
+    // The witness finds its log trimmed, and asks its leader before it has read the newest records itself.
+    assert_eq!(log.read(witness.end()), None);
+    assert_learns_of_end(&leader, &mut witness);
+}
+
+/// A delegated read is answered from the position that the leader asked with, also if the leader has moved on since.
+#[test]
+fn an_answer_that_was_overtaken_takes_nothing_back() {
+    let (mut log, mut leader) = start();
+    let mut delegate = leader.clone();
+    log.write(PASSING, Entry::Written);
+    read_on(&mut delegate, &log);
+    let late = transfer_from(&delegate, leader.end());
+    let late_snapshot = transfer_from(&delegate, 0);
+    log.write(PASSING, Entry::Removed);
+    apply(&mut leader, log.read_newest());
+    let end = leader.end();
+    for overtaken in [late, late_snapshot] {
+        apply(&mut leader, overtaken);
+        assert!(!is_used(&leader, PASSING) && is_used(&leader, STAYING));
+        assert_eq!(leader.end(), end);
+        assert!(transfer_from(&leader, end - 1).extent.is_snapshot(), "the skipped part is still unknown");
+    }
+}
+
+/// An answer to the request of another process, which had a later position, is refused.
+#[test]
+fn changes_that_start_after_the_copy_are_refused() {
+    let (mut log, mut reader) = start();
+    let mut behind = reader.clone();
+    log.write(PASSING, Entry::Written);
+    read_on(&mut reader, &log);
+    let from = reader.end();
+    log.write(STAYING, Entry::Written);
+    read_on(&mut reader, &log);
+    let outcome = behind.apply_transfer(transfer_from(&reader, from), NOW);
+    assert_eq!(outcome, Err(Gap { from, copy_end: behind.end() }));
+    assert!(!is_used(&behind, PASSING));
+}
--- a/coord/tests/roster_draining.rs
+++ b/coord/tests/roster_draining.rs
@@ -1,9 +1,13 @@
 //! A replica's own statement that it is draining takes precedence over its record.
 
+#[path = "common/log_records.rs"]
+mod log_records;
+
 use std::time::Duration;
 
 use coord::roster::{Availability, DrainingRun, Record, RecordState, Roster, Update};
 use coord::time::Moment;
+use log_records::LogRecords;
 
 const NOW: Moment = Moment::from_millis(1_000);
 
--- a/coord/tests/roster_machine.rs
+++ b/coord/tests/roster_machine.rs
@@ -1,11 +1,15 @@
 //! Randomised runs of the roster: store outages, expired records, restarts, announced ends and late messages.
 
+#[path = "common/log_records.rs"]
+mod log_records;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use coord::name::Name;
 use coord::roster::{Availability, Record, RecordState, Roster, Update};
 use coord::time::Moment;
+use log_records::LogRecords;
 use proptest::prelude::*;
 
 const RECOVERY_GRACE: Duration = Duration::from_secs(2);
--- a/sorrelpass/src/gateway/admission/leader.rs
+++ b/sorrelpass/src/gateway/admission/leader.rs
@@ -137,13 +137,13 @@
 
     /// Asks some followers to read the store, which did not answer this entry. If all followers read it once their
     /// state is stale, the store would receive as many simultaneous calls as there are entries.
-    pub fn delegate_read(&self, request: SyncRequest) {
+    pub fn delegate_read(&self, request: &SyncRequest) {
         let followers = self.followers.borrow();
         let chosen = followers.values().sample(&mut rand::rng(), MAX_DELEGATES);
         for sender in chosen {
             // A follower that reads too slowly loses its connection, and receives the full state when it joins
             // again.
-            let _ = sender.try_send(LeaderMessage::DelegatedRead(request));
+            let _ = sender.try_send(LeaderMessage::DelegatedRead(request.clone()));
         }
     }
 
--- a/sorrelpass/src/gateway/delegates.rs
+++ b/sorrelpass/src/gateway/delegates.rs
@@ -54,7 +54,7 @@
         return;
     }
     let number = gateway.store_view.delegates.register();
-    gateway.admission.delegate_read(store_view::sync_request(gateway, number));
+    gateway.admission.delegate_read(&store_view::sync_request(gateway, number));
 }
 
 /// Reads the store on behalf of the leader and reports the changes to it.
@@ -65,6 +65,6 @@
         // No error report is needed: the leader delegated the read to other followers too.
         return;
     }
-    let response = store_view::sync_response(&gateway, request);
+    let response = store_view::sync_response(&gateway, &request);
     gateway.admission.report_to_leader(FollowerMessage::DelegatedRead { number: request.number, response });
 }
--- a/sorrelpass/src/gateway/follower.rs
+++ b/sorrelpass/src/gateway/follower.rs
@@ -397,7 +397,7 @@
                     LeaderMessage::DelegatedRead(request) => drop(tokio::task::spawn_local(delegates::read(gateway.clone(), request))),
                     LeaderMessage::Announced => gateway.membership.mark_announced(own_address),
                     LeaderMessage::SyncRequest(request) => {
-                        let response = store_view::sync_response(gateway, request);
+                        let response = store_view::sync_response(gateway, &request);
                         connection.send(FollowerMessage::SyncResponse { number: request.number, response }, &mut queue).await?;
                     }
                     LeaderMessage::Parts(message) => quarantine::parts::apply_message(gateway, message, Source::Leader),
--- a/sorrelpass/src/gateway/ingest.rs
+++ b/sorrelpass/src/gateway/ingest.rs
@@ -6,7 +6,7 @@
 use coord::evacuation::{Event, Snapshot};
 use coord::offset::Formatted;
 use coord::planner::Reason;
-use coord::roster::{Availability, Change, DrainingRun, Replica, Update};
+use coord::roster::{Availability, Change, DrainingRun, Gap, Replica, Transfer};
 use platform::{configuration, evacuation};
 
 use super::now;
@@ -123,21 +123,32 @@
     Response,
 }
 
-/// Applies replica updates that were read from the log of the store.
-pub fn apply_updates(gateway: &Gateway, updates: Vec<Update>, source: Source) {
-    let now = now();
+impl Source {
+    /// Returns the name of the origin in log lines.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer => "peer",
+            Source::Response => "response",
+        }
+    }
+}
+
+/// Applies replica updates that were read from the store or sent by another entry. Fails, and applies nothing, if
+/// changes are missing between this entry's copy and the updates.
+pub fn apply_transfer(gateway: &Gateway, transfer: Transfer, source: Source) -> Result<(), Gap> {
+    let extent = transfer.extent;
     let mut roster = gateway.roster.borrow_mut();
-    let changes: Vec<Change> =
-        updates.into_iter().filter_map(|Update { offset, state }| roster.apply(offset, state, now)).collect();
+    let end_before = roster.end();
+    let changes = roster.apply_transfer(transfer, now())?;
     drop(roster);
+    if extent.is_snapshot() {
+        let (end, end_before) = (Formatted(extent.end()), Formatted(end_before));
+        event!("replica-snapshot", source = source.as_str(), end = %end, before = %end_before);
+    }
     // One call for all changes: each call rebuilds the lists of engines, which takes longer the more engines there are.
     publish_changes(gateway, &changes, source);
-}
-
-/// Applies a snapshot of all replica records below the offset `end`. A replica that is not in the snapshot was removed.
-pub fn apply_snapshot(gateway: &Gateway, end: u64, newest: Vec<Update>, source: Source) {
-    let changes = gateway.roster.borrow_mut().apply_snapshot(end, newest, now());
-    publish_changes(gateway, &changes, source);
+    Ok(())
 }
 
 /// Removes replicas and evacuations whose records the store lost and that were not written again within the grace
--- a/sorrelpass/src/gateway/leader.rs
+++ b/sorrelpass/src/gateway/leader.rs
@@ -109,7 +109,7 @@
         tokio::select! {
             report = connection.receive() => match report? {
                 FollowerMessage::SyncRequest(request) => {
-                    let response = store_view::sync_response(gateway, request);
+                    let response = store_view::sync_response(gateway, &request);
                     connection.send(LeaderMessage::SyncResponse { number: request.number, response }, queue).await?;
                     // A follower reads the store itself once the data from here are too old, and may then have newer
                     // ones.
--- a/sorrelpass/src/gateway/packed.rs
+++ b/sorrelpass/src/gateway/packed.rs
@@ -1,11 +1,11 @@
-//! Compressed replica updates, as entries send them to each other.
+//! Compressed replica updates and transfers, as entries send them to each other.
 //!
 //! An entry that starts receives the records of all replicas. If all entries restart at the same time, the traffic
 //! grows with the number of entries times the number of replicas. The records of one service are similar to each
 //! other, and compression reduces them to a quarter of their size.
 
 use bytes::Bytes;
-use coord::roster::Update;
+use coord::roster::{Extent, Transfer, Update};
 use eyre::{Result, WrapErr};
 use serde::{Deserialize, Serialize};
 
@@ -14,13 +14,35 @@
 /// Bounds the decompressed size of a message, in bytes: enough for 100,000 records.
 const MAX_DECOMPRESSED_BYTES: usize = 16 << 20;
 
+/// Transfer of replica updates in compressed form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedTransfer {
+    /// Part of the log that the updates cover.
+    pub extent: Extent,
+    updates: Packed,
+}
+
+impl PackedTransfer {
+    /// Encodes and compresses the updates of a transfer.
+    pub fn new(transfer: Transfer) -> Result<Self> {
+        let Transfer { extent, updates } = transfer;
+        Ok(Self { extent, updates: Packed::new(&updates)? })
+    }
+
+    /// Decompresses and decodes the updates.
+    pub fn unpack(self) -> Result<Transfer> {
+        let Self { extent, updates } = self;
+        Ok(Transfer { extent, updates: updates.decompress()? })
+    }
+}
+
 /// Replica updates in compressed form. An empty list takes no bytes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Packed(Bytes);
+struct Packed(Bytes);
 
 impl Packed {
     /// Encodes and compresses replica updates.
-    pub fn new(updates: &[Update]) -> Result<Self> {
+    fn new(updates: &[Update]) -> Result<Self> {
         if updates.is_empty() {
             return Ok(Self::default());
         }
@@ -30,7 +52,7 @@
     }
 
     /// Decompresses and decodes the replica updates.
-    pub fn decompress(&self) -> Result<Vec<Update>> {
+    fn decompress(&self) -> Result<Vec<Update>> {
         if self.0.is_empty() {
             return Ok(Vec::new());
         }
--- a/sorrelpass/src/gateway/peer_protocol.rs
+++ b/sorrelpass/src/gateway/peer_protocol.rs
@@ -10,7 +10,7 @@
 use coord::name::Name;
 use coord::planner::{self, PromiseId, Rejection, Team};
 use coord::quarantine::Fingerprint;
-use coord::roster::DrainingRun;
+use coord::roster::{self, DrainingRun};
 use coord::time::Moment;
 use eyre::{Result, WrapErr, eyre};
 use futures_util::{SinkExt, StreamExt};
@@ -21,7 +21,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::membership::Announcement;
-use super::packed::Packed;
+use super::packed::PackedTransfer;
 use super::peers::Peer;
 use super::quarantine::{self, RelayedEvent};
 use crate::metric;
@@ -127,7 +127,7 @@
     pub unresponsive_after: Option<Duration>,
 }
 
-/// State of an entry's copy of a topic of the store.
+/// State of an entry's copy of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyState {
     /// Offset after the newest record in the copy.
@@ -137,15 +137,24 @@
     pub age: Duration,
 }
 
+/// Updates of the replicas' records from an entry's copy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicasCopy {
+    /// What the requester lacks, up to the end of the sender's copy.
+    pub transfer: PackedTransfer,
+    /// Age of the read that showed the sender's copy to be the newest state, as in [`CopyState::age`].
+    pub age: Duration,
+}
+
 /// Request for changes in the store.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
     /// Number of the request on its connection. The response to an earlier request is discarded as too old.
     pub number: u64,
     /// Offset up to which the requester has the configuration's topic, or `None` if it has no copy.
     pub configuration_offset: Option<u64>,
-    /// Offset up to which the requester has the topic of the replicas' records, or `None` if it has no copy.
-    pub replicas_offset: Option<u64>,
+    /// Request for the replicas' records that the requester lacks.
+    pub replicas: roster::Request,
     /// Revision of the list of successors that the requester has.
     pub successors_revision: u64,
 }
@@ -162,13 +171,9 @@
     pub is_too_large: bool,
     /// Failure domains that operators have evacuated.
     pub evacuations: evacuation::Snapshot,
-    /// State of the sender's copy of the replicas' records, or `None` before its first verification, or if
-    /// `replica_updates` is not valid.
-    pub replicas: Option<CopyState>,
-    /// Replica records that changed, or those of all replicas.
-    pub replica_updates: Packed,
-    /// Whether `replica_updates` is a snapshot, so that a replica that is not in it was removed.
-    pub is_snapshot: bool,
+    /// The replicas' records that the requester lacks, or `None` before the sender's first verification, or if they
+    /// could not be compressed.
+    pub replicas: Option<ReplicasCopy>,
     /// Remaining grace period after a recovery of the store, during which a missing record may be written again.
     pub grace_time_left: Duration,
     /// Largest number of entries that the sender has observed.
--- a/sorrelpass/src/gateway/quarantine/mod.rs
+++ b/sorrelpass/src/gateway/quarantine/mod.rs
@@ -25,7 +25,7 @@
 pub use self::relayed_event::RelayedEvent;
 use super::peer_protocol::{FollowerMessage, LeaderMessage};
 use super::state::Gateway;
-use super::topic::TopicState;
+use super::topic::ReadPosition;
 use crate::{event, metric, util, warn_event};
 
 /// Maximum number of events in a message. An event has about 75 bytes, so that a message stays below 32 KB.
@@ -55,7 +55,7 @@
 pub struct Quarantine {
     register: RefCell<State>,
     /// Read position in the quarantine topic of the store.
-    topic: TopicState,
+    position: ReadPosition,
     /// Contents of the store, as far as this entry has read or written them.
     stored: RefCell<HashMap<Fingerprint, Record>>,
     /// Terminations of replicas that this entry has observed or received.
@@ -73,7 +73,7 @@
     pub fn new() -> Self {
         Self {
             register: RefCell::default(),
-            topic: TopicState::default(),
+            position: ReadPosition::default(),
             stored: RefCell::default(),
             terminations: RefCell::new(Terminations::new(util::incarnation())),
             write_needed: Notify::new(),
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -17,7 +17,7 @@
 use super::super::now;
 use super::super::state::Gateway;
 use super::super::store_reader;
-use super::super::topic_reader::{RecordBatch, TopicReader};
+use super::super::topic_reader::{LogRead, RecordBatch, TopicReader};
 use super::record::{self, Record};
 use super::{Source, apply_events, part_record, parts};
 use crate::{event, metric, warn_event};
@@ -59,20 +59,27 @@
 
 /// Reads and applies new records.
 async fn read_changes(gateway: &Gateway, reader: &mut TopicReader) -> Result<()> {
-    let topic = &gateway.quarantine.topic;
-    let batch = match topic.next_offset() {
+    let position = &gateway.quarantine.position;
+    let batch = match position.next_offset() {
         None => {
             let snapshot = reader.read_snapshot().await?;
             // Records that the snapshot does not contain were lost by the store, and are written again.
             gateway.quarantine.stored.borrow_mut().clear();
             gateway.quarantine.parts.forget_stored();
-            Some(snapshot)
+            snapshot
         }
-        Some(from) => reader.read_from(topic, from, LONG_POLL_TIMEOUT).await?,
+        Some(from) => match reader.read_from(from, LONG_POLL_TIMEOUT).await? {
+            LogRead::Records(batch) => batch,
+            LogRead::Lost => {
+                position.reset();
+                return Ok(());
+            }
+            LogRead::Outdated => return Ok(()),
+        },
     };
-    let Some(RecordBatch { records, next_offset }) = batch else { return Ok(()) };
+    let RecordBatch { records, next_offset } = batch;
     records.iter().for_each(|record| apply_record(gateway, record));
-    topic.advance_to(next_offset);
+    position.advance_to(next_offset);
     Ok(())
 }
 
@@ -140,7 +147,7 @@
 
 /// Returns whether this entry writes records: one that follows a leader, or has not read the topic yet, does not.
 fn is_writer(gateway: &Gateway) -> bool {
-    !gateway.admission.has_leader() && gateway.quarantine.topic.next_offset().is_some()
+    !gateway.admission.has_leader() && gateway.quarantine.position.next_offset().is_some()
 }
 
 /// Returns the next record of a part to write.
--- a/sorrelpass/src/gateway/store_reader.rs
+++ b/sorrelpass/src/gateway/store_reader.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use coord::delta::Version;
-use coord::roster::Update;
+use coord::roster::{Transfer, Update};
 use coord::time::Moment;
 use eyre::{Result, eyre};
 use platform::store::KeyedRecord;
@@ -15,7 +15,7 @@
 
 use super::ingest::{ApplyOutcome, STORE_RECOVERY_GRACE, Source};
 use super::state::Gateway;
-use super::topic_reader::{MIN_RETRY_DELAY, TopicReader};
+use super::topic_reader::{LogRead, MIN_RETRY_DELAY, TopicReader};
 use super::{delegates, ingest, now};
 use crate::config::Bounds;
 use crate::warn_event;
@@ -110,18 +110,22 @@
 /// Reads and applies the new records of the configuration's topic. Marks the copy as verified unless the newest
 /// configuration cannot be decoded or is missing.
 async fn read_configuration(gateway: &Gateway, reader: &mut TopicReader) -> Result<()> {
-    let topic = &gateway.store_view.configuration;
+    let (topic, position) = (&gateway.store_view.configuration, &gateway.store_view.configuration_position);
     // A copy that is too old for followers must be verified at once, so this read is no long poll.
     let is_stale =
         topic.is_read_requested() || topic.time_until_stale(max_configuration_age(&gateway.bounds())).is_zero();
     let poll_timeout = if is_stale { Duration::ZERO } else { long_poll_timeout(&gateway.bounds()) };
     let sent_at = now();
-    let is_snapshot = topic.next_offset().is_none();
-    let batch = match topic.next_offset() {
+    let is_snapshot = position.next_offset().is_none();
+    let batch = match position.next_offset() {
         None => reader.read_snapshot().await?,
-        Some(from) => match reader.read_from(topic, from, poll_timeout).await? {
-            Some(batch) => batch,
-            None => return Ok(()),
+        Some(from) => match reader.read_from(from, poll_timeout).await? {
+            LogRead::Records(batch) => batch,
+            LogRead::Lost => {
+                position.reset();
+                return Ok(());
+            }
+            LogRead::Outdated => return Ok(()),
         },
     };
     gateway.observe_era(batch.next_offset);
@@ -149,7 +153,7 @@
         }
         ApplyOutcome::Outdated | ApplyOutcome::InForce => {}
     }
-    topic.advance_to(batch.next_offset);
+    gateway.store_view.advance_configuration_to(batch.next_offset);
     if gateway.table().version() == 0 {
         tokio::time::sleep(MIN_RETRY_DELAY).await;
     } else {
@@ -160,49 +164,69 @@
 
 /// Keeps the known replicas up to date until the process ends.
 pub async fn poll_replicas(gateway: Rc<Gateway>) {
-    let mut reader = TopicReader::new(&gateway, replica::TOPIC);
+    let mut reader = ReplicaReader { topic: TopicReader::new(&gateway, replica::TOPIC), lost_at: None };
     loop {
         let interval = replicas_read_interval(&gateway.bounds());
         wait_until_replica_read_due(&gateway, gateway.first_read_due_at()).await;
-        let outcome = read_replicas(&gateway, &mut reader).await;
-        reader.record_outcome(&outcome);
+        let outcome = reader.read(&gateway).await;
+        reader.topic.record_outcome(&outcome);
         ingest::expire_records(&gateway, Source::Store);
         if outcome.is_err() {
             gateway.store_view.replicas.set_read_requested(false);
             delegates::delegate(&gateway);
-            reader.back_off(&gateway, &gateway.store_view.replicas).await;
-        } else if gateway.store_view.replicas.next_offset().is_some() {
+            reader.topic.back_off(&gateway, &gateway.store_view.replicas).await;
+        } else if !reader.needs_snapshot(gateway.roster.borrow().end()) {
             gateway.store_view.sleep_until_woken(interval).await;
         }
     }
 }
 
-/// Reads and applies the new replica records, or a snapshot if there is no copy yet.
-async fn read_replicas(gateway: &Gateway, reader: &mut TopicReader) -> Result<()> {
-    let topic = &gateway.store_view.replicas;
-    let Some(from) = topic.next_offset() else { return read_replica_snapshot(gateway, reader).await };
-    let sent_at = now();
-    let batch = reader.read_from(topic, from, Duration::ZERO).await?;
-    start_recovery_grace(gateway, reader);
-    let Some(batch) = batch else { return Ok(()) };
-    gateway.observe_era(batch.next_offset);
-    ingest::apply_updates(gateway, decode_updates(gateway, &batch.records), Source::Store);
-    topic.advance_to(batch.next_offset);
-    topic.mark_verified(sent_at);
-    Ok(())
+/// Reads the replicas' records. The position in their log is the end of the roster, which other entries advance too.
+struct ReplicaReader {
+    topic: TopicReader,
+    /// Offset to which the log did not reach back at the last read.
+    lost_at: Option<u64>,
 }
 
-/// Reads and applies a snapshot of all replica records.
-async fn read_replica_snapshot(gateway: &Gateway, reader: &mut TopicReader) -> Result<()> {
-    let sent_at = now();
-    let snapshot = reader.read_snapshot().await?;
-    let newest = decode_updates(gateway, &snapshot.records);
-    start_recovery_grace(gateway, reader);
-    gateway.observe_era(snapshot.next_offset);
-    ingest::apply_snapshot(gateway, snapshot.next_offset, newest, Source::Store);
-    gateway.store_view.replicas.advance_to(snapshot.next_offset);
-    gateway.store_view.replicas.mark_verified(sent_at);
-    Ok(())
+impl ReplicaReader {
+    /// Returns whether the log cannot be read from the offset `end`, so that a snapshot must be read.
+    fn needs_snapshot(&self, end: u64) -> bool {
+        end == 0 || self.lost_at.is_some_and(|lost_at| end <= lost_at)
+    }
+
+    /// Reads and applies the new replica records, or a snapshot if the log does not reach back to the copy's end.
+    async fn read(&mut self, gateway: &Gateway) -> Result<()> {
+        let from = gateway.roster.borrow().end();
+        if self.needs_snapshot(from) {
+            return self.read_snapshot(gateway).await;
+        }
+        let sent_at = now();
+        let outcome = self.topic.read_from(from, Duration::ZERO).await?;
+        start_recovery_grace(gateway, &self.topic);
+        match outcome {
+            LogRead::Records(batch) => {
+                gateway.observe_era(batch.next_offset);
+                let updates = decode_updates(gateway, &batch.records);
+                ingest::apply_transfer(gateway, Transfer::of_log(from, batch.next_offset, updates), Source::Store)?;
+                gateway.store_view.replicas.mark_verified(sent_at);
+            }
+            LogRead::Lost => self.lost_at = Some(from),
+            LogRead::Outdated => {}
+        }
+        Ok(())
+    }
+
+    /// Reads and applies a snapshot of all replica records.
+    async fn read_snapshot(&mut self, gateway: &Gateway) -> Result<()> {
+        let sent_at = now();
+        let snapshot = self.topic.read_snapshot().await?;
+        let newest = decode_updates(gateway, &snapshot.records);
+        start_recovery_grace(gateway, &self.topic);
+        gateway.observe_era(snapshot.next_offset);
+        ingest::apply_transfer(gateway, Transfer::of_newest(snapshot.next_offset, newest), Source::Store)?;
+        gateway.store_view.replicas.mark_verified(sent_at);
+        Ok(())
+    }
 }
 
 /// Starts the grace period for missing records at the first response after an outage of the store: records may have
--- a/sorrelpass/src/gateway/store_view.rs
+++ b/sorrelpass/src/gateway/store_view.rs
@@ -11,15 +11,17 @@
 use coord::delta::{Delta, Version, VersionCache};
 use coord::offset::Formatted;
 use coord::quota::Bucket;
+use coord::roster;
 use coord::time::Moment;
+use eyre::Result;
 use tokio::sync::Notify;
 
 use super::delegates::Delegates;
 use super::ingest::{ApplyOutcome, Source};
-use super::packed::Packed;
-use super::peer_protocol::{SyncRequest, SyncResponse};
+use super::packed::PackedTransfer;
+use super::peer_protocol::{CopyState, ReplicasCopy, SyncRequest, SyncResponse};
 use super::state::Gateway;
-use super::topic::TopicState;
+use super::topic::{ReadPosition, TopicState};
 use super::{ingest, now, store_reader};
 use crate::warn_event;
 
@@ -40,13 +42,16 @@
 pub struct StoreView {
     /// State of the copy of the configuration's topic.
     pub configuration: TopicState,
-    /// State of the copy of the topic with the replicas' records.
+    /// Position in the configuration's topic.
+    pub configuration_position: ReadPosition,
+    /// State of the copy of the topic with the replicas' records. The part of the topic that the copy covers is known to
+    /// [`coord::roster::Roster`].
     pub replicas: TopicState,
     /// The newest configurations in their encoded form, from which deltas are made.
     configurations: RefCell<VersionCache>,
-    /// Compressed records of all replicas and the offset that they are valid for. Entries that start at the same time
-    /// request the same ones.
-    replica_snapshot: RefCell<Option<(u64, Packed)>>,
+    /// Compressed records of all replicas and the revision of the roster that they are valid for. Entries that start at
+    /// the same time request the same ones.
+    replica_snapshot: RefCell<Option<(u64, PackedTransfer)>>,
     /// Budget of bytes for sending configurations over this entry's link, or `None` if the link's bandwidth is not
     /// configured.
     link_budget: Option<RefCell<Bucket>>,
@@ -62,6 +67,7 @@
         let budget = || RefCell::new(Bucket::new(link_mbps * BYTES_PER_S_PER_MBPS * CONFIGURATION_LINK_SHARE, now()));
         Self {
             configuration: TopicState::default(),
+            configuration_position: ReadPosition::default(),
             replicas: TopicState::default(),
             configurations: RefCell::default(),
             replica_snapshot: RefCell::default(),
@@ -123,6 +129,19 @@
         }
     }
 
+    /// Records that all records of the configuration's topic below the offset `next` were applied.
+    pub fn advance_configuration_to(&self, next: u64) {
+        if self.configuration_position.advance_to(next) {
+            self.configuration.mark_caught_up();
+        }
+    }
+
+    /// Returns the state of the copy of the configuration in the form that is sent to other entries, or `None` before
+    /// the first verification.
+    fn configuration_state(&self) -> Option<CopyState> {
+        Some(CopyState { next_offset: self.configuration_position.next_offset()?, age: self.configuration.age()? })
+    }
+
     /// Makes this process read both topics now, on behalf of the leader.
     pub fn request_read(&self) {
         self.configuration.set_read_requested(true);
@@ -187,67 +206,41 @@
 
 /// Builds a request for changes. The request states how far this entry's copy reaches.
 pub fn sync_request(gateway: &Gateway, number: u64) -> SyncRequest {
-    let view = &gateway.store_view;
     SyncRequest {
         number,
-        configuration_offset: view.configuration.next_offset(),
-        replicas_offset: view.replicas.next_offset(),
+        configuration_offset: gateway.store_view.configuration_position.next_offset(),
+        replicas: gateway.roster.borrow().request(),
         successors_revision: gateway.membership.successors_revision(),
     }
 }
 
 /// Builds the response to a request for changes.
-pub fn sync_response(gateway: &Gateway, request: SyncRequest) -> SyncResponse {
-    let SyncRequest { configuration_offset, replicas_offset, .. } = request;
+pub fn sync_response(gateway: &Gateway, request: &SyncRequest) -> SyncResponse {
     let view = &gateway.store_view;
-    let (copy_state, delta, is_too_large) = match view.delivery(configuration_offset) {
-        Delivery::UpToDate => (view.configuration.copy_state(), None, false),
-        Delivery::Delta(delta) => (view.configuration.copy_state(), Some(delta), false),
+    let (configuration, delta, is_too_large) = match view.delivery(request.configuration_offset) {
+        Delivery::UpToDate => (view.configuration_state(), None, false),
+        Delivery::Delta(delta) => (view.configuration_state(), Some(delta), false),
         Delivery::Deferred => (None, None, false),
-        Delivery::TooLarge => (view.configuration.copy_state(), None, true),
+        Delivery::TooLarge => (view.configuration_state(), None, true),
     };
-    // This entry does not know of removals before its own first snapshot: a requester whose copy is older needs a
-    // snapshot.
-    let is_snapshot = replicas_offset.is_some_and(|from| !view.replicas.has_seen_changes_from(from));
-    let replica_updates = pack_replica_updates(gateway, replicas_offset.filter(|_| !is_snapshot));
     SyncResponse {
-        configuration: copy_state,
+        configuration,
         delta,
         is_too_large,
-        // After a failed compression the response must not claim that there are no changes.
-        replicas: view.replicas.copy_state().filter(|_| replica_updates.is_some()),
         evacuations: gateway.evacuations.borrow().snapshot().clone(),
-        replica_updates: replica_updates.unwrap_or_default(),
-        is_snapshot,
+        replicas: replicas_copy(gateway, &request.replicas),
         grace_time_left: gateway.roster.borrow().grace_left(now()),
         entry_count: gateway.entry_count(),
         successors: gateway.membership.successors_if_changed(request.successors_revision),
     }
 }
 
-/// Returns the compressed replica records that changed at the offset `from` or later, or those of all replicas if
-/// `from` is `None`. Returns `None` if the compression fails.
-fn pack_replica_updates(gateway: &Gateway, from: Option<u64>) -> Option<Packed> {
-    let roster = gateway.roster.borrow();
-    let view = &gateway.store_view;
-    let compress = || Packed::new(&roster.updates_since(from.unwrap_or(0), now()));
-    let snapshot_offset = view.replicas.next_offset().filter(|_| from.is_none());
-    let cached = view
-        .replica_snapshot
-        .borrow()
-        .as_ref()
-        .filter(|(offset, _)| Some(*offset) == snapshot_offset)
-        .map(|(_, snapshot)| snapshot.clone());
-    if let Some(cached) = cached {
-        return Some(cached);
-    }
-    match compress() {
-        Ok(compressed) => {
-            if let Some(offset) = snapshot_offset {
-                *view.replica_snapshot.borrow_mut() = Some((offset, compressed.clone()));
-            }
-            Some(compressed)
-        }
+/// Returns the replica records that answer a request, or `None` if this entry's copy was never verified or the
+/// compression fails.
+fn replicas_copy(gateway: &Gateway, request: &roster::Request) -> Option<ReplicasCopy> {
+    let age = gateway.store_view.replicas.age()?;
+    match pack_transfer(gateway, request) {
+        Ok(transfer) => Some(ReplicasCopy { transfer, age }),
         Err(error) => {
             warn_event!("replicas", error = %format!("{error:#}"));
             None
@@ -255,18 +248,37 @@
     }
 }
 
+/// Returns the compressed transfer that answers a request.
+fn pack_transfer(gateway: &Gateway, request: &roster::Request) -> Result<PackedTransfer> {
+    let roster = gateway.roster.borrow();
+    if !roster.extent_for(request).is_snapshot() {
+        return PackedTransfer::new(roster.transfer_for(request, now()));
+    }
+    let mut cached = gateway.store_view.replica_snapshot.borrow_mut();
+    if let Some((_, snapshot)) = cached.as_ref().filter(|(revision, _)| *revision == roster.revision()) {
+        return Ok(snapshot.clone());
+    }
+    let snapshot = PackedTransfer::new(roster.transfer_for(request, now()))?;
+    *cached = Some((roster.revision(), snapshot.clone()));
+    Ok(snapshot)
+}
+
 /// Applies the response to a request for changes that was sent at `requested_at`.
 pub fn apply_sync_response(gateway: &Gateway, response: SyncResponse, requested_at: Moment) {
     gateway.raise_entry_count(response.entry_count);
-    let view = &gateway.store_view;
-    let copy_states = [response.configuration, response.replicas];
-    copy_states.into_iter().flatten().for_each(|copy_state| gateway.observe_era(copy_state.next_offset));
+    if let Some(copy_state) = response.configuration {
+        gateway.observe_era(copy_state.next_offset);
+    }
+    if let Some(copy) = &response.replicas {
+        gateway.observe_era(copy.transfer.extent.end());
+    }
     ingest::apply_evacuation_snapshot(gateway, response.evacuations);
+    let view = &gateway.store_view;
     let apply = |document| ingest::apply_configuration(gateway, document) != ApplyOutcome::Undecodable;
     let is_applied = response.delta.is_none_or(|delta| view.open_delta(&delta).is_some_and(apply));
     match response.configuration {
         Some(copy_state) if is_applied && !response.is_too_large => {
-            view.configuration.advance_to(copy_state.next_offset);
+            view.advance_configuration_to(copy_state.next_offset);
             view.configuration.mark_verified(requested_at - copy_state.age);
         }
         Some(_) => {
@@ -275,26 +287,28 @@
         }
         None => {}
     }
-    let replica_updates = match response.replica_updates.decompress() {
-        Ok(replica_updates) => replica_updates,
-        Err(error) => {
-            warn_event!("replicas", error = %format!("{error:#}"));
-            return;
-        }
-    };
-    if let Some(copy_state) = response.replicas {
-        // An entry with a fresh copy sees a missing record as removed, even if the other entry was cut off from the
-        // store for long. Only an entry with a stale copy takes over the other one's grace period.
-        if !store_reader::are_replicas_fresh(gateway) {
-            gateway.roster.borrow_mut().record_store_recovery(now(), response.grace_time_left);
-        }
-        if response.is_snapshot {
-            ingest::apply_snapshot(gateway, copy_state.next_offset, replica_updates, Source::Peer);
-        } else {
-            ingest::apply_updates(gateway, replica_updates, Source::Peer);
-        }
-        ingest::expire_records(gateway, Source::Peer);
-        view.replicas.advance_to(copy_state.next_offset);
-        view.replicas.mark_verified(requested_at - copy_state.age);
+    if let Some(copy) = response.replicas
+        && let Err(error) = apply_replicas_copy(gateway, copy, response.grace_time_left, requested_at)
+    {
+        warn_event!("replicas", error = %format!("{error:#}"));
+    }
+}
+
+/// Applies the replica records in the response to a request for changes that was sent at `requested_at`.
+fn apply_replicas_copy(
+    gateway: &Gateway,
+    copy: ReplicasCopy,
+    grace_time_left: Duration,
+    requested_at: Moment,
+) -> Result<()> {
+    let transfer = copy.transfer.unpack()?;
+    // An entry with a fresh copy sees a missing record as removed, even if the other entry was cut off from the store
+    // for long. Only an entry with a stale copy takes over the other one's grace period.
+    if !store_reader::are_replicas_fresh(gateway) {
+        gateway.roster.borrow_mut().record_store_recovery(now(), grace_time_left);
     }
+    ingest::apply_transfer(gateway, transfer, Source::Peer)?;
+    ingest::expire_records(gateway, Source::Peer);
+    gateway.store_view.replicas.mark_verified(requested_at - copy.age);
+    Ok(())
 }
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -1,4 +1,4 @@
-//! State of this process's copy of one topic of the store: how far the copy reaches, and when it was last verified.
+//! State of this process's copy of one topic of the store: when it was last verified, and where the next read continues.
 //!
 //! A copy is verified by a read of the store, here or at another entry, which shows that the copy holds the newest
 //! records.
@@ -11,52 +11,49 @@
 use tokio::sync::watch;
 
 use super::now;
-use super::peer_protocol::CopyState;
 
-/// State of this process's copy of one topic.
+/// Position of this process in the log of a topic of which only the newest records count.
 #[derive(Default)]
-pub struct TopicState {
+pub struct ReadPosition {
     /// Offset from which the next read continues.
     next_offset: Cell<Option<u64>>,
-    /// Offset from which on this process saw every change. Removals below this offset are not known here.
-    changes_seen_from: Cell<Option<u64>>,
-    /// Send time of the newest read that verified the copy.
-    verified_at: Cell<Option<Moment>>,
-    /// Whether the copy was ever verified.
-    ever_verified: watch::Sender<bool>,
-    /// Whether the store has newer records that this process must read itself.
-    is_behind: Cell<bool>,
-    /// Whether the leader, which the store does not answer, asked this process to read the topic.
-    is_read_requested: Cell<bool>,
 }
 
-impl TopicState {
+impl ReadPosition {
     /// Returns the offset from which the next read continues, or `None` if a snapshot must be read first.
     pub fn next_offset(&self) -> Option<u64> {
         self.next_offset.get()
     }
 
-    /// Records that all records below the offset `next` were applied.
-    pub fn advance_to(&self, next: u64) {
-        if self.next_offset.get().is_none_or(|known| known <= next) {
+    /// Records that all records below the offset `next` were applied. Returns whether none beyond it were before.
+    pub fn advance_to(&self, next: u64) -> bool {
+        let is_newest = self.next_offset.get().is_none_or(|known| known <= next);
+        if is_newest {
             self.next_offset.set(Some(next));
-            self.is_behind.set(false);
         }
-        if self.changes_seen_from.get().is_none() {
-            self.changes_seen_from.set(Some(next));
-        }
-    }
-
-    /// Returns whether this process saw every change at offset `from` and later.
-    pub fn has_seen_changes_from(&self, from: u64) -> bool {
-        self.changes_seen_from.get().is_some_and(|seen| seen <= from)
+        is_newest
     }
 
-    /// Discards the read position because the store no longer has the records behind it: the next read is a snapshot.
+    /// Discards the position because the store no longer has the records behind it: the next read is a snapshot.
     pub fn reset(&self) {
         self.next_offset.set(None);
     }
+}
 
+/// State of this process's copy of one topic.
+#[derive(Default)]
+pub struct TopicState {
+    /// Send time of the newest read that verified the copy.
+    verified_at: Cell<Option<Moment>>,
+    /// Whether the copy was ever verified.
+    ever_verified: watch::Sender<bool>,
+    /// Whether the store has newer records that this process must read itself.
+    is_behind: Cell<bool>,
+    /// Whether the leader, which the store does not answer, asked this process to read the topic.
+    is_read_requested: Cell<bool>,
+}
+
+impl TopicState {
     /// Records that a read which was sent at `sent` showed the copy to be the newest state.
     pub fn mark_verified(&self, sent: Moment) {
         invariant!(sent <= now(), "a read of the store is not from the future");
@@ -78,6 +75,11 @@
         self.is_behind.set(true);
     }
 
+    /// Records that this process has the newest records again.
+    pub fn mark_caught_up(&self) {
+        self.is_behind.set(false);
+    }
+
     /// Sets whether the leader asked this process to read the topic.
     pub fn set_read_requested(&self, is_requested: bool) {
         self.is_read_requested.set(is_requested);
@@ -116,10 +118,4 @@
         }
         self.age().map_or(Duration::ZERO, |age| max_age.saturating_sub(age))
     }
-
-    /// Returns the state of the copy in the form that is sent to other entries, or `None` before the first
-    /// verification.
-    pub fn copy_state(&self) -> Option<CopyState> {
-        Some(CopyState { next_offset: self.next_offset.get()?, age: self.age()? })
-    }
 }
--- a/sorrelpass/src/gateway/topic_reader.rs
+++ b/sorrelpass/src/gateway/topic_reader.rs
@@ -42,6 +42,16 @@
     pub next_offset: u64,
 }
 
+/// Result of a read from an offset on.
+pub enum LogRead {
+    /// The records from that offset on.
+    Records(RecordBatch),
+    /// The log does not reach back to that offset: the newest records must be read instead.
+    Lost,
+    /// The store answered with an older state, which verifies nothing.
+    Outdated,
+}
+
 /// Reads one topic of the store, and logs the start and the end of each outage once.
 pub struct TopicReader {
     topic_name: &'static str,
@@ -111,27 +121,24 @@
     }
 
     /// Reads the records from the offset `from` on. If there are none, the store holds the call for up to `wait`.
-    /// Returns `None` if the store no longer keeps that offset, or answers with an older state.
-    pub async fn read_from(&mut self, topic: &TopicState, from: u64, wait: Duration) -> Result<Option<RecordBatch>> {
+    pub async fn read_from(&mut self, from: u64, wait: Duration) -> Result<LogRead> {
         metric::record_store_calls("read", self.topic_name, 1);
         match self.client.read(self.topic_name, from, wait, RESPONSE_TIMEOUT).await? {
             Read::Trimmed => {
                 event!("store-trimmed", topic = self.topic_name, from = %Formatted(from));
-                topic.reset();
-                Ok(None)
+                Ok(LogRead::Lost)
             }
             Read::EraChanged => {
                 event!("store-outdated", topic = self.topic_name, from = %Formatted(from));
-                topic.reset();
-                Ok(None)
+                Ok(LogRead::Lost)
             }
             Read::Records { end_offset, .. } if end_offset < from => {
                 // A response older than the records already read does not verify the copy.
                 warn_event!("store-stale", topic = self.topic_name, from = %Formatted(from), end = %Formatted(end_offset));
                 tokio::time::sleep(MIN_RETRY_DELAY).await;
-                Ok(None)
+                Ok(LogRead::Outdated)
             }
-            Read::Records { records, next_offset, .. } => Ok(Some(RecordBatch { records, next_offset })),
+            Read::Records { records, next_offset, .. } => Ok(LogRead::Records(RecordBatch { records, next_offset })),
         }
     }
 
