The removal of a replica that an entry never knew is passed on

Callers would see: requests to a replica that is gone (DRAIN), where one entry used it, and the one that it follows next heard only of its removal.

Cause: a process that receives changes gets the newest state of each replica only. For one that came and went between two answers that is a removal; it was dropped, as there was nothing to remove. Yet the receiver covers that part of the log, and sends what it covers to those that follow it.

Change: the roster keeps such removals, and records of other writers, for as long as its coverage reaches back to them.

Evidence: roster_copies::changes_from_another_process_extend_the_claim failed before ("the receiver keeps a replica that is gone").

--- a/coord/src/roster/mod.rs
+++ b/coord/src/roster/mod.rs
@@ -34,6 +34,9 @@
     replicas: BTreeMap<Name, Replica>,
     /// Time until which a missing record counts as expired.
     grace_until: Moment,
+    /// Replicas without a known record whose removal or unusable record was applied. A process that follows this one may
+    /// still use such a replica, and must learn of it.
+    unrecorded: BTreeMap<Name, Update>,
     /// Part of the log that the records reflect.
     coverage: Coverage,
     /// Number of times that the records changed.
@@ -95,7 +98,8 @@
     /// Returns the latest update of each replica that changed at offset `from` or later.
     fn changes_from(&self, from: u64, now: Moment) -> Vec<Update> {
         let recorded = self.replicas.values().filter(|replica| replica.changed_offset >= from);
-        recorded.map(|replica| replica.to_update(now)).collect()
+        let unrecorded = self.unrecorded.values().filter(|update| update.offset >= from);
+        recorded.map(|replica| replica.to_update(now)).chain(unrecorded.cloned()).collect()
     }
 
     /// Applies updates that were read from the store or sent by another process. A state older than the recorded one
@@ -114,6 +118,8 @@
         let last_offset = extent.end().saturating_sub(1);
         changes.extend(missing.iter().filter_map(|id| self.apply_removal(last_offset, id, now)));
         self.coverage = coverage;
+        // Changes before the start of the coverage are never sent.
+        self.unrecorded.retain(|_, update| update.offset >= coverage.start());
         Ok(changes)
     }
 
@@ -138,9 +144,11 @@
         let current = self.replicas.get(&id);
         // A replica missing from the full snapshot is gone even if a peer still has it. Accepting and relaying the
         // peer's older record would keep that peer from ever receiving the removal.
-        if offset < current.map_or(self.coverage.start(), |current| current.offset) {
+        let unrecorded_offset = self.unrecorded.get(&id).map_or(self.coverage.start(), |update| update.offset);
+        if offset < current.map_or(unrecorded_offset, |current| current.offset) {
             return None;
         }
+        self.unrecorded.remove(&id);
         // A recovered log contains records of replicas that were removed after the copy was made. A replica that is
         // alive writes its record again.
         if let Some(removed) = self.replicas.get_mut(&id).filter(|current| current.is_removed())
@@ -191,7 +199,10 @@
     }
 
     fn apply_unusable(&mut self, offset: u64, id: &Name) -> Option<Change> {
-        let replica = self.replicas.get_mut(id)?;
+        let Some(replica) = self.replicas.get_mut(id) else {
+            self.note_unrecorded(offset, RecordState::Unusable(id.clone()));
+            return None;
+        };
         if offset < replica.offset {
             return None;
         }
@@ -208,7 +219,10 @@
 
     fn apply_removal(&mut self, offset: u64, id: &Name, now: Moment) -> Option<Change> {
         let grace_until = self.grace_until;
-        let replica = self.replicas.get_mut(id)?;
+        let Some(replica) = self.replicas.get_mut(id) else {
+            self.note_unrecorded(offset, RecordState::Removed(id.clone()));
+            return None;
+        };
         if offset < replica.offset {
             return None;
         }
@@ -227,6 +241,14 @@
         changed.then(|| Change::of(id, availability))
     }
 
+    /// Notes the state of a replica without a known record.
+    fn note_unrecorded(&mut self, offset: u64, state: RecordState) {
+        let known_offset = self.unrecorded.get(state.id()).map_or(self.coverage.start(), |known| known.offset);
+        if offset >= known_offset {
+            self.unrecorded.insert(state.id().clone(), Update { offset, state });
+        }
+    }
+
     /// Marks replicas with expired records as gone once their grace period is over.
     pub fn expire(&mut self, now: Moment) -> Vec<Change> {
         let mut changes = Vec::new();
--- a/coord/tests/roster_copies.rs
+++ b/coord/tests/roster_copies.rs
@@ -236,6 +236,19 @@
     assert_learns_of_end(&leader, &mut witness);
 }
 
+/// A process that received changes claims them and all that it saw before.
+#[test]
+fn changes_from_another_process_extend_the_claim() {
+    let (mut log, mut leader) = start();
+    let (mut follower, mut witness, start) = (leader.clone(), leader.clone(), leader.end());
+    arrive(&mut log, &mut witness);
+    log.write(PASSING, Entry::Removed);
+    read_on(&mut leader, &log);
+    send(&leader, &mut follower);
+    assert!(!transfer_from(&follower, start).extent.is_snapshot());
+    assert_learns_of_end(&follower, &mut witness);
+}
+
 /// A delegated read is answered from the position that the leader asked with, also if the leader has moved on since.
 #[test]
 fn an_answer_that_was_overtaken_takes_nothing_back() {
