--- a/coord/src/roster/mod.rs
+++ b/coord/src/roster/mod.rs
@@ -227,10 +227,10 @@
             return None;
         }
         replica.offset = offset;
-        if replica.has_record {
-            replica.has_record = false;
-            replica.changed_offset = offset;
-        }
+        replica.has_record = false;
+        // The pages of a snapshot are read one after the other and may already lack a record that is removed only after
+        // the snapshot's end. Processes that have the snapshot's end learn of the removal at its own offset.
+        replica.changed_offset = offset;
         let availability = match replica.availability {
             Availability::Ready if now < grace_until => Availability::Expired(grace_until),
             Availability::Expired(until) if now < until => return None,
--- a/coord/tests/roster_copies.rs
+++ b/coord/tests/roster_copies.rs
@@ -283,3 +283,18 @@
     assert_eq!(outcome, Err(Gap { from, copy_end: behind.end() }));
     assert!(!is_used(&behind, PASSING));
 }
+
+/// Guards against a removal that is noticed too early: the pages of a snapshot are read one after the other, and those
+/// that had the snapshot's end already were never told of a removal after it.
+#[test]
+fn a_record_that_was_removed_between_two_pages_is_removed_at_those_that_read_them_earlier() {
+    let (mut log, mut witness) = start();
+    arrive(&mut log, &mut witness);
+    let mut reader = witness.clone();
+    let end = log.end();
+    log.write(PASSING, Entry::Removed);
+    apply(&mut reader, Transfer::of_newest(end, log.page(0..u8::MAX)));
+    assert_eq!(reader.end(), witness.end());
+    read_on(&mut reader, &log);
+    assert_learns_of_end(&reader, &mut witness);
+}
