A replica that came back in a gap is used by those that saw it go

Callers would see: one replica less than there are, at some entries, until its record changes.

Cause: a record that is equal to the known one counts as a heartbeat, whose offset is not passed on. Those that had seen the removal were sent the record with its old offset, and refused it.

Change: only the log itself has heartbeats. In any other transfer, a record changed at its offset. The same holds for records of other writers.

Evidence: roster_copies::a_replica_that_came_back_in_the_gap_... and ..._between_two_answers_... failed before.

--- a/coord/src/roster/mod.rs
+++ b/coord/src/roster/mod.rs
@@ -114,7 +114,7 @@
         self.revision += 1;
         let missing = if extent.is_snapshot() { self.missing_from(extent.end(), &updates) } else { Vec::new() };
         let mut changes: Vec<Change> =
-            updates.into_iter().filter_map(|update| self.apply_update(update, now)).collect();
+            updates.into_iter().filter_map(|update| self.apply_update(update, extent, now)).collect();
         let last_offset = extent.end().saturating_sub(1);
         changes.extend(missing.iter().filter_map(|id| self.apply_removal(last_offset, id, now)));
         self.coverage = coverage;
@@ -131,15 +131,15 @@
     }
 
     /// Applies an update that is part of a transfer; a state older than the recorded one is ignored.
-    fn apply_update(&mut self, update: Update, now: Moment) -> Option<Change> {
+    fn apply_update(&mut self, update: Update, extent: Extent, now: Moment) -> Option<Change> {
         match update.state {
-            RecordState::Present(record) => self.apply_record(update.offset, record, now),
+            RecordState::Present(record) => self.apply_record(update.offset, record, extent, now),
             RecordState::Removed(id) => self.apply_removal(update.offset, &id, now),
-            RecordState::Unusable(id) => self.apply_unusable(update.offset, &id),
+            RecordState::Unusable(id) => self.apply_unusable(update.offset, &id, extent),
         }
     }
 
-    fn apply_record(&mut self, offset: u64, record: Record, now: Moment) -> Option<Change> {
+    fn apply_record(&mut self, offset: u64, record: Record, extent: Extent, now: Moment) -> Option<Change> {
         let id = record.id.clone();
         let current = self.replicas.get(&id);
         // A replica missing from the full snapshot is gone even if a peer still has it. Accepting and relaying the
@@ -187,8 +187,12 @@
             Record { leaving, started_ms: started_ms.or(current_started_ms), cold_remaining: Duration::ZERO, ..record };
         let changed =
             has_restarted || cold_changed || current.is_none_or(|current| current.availability != availability);
-        let unchanged =
-            current.filter(|current| current.has_record && current.record == record && !changed && !is_confirmed);
+        // An unchanged record is a heartbeat only in the log itself. Elsewhere, the record may have been removed and
+        // written again meanwhile, and a process that saw the removal accepts only the later record.
+        let is_heartbeat = |current: &&Replica| {
+            extent.is_log() && current.has_record && current.record == record && !changed && !is_confirmed
+        };
+        let unchanged = current.filter(is_heartbeat);
         let changed_offset = unchanged.map_or(offset, |current| current.changed_offset);
         self.replicas
             .insert(id.clone(), Replica { record, availability, offset, changed_offset, has_record: true, cold_until });
@@ -198,7 +202,7 @@
         changed.then_some(Change { id, availability, has_restarted, is_cold })
     }
 
-    fn apply_unusable(&mut self, offset: u64, id: &Name) -> Option<Change> {
+    fn apply_unusable(&mut self, offset: u64, id: &Name, extent: Extent) -> Option<Change> {
         let Some(replica) = self.replicas.get_mut(id) else {
             self.note_unrecorded(offset, RecordState::Unusable(id.clone()));
             return None;
@@ -207,7 +211,7 @@
             return None;
         }
         replica.offset = offset;
-        if replica.has_record && replica.availability == Availability::Unusable {
+        if extent.is_log() && replica.has_record && replica.availability == Availability::Unusable {
             return None;
         }
         replica.has_record = true;
--- a/coord/src/roster/transfer.rs
+++ b/coord/src/roster/transfer.rs
@@ -34,7 +34,9 @@
 /// Content of a list of updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum Content {
-    /// The records of all replicas that have changed.
+    /// All records of the log, heartbeats included.
+    Log,
+    /// The newest state of each replica that has changed.
     Changes,
     /// The newest record of each replica. A replica that is not among them has none.
     Snapshot,
@@ -51,6 +53,11 @@
         self.content == Content::Snapshot
     }
 
+    /// Returns whether the updates are all records of the log, heartbeats included.
+    pub(super) fn is_log(&self) -> bool {
+        self.content == Content::Log
+    }
+
     /// Offset from which on the sender saw every change.
     pub(super) fn start(&self) -> u64 {
         self.start
@@ -69,7 +76,7 @@
 impl Transfer {
     /// Returns the records that were read from the log, without a gap, from the offset `from` to the offset `end`.
     pub fn of_log(from: u64, end: u64, updates: Vec<Update>) -> Self {
-        Self { extent: Extent { start: from, end, content: Content::Changes }, updates }
+        Self { extent: Extent { start: from, end, content: Content::Log }, updates }
     }
 
     /// Returns the newest record of each replica, read while the log ended at `end` or later.
--- a/coord/tests/roster_copies.rs
+++ b/coord/tests/roster_copies.rs
@@ -284,6 +284,38 @@
     assert!(!is_used(&behind, PASSING));
 }
 
+/// Guards against a record that is known to be older than it is: a replica that came back in a part of the log that the
+/// sender skipped stayed out of use at a process that had seen it go.
+#[test]
+fn a_replica_that_came_back_in_the_gap_is_used_by_those_that_saw_it_go() {
+    let (mut log, mut leader) = start();
+    let mut witness = leader.clone();
+    arrive(&mut log, &mut leader);
+    log.write(PASSING, Entry::Removed);
+    apply(&mut witness, log.read_newest());
+    log.write(PASSING, Entry::Written);
+    log.trim();
+    apply(&mut leader, log.read_newest());
+    send(&leader, &mut witness);
+    assert!(is_used(&witness, PASSING), "{witness:?}");
+}
+
+/// Guards against the same with changes from another process, which hold the newest state of a replica only.
+#[test]
+fn a_replica_that_came_back_between_two_answers_is_used_by_those_that_saw_it_go() {
+    let (mut log, mut leader) = start();
+    arrive(&mut log, &mut leader);
+    let mut follower = leader.clone();
+    log.write(PASSING, Entry::Removed);
+    let mut witness = Roster::default();
+    apply(&mut witness, log.read_newest());
+    log.write(PASSING, Entry::Written);
+    read_on(&mut leader, &log);
+    send(&leader, &mut follower);
+    send(&follower, &mut witness);
+    assert!(is_used(&witness, PASSING), "{witness:?}");
+}
+
 /// Guards against a removal that is noticed too early: the pages of a snapshot are read one after the other, and those
 /// that had the snapshot's end already were never told of a removal after it.
 #[test]
