After a restore, replicas that wrote again are used by those that saw them go

Callers would see: one replica less than there are, at some entries, until its record changes, after the store was restored from an older copy.

Cause: a restored log holds records whose removal it has lost. An entry that saw the removal keeps such a replica out until it writes again. That write is a heartbeat to entries that never saw the removal, and heartbeats are not passed on.

Evidence: roster_copies::a_replica_that_writes_again_after_a_restore_... fails without the doubts.

--- a/coord/src/roster/mod.rs
+++ b/coord/src/roster/mod.rs
@@ -28,6 +28,9 @@
 /// Minimum extension of the cold period that counts as turning cold again.
 const MIN_COLD_EXTENSION: Duration = Duration::from_secs(1);
 
+/// Bounds the number of doubtful replicas in a request. Each takes some 20 bytes, four times per second.
+const MAX_DOUBTFUL_IN_REQUEST: usize = 64;
+
 /// Replicas that this process has recorded.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -37,6 +40,9 @@
     /// Replicas without a known record whose removal or unusable record was applied. A process that follows this one may
     /// still use such a replica, and must learn of it.
     unrecorded: BTreeMap<Name, Update>,
+    /// Replicas that are gone as far as is known, and of which a recovered log has a record. It may be an old record
+    /// whose removal the log has lost; the next write shows that the replica is alive.
+    doubtful: BTreeSet<Name>,
     /// Part of the log that the records reflect.
     coverage: Coverage,
     /// Number of times that the records changed.
@@ -71,9 +77,13 @@
         self.revision
     }
 
-    /// Returns the request for the updates that this process lacks.
+    /// Returns the request for the updates that this process lacks. If it names only a part of the doubtful replicas, a
+    /// later request names others.
     pub fn request(&self) -> Request {
-        Request { end: self.end() }
+        let parts = self.doubtful.len().div_ceil(MAX_DOUBTFUL_IN_REQUEST).max(1);
+        let skipped = (self.revision as usize % parts) * MAX_DOUBTFUL_IN_REQUEST;
+        let doubtful = self.doubtful.iter().skip(skipped).take(MAX_DOUBTFUL_IN_REQUEST).cloned().collect();
+        Request { end: self.end(), doubtful }
     }
 
     /// Returns the extent of the transfer that answers a request: the changes since the requester's end, or a snapshot
@@ -85,8 +95,13 @@
     /// Returns the updates that answer a request.
     pub fn transfer_for(&self, request: &Request, now: Moment) -> Transfer {
         let extent = self.extent_for(request);
-        let updates = if extent.is_snapshot() { self.snapshot(now) } else { self.changes_from(extent.start(), now) };
-        Transfer { extent, updates }
+        let mut updates =
+            if extent.is_snapshot() { self.snapshot(now) } else { self.changes_from(extent.start(), now) };
+        let asked = request.doubtful.iter().filter_map(|id| self.replicas.get(id));
+        updates.extend(asked.filter(|replica| replica.has_record).map(|replica| replica.to_last_write(now)));
+        // A requester that gets changes has a view of its own of the part of the log to which the doubts belong.
+        let doubtful = if extent.is_snapshot() { self.doubtful.iter().cloned().collect() } else { Vec::new() };
+        Transfer { extent, updates, doubtful }
     }
 
     /// Returns the update of each replica that has a record.
@@ -105,18 +120,25 @@
     /// Applies updates that were read from the store or sent by another process. A state older than the recorded one
     /// is ignored. Fails, and applies nothing, if changes are missing between the roster's end and the updates.
     pub fn apply_transfer(&mut self, transfer: Transfer, now: Moment) -> Result<Vec<Change>, Gap> {
-        let Transfer { extent, updates } = transfer;
+        let Transfer { extent, updates, doubtful } = transfer;
         let coverage = self.coverage.after(extent)?;
         if extent.is_snapshot() && extent.end() < self.end() {
             // The roster already reflects all that the snapshot shows.
             return Ok(Vec::new());
         }
         self.revision += 1;
+        if extent.is_snapshot() {
+            self.doubtful.clear();
+        }
         let missing = if extent.is_snapshot() { self.missing_from(extent.end(), &updates) } else { Vec::new() };
         let mut changes: Vec<Change> =
             updates.into_iter().filter_map(|update| self.apply_update(update, extent, now)).collect();
         let last_offset = extent.end().saturating_sub(1);
         changes.extend(missing.iter().filter_map(|id| self.apply_removal(last_offset, id, now)));
+        if extent.end() >= self.end() {
+            let has_record = |id: &Name| self.replicas.get(id).is_some_and(|replica| replica.has_record);
+            self.doubtful.extend(doubtful.into_iter().filter(|id| !has_record(id)));
+        }
         self.coverage = coverage;
         // Changes before the start of the coverage are never sent.
         self.unrecorded.retain(|_, update| update.offset >= coverage.start());
@@ -146,15 +168,22 @@
         // peer's older record would keep that peer from ever receiving the removal.
         let unrecorded_offset = self.unrecorded.get(&id).map_or(self.coverage.start(), |update| update.offset);
         if offset < current.map_or(unrecorded_offset, |current| current.offset) {
+            if extent.is_snapshot() && current.is_none_or(|current| !current.has_record) {
+                self.doubtful.insert(id);
+            }
             return None;
         }
         self.unrecorded.remove(&id);
-        // A recovered log contains records of replicas that were removed after the copy was made. A replica that is
-        // alive writes its record again.
+        self.doubtful.remove(&id);
+        // The newest records of a recovered log include those of replicas that were removed after the copy was made. A
+        // replica that is alive writes its record again.
+        let is_in_recovered_log =
+            |removed: &Replica| extent.is_snapshot() && offset::era(offset) > offset::era(removed.offset);
         if let Some(removed) = self.replicas.get_mut(&id).filter(|current| current.is_removed())
-            && (offset == removed.offset || offset::era(offset) > offset::era(removed.offset))
+            && (offset == removed.offset || is_in_recovered_log(removed))
         {
             removed.offset = offset;
+            self.doubtful.insert(id);
             return None;
         }
         let current = self.replicas.get(&id);
@@ -210,6 +239,7 @@
         if offset < replica.offset {
             return None;
         }
+        self.doubtful.remove(id);
         replica.offset = offset;
         if extent.is_log() && replica.has_record && replica.availability == Availability::Unusable {
             return None;
@@ -230,6 +260,7 @@
         if offset < replica.offset {
             return None;
         }
+        self.doubtful.remove(id);
         replica.offset = offset;
         replica.has_record = false;
         // The pages of a snapshot are read one after the other and may already lack a record that is removed only after
@@ -249,6 +280,7 @@
     fn note_unrecorded(&mut self, offset: u64, state: RecordState) {
         let known_offset = self.unrecorded.get(state.id()).map_or(self.coverage.start(), |known| known.offset);
         if offset >= known_offset {
+            self.doubtful.remove(state.id());
             self.unrecorded.insert(state.id().clone(), Update { offset, state });
         }
     }
--- a/coord/src/roster/replica.rs
+++ b/coord/src/roster/replica.rs
@@ -45,6 +45,11 @@
         self.availability == Availability::Gone && !self.has_record
     }
 
+    /// Returns the latest write, which may be a heartbeat, in the form sent to peers at `now`.
+    pub(super) fn to_last_write(&self, now: Moment) -> Update {
+        Update { offset: self.offset, ..self.to_update(now) }
+    }
+
     /// Returns the latest effective change in the form sent to peers at `now`.
     pub(super) fn to_update(&self, now: Moment) -> Update {
         let state = match (self.has_record, self.availability) {
--- a/coord/src/roster/transfer.rs
+++ b/coord/src/roster/transfer.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::record::Update;
+use crate::name::Name;
 use crate::offset::{self, Formatted};
 
 /// Request of a process for the updates that it lacks.
@@ -18,6 +19,9 @@
 pub struct Request {
     /// Offset after the newest record that the requester's roster reflects, or 0 if it has read none.
     pub end: u64,
+    /// Removed replicas of which a recovered log has a record. Unchanged heartbeats are not sent otherwise, and only a
+    /// later write shows that such a replica is alive.
+    pub doubtful: Vec<Name>,
 }
 
 /// Part of the log that a list of updates covers.
@@ -71,17 +75,19 @@
     pub extent: Extent,
     /// Updates in that part.
     pub updates: Vec<Update>,
+    /// Replicas without an update of which the sender does not know whether they are alive.
+    pub doubtful: Vec<Name>,
 }
 
 impl Transfer {
     /// Returns the records that were read from the log, without a gap, from the offset `from` to the offset `end`.
     pub fn of_log(from: u64, end: u64, updates: Vec<Update>) -> Self {
-        Self { extent: Extent { start: from, end, content: Content::Log }, updates }
+        Self { extent: Extent { start: from, end, content: Content::Log }, updates, doubtful: Vec::new() }
     }
 
     /// Returns the newest record of each replica, read while the log ended at `end` or later.
     pub fn of_newest(end: u64, updates: Vec<Update>) -> Self {
-        Self { extent: Extent { start: end, end, content: Content::Snapshot }, updates }
+        Self { extent: Extent { start: end, end, content: Content::Snapshot }, updates, doubtful: Vec::new() }
     }
 }
 
--- a/coord/tests/common/log_records.rs
+++ b/coord/tests/common/log_records.rs
@@ -27,6 +27,6 @@
     }
 
     fn updates_since(&self, from: u64, now: Moment) -> Vec<Update> {
-        self.transfer_for(&Request { end: from }, now).updates
+        self.transfer_for(&Request { end: from, doubtful: Vec::new() }, now).updates
     }
 }
--- a/coord/tests/roster_copies.rs
+++ b/coord/tests/roster_copies.rs
@@ -8,6 +8,7 @@
 use coord::offset;
 use coord::roster::{Gap, Record, RecordState, Request, Roster, Transfer, Update};
 use coord::time::Moment;
+use proptest::prelude::*;
 
 const NOW: Moment = Moment::from_millis(10_000);
 
@@ -37,6 +38,7 @@
 enum Entry {
     Written,
     Removed,
+    Foreign,
 }
 
 /// Stand-in for the store's log, which drops records from its beginning and can be restored from an older copy.
@@ -71,11 +73,21 @@
         self.first = self.first.min(len);
     }
 
+    /// Writes the record of each replica again that has one.
+    fn beat(&mut self) {
+        let newest = self.newest(0..REPLICAS);
+        newest
+            .iter()
+            .filter(|(_, (_, entry))| *entry == Entry::Written)
+            .for_each(|(number, _)| self.write(*number, Entry::Written));
+    }
+
     fn update(&self, plain: usize) -> Update {
         let (number, entry) = self.records[plain];
         let state = match entry {
             Entry::Written => RecordState::Present(record(number)),
             Entry::Removed => RecordState::Removed(name(number)),
+            Entry::Foreign => RecordState::Unusable(name(number)),
         };
         Update { offset: self.number(plain), state }
     }
@@ -118,7 +130,7 @@
 
 /// Returns what `sender` sends to a process whose copy ends at `end`.
 fn transfer_from(sender: &Roster, end: u64) -> Transfer {
-    sender.transfer_for(&Request { end }, NOW)
+    sender.transfer_for(&Request { end, doubtful: Vec::new() }, NOW)
 }
 
 /// Sends what the receiver lacks, as the answer to the receiver's request.
@@ -330,3 +342,171 @@
     read_on(&mut reader, &log);
     assert_learns_of_end(&reader, &mut witness);
 }
+
+/// Guards against a replica that stays out of use after a restore: heartbeats are not sent on, and only a later write
+/// shows that the replica of an old record is alive.
+#[test]
+fn a_replica_that_writes_again_after_a_restore_is_used_by_those_that_saw_it_go() {
+    let (mut log, mut follower) = start();
+    arrive(&mut log, &mut follower);
+    log.write(PASSING, Entry::Removed);
+    read_on(&mut follower, &log);
+    log.restore(2);
+    let mut leader = Roster::default();
+    apply(&mut leader, log.read_newest());
+    send(&leader, &mut follower);
+    assert!(!is_used(&follower, PASSING), "the restored log may have lost its removal");
+    let mut third = Roster::default();
+    send(&follower, &mut third);
+    assert!(!is_used(&third, PASSING), "the doubt is passed on");
+    log.beat();
+    read_on(&mut leader, &log);
+    for roster in [&mut follower, &mut third] {
+        send(&leader, roster);
+        assert!(is_used(roster, PASSING), "{roster:?}");
+        assert_eq!(roster.request().doubtful, Vec::<Name>::new());
+    }
+}
+
+/// Several processes follow one log: they read it, ask each other, start again, and answers arrive late.
+#[derive(Clone, Debug)]
+enum Step {
+    Write(u8, Entry),
+    Trim,
+    Restore(prop::sample::Index),
+    Read(usize),
+    /// Reads the first page of the newest records.
+    ReadFirstPage(usize),
+    /// Reads the remaining pages, and applies them all.
+    ReadRemainingPages(usize),
+    Ask(usize, usize),
+    /// Asks as `Ask` does, but the answer stays on its way.
+    AskLate(usize, usize),
+    Deliver(usize),
+    Restart(usize),
+}
+
+const PROCESSES: usize = 4;
+const REPLICAS: u8 = 4;
+/// Number of the first replica on the second page.
+const SECOND_PAGE: u8 = 2;
+
+fn step() -> impl Strategy<Value = Step> {
+    let entry = prop_oneof![3 => Just(Entry::Written), 2 => Just(Entry::Removed), 1 => Just(Entry::Foreign)];
+    prop_oneof![
+        8 => (0..REPLICAS, entry).prop_map(|(number, entry)| Step::Write(number, entry)),
+        2 => Just(Step::Trim),
+        1 => any::<prop::sample::Index>().prop_map(Step::Restore),
+        6 => (0..PROCESSES).prop_map(Step::Read),
+        2 => (0..PROCESSES).prop_map(Step::ReadFirstPage),
+        3 => (0..PROCESSES).prop_map(Step::ReadRemainingPages),
+        8 => (0..PROCESSES, 0..PROCESSES).prop_map(|(from, to)| Step::Ask(from, to)),
+        3 => (0..PROCESSES, 0..PROCESSES).prop_map(|(from, to)| Step::AskLate(from, to)),
+        3 => (0..PROCESSES).prop_map(Step::Deliver),
+        1 => (0..PROCESSES).prop_map(Step::Restart),
+    ]
+}
+
+/// Process with its roster, the read of several pages that it has begun, and the answer that is on its way to it.
+#[derive(Clone, Debug, Default)]
+struct Process {
+    roster: Roster,
+    first_page: Option<(u64, Vec<Update>)>,
+    late: Option<Transfer>,
+}
+
+impl Process {
+    fn read(&mut self, log: &Log) {
+        let transfer = log.read(self.roster.end()).filter(|_| self.roster.end() > 0);
+        apply(&mut self.roster, transfer.unwrap_or_else(|| log.read_newest()));
+    }
+
+    fn run(&mut self, step: &Step, log: &Log) {
+        match step {
+            Step::Read(_) => self.read(log),
+            Step::ReadFirstPage(_) => self.first_page = Some((log.end(), log.page(0..SECOND_PAGE))),
+            Step::ReadRemainingPages(_) => {
+                // A read is given up if the store was restored between two pages.
+                let Some((end, mut updates)) = self.first_page.take() else { return };
+                if offset::era(end) == log.era {
+                    updates.extend(log.page(SECOND_PAGE..u8::MAX));
+                    apply(&mut self.roster, Transfer::of_newest(end, updates));
+                }
+            }
+            Step::Deliver(_) => {
+                if let Some(late) = self.late.take() {
+                    apply(&mut self.roster, late);
+                }
+            }
+            _ => *self = Self::default(),
+        }
+    }
+}
+
+/// Checks what a process knows against the log, for replicas of which the log says nothing after the process's end.
+/// `is_beaten` says whether all replicas have written their records again since the last restore.
+fn check(process: &Process, log: &Log, is_beaten: bool) -> Result<(), TestCaseError> {
+    let end = process.roster.end();
+    if end == 0 || offset::era(end) != log.era {
+        return Ok(());
+    }
+    let newest = log.newest(0..REPLICAS);
+    for number in 0..REPLICAS {
+        let state = newest.get(&number);
+        if state.is_some_and(|(plain, _)| log.number(*plain) >= end) {
+            continue;
+        }
+        let is_used = is_used(&process.roster, number);
+        match state {
+            // A restored log may contain the record of a replica that is gone, until the replica would write it again.
+            Some((_, Entry::Written)) if log.era > 0 && !is_beaten => {}
+            Some((_, Entry::Written)) => prop_assert!(is_used, "replica {number} is not used at {end}"),
+            _ => prop_assert!(!is_used, "replica {number} is used at {end}"),
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 8_192, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever a process read or received, it knows what the log says before its end.
+    #[test]
+    fn a_copy_reflects_the_log_before_its_end_whichever_way_it_came(steps in prop::collection::vec(step(), 1..60)) {
+        let mut log = Log::default();
+        let mut processes: [Process; PROCESSES] = Default::default();
+        for step in steps {
+            match &step {
+                Step::Write(number, entry) => log.write(*number, *entry),
+                Step::Trim => log.trim(),
+                Step::Restore(len) => log.restore(len.index(log.records.len() + 1)),
+                Step::Ask(from, to) | Step::AskLate(from, to) => {
+                    let transfer = processes[*from].roster.transfer_for(&processes[*to].roster.request(), NOW);
+                    // A process that has read nothing sends nothing.
+                    if transfer.extent.end() > 0 {
+                        processes[*to].late = Some(transfer);
+                        if matches!(step, Step::Ask(..)) {
+                            processes[*to].run(&Step::Deliver(*to), &log);
+                        }
+                    }
+                }
+                Step::Read(at) | Step::ReadFirstPage(at) | Step::ReadRemainingPages(at) | Step::Deliver(at) | Step::Restart(at) => {
+                    processes[*at].run(&step, &log);
+                }
+            }
+            processes.iter().try_for_each(|process| check(process, &log, false))?;
+        }
+        // One process reads the rest of the log for all.
+        for is_beaten in [false, true] {
+            if is_beaten {
+                log.beat();
+            }
+            processes[0].read(&log);
+            for receiver in 1..PROCESSES {
+                let (reader, followers) = processes.split_at_mut(1);
+                send(&reader[0].roster, &mut followers[receiver - 1].roster);
+            }
+            processes.iter().try_for_each(|process| check(process, &log, is_beaten))?;
+        }
+    }
+}
--- a/sorrelpass/src/gateway/packed.rs
+++ b/sorrelpass/src/gateway/packed.rs
@@ -5,6 +5,7 @@
 //! other, and compression reduces them to a quarter of their size.
 
 use bytes::Bytes;
+use coord::name::Name;
 use coord::roster::{Extent, Transfer, Update};
 use eyre::{Result, WrapErr};
 use serde::{Deserialize, Serialize};
@@ -20,19 +21,20 @@
     /// Part of the log that the updates cover.
     pub extent: Extent,
     updates: Packed,
+    doubtful: Vec<Name>,
 }
 
 impl PackedTransfer {
     /// Encodes and compresses the updates of a transfer.
     pub fn new(transfer: Transfer) -> Result<Self> {
-        let Transfer { extent, updates } = transfer;
-        Ok(Self { extent, updates: Packed::new(&updates)? })
+        let Transfer { extent, updates, doubtful } = transfer;
+        Ok(Self { extent, updates: Packed::new(&updates)?, doubtful })
     }
 
     /// Decompresses and decodes the updates.
     pub fn unpack(self) -> Result<Transfer> {
-        let Self { extent, updates } = self;
-        Ok(Transfer { extent, updates: updates.decompress()? })
+        let Self { extent, updates, doubtful } = self;
+        Ok(Transfer { extent, updates: updates.decompress()?, doubtful })
     }
 }
 
--- a/sorrelpass/src/gateway/store_view.rs
+++ b/sorrelpass/src/gateway/store_view.rs
@@ -251,7 +251,8 @@
 /// Returns the compressed transfer that answers a request.
 fn pack_transfer(gateway: &Gateway, request: &roster::Request) -> Result<PackedTransfer> {
     let roster = gateway.roster.borrow();
-    if !roster.extent_for(request).is_snapshot() {
+    let is_cacheable = request.doubtful.is_empty() && roster.extent_for(request).is_snapshot();
+    if !is_cacheable {
         return PackedTransfer::new(roster.transfer_for(request, now()));
     }
     let mut cached = gateway.store_view.replica_snapshot.borrow_mut();
