A verdict that was lifted in a gap of the log stays lifted

Callers saw: a request that an operator had released was refused again (502), and its record was back in the store.

A record that is not in it counted as lost by the store, and was written again. That is right after a restore only; otherwise the record was removed.

--- a/sorrelpass/src/gateway/quarantine/part_record.rs
+++ b/sorrelpass/src/gateway/quarantine/part_record.rs
@@ -15,6 +15,11 @@
 /// Prefix of the store's keys of parts. Keys without it are fingerprints of whole requests.
 pub const KEY_PREFIX: &str = "part-";
 
+/// Returns the store's key of a part.
+pub fn key(part: Fingerprint) -> String {
+    format!("{KEY_PREFIX}{part}")
+}
+
 /// Evidence or verdict for one part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
--- a/sorrelpass/src/gateway/quarantine/parts.rs
+++ b/sorrelpass/src/gateway/quarantine/parts.rs
@@ -40,6 +40,11 @@
         self.state.borrow().is_condemned(part)
     }
 
+    /// Returns the keys of the records that the store has, as far as is known.
+    pub fn stored_keys(&self) -> Vec<String> {
+        self.stored.borrow().keys().map(|part| part_record::key(*part)).collect()
+    }
+
     /// Forgets which records the store has.
     pub fn forget_stored(&self) {
         self.stored.borrow_mut().clear();
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -6,6 +6,7 @@
 //! or when no other entry receives it. Without new evidence nothing is written, and each reader makes one call in two
 //! seconds.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -62,10 +63,15 @@
     let position = &gateway.quarantine.position;
     let batch = match position.next_offset() {
         None => {
-            let snapshot = reader.read_snapshot().await?;
-            // Records that the snapshot does not contain were lost by the store, and are written again.
-            gateway.quarantine.stored.borrow_mut().clear();
-            gateway.quarantine.parts.forget_stored();
+            let mut snapshot = reader.read_snapshot().await?;
+            if position.is_same_log(snapshot.next_offset) {
+                let removals = missing_records(gateway, &snapshot);
+                snapshot.records.extend(removals);
+            } else {
+                // Records that the snapshot does not contain were lost by the store, and are written again.
+                gateway.quarantine.stored.borrow_mut().clear();
+                gateway.quarantine.parts.forget_stored();
+            }
             snapshot
         }
         Some(from) => match reader.read_from(from, LONG_POLL_TIMEOUT).await? {
@@ -83,6 +89,17 @@
     Ok(())
 }
 
+/// Returns removals of the records that the store had, as far as this entry knows, and that are not in the snapshot:
+/// operators lifted these verdicts, or another entry cleared them.
+fn missing_records(gateway: &Gateway, snapshot: &RecordBatch) -> Vec<KeyedRecord> {
+    let present: HashSet<&str> = snapshot.records.iter().map(|record| &*record.key).collect();
+    let quarantine = &gateway.quarantine;
+    let stored = quarantine.stored.borrow();
+    let keys = stored.keys().map(Fingerprint::to_string).chain(quarantine.parts.stored_keys());
+    let missing = keys.filter(|key| !present.contains(&**key));
+    missing.map(|key| KeyedRecord { offset: snapshot.next_offset, key: key.into(), value: None }).collect()
+}
+
 /// Applies one record. A record that cannot be decoded is logged and skipped.
 fn apply_record(gateway: &Gateway, record: &KeyedRecord) {
     if let Some(key) = record.key.strip_prefix(part_record::KEY_PREFIX) {
@@ -128,7 +145,7 @@
     }
     while let Some((part, record)) = next_part_write(gateway) {
         let value = record.as_ref().map_or(Ok(Vec::new()), part_record::Record::encode)?;
-        put(client, &format!("{}{part}", part_record::KEY_PREFIX), &value).await?;
+        put(client, &part_record::key(part), &value).await?;
         event!("quarantine-written", part = %part, condemned = record.as_ref().is_some_and(part_record::Record::is_condemned));
         parts::mark_stored(gateway, part, record.as_ref());
     }
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use coord::invariant;
+use coord::offset;
 use coord::time::Moment;
 use tokio::sync::watch;
 
@@ -17,6 +18,8 @@
 pub struct ReadPosition {
     /// Offset from which the next read continues.
     next_offset: Cell<Option<u64>>,
+    /// Newest position, also if it was discarded.
+    newest: Cell<Option<u64>>,
 }
 
 impl ReadPosition {
@@ -30,10 +33,17 @@
         let is_newest = self.next_offset.get().is_none_or(|known| known <= next);
         if is_newest {
             self.next_offset.set(Some(next));
+            self.newest.set(Some(next));
         }
         is_newest
     }
 
+    /// Returns whether a snapshot that ends at `end` shows the same log as the records that were read before, rather
+    /// than one that was restored from an older copy: a record that it lacks was then removed.
+    pub fn is_same_log(&self, end: u64) -> bool {
+        self.newest.get().is_some_and(|newest| offset::era(newest) == offset::era(end))
+    }
+
     /// Discards the position because the store no longer has the records behind it: the next read is a snapshot.
     pub fn reset(&self) {
         self.next_offset.set(None);
--- a/standin/tests/platform_gaps.rs
+++ b/standin/tests/platform_gaps.rs
@@ -1,4 +1,4 @@
-//! Entries whose log of the replicas' records has a gap, because the store dropped its older records meanwhile.
+//! Entries whose log has a gap, because the store dropped its older records meanwhile.
 
 mod common;
 
@@ -11,6 +11,9 @@
 use standin::platform::{Fault, Replica, RequestSpec, Site, Spec};
 
 const TOPIC: &str = "keyed.servers";
+const QUARANTINE_TOPIC: &str = "keyed.quarantine";
+/// Time for which the store holds a read of that topic, and a little more.
+const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// Time after which a replica that left must get no requests.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -92,3 +95,34 @@
     passing.stop();
     site.close().expect("no invariant was breached");
 }
+
+/// Guards against a verdict that an operator lifted in a gap of the log: the entry missed the removal of its record, took
+/// the record for lost, and wrote it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_verdict_that_was_lifted_while_the_entry_was_frozen_stays_lifted() {
+    let site = Site::start(Spec { entries: 1, ..Spec::small("gaps-verdict") }).await.expect("the site starts");
+    site.plain_replicas.iter().for_each(|replica| replica.crash_on("fatal", Duration::from_millis(300)));
+    let send_fatal = async |id: &str| site.send(0, &RequestSpec { body: "fatal".into(), ..lookup(id) }).await;
+    for number in 0..10 {
+        send_fatal(&format!("fatal-{number}")).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let [verdict] = &site.store.keys(QUARANTINE_TOPIC)[..] else { panic!("{}", site.log(0)) };
+    let crash_count = || site.plain_replicas.iter().map(|replica| replica.crash_count()).sum::<usize>();
+    let before = crash_count();
+    send_fatal("condemned").await;
+    assert_eq!(crash_count(), before, "the request is condemned");
+    site.signal(0, Signal::STOP).expect("the entry is suspended");
+    // The store has answered the read that it holds, so that the removal reaches the entry only with the next one.
+    tokio::time::sleep(LONG_POLL_TIMEOUT).await;
+    site.store.put(QUARANTINE_TOPIC, verdict, "");
+    site.store.compact(QUARANTINE_TOPIC);
+    site.signal(0, Signal::CONT).expect("the entry resumes");
+    let trimmed = "step=store-trimmed topic=keyed.quarantine";
+    common::wait_until("the entry finds its log trimmed", || async { site.log(0).contains(trimmed) }).await;
+    tokio::time::sleep(LONG_POLL_TIMEOUT).await;
+    assert_eq!(site.store.keys(QUARANTINE_TOPIC), Vec::<String>::new(), "{}", site.log(0));
+    send_fatal("lifted").await;
+    assert!(crash_count() > before, "the request is sent again");
+    site.close().expect("no invariant was breached");
+}
