The configuration that is written again after a restore reaches all entries

Callers saw: an entry that started on a restored store refused the key of an acknowledged configuration, and took a revoked one (CONFIG), until the next version.

Cause: an entry tells its followers the newest configuration if it was read at an offset that they lack. After a restore operators write the newest again. At an entry that had it in force this changed nothing, so it kept the old offset; a follower that had started on the restored, older configuration already had a later offset, and was told that it had the newest.

Change: the configuration in force is kept under its newest offset. A version of an earlier era is no base of a delta: such a receiver may never have had it.

--- a/coord/src/delta.rs
+++ b/coord/src/delta.rs
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use zstd::bulk::{Compressor, Decompressor};
 
+use crate::offset;
+
 /// Number of versions kept: a receiver that asks four times per second is at most this far behind while ten versions
 /// arrive per second. They use 1 MB of memory if each is as large as a store record can be.
 const MAX_VERSIONS: usize = 4;
@@ -103,7 +105,10 @@
         if next.is_some_and(|next| newest.offset < next) {
             return Ok(None);
         }
-        let base = next.and_then(|next| self.versions.iter().rev().find(|version| version.offset < next));
+        // A receiver that reads a recovered log may never have had the versions that this log has lost.
+        let is_held =
+            |version: &&Version, next: u64| version.offset < next && offset::era(version.offset) == offset::era(next);
+        let base = next.and_then(|next| self.versions.iter().rev().find(|version| is_held(version, next)));
         let key = base.map(|base| base.offset);
         if let Some(delta) = self.cached_deltas.get(&key) {
             return Ok(Some(delta.clone()));
--- a/coord/tests/delta.rs
+++ b/coord/tests/delta.rs
@@ -4,6 +4,7 @@
 
 use assert_matches::assert_matches;
 use coord::delta::{Delta, Error, Version, VersionCache};
+use coord::offset;
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -47,6 +48,19 @@
     }
 }
 
+/// Guards against a base that the receiver never had: it started on a log that was restored from an older copy.
+#[test]
+fn a_version_that_a_restored_log_has_lost_is_no_base() {
+    let mut sender = VersionCache::default();
+    sender.insert(version(1, "second"));
+    sender.insert(version(offset::encode(1, 5), "second"));
+    let mut receiver = VersionCache::default();
+    receiver.insert(version(offset::encode(1, 0), "first"));
+    let delta = delta(&mut sender, Some(offset::encode(1, 1)));
+    let decoded = receiver.decode(&delta).expect("the receiver needs no version that it lacks");
+    assert_eq!(decoded, version(offset::encode(1, 5), "second"));
+}
+
 #[test]
 fn a_receiver_with_the_newest_version_or_an_empty_cache_yields_no_delta() {
     let mut cache = VersionCache::default();
--- a/sorrelpass/src/gateway/ingest.rs
+++ b/sorrelpass/src/gateway/ingest.rs
@@ -44,9 +44,14 @@
             event!("configuration", version, routes, services, keys, offset = %offset, taken);
             if taken {
                 log_delay_faults(gateway);
-                gateway.store_view.cache_configuration(document);
             }
-            if version < gateway.table().version() { ApplyOutcome::Outdated } else { ApplyOutcome::InForce }
+            if version < gateway.table().version() {
+                return ApplyOutcome::Outdated;
+            }
+            // After a restore of the store, operators write the configuration in force again. An entry that started on
+            // the restored store has an older one, and lacks the new record rather than the first one.
+            gateway.store_view.cache_configuration(document);
+            ApplyOutcome::InForce
         }
         Err(error) => {
             warn_event!("configuration", offset = %offset, error = %format!("{error:#}"));
--- a/standin/tests/platform_eras.rs
+++ b/standin/tests/platform_eras.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use common::leader;
 use common::load::{count_served, lookup as lookup_with_key, send_load};
 use rustix::process::Signal;
 use standin::platform::{Fault, KEY, RequestSpec, Site, Snapshot, Spec};
@@ -14,6 +15,8 @@
 const OUTAGE: Duration = Duration::from_millis(500);
 /// Grace period after the store's return, during which records that it lost still count as present.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2_000);
+/// Time within which an entry finds the leader again: twice the longest interval between two searches.
+const LEADER_SEARCH_TIME: Duration = Duration::from_secs(6);
 /// Interval between two heartbeats of a replica.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -267,3 +270,30 @@
     assert_eq!(site.store.keys("keyed.quarantine"), verdicts);
     site.close().expect("no invariant was breached");
 }
+
+/// Guards against a configuration that counts as the newest because it was read later: an entry that started on the
+/// restored store was told that it had the newest, though another had a newer one in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_started_on_a_restored_store_gets_the_configuration_that_is_written_again() {
+    let mut site = Site::start(Spec::small("eras-started")).await.expect("the site starts");
+    let leader = leader(&site, 2).await;
+    let follower = 1 - leader;
+    let copy = site.store.snapshot();
+    site.configure(&["another"], |_| {});
+    tokio::time::sleep(APPLY_TIMEOUT).await;
+    site.signal(leader, Signal::STOP).expect("the leader is suspended");
+    restore_store(&site, copy, |site| site.write_replica_records()).await;
+    site.restart(follower).await.expect("the follower restarts");
+    site.wait_ready(follower, true).await.expect("the follower is ready");
+    assert_eq!(site.send(follower, &lookup("restored", KEY)).await.status, 200, "{}", site.log(follower));
+    site.signal(leader, Signal::CONT).expect("the leader resumes");
+    tokio::time::sleep(LEADER_SEARCH_TIME).await;
+    site.rewrite_configuration(&["another"]);
+    tokio::time::sleep(APPLY_TIMEOUT).await;
+    for entry in [leader, follower] {
+        let log = site.log(entry);
+        assert_eq!(site.send(entry, &lookup(&format!("new-{entry}"), "another")).await.status, 200, "{log}");
+        assert_eq!(site.send(entry, &lookup(&format!("old-{entry}"), KEY)).await.status, 401, "{log}");
+    }
+    site.close().expect("no invariant was breached");
+}
