A refusal of another request is no proof that this one has not run

Cause: the header that proves a refusal was believed whatever id the answer bore.

Change: an answer with the id of another request proves nothing about this one, and counts as a lost answer.

--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -145,7 +145,7 @@
         if let Some(load) = response.load {
             self.gateway.replica_picker.borrow_mut().record_load(&record.id, load);
         }
-        if response.is_not_executed {
+        if response.proves_not_executed() {
             return self.handle_refusal(record, &response);
         }
         let (is_usable, is_error) = (is_usable(&response), response.status.is_server_error());
--- a/standin/src/platform/replica/answers.rs
+++ b/standin/src/platform/replica/answers.rs
@@ -123,7 +123,9 @@
         guard.is_complete = true;
     }
     let response = match behavior {
-        Behavior::Refuse => (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response(),
+        Behavior::Refuse | Behavior::SurplusRefusal => {
+            (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response()
+        }
         Behavior::Fail => (StatusCode::INTERNAL_SERVER_ERROR, "failed").into_response(),
         Behavior::UnconfirmedRefusal => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         Behavior::DropResponse => aborted_body(),
@@ -135,7 +137,8 @@
 
 /// Adds the headers that each response of a replica has: request id, seal, load, and the limits that are in force.
 fn add_replica_headers(mut response: Response, replica: &Replica, behavior: Behavior, id: &str) -> Response {
-    let request_id = if behavior == Behavior::WrongRequestId { "another" } else { id };
+    let is_for_another = matches!(behavior, Behavior::WrongRequestId | Behavior::SurplusRefusal);
+    let request_id = if is_for_another { "another" } else { id };
     set_header(&mut response, "request-id", request_id);
     if behavior != Behavior::MissingSeal {
         set_header(&mut response, "response-seal", &format!("seal-of-{}", replica.id));
--- a/standin/src/platform/replica/mod.rs
+++ b/standin/src/platform/replica/mod.rs
@@ -36,6 +36,8 @@
     /// The request runs, and the response is 503 without the header `not-executed`, so that the entry cannot tell
     /// whether it ran.
     UnconfirmedRefusal,
+    /// The request runs, and in the place of its response comes a late refusal of another request.
+    SurplusRefusal,
     /// A stream is aborted in the middle of the event that follows this many events.
     AbortAfter(u64),
     /// A stream has large events without a delay between them.
--- a/standin/tests/platform_once.rs
+++ b/standin/tests/platform_once.rs
@@ -35,6 +35,8 @@
         ("a2", Behavior::WrongRequestId),
         ("a3", Behavior::MissingSeal),
         ("a4", Behavior::UnconfirmedRefusal),
+        // Guards against a late refusal of another request that counts as proof for this one.
+        ("a5", Behavior::SurplusRefusal),
     ] {
         queue_on_all(&site, &[behavior]);
         let outcome = site.send(0, &payment(id)).await;
