An answer whose length contradicts its chunks is not sent on

Cause: an answer with both framings was read by its chunks, as HTTP/1.1 asks, and sent on under its stated length, which HTTP/1.1 asks an intermediary to remove (RFC 9112, 6.3). Which of the two is the replica's whole body cannot be known when they differ; the same section has such a message handled as an error.

Change: where both are stated and differ, the answer counts as lost: requests that may repeat go to another replica, others get 502. Where they agree, nothing changes. Streams have their length removed, as before.

--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -18,6 +18,7 @@
 use coord::time::Moment;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 use platform::headers;
 
@@ -29,7 +30,7 @@
 use super::replica_picker::NO_RESPONSE_WEIGHT;
 use super::response::{self, CallerResponse};
 use super::state::{Gateway, InFlight};
-use super::upstream::{Connection, UpstreamRequest};
+use super::upstream::{Connection, Framing, UpstreamRequest};
 use super::{now, relay};
 use crate::failure::Failure;
 use crate::{event, metric};
@@ -282,8 +283,23 @@
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     opened.connection.close();
     let body = body.map_err(|error| eyre::eyre!("step=read-answer peer={}: {error}", opened.record.id))?.to_bytes();
+    check_length(&head.headers, body.len()).map_err(|error| error.wrap_err(format!("peer={}", opened.record.id)))?;
     let mut response = Response::new(response::full_body(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = headers::end_to_end(&head.headers);
     Ok(response)
 }
+
+/// Checks the length that the headers state beside chunks, which HTTP/1.1 gives precedence (RFC 9112, 6.3). If the two
+/// differ, it is not known what the replica's whole body is. Under the wrong length, the caller would take what is left
+/// for its next answer, or wait for more.
+fn check_length(headers: &HeaderMap, body_len: usize) -> eyre::Result<()> {
+    if Framing::of(headers) != Framing::Chunks {
+        return Ok(());
+    }
+    let is_body_len = |length: &HeaderValue| length.to_str().is_ok_and(|length| length.parse() == Ok(body_len));
+    match headers.get_all(CONTENT_LENGTH).iter().find(|length| !is_body_len(length)) {
+        Some(length) => Err(eyre::eyre!("step=check-length: stated {length:?}, {body_len} bytes in chunks")),
+        None => Ok(()),
+    }
+}
--- a/standin/tests/platform_unframed.rs
+++ b/standin/tests/platform_unframed.rs
@@ -1,9 +1,13 @@
-//! Answers that have neither a length nor chunks and end with their connection.
+//! Answers that have neither a length nor chunks and end with their connection, and answers that have both.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use serde_json::json;
 use standin::platform::{Behavior, KEY, NetworkFault, Outcome, RequestSpec, Site, Spec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Number of streams that each test sends.
 const STREAMS: usize = 10;
@@ -112,3 +116,57 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+/// Body in chunks of the answers that have a length too.
+const CHUNKED_BODY: &str = "the whole answer";
+
+/// Serves one request: answers with [`CHUNKED_BODY`] in one chunk, and with `length` beside it.
+async fn answer_with_both(mut stream: TcpStream, length: usize) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default();
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n\
+         content-length: {length}\r\n\r\n{:x}\r\n{CHUNKED_BODY}\r\n0\r\n\r\n",
+        CHUNKED_BODY.len()
+    );
+    stream.write_all(answer.as_bytes()).await
+}
+
+/// Starts a replica whose answers have a length beside their chunks; returns its address.
+async fn start_replica_with_both(length: Arc<AtomicUsize>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket").to_string();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_with_both(stream, length.load(Ordering::Relaxed)));
+        }
+    });
+    address
+}
+
+/// Guards against an answer that is sent on under a length that is not its body's: what is left of it reached the caller
+/// as the answer to its next request, or the caller waited for more.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_length_contradicts_its_chunks_is_not_sent_on() {
+    let site = Site::start(Spec { plain_replicas: 1, ..Spec::small("framed-twice") }).await.expect("the site starts");
+    let length = Arc::new(AtomicUsize::new(CHUNKED_BODY.len()));
+    let replica = &site.plain_replicas[0];
+    let address = start_replica_with_both(length.clone()).await;
+    let record = replica.store_record("ledger", "ready").replace(&replica.address, &address);
+    site.store.put("keyed.servers", "plain-0", "");
+    site.store.put("keyed.servers", "plain-both", record);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let lookup = |id: &str| RequestSpec::new("GET", "/look/1", id, KEY).with_header("deadline-ms", "1000");
+    let outcome = site.send(0, &lookup("agrees")).await;
+    assert_eq!((outcome.status, &*outcome.body), (200, CHUNKED_BODY), "{outcome:?}");
+    for wrong in [CHUNKED_BODY.len() - 4, CHUNKED_BODY.len() + 4] {
+        length.store(wrong, Ordering::Relaxed);
+        let outcome = site.send(0, &lookup(&format!("wrong-{wrong}"))).await;
+        assert_eq!((outcome.status, outcome.is_complete), (502, true), "length {wrong}: {outcome:?}");
+    }
+    site.close().expect("no invariant was breached");
+}
