The store is read at its interval also while no replica has a record

A copy that ends at offset 0 counted as one that must, so that an empty topic was read without a pause until the first replica wrote its record.

Change: only a log that was just found not to reach back is followed by a read without a pause.

--- a/sorrelpass/src/gateway/store_reader.rs
+++ b/sorrelpass/src/gateway/store_reader.rs
@@ -164,7 +164,8 @@
 
 /// Keeps the known replicas up to date until the process ends.
 pub async fn poll_replicas(gateway: Rc<Gateway>) {
-    let mut reader = ReplicaReader { topic: TopicReader::new(&gateway, replica::TOPIC), lost_at: None };
+    let mut reader =
+        ReplicaReader { topic: TopicReader::new(&gateway, replica::TOPIC), lost_at: None, has_just_lost_log: false };
     loop {
         let interval = replicas_read_interval(&gateway.bounds());
         wait_until_replica_read_due(&gateway, gateway.first_read_due_at()).await;
@@ -175,7 +176,7 @@
             gateway.store_view.replicas.set_read_requested(false);
             delegates::delegate(&gateway);
             reader.topic.back_off(&gateway, &gateway.store_view.replicas).await;
-        } else if !reader.needs_snapshot(gateway.roster.borrow().end()) {
+        } else if !reader.has_just_lost_log {
             gateway.store_view.sleep_until_woken(interval).await;
         }
     }
@@ -186,6 +187,8 @@
     topic: TopicReader,
     /// Offset to which the log did not reach back at the last read.
     lost_at: Option<u64>,
+    /// Whether the last read showed that, so that the snapshot is read without a pause.
+    has_just_lost_log: bool,
 }
 
 impl ReplicaReader {
@@ -196,6 +199,7 @@
 
     /// Reads and applies the new replica records, or a snapshot if the log does not reach back to the copy's end.
     async fn read(&mut self, gateway: &Gateway) -> Result<()> {
+        self.has_just_lost_log = false;
         let from = gateway.roster.borrow().end();
         if self.needs_snapshot(from) {
             return self.read_snapshot(gateway).await;
@@ -210,7 +214,10 @@
                 ingest::apply_transfer(gateway, Transfer::of_log(from, batch.next_offset, updates), Source::Store)?;
                 gateway.store_view.replicas.mark_verified(sent_at);
             }
-            LogRead::Lost => self.lost_at = Some(from),
+            LogRead::Lost => {
+                self.lost_at = Some(from);
+                self.has_just_lost_log = true;
+            }
             LogRead::Outdated => {}
         }
         Ok(())
--- a/standin/tests/platform_facts.rs
+++ b/standin/tests/platform_facts.rs
@@ -54,6 +54,25 @@
     site.close().expect("no invariant was breached");
 }
 
+/// Guards against reads without a pause while no replica has a record, as when a deployment starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_any_replica_the_store_is_read_no_more_often() {
+    let spec = Spec {
+        entries: 1,
+        engines: 0,
+        plain_replicas: 0,
+        bounds: "drain_ms = 2000".to_owned(),
+        ..Spec::small("facts-empty")
+    };
+    let site = Site::start(spec).await.expect("the site starts");
+    let before = site.store_listeners[0].call_count();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = site.store_listeners[0].call_count() - before;
+    // Four reads of the replicas' records within the bound, and a few of the other topics.
+    assert!(calls <= 4 + 8, "{calls} calls in 2 s");
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_the_store_does_not_answer_learns_all_from_the_one_that_it_follows() {
     let site = start_site("facts-cut-off", "").await;
--- a/standin/tests/platform_gaps.rs
+++ b/standin/tests/platform_gaps.rs
@@ -17,6 +17,10 @@
 /// Time after which a replica that left must get no requests.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time after an outage of the store during which missing records count as expired.
+const RECOVERY_GRACE: Duration = Duration::from_millis(2_000);
+/// Time in which an entry finds that no other one leads: some handshakes that time out.
+const SEARCH_TIME: Duration = Duration::from_millis(800);
 /// Time within which an entry reads the newest records.
 const READ_TIME: Duration = Duration::from_millis(100);
 
@@ -59,6 +63,17 @@
     panic!("entry {entry} never uses {}", replica.id);
 }
 
+/// Asserts that an entry sends nothing to a replica that left, once it had the time to learn of that.
+async fn assert_gets_no_requests(site: &Site, entry: usize, left: &Replica) {
+    tokio::time::sleep(DRAIN_TIMEOUT).await;
+    let before = left.received_requests().len();
+    // Requests that come at the same time are spread over all replicas.
+    let requests: Vec<RequestSpec> = (0..20).map(|number| lookup(&format!("after-{number}"))).collect();
+    let outcomes = join_all(requests.iter().map(|request| site.send(entry, request))).await;
+    assert_eq!(count_served(&outcomes), requests.len(), "{outcomes:?}");
+    assert_eq!(left.received_requests().len(), before, "{}", site.log(entry));
+}
+
 /// Guards against a claim from before a gap in the log: the entry that led again claimed to know every change, and its
 /// follower kept a replica that had come and gone meanwhile.
 #[tokio::test(flavor = "multi_thread")]
@@ -85,13 +100,54 @@
     tokio::time::sleep(READ_TIME).await;
     site.restart(next).await.expect("the next leader is killed");
     common::wait_until("the follower follows again", || async { follow_count(&site, follower) > count }).await;
+    assert_gets_no_requests(&site, follower, &passing).await;
+    passing.stop();
+    site.close().expect("no invariant was breached");
+}
+
+/// Guards against a claim from before a snapshot that another entry sent: the entry that received it led later, and its
+/// follower kept a replica that had come and gone in the part that the snapshot skipped.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_came_and_went_unseen_by_two_leaders_gets_no_requests() {
+    let bounds = "drain_ms = 600".to_owned();
+    let spec = Spec { entries: 4, has_seeds: true, bounds, ..Spec::small("gaps-snapshot") };
+    let site = Site::start(spec).await.expect("the site starts");
+    let first = leader(&site, 4).await;
+    let others: Vec<usize> = (0..4).filter(|entry| *entry != first).collect();
+    // Only the entries that go on see the replica come.
+    let (second, rest) = (others[0], [others[1], others[2]]);
+    let counts = rest.map(|entry| follow_count(&site, entry));
+    for entry in [first, second] {
+        site.signal(entry, Signal::STOP).expect("the entry is suspended");
+    }
+    let (third, follower) = next_leader_and_follower(&site, rest, counts).await;
+    let passing = Replica::start("plain-passing", Duration::from_millis(20)).await.expect("the replica starts");
+    site.store.put(TOPIC, &passing.id, passing.store_record("ledger", "ready"));
+    wait_until_used(&site, follower, &passing).await;
+    site.signal(follower, Signal::STOP).expect("the follower is suspended");
+    site.store_listeners[follower].set_fault(Fault::Unavailable);
+    site.signal(third, Signal::KILL).expect("the third leader is killed");
+    site.store.put(TOPIC, &passing.id, "");
+    site.store.compact(TOPIC);
+    // The second leader gets its snapshot from the first one, not from the store.
+    site.store_listeners[second].set_fault(Fault::Unavailable);
+    site.signal(first, Signal::CONT).expect("the first leader resumes");
+    common::wait_until("the first leader finds its log trimmed", || async { has_lost_its_log(&site, first) }).await;
+    tokio::time::sleep(READ_TIME).await;
+    let count = follow_count(&site, second);
+    site.signal(second, Signal::CONT).expect("the second leader resumes");
+    common::wait_until("the second leader follows again", || async { follow_count(&site, second) > count }).await;
     tokio::time::sleep(DRAIN_TIMEOUT).await;
-    let before = passing.received_requests().len();
-    // Requests that come at the same time are spread over all replicas.
-    let requests: Vec<RequestSpec> = (0..20).map(|number| lookup(&format!("after-{number}"))).collect();
-    let outcomes = join_all(requests.iter().map(|request| site.send(follower, request))).await;
-    assert_eq!(count_served(&outcomes), requests.len(), "{outcomes:?}");
-    assert_eq!(passing.received_requests().len(), before, "{}", site.log(follower));
+    site.store_listeners[second].set_fault(Fault::None);
+    site.signal(first, Signal::KILL).expect("the first leader is killed");
+    // The second leader finds no other one while the follower is suspended.
+    tokio::time::sleep(SEARCH_TIME).await;
+    let count = follow_count(&site, follower);
+    site.signal(follower, Signal::CONT).expect("the follower resumes");
+    common::wait_until("the follower follows again", || async { follow_count(&site, follower) > count }).await;
+    // The second leader counts missing records as expired at first, since the store did not answer it.
+    tokio::time::sleep(RECOVERY_GRACE).await;
+    assert_gets_no_requests(&site, follower, &passing).await;
     passing.stop();
     site.close().expect("no invariant was breached");
 }
