--- a/coord/tests/roster_copies.rs
+++ b/coord/tests/roster_copies.rs
@@ -281,6 +281,24 @@
     }
 }
 
+/// Guards against a read of the newest records that ends only after another process was followed: it takes nothing back,
+/// and claims nothing of the part that the other process's snapshot skipped.
+#[test]
+fn a_read_that_another_process_overtook_claims_nothing_more() {
+    let (mut log, mut reader) = start();
+    let mut witness = reader.clone();
+    arrive(&mut log, &mut witness);
+    let (end, mut pages) = (log.end(), log.page(0..SECOND_PAGE));
+    log.write(PASSING, Entry::Removed);
+    let mut leader = Roster::default();
+    apply(&mut leader, log.read_newest());
+    send(&leader, &mut reader);
+    pages.extend(log.page(SECOND_PAGE..u8::MAX));
+    apply(&mut reader, Transfer::of_newest(end, pages));
+    assert_eq!(reader.end(), leader.end());
+    assert_learns_of_end(&reader, &mut witness);
+}
+
 /// An answer to the request of another process, which had a later position, is refused.
 #[test]
 fn changes_that_start_after_the_copy_are_refused() {
