--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod configuration;
+mod fragile;
 mod proxy;
 mod replica;
 mod site;
@@ -10,6 +11,7 @@
 mod store;
 
 pub use client::{Connection, Outcome, RequestSpec, send};
+pub use fragile::{Aftermath, FragileReplica, Stage, Termination};
 pub use proxy::{NetworkFault, Proxy};
 pub use replica::{Behavior, ReceivedRequest, Replica};
 pub use site::{HOST, KEY, Proxies, Site, Spec};
--- a/standin/src/platform/proxy.rs
+++ b/standin/src/platform/proxy.rs
@@ -213,7 +213,7 @@
 }
 
 /// Binds an address again. Retries, since another process's connection can occupy the port for a moment.
-async fn bind(address: &str) -> std::io::Result<TcpListener> {
+pub(super) async fn bind(address: &str) -> std::io::Result<TcpListener> {
     for _ in 0..MAX_BIND_ATTEMPTS {
         if let Ok(listener) = TcpListener::bind(address).await {
             return Ok(listener);
