--- a/coord/src/route.rs
+++ b/coord/src/route.rs
@@ -103,6 +103,8 @@
 pub struct Service {
     /// Name of the service.
     pub name: Name,
+    /// Path at which its replicas answer about their health; `None` if they do not.
+    pub health_path: Option<Name>,
     /// Maximum number of connections to one replica from all callers together.
     pub max_connections: u32,
     /// Engine parameters; `None` for a plain service.
--- a/coord/src/termination.rs
+++ b/coord/src/termination.rs
@@ -169,6 +169,12 @@
         name.clone()
     }
 
+    /// Returns the name that a run has in this process, or `None` if no such termination is recorded.
+    pub fn local_name(&self, run: &Name) -> Option<Name> {
+        let terminations = self.replicas.get(RunName::parse(run).replica)?;
+        terminations.iter().find(|termination| termination.names.contains(run)).map(|known| known.names[0].clone())
+    }
+
     /// Returns the interval in which a run terminated, or `None` if no such termination is recorded.
     pub fn interval(&self, run: &Name) -> Option<Interval> {
         let terminations = self.replicas.get(RunName::parse(run).replica)?;
--- a/sorrelpass/src/cmd/quarantine.rs
+++ b/sorrelpass/src/cmd/quarantine.rs
@@ -12,11 +12,11 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use coord::quarantine::Fingerprint;
+use coord::quarantine::{Cause, Fingerprint};
 use eyre::{Result, eyre};
 use platform::store::{Client, KeyedRecord, QUARANTINE_TOPIC};
 
-use crate::gateway::quarantine::{part_record, record};
+use crate::gateway::quarantine::record;
 use crate::util;
 
 /// Timeout of a call to the store, which normally answers within a few milliseconds.
@@ -50,7 +50,7 @@
 
 /// Removes the record of a fingerprint from the store.
 async fn lift(client: &mut Client, records: &[KeyedRecord], fingerprint: Fingerprint) -> Result<()> {
-    let keys = [fingerprint.to_string(), format!("{}{fingerprint}", part_record::KEY_PREFIX)];
+    let keys = [Cause::Request(fingerprint), Cause::Part(fingerprint)].map(record::key);
     let Some(record) = records.iter().find(|record| keys.iter().any(|key| **key == *record.key)) else {
         return Err(eyre!("step=lift work={fingerprint}: the store has no record of this fingerprint"));
     };
@@ -60,25 +60,20 @@
 }
 
 fn print_record(record: &KeyedRecord) {
-    let line = match record.key.strip_prefix(part_record::KEY_PREFIX) {
-        Some(key) => part_record::decode(key, record).map(|(part, record)| {
-            record.map(|record| format!("part={part} {}", status(record.is_condemned(), &record.runs())))
-        }),
-        None => record::decode(record).map(|(work, record)| {
-            let runs = |record: &record::Record| record.ends.iter().map(|end| end.run.clone()).collect::<Vec<_>>();
-            record.map(|record| format!("work={work} {}", status(record.condemned, &runs(&record))))
-        }),
+    let (cause, record) = match record::decode(record) {
+        Ok((cause, Some(record))) => (cause, record),
+        Ok((_, None)) => return,
+        Err(error) => return println!("{error:#}"),
     };
-    match line {
-        Ok(Some(line)) => println!("{line}"),
-        Ok(None) => {}
-        Err(error) => println!("{error:#}"),
+    let runs: Vec<&str> = record.ends.iter().map(|end| &*end.run).collect();
+    match cause {
+        Cause::Request(work) => println!("work={work} {}", status(record.condemned, &runs)),
+        Cause::Part(part) => println!("part={part} {}", status(record.condemned, &runs)),
     }
 }
 
 /// Returns the second part of a line: whether requests are no longer sent, and the runs that terminated.
-fn status(is_condemned: bool, runs: &[impl AsRef<str>]) -> String {
+fn status(is_condemned: bool, runs: &[&str]) -> String {
     let standing = if is_condemned { "condemned" } else { "suspect" };
-    let runs: Vec<&str> = runs.iter().map(AsRef::as_ref).collect();
     format!("standing={standing} ends={}", runs.join(","))
 }
--- a/sorrelpass/src/gateway/admission/leader.rs
+++ b/sorrelpass/src/gateway/admission/leader.rs
@@ -90,7 +90,6 @@
             FollowerMessage::SyncRequest(_)
             | FollowerMessage::SyncResponse { .. }
             | FollowerMessage::Quarantine(_)
-            | FollowerMessage::Parts(_)
             | FollowerMessage::Draining(_) => return,
             FollowerMessage::Limits(_)
             | FollowerMessage::PermitRequest { .. }
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use coord::name::{ExecutionStatus, Name};
-use coord::quarantine::Weight;
+use coord::quarantine::Cause;
 use coord::roster::Record;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
@@ -26,7 +26,7 @@
 use self::send::Outcome;
 pub use self::target::ReplicaSlot;
 use self::target::Target;
-use super::quarantine::{self, Identity, LostConnection};
+use super::quarantine::{self, Attempt, Identity};
 use super::replica_picker::NO_RESPONSE_WEIGHT;
 use super::response::{self, CallerResponse};
 use super::state::{Gateway, InFlight};
@@ -94,8 +94,8 @@
     pub connection: Connection,
     /// Guard of the request's slot at the replica.
     pub slot: ReplicaSlot,
-    /// Time at which the request was sent to the replica.
-    pub sent_at: Moment,
+    /// Watch over the replica until the response is complete.
+    pub attempt: Attempt,
 }
 
 impl PendingRequest {
@@ -156,7 +156,7 @@
 
     /// Returns whether the request is condemned because it crashes replicas.
     fn is_condemned(&self) -> bool {
-        self.gateway.quarantine.is_condemned(&self.identity)
+        self.gateway.quarantine.condemned_cause(&self.identity).is_some()
     }
 
     /// Returns the failure of a condemned request. The status does not promise that the request was not executed, since
@@ -165,20 +165,13 @@
     fn condemned_failure(&self) -> Failure {
         metric::record_refused_condemned();
         let ran = if self.possible_executions == 0 { ExecutionStatus::No } else { ExecutionStatus::Unknown };
-        let message = match self.gateway.quarantine.condemned_part(&self.identity) {
-            Some(part) => format!("replicas end under part {part} of this prompt"),
-            None => "replicas end under this request".to_owned(),
+        let message = match self.gateway.quarantine.condemned_cause(&self.identity) {
+            Some(Cause::Part(part)) => format!("replicas end under part {part} of this prompt"),
+            _ => "replicas end under this request".to_owned(),
         };
         Failure::new(StatusCode::BAD_GATEWAY, "condemned", message).with_ran(ran)
     }
 
-    /// Reports that the connection to a replica was lost, and briefly waits for the probe of whether the replica
-    /// terminated.
-    pub async fn report_lost_connection(&self, record: &Record, sent_at: Moment, weight: Weight) {
-        let (request, identity) = (self.request_head.id.clone(), self.identity.clone());
-        LostConnection { request, identity, record: record.clone(), sent_at, weight }.probe(&self.gateway).await;
-    }
-
     /// Returns the target of the next attempt, or the failure if no attempt is possible. `is_retry_charged` tells that
     /// the retry budget has been charged already.
     async fn next_target(&self, retry_after: Option<Duration>, is_retry_charged: bool) -> Result<Target, Failure> {
@@ -225,21 +218,25 @@
             if self.route.streaming && opened.response.status().is_success() {
                 return Ok(relay::stream_response(self, opened));
             }
-            let (record, sent_at) = (opened.record.clone(), opened.sent_at);
-            match tokio::time::timeout(self.time_left(), read_response(opened)).await {
+            let OpenResponse { record, response, connection, slot, attempt } = opened;
+            let read = read_response(&record, response, connection, &attempt);
+            let read = tokio::time::timeout(self.time_left(), read).await;
+            drop(slot);
+            match read {
                 Err(_) => return Err(self.deadline_failure()),
                 Ok(Ok(response)) => {
+                    attempt.close();
                     let (status, after_ms) = (response.status().as_u16(), now().since(self.started).as_millis());
                     event!("done", request = %self.request_head.id, peer = %record.id, status, after_ms);
                     metric::record_request("ok");
                     if response.status().is_success() {
-                        quarantine::record_success(&self.gateway, self.identity.work);
+                        quarantine::record_completion(&self.gateway, &self.identity);
                     }
                     return Ok(response);
                 }
                 Ok(Err(error)) => {
                     event!("lost", request = %self.request_head.id, work = %self.identity.work, peer = %record.id, error = %format!("{error:#}"));
-                    self.report_lost_connection(&record, sent_at, Weight::Strong).await;
+                    attempt.report_lost().await;
                 }
             }
             if !self.can_retry() {
@@ -278,12 +275,21 @@
 }
 
 /// Reads the response body and closes the connection.
-async fn read_response(opened: OpenResponse) -> eyre::Result<CallerResponse> {
-    let (head, body) = opened.response.into_parts();
+async fn read_response(
+    record: &Record,
+    response: Response<Incoming>,
+    connection: Connection,
+    attempt: &Attempt,
+) -> eyre::Result<CallerResponse> {
+    let (head, body) = response.into_parts();
+    let body = body.map_frame(|frame| {
+        attempt.record_data();
+        frame
+    });
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    opened.connection.close();
-    let body = body.map_err(|error| eyre::eyre!("step=read-answer peer={}: {error}", opened.record.id))?.to_bytes();
-    check_length(&head.headers, body.len()).map_err(|error| error.wrap_err(format!("peer={}", opened.record.id)))?;
+    connection.close();
+    let body = body.map_err(|error| eyre::eyre!("step=read-answer peer={}: {error}", record.id))?.to_bytes();
+    check_length(&head.headers, body.len()).map_err(|error| error.wrap_err(format!("peer={}", record.id)))?;
     let mut response = Response::new(response::full_body(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = headers::end_to_end(&head.headers);
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -4,14 +4,14 @@
 
 use coord::invariant;
 use coord::name::Name;
-use coord::quarantine::Weight;
 use coord::roster::Record;
 use hyper::StatusCode;
 use platform::headers;
 
+use super::super::quarantine::Attempt;
 use super::super::replica_picker::{ERROR_RESPONSE_WEIGHT, NO_RESPONSE_WEIGHT, REFUSAL_WEIGHT};
 use super::super::upstream::{self, SendError};
-use super::super::{backoff, draining, limits, now};
+use super::super::{backoff, draining, limits};
 use super::target::{ReplicaSlot, Target};
 use super::{OpenResponse, PendingRequest};
 use crate::{event, metric, util};
@@ -54,7 +54,6 @@
         }
         let Target { record, helpers, slot } = target;
         metric::record_send_time(&record.failure_domain, util::wall_clock());
-        let sent_at = now();
         self.tried_replicas.push(record.id.clone());
         let head = self.upstream_head(&record, helpers, last_event_id);
         event!("send", request = %self.request_head.id, peer = %record.id, helpers = head.helpers.len(), number = self.attempts + 1, left_ms = head.time_left.as_millis(),
@@ -66,26 +65,30 @@
         self.attempts += 1;
         self.possible_executions += 1;
         let has_slow_callers = self.gateway.settings.has_contention;
+        let attempt = Attempt::begin(&self.gateway, &self.request_head.id, &self.identity, &record, self.has_engines());
         let result = tokio::select! {
             // A response that has arrived takes precedence over the reasons to give up the attempt.
             biased;
             result = upstream::send(&record, &self.upstream_request, &head, has_slow_callers) => result,
             next = self.fallback_target(&slot) => return Outcome::Unresponsive(Box::new(next)),
             // If the attempt is aborted before the replica starts the request, the replica does not crash.
-            () = self.gateway.quarantine.wait_until_condemned(&self.identity) => return Outcome::Condemned,
+            () = self.gateway.quarantine.wait_until_condemned(&self.identity) => {
+                attempt.close();
+                return Outcome::Condemned;
+            }
         };
         match result {
-            Ok((response, connection)) => self.classify(OpenResponse { record, response, connection, slot, sent_at }),
+            Ok((response, connection)) => {
+                self.classify(OpenResponse { record, response, connection, slot, attempt }).await
+            }
             Err(SendError::ConnectionLost(error)) => {
                 self.record_failure(&record.id, NO_RESPONSE_WEIGHT);
                 event!("lost", request = %self.request_head.id, work = %self.identity.work, peer = %record.id, error = %error);
-                // An engine opens its response when it starts the prompt, so before that the prompt may only have been
-                // queued. A plain replica may run a request for a long time before it responds.
-                let weight = if self.has_engines() { Weight::Faint } else { Weight::Strong };
-                self.report_lost_connection(&record, sent_at, weight).await;
+                attempt.report_lost().await;
                 Outcome::ResponseLost
             }
             Err(SendError::NotConnected(error)) => {
+                attempt.close();
                 self.attempts -= 1;
                 self.possible_executions -= 1;
                 self.failed_connections += 1;
@@ -135,18 +138,23 @@
     }
 
     /// Classifies a response head, and applies what it reports about the replica.
-    fn classify(&mut self, opened: OpenResponse) -> Outcome {
+    async fn classify(&mut self, opened: OpenResponse) -> Outcome {
         let response =
             headers::decode_response(opened.response.status(), opened.response.headers(), &self.request_head.id);
         let record = &opened.record;
-        limits::observe_response(&self.gateway, record, &response, opened.sent_at);
+        if response.matches_request {
+            opened.attempt.record_head();
+        }
+        limits::observe_response(&self.gateway, record, &response, opened.attempt.sent_at());
         draining::observe_response(&self.gateway, record, &response);
         backoff::observe_response(&self.gateway, record, &response);
         if let Some(load) = response.load {
             self.gateway.replica_picker.borrow_mut().record_load(&record.id, load);
         }
         if response.proves_not_executed() {
-            return self.handle_refusal(record, &response);
+            let outcome = self.handle_refusal(record, &response);
+            opened.attempt.close();
+            return outcome;
         }
         let (is_usable, is_error) = (is_usable(&response), response.status.is_server_error());
         match (is_usable, is_error) {
@@ -154,11 +162,20 @@
             (true, true) => self.record_failure(&record.id, ERROR_RESPONSE_WEIGHT),
             (true, false) => self.gateway.replica_picker.borrow_mut().record_success(&record.id),
         }
-        if !is_usable || (is_error && self.can_retry()) {
-            event!("lost", request = %self.request_head.id, peer = %record.id, status = response.status.as_u16(), matches_request = response.matches_request, sealed = response.is_sealed);
-            return Outcome::ResponseLost;
+        if is_usable && !(is_error && self.can_retry()) {
+            return Outcome::Opened(Box::new(opened));
+        }
+        event!("lost", request = %self.request_head.id, work = %self.identity.work, peer = %record.id, status = response.status.as_u16(), matches_request = response.matches_request, sealed = response.is_sealed);
+        let OpenResponse { connection, slot, attempt, .. } = opened;
+        connection.close();
+        drop(slot);
+        if response.matches_request {
+            attempt.close();
+        } else {
+            // What answered is not the process that has the request.
+            attempt.report_lost().await;
         }
-        Outcome::Opened(Box::new(opened))
+        Outcome::ResponseLost
     }
 
     /// Records that a replica failed the request. For a plain replica, `fault_share` is the part of the failure that is
--- a/sorrelpass/src/gateway/fingerprint.rs
+++ b/sorrelpass/src/gateway/fingerprint.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 
 use coord::name::Name;
-use coord::part_quarantine::SharedPart;
-use coord::quarantine::Fingerprint;
+use coord::quarantine::{Fingerprint, SharedPart};
 
 use super::upstream::UpstreamRequest;
 
--- a/sorrelpass/src/gateway/follower.rs
+++ b/sorrelpass/src/gateway/follower.rs
@@ -362,9 +362,6 @@
     for message in gateway.quarantine.sync_messages() {
         connection.send(FollowerMessage::Quarantine(message), &mut queue).await?;
     }
-    for message in quarantine::parts::sync_messages(gateway) {
-        connection.send(FollowerMessage::Parts(message), &mut queue).await?;
-    }
     for message in gateway.limits.sync_messages() {
         connection.send(FollowerMessage::Limits(message), &mut queue).await?;
     }
@@ -400,8 +397,7 @@
                         let response = store_view::sync_response(gateway, &request);
                         connection.send(FollowerMessage::SyncResponse { number: request.number, response }, &mut queue).await?;
                     }
-                    LeaderMessage::Parts(message) => quarantine::parts::apply_message(gateway, message, Source::Leader),
-                    LeaderMessage::Quarantine(message) => quarantine::apply_relayed_events(gateway, message, Source::Leader),
+                    LeaderMessage::Quarantine(message) => quarantine::apply_message(gateway, message, Source::Leader),
                     LeaderMessage::Welcome { leader: Some(leader), .. } => return Ok(leader),
                     LeaderMessage::Limits(message) => limits::apply_updates(gateway, message, Source::Leader),
                     LeaderMessage::Draining(runs) => draining::apply_updates(gateway, runs, Source::Leader),
--- a/sorrelpass/src/gateway/leader.rs
+++ b/sorrelpass/src/gateway/leader.rs
@@ -93,9 +93,6 @@
     for message in gateway.quarantine.sync_messages() {
         connection.send(LeaderMessage::Quarantine(message), queue).await?;
     }
-    for message in quarantine::parts::sync_messages(gateway) {
-        connection.send(LeaderMessage::Parts(message), queue).await?;
-    }
     for message in gateway.limits.sync_messages() {
         connection.send(LeaderMessage::Limits(message), queue).await?;
     }
@@ -129,8 +126,7 @@
                     }
                 }
                 FollowerMessage::Announce(announcement) => gateway.membership.queue_announcement(entry, announcement),
-                FollowerMessage::Parts(message) => quarantine::parts::apply_message(gateway, message, Source::Follower),
-                FollowerMessage::Quarantine(message) => quarantine::apply_relayed_events(gateway, message, Source::Follower),
+                FollowerMessage::Quarantine(message) => quarantine::apply_message(gateway, message, Source::Follower),
                 FollowerMessage::Limits(message) => limits::apply_updates(gateway, message, Source::Follower),
                 FollowerMessage::Draining(runs) => draining::apply_updates(gateway, runs, Source::Follower),
                 FollowerMessage::PermitRequest { number, replicas, max_wait } => {
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -74,6 +74,7 @@
     tokio::task::spawn_local(limits::expire_cold_limits(gateway.clone()));
     tokio::task::spawn_local(slowdown::run(gateway.clone()));
     tokio::task::spawn_local(quarantine::store::run(gateway.clone()));
+    tokio::task::spawn_local(quarantine::run_reviews(gateway.clone()));
     if let Some(own_address) = gateway.settings.peer_listen {
         let peer_listener = http::listen(own_address)?;
         tokio::task::spawn_local(leader::run(gateway.clone(), peer_listener));
--- a/sorrelpass/src/gateway/peer_protocol.rs
+++ b/sorrelpass/src/gateway/peer_protocol.rs
@@ -23,7 +23,7 @@
 use super::membership::Announcement;
 use super::packed::PackedTransfer;
 use super::peers::Peer;
-use super::quarantine::{self, RelayedEvent};
+use super::quarantine;
 use crate::metric;
 
 /// Bounds the size of a message, in bytes: an update about 24,000 replicas takes some 30 bytes for each.
@@ -251,8 +251,8 @@
         /// Changes in the store.
         response: SyncResponse,
     },
-    /// Quarantine events: requests that are suspected or known to terminate replicas.
-    Quarantine(Vec<RelayedEvent>),
+    /// Quarantine events: requests and prompt parts that are suspected or known to terminate replicas.
+    Quarantine(quarantine::Message),
     /// Reports of the rate limits that replicas announced.
     Limits(Vec<limit::RelayedReport>),
     /// Requests a permit at one of several replicas, all of which announced rate limits.
@@ -289,8 +289,6 @@
     },
     /// Tells the failure domain of the sender, before its prompts.
     Location(Name),
-    /// Quarantine events about parts of prompts.
-    Parts(quarantine::parts::Message),
 }
 
 /// Message from a leader to a follower, or from an entry that redirects the other one to its leader.
@@ -335,8 +333,8 @@
         /// Number of entries in the leader's group, including the leader.
         entry_count: usize,
     },
-    /// Quarantine events: requests that are suspected or known to terminate replicas.
-    Quarantine(Vec<RelayedEvent>),
+    /// Quarantine events: requests and prompt parts that are suspected or known to terminate replicas.
+    Quarantine(quarantine::Message),
     /// Reports of the rate limits that replicas announced.
     Limits(Vec<limit::RelayedReport>),
     /// Answers [`FollowerMessage::PermitRequest`].
@@ -348,8 +346,6 @@
     },
     /// Runs of replicas that reported that they are draining.
     Draining(Vec<DrainingRun>),
-    /// Quarantine events about parts of prompts.
-    Parts(quarantine::parts::Message),
 }
 
 /// Permit to send one request to a replica that announced a rate limit.
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use coord::offset::Formatted;
-use coord::quarantine::{Event, Fingerprint, State, Status};
+use coord::quarantine::{Cause, Event};
 use eyre::Result;
 use platform::store::{Client, KeyedRecord, QUARANTINE_TOPIC};
 
@@ -20,7 +20,7 @@
 use super::super::store_reader;
 use super::super::topic_reader::{LogRead, RecordBatch, TopicReader};
 use super::record::{self, Record};
-use super::{Source, apply_events, part_record, parts};
+use super::{Source, apply_events, is_clear};
 use crate::{event, metric, warn_event};
 
 /// Time for which the store holds a read if nothing changes. An entry that is isolated from other entries must stop
@@ -30,13 +30,6 @@
 /// Timeout for a response of the store.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// A record to write.
-struct PendingWrite {
-    fingerprint: Fingerprint,
-    /// New value of the record, or `None` to remove it.
-    record: Option<Record>,
-}
-
 /// Background task that keeps this entry synchronized with the store.
 pub async fn run(gateway: Rc<Gateway>) {
     let mut reader = TopicReader::new(&gateway, QUARANTINE_TOPIC);
@@ -70,7 +63,6 @@
             } else {
                 // Records that the snapshot does not contain were lost by the store, and are written again.
                 gateway.quarantine.stored.borrow_mut().clear();
-                gateway.quarantine.parts.forget_stored();
             }
             snapshot
         }
@@ -93,19 +85,15 @@
 /// operators lifted these verdicts, or another entry cleared them.
 fn missing_records(gateway: &Gateway, snapshot: &RecordBatch) -> Vec<KeyedRecord> {
     let present: HashSet<&str> = snapshot.records.iter().map(|record| &*record.key).collect();
-    let quarantine = &gateway.quarantine;
-    let stored = quarantine.stored.borrow();
-    let keys = stored.keys().map(Fingerprint::to_string).chain(quarantine.parts.stored_keys());
+    let stored = gateway.quarantine.stored.borrow();
+    let keys = stored.keys().map(|cause| record::key(*cause));
     let missing = keys.filter(|key| !present.contains(&**key));
     missing.map(|key| KeyedRecord { offset: snapshot.next_offset, key: key.into(), value: None }).collect()
 }
 
 /// Applies one record. A record that cannot be decoded is logged and skipped.
 fn apply_record(gateway: &Gateway, record: &KeyedRecord) {
-    if let Some(key) = record.key.strip_prefix(part_record::KEY_PREFIX) {
-        return parts::apply_record(gateway, key, record);
-    }
-    let (fingerprint, record) = match record::decode(record) {
+    let (cause, record) = match record::decode(record) {
         Ok(decoded) => decoded,
         Err(error) => {
             warn_event!("quarantine-record", offset = %Formatted(record.offset), error = %format!("{error:#}"));
@@ -118,37 +106,33 @@
             // The runs get the names that they have in this process. Otherwise two entries that exchange terminations
             // only through the store would each see the other's record as new and write it again forever.
             let record = record.with_local_run_names(&mut gateway.quarantine.terminations.borrow_mut(), now());
-            let events = record.events(fingerprint);
-            stored.insert(fingerprint, record);
+            let events = record.events(cause);
+            stored.insert(cause, record);
             events
         }
         // This entry has not seen a stored record that the removal could refer to, so its own evidence may be newer.
-        None if stored.remove(&fingerprint).is_none() => return,
-        None => vec![Event::Lifted(fingerprint)],
+        None if stored.remove(&cause).is_none() => return,
+        None => vec![Event::Lifted(cause)],
     };
     drop(stored);
     apply_events(gateway, events, Source::Own);
+    // The record may lack what this entry knows.
+    gateway.quarantine.notify_writer();
 }
 
 /// Writes all new records, if this entry is the one that writes.
 async fn write_changes(gateway: &Gateway, client: &mut Client) -> Result<()> {
-    while let Some(pending) = next_write(gateway) {
-        let value = pending.record.as_ref().map_or(Ok(Vec::new()), Record::encode)?;
-        let fingerprint = pending.fingerprint;
-        put(client, &fingerprint.to_string(), &value).await?;
-        event!("quarantine-written", work = %fingerprint, condemned = pending.record.as_ref().is_some_and(|record| record.condemned));
+    while let Some((cause, record)) = next_write(gateway) {
+        let value = record.as_ref().map_or(Ok(Vec::new()), Record::encode)?;
+        let (key, condemned) = (record::key(cause), record.as_ref().is_some_and(|record| record.condemned));
+        put(client, &key, &value).await?;
+        event!("quarantine-written", kind = cause.kind(), work = %cause.fingerprint(), condemned);
         let mut stored = gateway.quarantine.stored.borrow_mut();
-        match pending.record {
-            Some(record) => drop(stored.insert(fingerprint, record)),
-            None => drop(stored.remove(&fingerprint)),
+        match record {
+            Some(record) => drop(stored.insert(cause, record)),
+            None => drop(stored.remove(&cause)),
         }
     }
-    while let Some((part, record)) = next_part_write(gateway) {
-        let value = record.as_ref().map_or(Ok(Vec::new()), part_record::Record::encode)?;
-        put(client, &part_record::key(part), &value).await?;
-        event!("quarantine-written", part = %part, condemned = record.as_ref().is_some_and(part_record::Record::is_condemned));
-        parts::mark_stored(gateway, part, record.as_ref());
-    }
     Ok(())
 }
 
@@ -167,35 +151,16 @@
     !gateway.admission.has_leader() && gateway.quarantine.position.next_offset().is_some()
 }
 
-/// Returns the next record of a part to write.
-fn next_part_write(gateway: &Gateway) -> Option<(Fingerprint, Option<part_record::Record>)> {
-    is_writer(gateway).then(|| parts::next_write(gateway)).flatten()
-}
-
-/// Returns the next record of a whole request to write.
-fn next_write(gateway: &Gateway) -> Option<PendingWrite> {
-    let quarantine = &gateway.quarantine;
+/// Returns the next cause whose record in the store differs from the state, and its new record, or `None` to remove it.
+fn next_write(gateway: &Gateway) -> Option<(Cause, Option<Record>)> {
     if !is_writer(gateway) {
         return None;
     }
-    let register = quarantine.register.borrow();
-    let stored = quarantine.stored.borrow();
-    let is_new = |fingerprint: &Fingerprint| {
-        stored.get(fingerprint).is_none_or(|stored_record| has_new_evidence(&register, *fingerprint, stored_record))
-    };
-    let unwritten = register.persistent(gateway.admission.is_standalone()).find(is_new);
-    if let Some(fingerprint) = unwritten {
-        return Some(PendingWrite { fingerprint, record: Some(Record::for_fingerprint(&register, fingerprint)) });
+    let (state, stored) = (gateway.quarantine.state.borrow(), gateway.quarantine.stored.borrow());
+    let is_new =
+        |cause: &Cause| stored.get(cause).is_none_or(|stored| stored.lacks(&Record::of(&state, *cause, now())));
+    if let Some(cause) = state.persistent(gateway.admission.is_standalone()).find(is_new) {
+        return Some((cause, Some(Record::of(&state, cause, now()))));
     }
-    let is_clear = |fingerprint: &&Fingerprint| {
-        register.status(**fingerprint) == Status::Clear && register.evidence(**fingerprint).next().is_none()
-    };
-    stored.keys().find(is_clear).map(|fingerprint| PendingWrite { fingerprint: *fingerprint, record: None })
-}
-
-/// Returns whether a register has more evidence against a fingerprint than the store.
-fn has_new_evidence(register: &State, fingerprint: Fingerprint, stored_record: &Record) -> bool {
-    let local = Record::for_fingerprint(register, fingerprint);
-    !stored_record.condemned
-        && (local.condemned || local.ends.iter().any(|termination| !stored_record.ends.contains(termination)))
+    stored.keys().find(|cause| is_clear(&state, **cause)).map(|cause| (*cause, None))
 }
--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
-use coord::quarantine::Weight;
 use coord::relay_buffer::Eviction;
 use coord::roster::Record;
-use coord::time::Moment;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Frame;
@@ -14,10 +12,11 @@
 
 use super::call::{OpenResponse, PendingRequest, ReplicaSlot};
 use super::caller_stream::{self, CallerLoss, CallerStream};
+use super::now;
+use super::quarantine::{self, Attempt};
 use super::response::{BodyError, CallerResponse};
 use super::sse::Splitter;
 use super::upstream::Framing;
-use super::{now, quarantine};
 use crate::{event, metric};
 
 /// Bounds the time to read data that has already been received, after the deadline: some iterations of the event loop.
@@ -97,11 +96,11 @@
     async fn run(mut self, mut opened: OpenResponse) {
         loop {
             let end = self.relay_from(&mut opened).await;
-            let OpenResponse { record, connection, slot, sent_at, .. } = opened;
+            let OpenResponse { record, connection, slot, attempt, .. } = opened;
             connection.close();
             // A resumed stream gets a new slot: the planner must not count the current one beside it.
             drop(slot);
-            match self.handle_end(end, &record, sent_at).await {
+            match self.handle_end(end, &record, attempt).await {
                 Some(next) => opened = next,
                 None => break,
             }
@@ -148,10 +147,14 @@
                 Some(Err(error)) => return StreamEnd::Interrupted(error.to_string()),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            opened.attempt.record_data();
             self.splitter.push(&data);
-            if let Err(loss) = self.relay_events(&opened.slot).await {
+            if let Err(loss) = self.relay_events(&opened.slot, &opened.attempt).await {
                 return StreamEnd::CallerLost(loss);
             }
+            if self.splitter.is_overlong() {
+                return StreamEnd::Interrupted("the stream sent too many bytes without an event".to_owned());
+            }
         }
     }
 
@@ -168,7 +171,7 @@
     }
 
     /// Relays the complete events that have arrived.
-    async fn relay_events(&mut self, slot: &ReplicaSlot) -> Result<(), CallerLoss> {
+    async fn relay_events(&mut self, slot: &ReplicaSlot, attempt: &Attempt) -> Result<(), CallerLoss> {
         while let Some(event) = self.splitter.next() {
             if self.event_count == 0 {
                 let after = now().since(self.request.started);
@@ -178,7 +181,8 @@
             if self.awaits_first_event {
                 self.awaits_first_event = false;
                 slot.report_first_event();
-                quarantine::parts::record_answer(&self.request.gateway, &self.request.identity.parts);
+                attempt.record_event();
+                quarantine::record_answer(&self.request.gateway, &self.request.identity.parts);
             }
             self.event_count += 1;
             self.last_event_id = event.id.or(self.last_event_id);
@@ -213,17 +217,28 @@
     }
 
     /// Logs the end of one replica's stream. Returns the stream that resumes it at another replica, if there is one.
-    async fn handle_end(&mut self, end: StreamEnd, record: &Record, sent_at: Moment) -> Option<OpenResponse> {
+    async fn handle_end(&mut self, end: StreamEnd, record: &Record, attempt: Attempt) -> Option<OpenResponse> {
         let peer = &*record.id;
         let id = self.request.request_head.id.clone();
         let after_ms = now().since(self.request.started).as_millis();
+        let attempt = match self.longest_pause < MIN_BLAMELESS_PAUSE {
+            true => Some(attempt),
+            // While this entry did not read, the replica could not show life.
+            false => {
+                attempt.close();
+                None
+            }
+        };
         match end {
             StreamEnd::Complete => {
                 event!("done", request = %id, peer, events = self.event_count, framing = self.framing.as_str(), after_ms);
                 metric::record_request("ok");
-                quarantine::record_success(&self.request.gateway, self.request.identity.work);
+                if let Some(attempt) = attempt {
+                    attempt.close();
+                }
+                // A stream that resumes behind its last event completes without any work on the request.
                 if !self.awaits_first_event {
-                    quarantine::parts::record_completion(&self.request.gateway, &self.request.identity.parts);
+                    quarantine::record_completion(&self.request.gateway, &self.request.identity);
                 }
                 None
             }
@@ -242,10 +257,9 @@
             }
             StreamEnd::Interrupted(error) => {
                 event!("broke", request = %id, work = %self.request.identity.work, peer, events = self.event_count, framing = self.framing.as_str(), silent = self.awaits_first_event, paused_ms = self.longest_pause.as_millis(), after_ms, error = %error);
-                if self.longest_pause < MIN_BLAMELESS_PAUSE {
+                if let Some(attempt) = attempt {
                     self.request.gateway.admission.record_failure(&self.request.service, peer);
-                    let weight = if self.awaits_first_event { Weight::Strong } else { Weight::Faint };
-                    self.request.report_lost_connection(record, sent_at, weight).await;
+                    attempt.report_lost().await;
                 }
                 self.resume().await
             }
--- a/sorrelpass/src/gateway/sse.rs
+++ b/sorrelpass/src/gateway/sse.rs
@@ -2,6 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Bounds an event, in bytes: a quarter of the largest response that is buffered. A replica in trouble may send bytes that
+/// are no event without end.
+const MAX_EVENT_BYTES: usize = 4 << 20;
+
 /// Complete server-sent event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -37,6 +41,11 @@
         Some(Event { id: event_id(&bytes), bytes })
     }
 
+    /// Returns whether the bytes after the last complete event are too many for one event.
+    pub fn is_overlong(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns whether a stream that ends here is broken off: its last line has no end, or the last event lacks the
     /// empty line after it. Empty lines and complete comments after the last event belong to no event.
     pub fn is_inside_event(&self) -> bool {
--- a/sorrelpass/src/gateway/upstream.rs
+++ b/sorrelpass/src/gateway/upstream.rs
@@ -14,7 +14,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
-use platform::connection::{self, CONNECT_TIMEOUT, ProbeResult, connect};
+use platform::connection::{self, CONNECT_TIMEOUT, ProbeResult, Question, connect};
 use platform::headers;
 use tokio::task::JoinHandle;
 
@@ -134,10 +134,10 @@
     Ok(request)
 }
 
-/// Probes whether the process of a replica still listens after a connection to the replica ended.
-pub async fn probe_process(record: &Record) -> ProbeResult {
+/// Probes whether the process of a replica still runs.
+pub async fn probe_process(record: &Record, question: Question<'_>) -> ProbeResult {
     match record.address.parse() {
-        Ok(address) => connection::probe(address).await,
+        Ok(address) => connection::probe(address, question).await,
         Err(error) => {
             crate::warn_event!("probe", peer = %record.id, address = %record.address, error = %error);
             ProbeResult::Unknown
--- a/sorrelpass/tests/sse.rs
+++ b/sorrelpass/tests/sse.rs
@@ -68,3 +68,16 @@
     assert_eq!(splitter.next().map(|event| event.bytes), Some("id: 2\ndata: b\n\n".into()));
     assert!(!splitter.is_inside_event());
 }
+
+#[test]
+fn bytes_that_are_no_event_and_do_not_end_are_overlong() {
+    let mut splitter = Splitter::default();
+    let piece = vec![b'#'; 1 << 20];
+    let pushes = (0..64).take_while(|_| {
+        splitter.push(&piece);
+        splitter.next().is_none() && !splitter.is_overlong()
+    });
+    assert!((1..8).contains(&pushes.count()), "a few events of a megabyte are read, and not more");
+    splitter.clear();
+    assert!(!splitter.is_overlong());
+}
--- a/standin/src/cmd/site_soak.rs
+++ b/standin/src/cmd/site_soak.rs
@@ -2,7 +2,7 @@
 //! guarantee.
 //!
 //! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N]
-//!                          [--fatal] [--fatal-parts] [--limits] [--evacuations] [--words] [--unframed]
+//!                          [--fatal] [--fatal-parts] [--unclear] [--limits] [--evacuations] [--words] [--unframed]
 //!
 //! Entries are killed, suspended, shut down and made to reload. Connections from callers, to the store and to
 //! replicas are delayed, reset, cut in one direction or blackholed. The store and the replicas return faulty
@@ -46,6 +46,8 @@
     fatal: bool,
     /// Add a caller that sends different prompts with a part that terminates engines
     fatal_parts: bool,
+    /// Have engines that terminate go on taking connections, or fall silent
+    unclear: bool,
     /// Have an engine and a plain replica announce a limit of requests per second
     limits: bool,
     /// Evacuate a failure domain at intervals and revert the evacuation
@@ -68,6 +70,7 @@
         callers: args.callers,
         has_fatal_requests: args.fatal,
         has_fatal_parts: args.fatal_parts,
+        has_unclear_crashes: args.unclear,
         has_rate_limits: args.limits,
         has_evacuations: args.evacuations,
         has_response_signals: args.words,
--- a/standin/src/platform/replica/answers.rs
+++ b/standin/src/platform/replica/answers.rs
@@ -28,6 +28,7 @@
     Router::new()
         .route("/order", post(handle_order))
         .route("/report", get(handle_report))
+        .route("/health", get(handle_health))
         .fallback(handle_call)
         .with_state(replica)
 }
@@ -89,6 +90,11 @@
     Json(json!({ "stage": "dual", "running": 0, "waiting": 0, "kv_used": 0, "pace": slowdown })).into_response()
 }
 
+/// Answers that the replica is healthy.
+async fn handle_health(State(replica): State<Arc<Replica>>) -> Response {
+    (StatusCode::OK, [("replica-id", replica.id.clone())]).into_response()
+}
+
 /// Handles a call, with the behavior that is queued for it.
 async fn handle_call(State(replica): State<Arc<Replica>>, request: Request) -> Response {
     let (head, body) = request.into_parts();
--- a/standin/src/platform/soak/mod.rs
+++ b/standin/src/platform/soak/mod.rs
@@ -18,12 +18,14 @@
 
 use eyre::{Result, eyre};
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
 use self::caller::{FATAL_BODY, FATAL_PART, FatalKind, SharedState, api_key, run_caller, run_fatal_caller};
 pub use self::injector::InjectionKind;
 use self::injector::Injector;
 use self::judge::check_guarantees;
+use super::proxy::NetworkFault;
 use super::replica::Replica;
 use super::site::{Site, Spec};
 
@@ -71,6 +73,8 @@
     pub has_fatal_requests: bool,
     /// Whether one more caller sends different prompts that share a part which crashes engines.
     pub has_fatal_parts: bool,
+    /// Whether the crash of an engine shows in other ways than refused connections.
+    pub has_unclear_crashes: bool,
     /// Whether an engine and a plain replica announce a rate limit from the start.
     pub has_rate_limits: bool,
     /// Whether a failure domain is evacuated, and the evacuation cancelled, from time to time.
@@ -93,6 +97,8 @@
     pub fault_counts: BTreeMap<InjectionKind, usize>,
     /// Number of fatal requests that reached engines.
     pub fatal_request_count: usize,
+    /// Number of fatal requests that reached engines too late after the third.
+    pub late_fatal_request_count: usize,
     /// Number of prompts with the fatal part that reached engines too late after the fifth.
     pub late_fatal_part_count: usize,
     /// Number of engine crashes.
@@ -111,8 +117,8 @@
         writeln!(out, "faults: {:?}", self.fault_counts)?;
         writeln!(
             out,
-            "fatal requests at engines: {}, late prompts with the fatal part: {}, engine crashes: {}",
-            self.fatal_request_count, self.late_fatal_part_count, self.crash_count
+            "fatal requests at engines: {}, late: {}, late prompts with the fatal part: {}, engine crashes: {}",
+            self.fatal_request_count, self.late_fatal_request_count, self.late_fatal_part_count, self.crash_count
         )?;
         writeln!(
             out,
@@ -160,6 +166,10 @@
         let rng = SmallRng::seed_from_u64(seed_rng.random());
         callers.push(tokio::spawn(run_fatal_caller(shared.clone(), site.addresses.clone(), rng, FatalKind::Part)));
     }
+    if plan.has_unclear_crashes {
+        let aftermaths = [NetworkFault::None, NetworkFault::Reset, NetworkFault::Blackhole];
+        site.engines.iter().for_each(|engine| engine.set_aftermath(aftermaths.choose(&mut seed_rng).copied()));
+    }
     if plan.has_rate_limits {
         last_replicas(&site).for_each(|replica| replica.set_rate_limit(Some(&RATE_LIMIT.to_string())));
     }
--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -27,6 +27,7 @@
         callers: 16,
         has_fatal_requests: false,
         has_fatal_parts: false,
+        has_unclear_crashes: false,
         has_rate_limits: false,
         has_evacuations: false,
         has_response_signals: false,
@@ -113,3 +114,13 @@
 async fn seed_6027_with_a_fatal_part_beside_prompts_that_are_all_alike() {
     run_soak(Plan { has_fatal_parts: true, ..plan_with_seed(6027) }).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_9001_with_fatal_requests_and_crashes_that_do_not_show_at_the_port() {
+    run_soak(Plan { has_fatal_requests: true, has_unclear_crashes: true, ..plan_with_seed(9001) }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_9002_with_a_fatal_part_and_crashes_that_do_not_show_at_the_port() {
+    run_soak(Plan { has_fatal_parts: true, has_unclear_crashes: true, ..plan_with_seed(9002) }).await;
+}
