--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod planner;
 pub mod poll;
 pub mod prefix;
+pub mod probe;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
--- a/sorrelpass/src/gateway/quarantine/evidence.rs
+++ b/sorrelpass/src/gateway/quarantine/evidence.rs
@@ -5,11 +5,12 @@
 
 use coord::contact::SURVIVAL_TIME;
 use coord::name::Name;
+use coord::probe::{self, ProbeResult};
 use coord::quarantine::{Event, Loss, Proof, Weight};
 use coord::roster::{Availability, Record, Replica};
 use coord::termination::Interval;
 use coord::time::Moment;
-use platform::connection::{ProbeResult, Question};
+use platform::connection::Question;
 use tokio::sync::oneshot;
 
 use super::super::now;
@@ -22,8 +23,7 @@
 /// region. Behind a network partition the probe does not complete in time, and yields no evidence.
 const PROBE_WAIT: Duration = Duration::from_millis(25);
 /// Delays before a replica that still listens is probed again. A process that ends closes its connections and its
-/// listener one after the other, on a busy VM some milliseconds apart. A replica of which a proxy takes connections, or
-/// that resets many of them, has to fail all probes to count as terminated.
+/// listener one after the other, on a busy VM some milliseconds apart.
 const REPROBE_DELAYS: [Duration; 3] = [Duration::from_millis(10), Duration::from_millis(40), Duration::from_millis(40)];
 /// Time after a presumed loss at which its evidence is weighed with what was lost beside it.
 const REVIEW_DELAY: Duration = Duration::from_millis(200);
@@ -51,21 +51,22 @@
     pub async fn probe_lost(self, gateway: Rc<Gateway>, interval: Interval) {
         let (first_probe_done, first_probe) = oneshot::channel();
         tokio::task::spawn_local(async move {
-            let mut results = vec![self.probe(&gateway, true).await];
-            if results[0] != ProbeResult::Ended {
-                // If the probe took too long, the receiver has timed out.
-                let _ = first_probe_done.send(());
-                for delay in REPROBE_DELAYS {
-                    let last = results[results.len() - 1];
-                    if matches!(last, ProbeResult::Ended | ProbeResult::Unknown) {
-                        break;
-                    }
-                    tokio::time::sleep(delay).await;
-                    // One answer shows that the process serves; after that only its port tells that it ends.
-                    results.push(self.probe(&gateway, last == ProbeResult::Mute).await);
+            let mut results = Vec::new();
+            let mut first_probe_done = Some(first_probe_done);
+            while let Some(asks_process) = probe::next_probe(&results) {
+                if let Some(delay) = results.len().checked_sub(1).and_then(|index| REPROBE_DELAYS.get(index)) {
+                    tokio::time::sleep(*delay).await;
+                }
+                results.push(self.probe(&gateway, asks_process).await);
+                // A termination is recorded before the request goes on. If the probe took too long, the receiver has timed
+                // out.
+                if results[0] != ProbeResult::Ended
+                    && let Some(done) = first_probe_done.take()
+                {
+                    let _ = done.send(());
                 }
             }
-            let proof = if self.has_no_record(&gateway) { Proof::Proven } else { proof_of(&results) };
+            let proof = if self.has_no_record(&gateway) { Proof::Proven } else { probe::proof_of_lost(&results) };
             self.record(&gateway, interval, proof).await;
         });
         // The background task also records a termination that it finds after the timeout.
@@ -75,12 +76,9 @@
     /// Records the end of a request that its replica left in silence until it was given up, unless the replica is busy: an
     /// engine answers beside its other work.
     pub async fn probe_silent(self, gateway: Rc<Gateway>, sent_at: Moment) {
-        let proof = match self.probe(&gateway, true).await {
-            _ if self.has_no_record(&gateway) => Proof::Proven,
-            ProbeResult::Mute | ProbeResult::Ended => Proof::Proven,
-            ProbeResult::Unknown | ProbeResult::Listening => Proof::Presumed,
-            ProbeResult::Serving => return,
-        };
+        let result = self.probe(&gateway, true).await;
+        let proof = if self.has_no_record(&gateway) { Some(Proof::Proven) } else { probe::proof_of_silent(result) };
+        let Some(proof) = proof else { return };
         let interval = Interval { not_before: sent_at, not_after: now() };
         self.record(&gateway, interval, proof).await;
     }
@@ -159,14 +157,6 @@
     }
 }
 
-/// Returns what a series of probes proves. Where none was answered although connections are accepted, the process is gone
-/// and something else accepts them.
-fn proof_of(results: &[ProbeResult]) -> Proof {
-    let has_ended = results.contains(&ProbeResult::Ended);
-    let is_mute = results.iter().all(|result| *result == ProbeResult::Mute);
-    if has_ended || is_mute { Proof::Proven } else { Proof::Presumed }
-}
-
 /// Bounds the number of remembered terminations and contacts.
 pub(super) fn forget_removed_replicas(gateway: &Gateway) {
     let roster = gateway.roster.borrow();
--- a/sorrelpass/src/gateway/quarantine/probes.rs
+++ b/sorrelpass/src/gateway/quarantine/probes.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use coord::name::Name;
-use platform::connection::ProbeResult;
+use coord::probe::ProbeResult;
 use tokio::sync::OnceCell;
 
 /// Result of a probe once it is known.
--- a/sorrelpass/src/gateway/upstream.rs
+++ b/sorrelpass/src/gateway/upstream.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use coord::probe::ProbeResult;
 use coord::roster::Record;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -14,7 +15,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
-use platform::connection::{self, CONNECT_TIMEOUT, ProbeResult, Question, connect};
+use platform::connection::{self, CONNECT_TIMEOUT, Question, connect};
 use platform::headers;
 use tokio::task::JoinHandle;
 
