A part that ends engines before their answers is condemned after ten ends although nothing completes

Cause: while nothing completes, 20 points were asked; ends before the head of an answer count one point each, so 20 ends instead of ten. What the rule needs is ten prompts in a row without one event, whatever the stage. The test without a network failed before (not condemned at the tenth end).

--- a/coord/src/quarantine/rules.rs
+++ b/coord/src/quarantine/rules.rs
@@ -22,9 +22,10 @@
 const PART_POINTS: f64 = 7.0;
 /// Points that condemn a part with which prompts completed earlier.
 const SOUND_PART_POINTS: f64 = 16.0;
-/// Points that condemn a part while too few prompts complete. Where engines terminate soon after each start, every
-/// second prompt may have no event yet; ten of them in a row are then a chance of one in a thousand.
-const SILENT_PART_POINTS: f64 = 20.0;
+/// Losses that condemn a part while too few prompts complete, if no prompt with it ever had an event. Where engines
+/// terminate soon after each start, every second prompt may have no event yet; ten of them in a row are then a chance of
+/// one in a thousand.
+const SILENT_PART_LOSSES: usize = 10;
 /// Different prompts that the losses under a part must be spread over. Repeats of a single prompt are condemned by its
 /// content.
 const MIN_PROMPTS: usize = 3;
@@ -170,9 +171,8 @@
     fn is_guilty_part(&self, part: Fingerprint, suspect: &Suspect) -> bool {
         let min_points = if suspect.is_sound { SOUND_PART_POINTS } else { PART_POINTS };
         // The cheaper conditions come first: in an outage many parts have much evidence.
-        let max_points = suspect.points(Counting::Full);
-        max_points >= min_points
-            && self.can_serve_others(part, suspect, max_points)
+        suspect.points(Counting::Full) >= min_points
+            && self.can_serve_others(part, suspect)
             && suspect.points(self.counting(suspect)) >= min_points
             && suspect.request_count() >= MIN_PROMPTS
             && suspect.moment_count() >= MIN_MOMENTS
@@ -189,9 +189,9 @@
 
     /// Returns whether engines serve prompts without the part. Prompts that completed show it. While each engine
     /// terminates before any prompt completes, first events show it, if no prompt with the part is known to have had one.
-    fn can_serve_others(&self, part: Fingerprint, suspect: &Suspect, points: f64) -> bool {
+    fn can_serve_others(&self, part: Fingerprint, suspect: &Suspect) -> bool {
         let has_others_answered = self.answers - suspect.answers_before >= MIN_ANSWERS;
-        let is_ever_silent = !self.history.is_answered(part) && points >= SILENT_PART_POINTS;
+        let is_ever_silent = !self.history.is_answered(part) && suspect.losses.len() >= SILENT_PART_LOSSES;
         self.completions - suspect.completions_before >= MIN_COMPLETIONS || (is_ever_silent && has_others_answered)
     }
 
--- a/coord/tests/part_quarantine.rs
+++ b/coord/tests/part_quarantine.rs
@@ -221,6 +221,18 @@
     assert!(register.is_condemned(FATAL) && !register.is_condemned(SHARED));
 }
 
+#[test]
+fn a_part_that_terminates_engines_before_their_answers_is_condemned_while_nothing_completes() {
+    let mut register = Register::default();
+    for number in 0..10 {
+        assert!(!register.is_condemned(FATAL));
+        register.answer(&[SHARED]);
+        register.terminate_with(&format!("run-{number}"), number, &[SHARED, FATAL], Weight::Faint);
+        register.now_ms += 300;
+    }
+    assert!(register.is_condemned(FATAL) && !register.is_condemned(SHARED));
+}
+
 #[test]
 fn a_part_whose_prompts_have_first_events_waits_for_completed_prompts() {
     for is_answered_elsewhere in [false, true] {
--- a/coord/tests/quarantine_plays.rs
+++ b/coord/tests/quarantine_plays.rs
@@ -357,6 +357,14 @@
     assert_nothing_condemned(Trouble::Release);
 }
 
+/// Guards against four proven terminations by chance: all sends of one request met replaced replicas.
+#[test]
+fn a_request_whose_four_sends_met_replaced_replicas_is_not_condemned() {
+    let parameters =
+        Parameters { trouble: Trouble::Release, deadly: Deadly::Nothing, proof: Proof::Proven, has_events: false };
+    assert_eq!(Play::run(parameters, 694).condemned(), BTreeSet::new());
+}
+
 #[test]
 fn crashes_in_waves_condemn_nothing() {
     assert_nothing_condemned(Trouble::Crashes);
