A replica counts as silent from its last byte on any connection

Cause: a request that was given up counted as left in silence only if the replica had sent nothing since that request was sent. One byte for another request, 60 ms before the host was lost, hid 740 ms of silence, and no probe ran. Change: the silence of a replica counts from its last byte to anyone.

--- a/coord/src/contact.rs
+++ b/coord/src/contact.rs
@@ -97,13 +97,12 @@
         Some(Interval { not_before: sent_at, not_after: now })
     }
 
-    /// Returns the time since the last byte of a request's response, or since its send, if the replica has sent nothing on
-    /// any connection meanwhile.
+    /// Returns the time for which a replica has sent nothing on any connection since a request was sent to it. Returns
+    /// `None` if no such request is known.
     pub fn silence(&self, replica: &Name, id: ContactId, now: Moment) -> Option<Duration> {
         let replica = self.replicas.get(replica)?;
         let contact = replica.contacts.iter().find(|contact| contact.id == id)?;
-        let has_other_sign = replica.last_sign.is_some_and(|sign| sign > contact.last_sign);
-        (!has_other_sign).then(|| now.since(contact.last_sign))
+        Some(now.since(contact.last_sign.max(replica.last_sign.unwrap_or(Moment::ZERO))))
     }
 
     /// Returns whether a connection that was open throughout `interval` shows that the process ran on after it.
--- a/coord/tests/contacts.rs
+++ b/coord/tests/contacts.rs
@@ -55,13 +55,15 @@
 }
 
 #[test]
-fn a_replica_is_silent_only_while_it_says_nothing_on_any_connection() {
+fn a_replica_is_silent_since_its_last_byte_on_any_connection() {
     let mut contacts = Contacts::default();
     let first = contacts.begin(&replica(), at(0));
     let second = contacts.begin(&replica(), at(0));
-    contacts.hear(&replica(), first, at(200));
-    assert_eq!(contacts.silence(&replica(), first, at(900)), Some(Duration::from_millis(700)));
-    assert_eq!(contacts.silence(&replica(), second, at(900)), None, "the first connection showed life");
+    contacts.hear(&replica(), first, at(60));
+    // The replica answered another request after this one was sent, and has been silent since.
+    assert_eq!(contacts.silence(&replica(), second, at(900)), Some(Duration::from_millis(840)));
+    contacts.hear(&replica(), first, at(880));
+    assert_eq!(contacts.silence(&replica(), second, at(900)), Some(Duration::from_millis(20)), "it is busy");
 }
 
 #[test]
--- a/standin/src/platform/fragile.rs
+++ b/standin/src/platform/fragile.rs
@@ -92,11 +92,28 @@
     Terminated(Aftermath),
 }
 
+/// Request that reached a replica.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Request id that the caller chose.
+    pub id: String,
+    /// Time at which the replica had read the request.
+    pub at: Instant,
+    /// Whether the request terminates the replica.
+    pub is_fatal: bool,
+    /// Parts of the prompt as the caller named them.
+    pub parts: String,
+    /// Time that the entry allows the replica; `None` if it names none.
+    pub time_left: Option<Duration>,
+    /// Process that the request reached, counted by its starts.
+    pub lifetime: usize,
+}
+
 /// Observations and the present id.
 #[derive(Default)]
 struct Inner {
     lifetime: usize,
-    arrivals: Vec<(Instant, bool)>,
+    arrivals: Vec<Arrival>,
     terminations: Vec<Instant>,
 }
 
@@ -114,6 +131,7 @@
     request_number: AtomicUsize,
     close_number: AtomicU32,
     phase: watch::Sender<(usize, Phase)>,
+    stands_still: watch::Sender<bool>,
     inner: Mutex<Inner>,
 }
 
@@ -159,6 +177,7 @@
             request_number: AtomicUsize::new(0),
             close_number: AtomicU32::new(0),
             phase: watch::Sender::new((0, Phase::Running)),
+            stands_still: watch::Sender::new(false),
             inner: Mutex::default(),
         });
         replica.write_record();
@@ -166,12 +185,22 @@
         Ok(replica)
     }
 
-    /// Returns the times at which requests arrived, and whether each is fatal.
-    pub fn arrivals(&self) -> Vec<(Instant, bool)> {
+    /// Returns the requests that reached the replica, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
     }
 
-    /// Returns the times of its terminations.
+    /// Sets whether the process stands still: it neither accepts nor reads, and reads what waits in its sockets afterwards.
+    pub fn set_standing_still(&self, stands_still: bool) {
+        self.stands_still.send_replace(stands_still);
+    }
+
+    async fn wait_until_moving(&self) {
+        // Fails only if the sender is dropped, which `self` owns.
+        let _ = self.stands_still.subscribe().wait_for(|stands_still| !stands_still).await;
+    }
+
+    /// Returns the times of its terminations, one for each process but the present one.
     pub fn terminations(&self) -> Vec<Instant> {
         self.lock().terminations.clone()
     }
@@ -294,7 +323,9 @@
 
     /// Serves the request of a connection.
     async fn serve_connection(self: &Arc<Self>, stream: &mut TcpStream) {
+        self.wait_until_moving().await;
         let Some(request) = read_request(stream).await else { return };
+        self.wait_until_moving().await;
         if request.head.starts_with("GET /report") {
             let report = json!({ "stage": "dual", "running": 0, "waiting": 0, "kv_used": 0, "pace": 1.0 }).to_string();
             let head = format!(
@@ -319,7 +350,7 @@
                 .await;
             return;
         }
-        self.lock().arrivals.push((Instant::now(), is_fatal));
+        self.record_arrival(&request, is_fatal);
         let number = self.request_number.fetch_add(1, Ordering::Relaxed);
         // A multiplication by a number without a common factor spreads the reset requests evenly.
         if !is_fatal && number * 617 % 1_000 < self.resets_per_mille {
@@ -334,6 +365,14 @@
         let _ = self.respond(stream, &request, fatal_stage).await;
     }
 
+    fn record_arrival(&self, request: &Request, is_fatal: bool) {
+        let time_left = request.header("deadline-ms").parse().ok().map(Duration::from_millis);
+        let (id, parts) = (request.header("request-id").to_owned(), request.header("prompt-prefix").to_owned());
+        let mut inner = self.lock();
+        let lifetime = inner.lifetime;
+        inner.arrivals.push(Arrival { id, at: Instant::now(), is_fatal, parts, time_left, lifetime });
+    }
+
     /// Writes the response, or the part of it that precedes the termination.
     async fn respond(
         self: &Arc<Self>,
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -11,7 +11,7 @@
 mod store;
 
 pub use client::{Connection, Outcome, RequestSpec, send};
-pub use fragile::{Aftermath, FragileReplica, Stage, Termination};
+pub use fragile::{Aftermath, Arrival, FragileReplica, Stage, Termination};
 pub use proxy::{NetworkFault, Proxy};
 pub use replica::{Behavior, ReceivedRequest, Replica};
 pub use site::{HOST, KEY, Proxies, Site, Spec};
