A proven end that may decide on its request is reviewed at once

Change: a proven end of a request that has two of them is reviewed without that pause; all else still waits.

--- a/sorrelpass/src/gateway/quarantine/mod.rs
+++ b/sorrelpass/src/gateway/quarantine/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use coord::contact::Contacts;
-use coord::quarantine::{Cause, Event, Fingerprint, SharedPart, State, Status};
+use coord::quarantine::{Cause, Event, Fingerprint, Proof, SharedPart, State, Status};
 use coord::termination::Terminations;
 use coord::time::Moment;
 use tokio::sync::{Notify, watch};
@@ -200,11 +200,20 @@
     if source != Source::Leader {
         broadcast(gateway, &changes);
     }
-    if !events.is_empty() {
+    if losses.iter().any(|loss| is_decisive(gateway, loss)) {
+        run_review(gateway);
+    } else if !events.is_empty() {
         review(gateway);
     }
 }
 
+/// Returns whether a loss may decide on its request, so that its review must not wait: the request is sent again at once.
+fn is_decisive(gateway: &Gateway, event: &Event) -> bool {
+    let Event::Lost(loss) = event else { return false };
+    let state = gateway.quarantine.state.borrow();
+    loss.proof == Proof::Proven && state.losses(Cause::Request(loss.request)).nth(1).is_some()
+}
+
 /// Records that a request completed on a replica.
 pub fn record_completion(gateway: &Gateway, identity: &Identity) {
     let changes = gateway.quarantine.state.borrow_mut().record_completion(identity.work, &identity.parts, now());
