--- a/review/standins-2/stop.rs
+++ b/review/standins-2/stop.rs
@@ -1,5 +1,5 @@
-//! Case 6: an entry gets SIGTERM while it passes on answers of 1 MiB to clients that read 200 KB a second. Each answer
-//! needs some 5 s, and the entry has 8 s.
+//! Case 6: an entry gets SIGTERM while it passes on answers of 1 MiB to clients that read 170 KB a second. Each answer
+//! needs some 6 s, and the entry has 8 s.
 
 use std::collections::HashSet;
 use std::io::{Read, Write};
@@ -19,7 +19,7 @@
 const SLOW_CLIENTS: usize = 6;
 /// Bytes that a client reads at a time, and the pause between.
 const PIECE: usize = 16 << 10;
-const PAUSE: Duration = Duration::from_millis(80);
+const PAUSE: Duration = Duration::from_millis(95);
 /// Largest segment of a client on a usual network; a loopback connection has 64 KB, and buffers to match.
 const SEGMENT_BYTES: i32 = 1_400;
 /// Receive buffer of a client.
