--- a/review/standins-2/entry.rs
+++ b/review/standins-2/entry.rs
@@ -14,6 +14,10 @@
 /// Time within which an entry has to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 /// Process of an entry.
 pub struct Entry {
     /// Address for clients.
@@ -84,14 +88,19 @@
         self.fields.insert("bootstrap", "false".to_owned());
     }
 
-    /// Returns the process id; 0 if the process was never started.
-    pub fn pid(&self) -> u32 {
-        self.process.as_ref().map_or(0, Child::id)
+    /// Asks the process to end (SIGTERM).
+    pub fn terminate(&self) {
+        const SIGTERM: i32 = 15;
+        let Some(process) = &self.process else { return };
+        // SAFETY: the call takes two numbers; the process was started here and its status was not collected.
+        unsafe { kill(process.id() as i32, SIGTERM) };
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
+    /// Kills the process (SIGKILL).
+    pub fn kill(&mut self) {
+        if let Some(process) = &mut self.process {
+            let _ = process.kill();
+        }
     }
 
     /// Returns whether the process has ended.
@@ -125,8 +134,8 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
+        self.kill();
         if let Some(process) = &mut self.process {
-            let _ = process.kill();
             let _ = process.wait();
         }
     }
--- a/review/standins-2/stop.rs
+++ b/review/standins-2/stop.rs
@@ -69,7 +69,7 @@
     let mut stopped_at = None;
     if has_trouble {
         let at = Instant::now();
-        site.entry.signal("TERM");
+        site.entry.terminate();
         record.line(&format!("SIGTERM at {:.3} s", seconds(at)));
         while !site.entry.has_ended() && at.elapsed() < GRACE {
             thread::sleep(Duration::from_millis(5));
@@ -78,7 +78,7 @@
         let by_itself = site.entry.has_ended();
         record.line(&format!("entry ended {:.3} s after it, by itself: {by_itself}", ended.duration_since(at).as_secs_f64()));
         if !by_itself {
-            site.entry.signal("KILL");
+            site.entry.kill();
         }
         stopped_at = Some(at);
         thread::sleep(Duration::from_millis(300));
