--- a/sorrelpass/src/body_tracker.rs
+++ b/sorrelpass/src/body_tracker.rs
@@ -1,4 +1,4 @@
-//! Request body that records whether it was read to its end.
+//! Request body that records whether it was read to its end, and response body that its request lasts as long as.
 //!
 //! If the body of an HTTP/1 request was not read to its end, the connection is closed after the response, since the
 //! rest of the body would be taken for the next request. The response has to announce this, as a caller would otherwise
@@ -11,6 +11,8 @@
 
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::connection::{BodyGuard, RequestGuard};
+
 /// Body that records when its end was read.
 pub struct TrackedBody<B> {
     inner: B,
@@ -18,25 +20,30 @@
 }
 
 /// Shared flag: whether a body still has data that was not read.
-#[derive(Clone, Debug)]
-pub struct ReadState(Arc<AtomicBool>);
+#[derive(Clone)]
+pub struct ReadState {
+    is_unread: Arc<AtomicBool>,
+    /// Guard that is ended with the body.
+    guard: BodyGuard,
+}
 
 impl ReadState {
     /// Returns whether the body still has data that was not read.
     pub fn has_unread_data(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.is_unread.load(Ordering::Relaxed)
     }
 
     fn set_read(&self) {
-        self.0.store(false, Ordering::Relaxed);
+        self.is_unread.store(false, Ordering::Relaxed);
+        self.guard.end();
     }
 }
 
 impl<B: Body> TrackedBody<B> {
-    /// Wraps `inner`.
-    pub fn new(inner: B) -> Self {
-        let read_state = ReadState(Arc::new(AtomicBool::new(!inner.is_end_stream())));
-        Self { inner, read_state }
+    /// Wraps `inner`, whose end ends `guard`.
+    pub fn new(inner: B, guard: BodyGuard) -> Self {
+        let is_unread = Arc::new(AtomicBool::new(!inner.is_end_stream()));
+        Self { inner, read_state: ReadState { is_unread, guard } }
     }
 
     /// Returns the flag of this body. It remains valid after the body was dropped.
@@ -68,3 +75,36 @@
         self.inner.size_hint()
     }
 }
+
+/// Response body that counts its request as active until it is dropped, which is when the connection has all of it.
+pub struct GuardedBody<B> {
+    inner: B,
+    _guard: RequestGuard,
+}
+
+impl<B> GuardedBody<B> {
+    /// Wraps the body of the response to the request that `guard` counts.
+    pub fn new(inner: B, guard: RequestGuard) -> Self {
+        Self { inner, _guard: guard }
+    }
+}
+
+impl<B: Body + Unpin> Body for GuardedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- a/sorrelpass/src/config/gateway.rs
+++ b/sorrelpass/src/config/gateway.rs
@@ -22,6 +22,8 @@
 const MAX_MEMORY_MB: f64 = 1e6;
 /// Memory limit of the process if no setting gives it, in MB: that of the smallest VM that is in use.
 const DEFAULT_MEMORY_MB: f64 = 160.0;
+/// Largest number of file descriptors that a setting may give.
+const MAX_DESCRIPTORS: u64 = 1 << 30;
 /// Number of bytes in a MB of a memory limit.
 const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 
@@ -46,6 +48,8 @@
     pub link_mbps: f64,
     /// Memory limit of the process, in bytes.
     pub memory_bytes: u64,
+    /// File descriptors of the process; `None` if only its own limit is known.
+    pub descriptors: Option<u64>,
     /// Time and retry bounds that the deployment sets.
     pub bounds: Bounds,
     /// Whether the operator declares that callers compete for capacity and may be slow to read.
@@ -132,6 +136,7 @@
     let cores = reader.number("gateway", "cores", 0.0..=MAX_CORES, 0.0);
     let link_mbps = reader.number("gateway", "link_mbps", 0.0..=MAX_LINK_MBPS, 0.0);
     let memory_mb = reader.number("gateway", "memory_mb", 1.0..=MAX_MEMORY_MB, DEFAULT_MEMORY_MB);
+    let descriptors = reader.number("gateway", "descriptors", 0..=MAX_DESCRIPTORS, 0);
     let capacity = Capacity::of(cores, link_mbps);
     let is_first_start = reader.flag("gateway", "first_start", false);
     let has_contention = platform::requirement::declares_contention(&reader.names("gateway", "requirements"));
@@ -148,6 +153,7 @@
         capacity,
         link_mbps,
         memory_bytes: (memory_mb * BYTES_PER_MB) as u64,
+        descriptors: (descriptors > 0).then_some(descriptors),
         has_contention,
         is_first_start,
         bounds,
--- a/sorrelpass/src/config/mod.rs
+++ b/sorrelpass/src/config/mod.rs
@@ -70,6 +70,8 @@
     pub max_body_bytes: usize,
     /// Limit on the total size of the request bodies in memory, in bytes.
     pub body_budget_bytes: usize,
+    /// Memory limit of the process, in bytes, from which the number of callers' connections follows.
+    pub memory_bytes: u64,
     /// Timeout of a quote request to an endpoint.
     pub quote_timeout: Duration,
     /// Time reserved before a request's deadline for cancelling an attempt and finding out whether it ran.
@@ -128,6 +130,9 @@
     pub initial_gap: Duration,
     /// Number of blocks in the sidecar's model of the engine's prefix cache.
     pub cache_blocks: usize,
+    /// Memory limit of the process, in bytes, from which the memory for request bodies and the number of connections
+    /// follow.
+    pub memory_bytes: u64,
     /// Time without reading after which an entry's connection is closed.
     pub entry_timeout: Duration,
     /// Interval of the endpoint's health checks.
@@ -145,6 +150,15 @@
     Sidecar(Box<Sidecar>),
 }
 
+/// Memory limit of an entry if no setting gives it, in MB.
+const DEFAULT_ENTRY_MEMORY_MB: u64 = 1_024;
+/// Memory limit of a sidecar if no setting gives it, in MB.
+const DEFAULT_SIDECAR_MEMORY_MB: u64 = 192;
+/// Smallest memory limit of an entry or a sidecar, in MB: a quarter of it holds the largest call that may run at most
+/// once.
+const MIN_MEMORY_MB: u64 = 128;
+/// Largest memory limit of an entry or a sidecar, in MB.
+const MAX_MEMORY_MB: u64 = 1 << 20;
 /// Largest value of most settings in milliseconds.
 const MAX_DURATION_MS: u64 = 24 * 3_600 * 1_000;
 
@@ -209,6 +223,7 @@
     let max_endpoints_per_service = reader.number("entry", "sample", 1..=1 << 20, 256);
     let max_body_bytes = reader.number("entry", "max_body_bytes", 1_024..=1 << 30, 16 << 20);
     let body_budget_bytes = reader.number("entry", "body_budget_bytes", 1_024..=1 << 36, 256 << 20);
+    let memory_bytes = read_memory(reader, "entry", DEFAULT_ENTRY_MEMORY_MB);
     let quote_timeout = reader.millis("entry", "quote_timeout_ms", 1..=60_000, 100);
     let cancel_reserve = reader.millis("entry", "void_reserve_ms", 1..=60_000, 200);
     let caller_timeout = reader.millis("entry", "slow_caller_ms", 10..=MAX_DURATION_MS, 10_000);
@@ -233,6 +248,7 @@
         max_endpoints_per_service,
         max_body_bytes,
         body_budget_bytes,
+        memory_bytes,
         quote_timeout,
         cancel_reserve,
         caller_timeout,
@@ -245,6 +261,10 @@
     })
 }
 
+fn read_memory(reader: &mut Reader, section: &str, default_mb: u64) -> u64 {
+    reader.number(section, "memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB, default_mb) << 20
+}
+
 fn read_limits(reader: &mut Reader) -> Limits {
     Limits {
         slots: reader.number("sidecar", "slots", 1..=65_536, 64),
@@ -276,6 +296,7 @@
     let initial_prefill_rate = reader.number("sidecar", "prefill_tokens_per_s", 1.0..=1e12, 60_000.0);
     let initial_gap = reader.millis("sidecar", "gap_ms", 1..=60_000, 20);
     let cache_blocks = reader.number("sidecar", "cache_blocks", 1..=1 << 24, 65_536);
+    let memory_bytes = read_memory(reader, "sidecar", DEFAULT_SIDECAR_MEMORY_MB);
     let entry_timeout = reader.millis("sidecar", "slow_entry_ms", 10..=MAX_DURATION_MS, 10_000);
     let probe_interval = reader.millis("sidecar", "probe_ms", 20..=MAX_DURATION_MS, 1_000);
     Some(Sidecar {
@@ -292,6 +313,7 @@
         initial_prefill_rate,
         initial_gap,
         cache_blocks,
+        memory_bytes,
         entry_timeout,
         probe_interval,
     })
--- a/sorrelpass/src/entry/caller_api.rs
+++ b/sorrelpass/src/entry/caller_api.rs
@@ -151,7 +151,7 @@
     let arrived_at = util::now();
     // Rejects requests without a bearer key before their body takes any memory.
     bearer_key_digest(headers)?;
-    let buffered = body::read(&app.shared.settings, &app.shared.body_budget, headers, body).await?;
+    let buffered = body::read(&app.shared, body).await?;
     let prompt = body::parse(&app.shared.parse, format, &buffered.bytes).await?;
     let kind = RequestKind::Model {
         model: prompt.model.clone(),
@@ -174,7 +174,7 @@
         deadline,
         parts,
         admitted,
-        _reservation: buffered.reservation,
+        _body_memory: buffered.holder,
     });
     reply::prompt_response(id, &prompt, parts).await
 }
@@ -244,7 +244,7 @@
     let arrived_at = util::now();
     let (head, body) = request.into_parts();
     bearer_key_digest(&head.headers)?;
-    let buffered = body::read(&app.shared.settings, &app.shared.body_budget, &head.headers, body).await?;
+    let buffered = body::read(&app.shared, body).await?;
     let admitted = admit(app, &head.headers, RequestKind::Service { service: Name::from(service) }).await?;
     let deadline = parse_deadline(&head.headers, &admitted, arrived_at)?;
     event!("request", request = %id, workspace = %admitted.workspace.name, service, method = %head.method, path);
@@ -279,7 +279,7 @@
         deadline,
         parts,
         admitted,
-        _reservation: buffered.reservation,
+        _body_memory: buffered.holder,
     });
     reply::service_response(parts).await
 }
@@ -323,13 +323,12 @@
 
 /// Handles `POST /v1/tickets`: issues an idempotency key that guarantees at-most-once execution even while
 /// the log is unavailable.
-async fn issue_ticket(
-    State(app): State<HandlerState>,
-    headers: HeaderMap,
-    body: axum::body::Bytes,
-) -> Result<Response, Failure> {
+async fn issue_ticket(State(app): State<HandlerState>, headers: HeaderMap, body: Body) -> Result<Response, Failure> {
     let secret = app.shared.settings.ticket_secret.clone().ok_or_else(tickets_unavailable)?;
-    let request: TicketRequest = serde_json::from_slice(&body)
+    // Rejects requests without a bearer key before their body takes any memory.
+    bearer_key_digest(&headers)?;
+    let body = body::read(&app.shared, body).await?;
+    let request: TicketRequest = serde_json::from_slice(&body.bytes)
         .map_err(|error| Failure::bad_request("invalid_json", format!("the body cannot be read: {error}")))?;
     let admitted = admit(&app, &headers, RequestKind::Service { service: request.service }).await?;
     let lifetime = request.life_ms.map_or(ticket::MAX_LIFETIME, Duration::from_millis).min(ticket::MAX_LIFETIME);
--- a/sorrelpass/src/entry/mod.rs
+++ b/sorrelpass/src/entry/mod.rs
@@ -14,7 +14,6 @@
 mod event_loop;
 mod gang;
 mod limit_sharing;
-mod memory_budget;
 mod operator_api;
 pub mod peer;
 mod prompt;
@@ -35,11 +34,11 @@
 use eyre::{Result, eyre};
 use tokio::sync::{oneshot, watch};
 
-use self::memory_budget::MemoryBudget;
 use crate::config::Entry;
+use crate::holder::Holders;
 use crate::http::{self, Client};
 use crate::plugin::{self, LogPlugin, VmListPlugin};
-use crate::{channel, event, metric, timeline, util};
+use crate::{channel, connection, event, metric, request_body, timeline, util};
 
 /// Capacity of each thread's command channel, in commands.
 const CHANNEL_CAPACITY: usize = 4_096;
@@ -68,8 +67,10 @@
     pub orders: watch::Receiver<Arc<HashMap<Name, Order>>>,
     /// Demand reported for the rate limits that this entry owns.
     pub demand_reports: Mutex<limit_sharing::DemandReports>,
-    /// Memory budget for buffered request bodies.
-    pub body_budget: MemoryBudget,
+    /// Memory for request bodies.
+    pub bodies: Holders,
+    /// Callers' connections.
+    pub connections: Holders,
     /// Whether this entry is shutting down.
     pub stopping: watch::Receiver<bool>,
 }
@@ -118,7 +119,9 @@
     let (orders_sender, orders) = watch::channel(Arc::default());
     let (stop, stopping) = watch::channel(false);
     let (close, closed) = watch::channel(false);
-    let body_budget = MemoryBudget::new(settings.body_budget_bytes);
+    let bodies = request_body::new_pool(settings.body_budget_bytes, settings.max_body_bytes);
+    let max_connections = connection::max_connections(settings.memory_bytes, None);
+    let connections = connection::new_pool("connections", max_connections);
     let shared = Arc::new(Shared {
         settings,
         event_loop: event_loop_sender,
@@ -129,7 +132,8 @@
         vms,
         orders,
         demand_reports: Mutex::default(),
-        body_budget,
+        bodies,
+        connections,
         stopping,
     });
 
@@ -172,13 +176,18 @@
         move || peer::serve(shared, closed)
     })?];
     for number in 0..settings.threads {
-        let listener = util::with_runtime(async { Ok(http::listen(settings.listen)?.into_std()?) })?;
+        let listener = util::with_runtime(async { Ok(http::listen_for_callers(settings.listen)?.into_std()?) })?;
         let (shared, closed) = (shared.clone(), closed.clone());
         server_threads.push(util::spawn_thread(&format!("callers-{number}"), move || async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
             let app = HandlerState { shared, client: http::client_h2() };
-            let caller_timeout = app.shared.settings.caller_timeout;
-            http::serve(listener, caller_api::router(app), caller_timeout, closed).await;
+            let server = http::Server {
+                clients: http::Clients::Callers,
+                connections: app.shared.connections.clone(),
+                write_timeout: app.shared.settings.caller_timeout,
+                router: caller_api::router(app),
+            };
+            http::serve(listener, server, closed).await;
         })?);
     }
     event!("start", role = "entry", listen = %settings.listen);
--- a/sorrelpass/src/entry/operator_api.rs
+++ b/sorrelpass/src/entry/operator_api.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use axum::Json;
-use axum::body::{Body, Bytes};
+use axum::body::Body;
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
@@ -60,9 +60,8 @@
 /// Handles `POST /v1/intents`: appends a plan and returns its id and its effects.
 pub async fn submit_plan(State(app): State<HandlerState>, headers: HeaderMap, body: Body) -> Result<Response, Failure> {
     authorize(&app.shared, &headers)?;
-    let too_large = |_| Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", "the plan exceeds 4 MiB");
-    let bytes: Bytes = axum::body::to_bytes(body, MAX_PLAN_BYTES).await.map_err(too_large)?;
-    let request: PlanRequest = serde_json::from_slice(&bytes)
+    let body = super::body::read_up_to(&app.shared, body, MAX_PLAN_BYTES).await?;
+    let request: PlanRequest = serde_json::from_slice(&body.bytes)
         .map_err(|error| Failure::bad_request("invalid_plan", format!("the plan cannot be read: {error}")))?;
     let config = app.shared.config.borrow().clone();
     validate(&request, &config)?;
--- a/sorrelpass/src/entry/route/mod.rs
+++ b/sorrelpass/src/entry/route/mod.rs
@@ -22,9 +22,9 @@
 use super::claims;
 use super::event_loop::{AdmittedRequest, Command, Target, TargetQuery};
 use super::gang;
-use super::memory_budget::Reservation;
 use super::upstream::{self, AnswerPart, AttemptError, FrameStream};
 use crate::failure::Failure;
+use crate::holder::Holder;
 use crate::wire::{Call, PrefillResponse, QuoteRequest, Usage, WorkRefusal, WorkRequest};
 use crate::{event, metric, util};
 
@@ -73,8 +73,8 @@
     pub deadline: Moment,
     /// Receives the parts of the answer.
     pub parts: mpsc::Sender<Result<AnswerPart, Failure>>,
-    /// Memory reservation of the body, released together with the request.
-    pub _reservation: Reservation,
+    /// Memory of the body, released together with the request.
+    pub _body_memory: Holder,
 }
 
 /// A prompt that can be divided among a gang of engines.
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -3,11 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use coord::name::Name;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use platform::headers;
@@ -16,17 +14,18 @@
 use super::super::now;
 use super::super::quarantine::Identity;
 use super::super::response::{self, CallerResponse};
-use super::super::state::{Gateway, Phase};
+use super::super::state::{DEFAULT_MAX_BODY_BYTES, Gateway, Phase};
 use super::super::upstream::UpstreamRequest;
 use super::{BUSY_RETRY_AFTER, CallerConnection, PendingRequest};
 use crate::body_tracker::TrackedBody;
 use crate::failure::Failure;
+use crate::request_body::{self, ReadError};
 use crate::{event, metric};
 
 /// Timeout of a request whose caller sends no deadline. The timeout of the route is a further bound.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Maximum body size if the configuration sets none, in bytes.
-const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+/// Retry delay for callers whose body does not fit into the memory: stalled bodies have given way by then.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay for callers of an entry whose copy of the configuration has not been verified recently.
 const UNVERIFIED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay for callers of an entry that is about to stop; they retry at another entry.
@@ -45,12 +44,10 @@
 /// Handles a request and returns the response. `caller_connection` is dropped when the request is complete.
 pub async fn handle(
     gateway: Rc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<TrackedBody<Incoming>>,
     caller_connection: Box<dyn CallerConnection>,
 ) -> CallerResponse {
     let started = now();
-    let request = request.map(TrackedBody::new);
-    let read_state = request.body().read_state();
     let (id, outcome) = match headers::decode(request.headers()) {
         Err(error) => (Name::default(), Err(Failure::bad_request("malformed", error.0))),
         Ok(request_head) => (
@@ -62,7 +59,7 @@
         Ok(response) => response,
         Err(failure) => failure_response(failure, &id, started),
     };
-    if gateway.phase() != Phase::Serving || read_state.has_unread_data() {
+    if gateway.phase() != Phase::Serving {
         response::close_after(&mut response);
     }
     response
@@ -92,7 +89,9 @@
     let in_flight = gateway.begin_request();
     let (head, body) = request.into_parts();
     let timeout = request_head.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let body = read_body(gateway, body, timeout).await?;
+    let limits = body_limits(gateway, &request_head.host, head.uri.path(), timeout);
+    let body = request_body::read(&gateway.bodies, body, &limits).await;
+    let body = body.map_err(|error| body_failure(error, &limits))?;
     gateway.wait_until_synced().await;
     let (route, workspace) = find_route(gateway, &request_head, head.uri.path())?;
     if workspace.is_some() && !gateway.is_recently_verified() {
@@ -100,7 +99,8 @@
     }
     let service = route.choose_service(rand::random()).cloned().ok_or_else(no_service)?;
     let deadline = started + timeout.min(route.timeout);
-    let upstream_request = UpstreamRequest { method: head.method, uri: head.uri, headers: head.headers, body };
+    let upstream_request =
+        UpstreamRequest { method: head.method, uri: head.uri, headers: head.headers, body: body.bytes };
     let fingerprint = fingerprint::compute(
         &request_head.host,
         &upstream_request,
@@ -126,21 +126,35 @@
         attempts: 0,
         possible_executions: 0,
         failed_connections: 0,
+        _body_memory: body.holder,
         _in_flight: in_flight,
         caller_connection,
     })
 }
 
-/// Reads the complete body, so that the request can be sent again and a truncated body never reaches a replica.
-async fn read_body(gateway: &Gateway, body: TrackedBody<Incoming>, timeout: Duration) -> Result<Bytes, Failure> {
-    let max_bytes = gateway.table().limits().map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes);
-    match tokio::time::timeout(timeout, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", format!("a body may have {max_bytes} bytes")))
+/// Returns the limits on the body of a request. The time for it is that of the request's route, since a caller may name
+/// any deadline. The body is read completely, so that the request can be sent again and a truncated body never reaches a
+/// replica.
+fn body_limits(gateway: &Gateway, host: &str, path: &str, timeout: Duration) -> request_body::Limits {
+    let table = gateway.table();
+    let route_timeout = table.route(host, path).map_or(DEFAULT_TIMEOUT, |route| route.timeout);
+    let timeout = timeout.min(route_timeout);
+    let max_bytes = table.limits().map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes);
+    request_body::Limits { max_bytes, timeout, gap_timeout: timeout }
+}
+
+/// Returns the failure of a request whose body was not read.
+fn body_failure(error: ReadError, limits: &request_body::Limits) -> Failure {
+    match error {
+        ReadError::TooLarge => {
+            let message = format!("a body may have {} bytes", limits.max_bytes);
+            Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+        }
+        ReadError::Broken(error) => Failure::bad_request("broken_body", error),
+        ReadError::Slow => Failure::new(StatusCode::REQUEST_TIMEOUT, "slow_body", "the body did not come in time"),
+        ReadError::Shortage(shortage) => {
+            Failure::unavailable("bodies_in_flight", shortage.to_string(), NO_MEMORY_RETRY_AFTER)
         }
-        Ok(Err(error)) => Err(Failure::bad_request("broken_body", error.to_string())),
-        Err(_) => Err(Failure::new(StatusCode::REQUEST_TIMEOUT, "slow_body", "the body did not come in time")),
     }
 }
 
--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use coord::name::{ExecutionStatus, Name};
+use coord::pool::Stage;
 use coord::quarantine::Cause;
 use coord::roster::Record;
 use coord::route::{Route, Workspace};
@@ -26,13 +27,15 @@
 use self::send::Outcome;
 pub use self::target::ReplicaSlot;
 use self::target::Target;
+use super::buffered::Buffered;
 use super::quarantine::{self, Attempt, Identity};
 use super::replica_picker::NO_RESPONSE_WEIGHT;
-use super::response::{self, CallerResponse};
+use super::response::CallerResponse;
 use super::state::{Gateway, InFlight};
 use super::upstream::{Connection, Framing, UpstreamRequest};
 use super::{now, relay};
 use crate::failure::Failure;
+use crate::holder::Holder;
 use crate::{event, metric};
 
 /// Maximum size of a response that is buffered completely, in bytes: one sixteenth of the memory of the smallest VM.
@@ -78,6 +81,8 @@
     possible_executions: u32,
     /// Number of connections that could not be established.
     failed_connections: u32,
+    /// Memory of the request's body.
+    _body_memory: Holder,
     /// Guard that counts the request in the process until the request is complete.
     _in_flight: InFlight,
     /// Caller's connection, on which the request counts as active until this is dropped.
@@ -219,7 +224,8 @@
                 return Ok(relay::stream_response(self, opened));
             }
             let OpenResponse { record, response, connection, slot, attempt } = opened;
-            let read = read_response(&record, response, connection, &attempt);
+            let memory = self.gateway.responses.open(Stage::Process);
+            let read = read_response(&record, response, connection, &attempt, memory);
             let read = tokio::time::timeout(self.time_left(), read).await;
             drop(slot);
             match read {
@@ -232,7 +238,7 @@
                     if response.status().is_success() {
                         quarantine::record_completion(&self.gateway, &self.identity);
                     }
-                    return Ok(response);
+                    return Ok(response.map(|buffered| buffered.into_body(self.caller_connection)));
                 }
                 Ok(Err(error)) => {
                     event!("lost", request = %self.request_head.id, work = %self.identity.work, peer = %record.id, error = %format!("{error:#}"));
@@ -280,17 +286,18 @@
     response: Response<Incoming>,
     connection: Connection,
     attempt: &Attempt,
-) -> eyre::Result<CallerResponse> {
+    memory: Holder,
+) -> eyre::Result<Response<Buffered>> {
     let (head, body) = response.into_parts();
     let body = body.map_frame(|frame| {
         attempt.record_data();
         frame
     });
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = Buffered::read(Limited::new(body, MAX_RESPONSE_BYTES), memory).await;
     connection.close();
-    let body = body.map_err(|error| eyre::eyre!("step=read-answer peer={}: {error}", record.id))?.to_bytes();
+    let body = body.map_err(|error| error.wrap_err(format!("peer={}", record.id)))?;
     check_length(&head.headers, body.len()).map_err(|error| error.wrap_err(format!("peer={}", record.id)))?;
-    let mut response = Response::new(response::full_body(body));
+    let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = headers::end_to_end(&head.headers);
     Ok(response)
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod backoff;
+mod buffered;
 mod call;
 mod caller_stream;
 mod delegates;
@@ -61,8 +62,8 @@
     let mut terminate = signal(SignalKind::terminate()).wrap_err("step=watch-signals")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("step=watch-signals")?;
     let hangup = signal(SignalKind::hangup()).wrap_err("step=watch-signals")?;
-    let listener = http::listen(settings.listen)?;
-    let ready_listener = http::listen(settings.ready_listen)?;
+    let listener = http::listen_for_callers(settings.listen)?;
+    let ready_listener = http::listen_for_callers(settings.ready_listen)?;
     event!("start", role = "gateway", listen = %settings.listen, store = %settings.store, policy = ?settings.policy);
     let gateway = Rc::new(Gateway::new(settings));
     tokio::task::spawn_local(store_reader::poll_configuration(gateway.clone()));
--- a/sorrelpass/src/gateway/response.rs
+++ b/sorrelpass/src/gateway/response.rs
@@ -2,8 +2,8 @@
 
 use axum::response::IntoResponse;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 use hyper::Response;
 use hyper::header::{CONNECTION, HeaderValue};
 use platform::headers;
@@ -29,11 +29,6 @@
 /// HTTP response to a caller.
 pub type CallerResponse = Response<Body>;
 
-/// Wraps bytes that are completely buffered into a response body.
-pub fn full_body(bytes: Bytes) -> Body {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
-}
-
 /// Builds the error response for `failure`. The response carries the caller's request id and, if the failure has one,
 /// the `retry-after` header.
 pub fn error_response(failure: Failure, id: &str) -> CallerResponse {
--- a/sorrelpass/src/gateway/server.rs
+++ b/sorrelpass/src/gateway/server.rs
@@ -1,11 +1,14 @@
 //! HTTP server for callers: accepts connections, closes idle ones, and drains them at shutdown.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use coord::time::Moment;
+use coord::connection::Timeouts;
+use futures_util::FutureExt;
+use hyper::Request;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,7 +17,10 @@
 
 use super::call::{self, CallerConnection};
 use super::now;
+use super::response::{self, CallerResponse};
 use super::state::{Gateway, Phase};
+use crate::body_tracker::TrackedBody;
+use crate::connection::{Connection, MeteredStream, RequestGuard};
 use crate::lingering_close::LingeringStream;
 
 /// Default bound on the size of a request head, in bytes. Smaller configured bounds are raised to this one, because
@@ -22,9 +28,10 @@
 const MIN_HEADER_BUFFER_BYTES: usize = 16 * 1_024;
 /// Idle timeout of connections before the first configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Share of the configured idle timeout that is added before a connection is closed, so that a request that the
-/// caller sends just before its own timeout still finds an open connection.
-const IDLE_TIMEOUT_MARGIN: f64 = 0.25;
+/// Time for a request head before the first configuration is known.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Share of a configured time that is added before a connection is closed.
+const TIMEOUT_MARGIN: f64 = 0.25;
 /// Time for which new connections are still served after the start of the shutdown. The load balancer probes
 /// readiness once per second and removes an entry after two failed probes.
 const SHUTDOWN_DELAY: Duration = Duration::from_millis(2_500);
@@ -33,52 +40,39 @@
 /// Time between the close of idle connections and the end of the process, for requests that callers sent before they
 /// saw the close.
 const CLOSE_RACE_DELAY: Duration = Duration::from_millis(150);
-/// Interval at which the number of requests in flight and the idle times are checked; also the delay after a failed
-/// accept.
+/// Interval at which the number of requests in flight is checked; also the delay after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Accepts callers' connections until the process ends.
 pub async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(gateway.clone(), stream));
-            }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(error) => {
                 // The usual cause is that no file descriptor is free, so the delay lets some connections close.
                 crate::warn_event!("accept", error = %error);
                 tokio::time::sleep(POLL_INTERVAL).await;
+                continue;
             }
+        };
+        // While there is no room, further connections wait in the listener's queue.
+        if let Ok(connection) = Connection::admit(&gateway.connections).await {
+            tokio::task::spawn_local(serve_connection(gateway.clone(), stream, connection));
         }
     }
 }
 
-/// Activity of a connection, from which its idle time is computed.
-struct Activity {
-    /// Number of requests whose responses are not complete.
-    active_requests: Cell<u32>,
-    /// End of the last request, or the start of the connection.
-    idle_since: Cell<Moment>,
-    /// Notified when the connection is to be closed although its response is incomplete.
-    aborted: Notify,
-}
-
 /// Serves one connection until either side closes it.
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, connection: Arc<Connection>) {
     // If this fails, the connection has a higher latency but works.
     let _ = stream.set_nodelay(true);
-    let activity =
-        Rc::new(Activity { active_requests: Cell::new(0), idle_since: Cell::new(now()), aborted: Notify::new() });
+    let aborted = Rc::new(Notify::new());
     let limits = gateway.table().limits();
     let service = service_fn({
-        let (gateway, activity) = (gateway.clone(), activity.clone());
-        move |request| {
-            let (gateway, activity) = (gateway.clone(), activity.clone());
-            async move {
-                activity.active_requests.set(activity.active_requests.get() + 1);
-                let guard = RequestGuard(activity);
-                Ok::<_, Infallible>(call::handle(gateway, request, Box::new(guard)).await)
-            }
+        let (gateway, connection, aborted) = (gateway.clone(), connection.clone(), aborted.clone());
+        move |request: Request<Incoming>| {
+            let guard = connection.begin_request(!request.body().is_end_stream());
+            respond(gateway.clone(), request, guard, aborted.clone()).map(Ok::<_, Infallible>)
         }
     });
     let mut builder = http1::Builder::new();
@@ -86,54 +80,73 @@
     builder.max_buf_size(
         limits.map_or(MIN_HEADER_BUFFER_BYTES, |limits| limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES)),
     );
-    let serving = builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+    let stream = MeteredStream::new(stream, connection.clone());
+    let has_unread_body = stream.unread_body();
+    let serving = builder.serve_connection(TokioIo::new(LingeringStream::new(stream, has_unread_body)), service);
     let mut serving = std::pin::pin!(serving);
+    let mut eviction = std::pin::pin!(connection.eviction());
+    let mut overdue = std::pin::pin!(connection.wait_until_overdue(|| timeouts(&gateway)));
     tokio::select! {
-        // An aborted response is incomplete, so nothing more of it is written.
+        // An aborted response is incomplete, so nothing more of it is written. A request that has not arrived when its
+        // connection gives way does not arrive any more.
         biased;
-        () = activity.aborted.notified() => return,
+        () = aborted.notified() => return,
+        () = eviction.as_mut() => return,
         // The caller may close its connection during a request, which is not an error of this process.
         _ = serving.as_mut() => return,
+        // A connection that waits for this process is never overdue.
+        () = overdue.as_mut() => return,
         () = gateway.wait_for_phase(Phase::Closing) => {}
-        () = wait_until_idle(&gateway, &activity) => {}
     }
     serving.as_mut().graceful_shutdown();
     tokio::select! {
         biased;
-        () = activity.aborted.notified() => {}
+        () = aborted.notified() => {}
+        () = eviction => {}
         // An error here means that the caller has closed its connection too.
         _ = serving => {}
+        () = overdue => {}
     }
 }
 
-/// Waits until the connection has been idle for longer than the idle timeout plus its margin.
-async fn wait_until_idle(gateway: &Gateway, activity: &Activity) {
-    loop {
-        let timeout = gateway.table().limits().map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-        let max_idle = timeout.mul_f64(1.0 + IDLE_TIMEOUT_MARGIN);
-        let idle_time = now().since(activity.idle_since.get());
-        if activity.active_requests.get() == 0 && idle_time >= max_idle {
-            return;
-        }
-        let time_left =
-            max_idle.saturating_sub(if activity.active_requests.get() == 0 { idle_time } else { Duration::ZERO });
-        tokio::time::sleep(time_left.max(POLL_INTERVAL)).await;
+/// Responds to one request. If its body was not read to its end, the connection is closed after the response.
+async fn respond(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    guard: RequestGuard,
+    aborted: Rc<Notify>,
+) -> CallerResponse {
+    let request = request.map(|body| TrackedBody::new(body, guard.body().clone()));
+    let read_state = request.body().read_state();
+    let connection = guard.connection().clone();
+    let mut response = call::handle(gateway, request, Box::new(ActiveRequest { _guard: guard, aborted })).await;
+    if read_state.has_unread_data() {
+        connection.set_unread_body();
+        response::close_after(&mut response);
     }
+    response
 }
 
-/// Counts a request of a connection as active until the guard is dropped, which is when its response is complete.
-struct RequestGuard(Rc<Activity>);
+/// Returns the times of callers' connections, with a margin so that what a caller sends just before its own timeout
+/// still finds an open connection.
+fn timeouts(gateway: &Gateway) -> Timeouts {
+    let limits = gateway.table().limits();
+    let head = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.header_timeout);
+    let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let (head, idle) = (head.mul_f64(1.0 + TIMEOUT_MARGIN), idle.mul_f64(1.0 + TIMEOUT_MARGIN));
+    Timeouts { first: idle, head, idle }
+}
 
-impl CallerConnection for RequestGuard {
-    fn abort(&self) {
-        self.0.aborted.notify_one();
-    }
+/// Request whose response is not complete.
+struct ActiveRequest {
+    _guard: RequestGuard,
+    /// Notified when the connection is to be closed although its response is incomplete.
+    aborted: Rc<Notify>,
 }
 
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.active_requests.set(self.0.active_requests.get() - 1);
-        self.0.idle_since.set(now());
+impl CallerConnection for ActiveRequest {
+    fn abort(&self) {
+        self.aborted.notify_one();
     }
 }
 
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use coord::evacuation;
 use coord::name::Name;
 use coord::offset;
+use coord::pool;
 use coord::roster::{Record, Roster};
 use coord::route::Table;
 use coord::time::Moment;
@@ -27,6 +28,8 @@
 use super::replica_picker::ReplicaPicker;
 use super::store_view::StoreView;
 use crate::config::{self, Bounds};
+use crate::holder::{Holders, MEMORY_STALL_TIMEOUT};
+use crate::{connection, request_body};
 
 /// Share of the `revoke` bound for which a verification of the configuration is valid. The remainder covers the drift
 /// between two monotonic clocks.
@@ -51,6 +54,13 @@
 /// Fraction of the deployment's retry share that the entries use. The rest covers retries that reach a replica in a
 /// later window than the one in which they were charged.
 const RETRY_SHARE_USED: f64 = 0.9;
+/// Maximum body size if the configuration sets none, in bytes.
+pub const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+/// Share of the process's memory for request bodies.
+const BODY_MEMORY_SHARE: f64 = 0.25;
+/// Share of the process's memory for responses that are not streamed. They have memory of their own, since requests that
+/// hold all memory would otherwise wait for that of their responses.
+const RESPONSE_MEMORY_SHARE: f64 = 0.125;
 /// Minimum number of entries among which the common retry allowance is divided, even if fewer are known.
 const MIN_ENTRY_COUNT: usize = 32;
 
@@ -102,6 +112,12 @@
     pub limits: Limits,
     /// Replicas that asked this entry to back off.
     pub backoffs: Backoffs,
+    /// Memory for request bodies.
+    pub bodies: Holders,
+    /// Memory for responses that are not streamed.
+    pub responses: Holders,
+    /// Callers' connections.
+    pub connections: Holders,
     /// Response data that callers have not read yet.
     pub relay_buffers: Arc<RelayBuffers>,
     /// Retry budgets by service.
@@ -125,6 +141,10 @@
         let is_searching_reader = settings.peer_listen.is_some();
         let store_view = StoreView::new(settings.link_mbps);
         let relay_buffers = Arc::new(RelayBuffers::new(settings.memory_bytes));
+        let bodies = request_body::new_pool(body_memory(&settings), DEFAULT_MAX_BODY_BYTES);
+        let response_memory = (settings.memory_bytes as f64 * RESPONSE_MEMORY_SHARE) as u64;
+        let max_connections = connection::max_connections(settings.memory_bytes, settings.descriptors);
+        let connections = connection::new_pool("connections", max_connections);
         Self {
             started_at: now(),
             settings,
@@ -139,6 +159,9 @@
             quarantine: Quarantine::new(),
             limits: Limits::default(),
             backoffs: Backoffs::default(),
+            bodies,
+            responses: Holders::new("responses", pool::Bounds::new(response_memory, MEMORY_STALL_TIMEOUT)),
+            connections,
             relay_buffers,
             retry_budgets: RefCell::default(),
             entry_count: Cell::new(MIN_ENTRY_COUNT),
@@ -176,11 +199,26 @@
     pub fn replace_table(&self, table: Table) -> bool {
         let is_newer = table.version() > self.table.borrow().version();
         if is_newer {
+            self.set_body_limit(table.limits().map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes));
             *self.table.borrow_mut() = Arc::new(table);
         }
         is_newer
     }
 
+    /// Divides the memory for bodies such that the largest one fits, and logs if it does not.
+    fn set_body_limit(&self, max_bytes: usize) {
+        let capacity = body_memory(&self.settings);
+        self.bodies.set_bounds(request_body::bounds(capacity, max_bytes));
+        if max_bytes > capacity {
+            crate::warn_event!(
+                "body-limit",
+                max_bytes,
+                capacity,
+                reason = "larger bodies than fit into the memory are refused"
+            );
+        }
+    }
+
     /// Removes the replica `id` after a response showed that another replica now has its address.
     pub fn remove_displaced(&self, id: &str) {
         if self.roster.borrow_mut().mark_displaced(id).is_some() {
@@ -389,3 +427,8 @@
         self.0.in_flight.set(self.0.in_flight.get() - 1);
     }
 }
+
+/// Returns the memory for request bodies, in bytes.
+fn body_memory(settings: &config::Gateway) -> usize {
+    (settings.memory_bytes as f64 * BODY_MEMORY_SHARE) as usize
+}
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -2,14 +2,17 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
 use axum::body::Body;
+use axum::response::IntoResponse;
 use bytes::Bytes;
+use coord::connection::Timeouts;
 use eyre::{Result, WrapErr, eyre};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, Version};
 use hyper_util::client::legacy::Client as HyperClient;
@@ -20,7 +23,10 @@
 use tokio_io_timeout::TimeoutStream;
 use tower::ServiceExt;
 
-use crate::body_tracker::TrackedBody;
+use crate::body_tracker::{GuardedBody, TrackedBody};
+use crate::connection::{self, Connection, MeteredStream, RequestGuard};
+use crate::failure::Failure;
+use crate::holder::Holders;
 use crate::lingering_close::LingeringStream;
 use crate::timeline;
 
@@ -30,11 +36,31 @@
 pub type Client = HyperClient<HttpConnector, OutgoingBody>;
 
 /// HTTP/2 flow-control window of a stream: bounds the bytes that a body may occupy at a sidecar while it waits.
-const STREAM_WINDOW_BYTES: u32 = 128 * 1_024;
-/// HTTP/2 flow-control window of a connection. It is large so that waiting bodies do not block other streams.
+pub const STREAM_WINDOW_BYTES: u32 = 128 * 1_024;
+/// HTTP/2 flow-control window of a connection between processes of the system. It is large so that waiting bodies do not
+/// block other streams.
 const CONNECTION_WINDOW_BYTES: u32 = 64 * 1_024 * 1_024;
-/// Limit on concurrent HTTP/2 streams of a connection.
+/// Limit on concurrent HTTP/2 streams of a connection between processes of the system.
 const MAX_STREAMS_PER_CONNECTION: u32 = 4_096;
+/// HTTP/2 flow-control window of a caller's connection, which bounds what the caller can make this process hold.
+const CALLER_WINDOW_BYTES: u32 = 1 << 20;
+/// Limit on concurrent HTTP/2 streams of a caller's connection.
+const MAX_STREAMS_PER_CALLER: u32 = 100;
+/// Limit on the head of an HTTP/2 request, in bytes.
+const MAX_STREAM_HEAD_BYTES: u32 = 16 * 1_024;
+/// Connections as which a caller's HTTP/2 connection counts, by the memory that its windows and heads may take.
+const UNITS_PER_SHARED_CONNECTION: usize = (CALLER_WINDOW_BYTES as usize
+    + MAX_STREAMS_PER_CALLER as usize * MAX_STREAM_HEAD_BYTES as usize)
+    .div_ceil(connection::CONNECTION_BYTES);
+/// Delay after which a caller may ask again whose HTTP/2 connection does not fit.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time without a request after which a connection is closed: longer than clients keep a connection that rests.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Times of a connection.
+const TIMEOUTS: Timeouts = Timeouts { first: HEADER_TIMEOUT, head: HEADER_TIMEOUT, idle: IDLE_TIMEOUT };
+/// Size of the kernel's receive buffer of a caller's connection. Without it, the kernel's automatic sizing would let
+/// megabytes wait for a process that does not read on.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1_024;
 /// Interval of HTTP/2 keep-alive pings to a peer from which nothing is received.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without an answer to a keep-alive ping after which the connection is closed.
@@ -164,29 +190,66 @@
     text
 }
 
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Clients {
+    /// Callers, which may hold whatever they can.
+    Callers,
+    /// Processes of the system.
+    Processes,
+}
+
 /// Listens on `address`. Several threads may listen on the same address, and the kernel distributes the connections.
 pub fn listen(address: SocketAddr) -> Result<TcpListener> {
+    bind(address, None)
+}
+
+/// Listens on `address` for callers, whose unread bytes are bounded.
+pub fn listen_for_callers(address: SocketAddr) -> Result<TcpListener> {
+    bind(address, Some(RECEIVE_BUFFER_BYTES))
+}
+
+fn bind(address: SocketAddr, receive_buffer_bytes: Option<u32>) -> Result<TcpListener> {
     let bind = || -> std::io::Result<TcpListener> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_reuseaddr(true)?;
         socket.set_reuseport(true)?;
-        // Accepted connections inherit the buffer size.
+        // Accepted connections inherit the buffer sizes.
         socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        if let Some(bytes) = receive_buffer_bytes {
+            socket.set_recv_buffer_size(bytes)?;
+        }
         socket.bind(address)?;
         socket.listen(ACCEPT_BACKLOG)
     };
     bind().wrap_err_with(|| format!("step=listen address={address}"))
 }
 
-/// Serves `router` on `listener` until `shutdown` becomes true, then waits for the requests in flight to finish.
-///
-/// A connection whose peer does not read for `write_timeout` is closed.
-pub async fn serve(
-    listener: TcpListener,
-    router: Router,
-    write_timeout: Duration,
-    mut shutdown: tokio::sync::watch::Receiver<bool>,
-) {
+/// What the connections of a listener have in common.
+#[derive(Clone)]
+pub struct Server {
+    /// Routes of the requests.
+    pub router: Router,
+    /// Who connects.
+    pub clients: Clients,
+    /// Connections that are open.
+    pub connections: Holders,
+    /// Time without reading after which a connection is closed.
+    pub write_timeout: Duration,
+}
+
+impl Server {
+    /// Returns the number of connections as which one counts whose requests share it.
+    fn units_per_shared_connection(&self) -> usize {
+        match self.clients {
+            Clients::Callers => UNITS_PER_SHARED_CONNECTION,
+            Clients::Processes => 1,
+        }
+    }
+}
+
+/// Serves `listener` until `shutdown` becomes true, then waits for the requests in flight to finish.
+pub async fn serve(listener: TcpListener, server: Server, mut shutdown: tokio::sync::watch::Receiver<bool>) {
     let graceful = hyper_util::server::graceful::GracefulShutdown::new();
     loop {
         let stream = tokio::select! {
@@ -197,7 +260,14 @@
             },
             _ = shutdown.wait_for(|is_set| *is_set) => break,
         };
-        tokio::spawn(serve_connection(stream, router.clone(), write_timeout, graceful.watcher()));
+        // While there is no room, further connections wait in the listener's queue.
+        let admitted = tokio::select! {
+            admitted = Connection::admit(&server.connections) => admitted,
+            _ = shutdown.wait_for(|is_set| *is_set) => break,
+        };
+        if let Ok(connection) = admitted {
+            tokio::spawn(serve_connection(stream, server.clone(), connection, graceful.watcher()));
+        }
     }
     drop(listener);
     graceful.shutdown().await;
@@ -206,12 +276,23 @@
 /// Responds to one request. If the body of an HTTP/1 request was not read to its end, hyper closes the connection after
 /// the response. The response then has `connection: close`, so that the caller does not send another request on the
 /// connection and lose it.
-async fn respond(router: Router, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+async fn respond(
+    server: Server,
+    request: Request<Incoming>,
+    guard: RequestGuard,
+) -> Result<Response<Body>, Infallible> {
     let is_http1 = request.version() <= Version::HTTP_11;
-    let request = request.map(TrackedBody::new);
+    if !is_http1 && !guard.connection().set_multiplexed(server.units_per_shared_connection()) {
+        let failure = Failure::unavailable("connections", "too many connections are open", NO_ROOM_RETRY_AFTER);
+        return Ok(failure.into_response());
+    }
+    let request = request.map(|body| TrackedBody::new(body, guard.body().clone()));
     let read_state = request.body().read_state();
-    let mut response = router.oneshot(request.map(Body::new)).await?;
+    let connection = guard.connection().clone();
+    let response = server.router.clone().oneshot(request.map(Body::new)).await?;
+    let mut response = response.map(|body| Body::new(GuardedBody::new(body, guard)));
     if is_http1 && read_state.has_unread_data() {
+        connection.set_unread_body();
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
@@ -220,26 +301,45 @@
 /// Serves the requests of one accepted connection, over HTTP/1 or HTTP/2.
 async fn serve_connection(
     stream: TcpStream,
-    router: Router,
-    write_timeout: Duration,
+    server: Server,
+    connection: Arc<Connection>,
     watcher: hyper_util::server::graceful::Watcher,
 ) {
     let _ = stream.set_nodelay(true);
     let mut stream = TimeoutStream::new(stream);
-    stream.set_write_timeout(Some(write_timeout));
-    let service = hyper::service::service_fn(move |request: Request<Incoming>| respond(router.clone(), request));
+    stream.set_write_timeout(Some(server.write_timeout));
+    let (window_bytes, max_streams) = match server.clients {
+        Clients::Callers => (CALLER_WINDOW_BYTES, MAX_STREAMS_PER_CALLER),
+        Clients::Processes => (CONNECTION_WINDOW_BYTES, MAX_STREAMS_PER_CONNECTION),
+    };
+    let service = hyper::service::service_fn({
+        let connection = connection.clone();
+        move |request: Request<Incoming>| {
+            let guard = connection.begin_request(!request.body().is_end_stream());
+            respond(server.clone(), request, guard)
+        }
+    });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(CONNECTION_BUFFER_BYTES);
     builder
         .http2()
         .timer(TokioTimer::new())
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
+        .initial_connection_window_size(window_bytes)
+        .max_concurrent_streams(max_streams)
+        .max_header_list_size(MAX_STREAM_HEAD_BYTES)
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT);
-    let connection =
-        builder.serve_connection(TokioIo::new(LingeringStream::new(Box::pin(stream))), service).into_owned();
-    // An error here means that the caller closed the connection during a request, which is not a fault of this process.
-    let _ = watcher.watch(connection).await;
+    let stream = MeteredStream::new(Box::pin(stream), connection.clone());
+    let has_unread_body = stream.unread_body();
+    let serving = builder.serve_connection(TokioIo::new(LingeringStream::new(stream, has_unread_body)), service);
+    tokio::select! {
+        // A request that has not arrived when its connection gives way does not arrive any more.
+        biased;
+        () = connection.eviction() => {}
+        // An error here means that the caller closed the connection during a request, which is not a fault of this
+        // process.
+        _ = watcher.watch(serving.into_owned()) => {}
+        () = connection.wait_until_overdue(|| TIMEOUTS) => {}
+    }
 }
--- a/sorrelpass/src/lingering_close.rs
+++ b/sorrelpass/src/lingering_close.rs
@@ -3,11 +3,13 @@
 //! A refusal may be written while the caller is still sending, since headers or a body that are too large are not
 //! read to their end. Closing a socket with unread bytes resets the connection, and the reset can reach the caller
 //! before the refusal does. Therefore incoming bytes are read and discarded for a while before the socket is closed.
-//! This happens only after a refusal: a request that arrives during any other close must stay unread, so that its
-//! caller may retry it.
+//! This happens only after a refusal, and after a promise that the request has not run while a part of it is unread: a
+//! request that arrives during any other close must stay unread, so that its caller may retry it.
 
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -23,6 +25,8 @@
 const DISCARD_BUFFER_BYTES: usize = 8 * 1_024;
 /// Start of an HTTP/1 response with a 4xx status, which refuses the request.
 const REFUSAL_PREFIX: &[u8] = b"HTTP/1.1 4";
+/// Start of an HTTP/1 response that promises that the request has not run.
+const UNAVAILABLE_PREFIX: &[u8] = b"HTTP/1.1 503";
 /// Start of any HTTP/1 response.
 const RESPONSE_PREFIX: &[u8] = b"HTTP/1.1 ";
 
@@ -31,6 +35,8 @@
     inner: S,
     /// Whether the last response written refused its request.
     is_refused: bool,
+    /// Whether the last response left a part of its request unread.
+    has_unread_body: Arc<AtomicBool>,
     /// Number of bytes that may still be discarded; `None` until the connection is shut down.
     remaining: Option<usize>,
     /// Fires when bytes are no longer discarded; `None` until the first wait for more bytes.
@@ -38,16 +44,19 @@
 }
 
 impl<S> LingeringStream<S> {
-    /// Wraps the stream of a connection.
-    pub fn new(inner: S) -> Self {
-        Self { inner, is_refused: false, remaining: None, timer: None }
+    /// Wraps the stream of a connection. `has_unread_body` tells whether the last response left a part of its request
+    /// unread.
+    pub fn new(inner: S, has_unread_body: Arc<AtomicBool>) -> Self {
+        Self { inner, is_refused: false, has_unread_body, remaining: None, timer: None }
     }
 
     /// Records whether a response refuses its request. The server writes the head of each response at the start of a
     /// write.
     fn record_response(&mut self, written: &[u8]) {
         if written.starts_with(RESPONSE_PREFIX) {
-            self.is_refused = written.starts_with(REFUSAL_PREFIX);
+            let is_unavailable = written.starts_with(UNAVAILABLE_PREFIX);
+            let has_unread_body = self.has_unread_body.load(Ordering::Relaxed);
+            self.is_refused = written.starts_with(REFUSAL_PREFIX) || (is_unavailable && has_unread_body);
         }
     }
 }
--- a/sorrelpass/src/metric.rs
+++ b/sorrelpass/src/metric.rs
@@ -45,6 +45,7 @@
     backoff_requests: Counter<u64>,
     unread_bytes: Gauge<u64>,
     evicted_callers: Counter<u64>,
+    gave_way: Counter<u64>,
     ttft: Histogram<f64>,
     first_event: Histogram<f64>,
     config_revision: Gauge<u64>,
@@ -100,6 +101,7 @@
         backoff_requests: meter.u64_counter("sorrelpass_rests_asked").build(),
         unread_bytes: meter.u64_gauge("sorrelpass_unread_bytes").build(),
         evicted_callers: meter.u64_counter("sorrelpass_callers_given_up").build(),
+        gave_way: meter.u64_counter("sorrelpass_gave_way").build(),
         ttft: meter.f64_histogram("sorrelpass_ttft_seconds").with_boundaries(TTFT_BUCKET_BOUNDS_S.to_vec()).build(),
         first_event: meter
             .f64_histogram("sorrelpass_first_event_seconds")
@@ -292,6 +294,11 @@
     record(|metrics| metrics.evicted_callers.add(1, &[]));
 }
 
+/// Counts a holder of the pool `pool` that gave way to others.
+pub fn record_gave_way(pool: &'static str) {
+    record(|metrics| metrics.gave_way.add(1, &[KeyValue::new("pool", pool)]));
+}
+
 /// Records the time to first token of a prompt of length class `class`.
 pub fn record_ttft(class: usize, ttft: Duration) {
     record(|metrics| metrics.ttft.record(ttft.as_secs_f64(), &[KeyValue::new("class", class as i64)]));
--- a/sorrelpass/src/sidecar/job.rs
+++ b/sorrelpass/src/sidecar/job.rs
@@ -13,25 +13,31 @@
 use super::transcript::Transcript;
 use super::{Shared, engine, plain};
 use crate::event;
+use crate::holder::Holder;
 use crate::wire::{self, Frame, Usage, WorkRequest};
 
 /// A request body: the bytes that have been read, and the stream of the rest.
 pub struct RequestBody {
     read: Bytes,
     rest: Body,
+    /// Memory of the body, released together with it.
+    memory: Vec<Holder>,
 }
 
 impl RequestBody {
-    /// Creates a body from the bytes that have been read and the rest.
-    pub fn new(read: Bytes, rest: Body) -> Self {
-        Self { read, rest }
+    /// Creates a body from the bytes that have been read, the rest, and the memory that both take.
+    pub fn new(read: Bytes, rest: Body, memory: Vec<Holder>) -> Self {
+        Self { read, rest, memory }
     }
 
     /// Converts it to a stream; the rest is read as the stream is polled.
     pub fn into_body(self) -> Body {
         use futures_util::StreamExt;
         let read = futures_util::stream::iter([Ok::<Bytes, axum::Error>(self.read)]);
-        Body::from_stream(read.chain(self.rest.into_data_stream()))
+        let memory = self.memory;
+        Body::from_stream(read.chain(self.rest.into_data_stream()).inspect(move |_| {
+            let _held = &memory;
+        }))
     }
 }
 
--- a/sorrelpass/src/sidecar/mod.rs
+++ b/sorrelpass/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod engine;
 mod event_loop;
+mod intake;
 mod job;
 mod order;
 pub mod plain;
@@ -19,7 +20,8 @@
 use tokio::sync::watch;
 
 use crate::config::Sidecar;
-use crate::{channel, event, http, metric, timeline, util};
+use crate::holder::Holders;
+use crate::{channel, connection, event, http, metric, timeline, util};
 
 /// Capacity of the event loop's command channel, in commands.
 const EVENT_LOOP_CHANNEL_CAPACITY: usize = 4_096;
@@ -30,6 +32,8 @@
     pub settings: Sidecar,
     /// Command channel of the event loop.
     pub event_loop: channel::Sender<event_loop::Command>,
+    /// Memory for messages and request bodies.
+    pub bodies: Holders,
 }
 
 /// Runs a sidecar until it receives a shutdown signal and its jobs are finished.
@@ -39,7 +43,8 @@
     let shutdown_signals = util::ShutdownSignals::register()?;
     let listener_address = settings.listen;
     let (command_sender, command_receiver) = channel::bounded("kernel", EVENT_LOOP_CHANNEL_CAPACITY);
-    let shared = Arc::new(Shared { settings, event_loop: command_sender });
+    let bodies = intake::new_pool(&settings);
+    let shared = Arc::new(Shared { settings, event_loop: command_sender, bodies });
     let (stop, stopped) = watch::channel(false);
     let (expired_spans, expired_span_receiver) = tokio::sync::mpsc::unbounded_channel();
 
@@ -53,8 +58,14 @@
         let stopped = stopped.clone();
         move || async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(std_listener) else { return };
-            let entry_timeout = shared.settings.entry_timeout;
-            http::serve(listener, server::router(shared), entry_timeout, stopped).await;
+            let max_connections = connection::max_connections(shared.settings.memory_bytes, None);
+            let server = http::Server {
+                clients: http::Clients::Processes,
+                connections: connection::new_pool("connections", max_connections),
+                write_timeout: shared.settings.entry_timeout,
+                router: server::router(shared),
+            };
+            http::serve(listener, server, stopped).await;
         }
     })?;
     let control = util::spawn_thread("control", {
--- a/sorrelpass/src/sidecar/server.rs
+++ b/sorrelpass/src/sidecar/server.rs
@@ -10,21 +10,19 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use futures_util::stream;
-use http_body_util::BodyExt;
-use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 
 use super::Shared;
 use super::event_loop::{Command, OfferOutcome};
+use super::intake::{self, Delimited, Message};
 use super::transcript::Transcript;
 use super::{job, order, span};
-use crate::wire::{self, Frame, FrameDecoder, WorkRequest};
+use crate::request_body::ReadError;
+use crate::wire::{self, Frame, WorkRequest};
 use crate::{http, metric, timeline, util};
 
 /// Number of frames that are buffered for an entry that reads slowly.
 const FRAME_CHANNEL_CAPACITY: usize = 256;
-/// Maximum body size of a call that may run at most once; its body is buffered before the job is offered.
-const MAX_ONCE_BODY_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// Builds the router of a sidecar.
 pub fn router(shared: Arc<Shared>) -> Router {
@@ -64,9 +62,13 @@
     answer.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
 }
 
-async fn get_quote(State(shared): State<Arc<Shared>>, headers: HeaderMap, body: Bytes) -> Result<Response, StatusCode> {
+async fn get_quote(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    message: Message,
+) -> Result<Response, StatusCode> {
     observe_clock(&headers);
-    let request: wire::QuoteRequest = wire::decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let request: wire::QuoteRequest = wire::decode(message.bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
     let response = call_event_loop(&shared, |reply| Command::Quote(request, reply)).await?;
     Ok(with_clock_stamp(wire::encode(&response)))
 }
@@ -74,10 +76,10 @@
 async fn cancel_attempt(
     State(shared): State<Arc<Shared>>,
     headers: HeaderMap,
-    body: Bytes,
+    message: Message,
 ) -> Result<Response, StatusCode> {
     observe_clock(&headers);
-    let request: wire::CancelRequest = wire::decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let request: wire::CancelRequest = wire::decode(message.bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
     let cancel_outcome = call_event_loop(&shared, |reply| Command::CancelAttempt {
         attempt: request.attempt,
         idempotency_key: request.idempotency_key,
@@ -100,33 +102,25 @@
     Ok(axum::Json(status).into_response())
 }
 
-/// Reads the message at the start of a body. Also returns the bytes of the body that were read beyond it.
-pub async fn read_delimited<T: DeserializeOwned>(body: &mut Body) -> Result<(T, Bytes), StatusCode> {
-    let mut decoder = FrameDecoder::new();
-    loop {
-        if let Some(message) = decoder.next().map_err(|_| StatusCode::BAD_REQUEST)? {
-            return Ok((message, decoder.into_remaining()));
-        }
-        let frame = body.frame().await.ok_or(StatusCode::BAD_REQUEST)?.map_err(|_| StatusCode::BAD_REQUEST)?;
-        if let Ok(data) = frame.into_data() {
-            decoder.push(&data);
-        }
-    }
-}
-
 async fn run_work(
     State(shared): State<Arc<Shared>>,
     headers: HeaderMap,
     mut body: Body,
 ) -> Result<Response, StatusCode> {
     observe_clock(&headers);
-    let (work, read) = read_delimited::<WorkRequest>(&mut body).await?;
+    let received = match intake::read_delimited::<WorkRequest>(&shared, &mut body).await {
+        Ok(received) => received,
+        // Nothing was offered, so the entry may try another sidecar.
+        Err(ReadError::Shortage(_)) => return Ok(single_frame_response(&refusal_frame(intake::no_memory()))),
+        Err(error) => return Err(intake::status(error)),
+    };
+    let work = received.message.clone();
     if work.incarnation.is_some_and(|wanted| wanted != util::incarnation()) {
         let reason = wire::WorkRefusal::OtherIncarnation;
         return Ok(single_frame_response(&Frame::Refused { reason, retry_after_micros: 0 }));
     }
     if work.idempotency_key.is_some() {
-        return run_work_once(shared, work, read, body).await;
+        return run_work_once(shared, received, body).await;
     }
     let outcome =
         call_event_loop(&shared, |reply| Command::Offer { work: Box::new(work.clone()), transcript: None, reply })
@@ -136,9 +130,10 @@
         OfferOutcome::Refused(refused) => return Ok(single_frame_response(&refusal_frame(refused))),
         OfferOutcome::Duplicate(_) => return Err(StatusCode::CONFLICT),
     };
+    let request_body = job::RequestBody::new(received.read, body, vec![received.memory]);
     let (sender, receiver) = mpsc::channel(FRAME_CHANNEL_CAPACITY);
     let output = job::Output::Channel { sender, full_timeout: shared.settings.entry_timeout };
-    tokio::spawn(job::run(shared, work, job::RequestBody::new(read, body), signals, output));
+    tokio::spawn(job::run(shared, work, request_body, signals, output));
     Ok(with_clock_stamp(Body::from_stream(stream::unfold(receiver, |mut receiver| async move {
         receiver.recv().await.map(|frame| (Ok::<Bytes, Infallible>(frame), receiver))
     }))))
@@ -147,13 +142,16 @@
 /// Runs a call that may run at most once: buffers its body first, and records its answer.
 async fn run_work_once(
     shared: Arc<Shared>,
-    work: WorkRequest,
-    read: Bytes,
+    received: Delimited<WorkRequest>,
     body: Body,
 ) -> Result<Response, StatusCode> {
-    let rest = http_body_util::Limited::new(body, MAX_ONCE_BODY_BYTES);
-    let rest = rest.collect().await.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?.to_bytes();
-    let complete_body = Bytes::from([read, rest].concat());
+    let Delimited { message: work, read, memory } = received;
+    let rest = match intake::read_once_body(&shared, body).await {
+        Ok(rest) => rest,
+        Err(ReadError::Shortage(_)) => return Ok(single_frame_response(&refusal_frame(intake::no_memory()))),
+        Err(error) => return Err(intake::status(error)),
+    };
+    let request_body = job::RequestBody::new(read, Body::from(rest.bytes), vec![memory, rest.holder]);
     let transcript = Transcript::new();
     let recording = transcript.clone();
     let attempt = work.attempt;
@@ -168,7 +166,7 @@
         OfferOutcome::Duplicate(earlier) => earlier,
         OfferOutcome::Accepted(signals) => {
             let output = job::Output::Transcript(transcript.clone());
-            tokio::spawn(job::run(shared, work, job::RequestBody::new(complete_body, Body::empty()), signals, output));
+            tokio::spawn(job::run(shared, work, request_body, signals, output));
             transcript
         }
     };
--- a/sorrelpass/src/sidecar/span.rs
+++ b/sorrelpass/src/sidecar/span.rs
@@ -15,8 +15,9 @@
 use super::Shared;
 use super::engine::thread_client;
 use super::event_loop::Command;
+use super::intake::{self, Message};
 use super::job::RequestBody;
-use super::server::{call_event_loop, read_delimited, with_clock_stamp};
+use super::server::{call_event_loop, with_clock_stamp};
 use crate::wire::{self, HoldRequest, PrefillRequest, PrefillResponse};
 use crate::{event, util, warn_event};
 
@@ -26,19 +27,21 @@
 const FREE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Handles `POST /span/hold`: reserves memory for a span, or renews its lease.
-pub async fn reserve_span(State(shared): State<Arc<Shared>>, body: Bytes) -> Result<Response, StatusCode> {
-    let request: HoldRequest = wire::decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+pub async fn reserve_span(State(shared): State<Arc<Shared>>, message: Message) -> Result<Response, StatusCode> {
+    let request: HoldRequest = wire::decode(message.bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
     let response = call_event_loop(&shared, |reply| Command::ReserveSpan(request, reply)).await?;
     Ok(with_clock_stamp(wire::encode(&response)))
 }
 
 /// Handles `POST /span/fill`: prefills a reserved span, and answers once the prefill is complete.
 pub async fn prefill_span(State(shared): State<Arc<Shared>>, mut body: Body) -> Result<Response, StatusCode> {
-    let (request, read) = read_delimited::<PrefillRequest>(&mut body).await?;
+    let received = intake::read_delimited::<PrefillRequest>(&shared, &mut body).await.map_err(intake::status)?;
+    let request = received.message;
     if !call_event_loop(&shared, |reply| Command::Prefill(request.span, true, reply)).await? {
         return Err(StatusCode::GONE);
     }
-    let response = prefill_on_engine(&shared, request, RequestBody::new(read, body)).await;
+    let body = RequestBody::new(received.read, body, vec![received.memory]);
+    let response = prefill_on_engine(&shared, request, body).await;
     call_event_loop(&shared, |reply| Command::Prefill(request.span, false, reply)).await?;
     let response = response.map_err(|error| {
         warn_event!("prefill-failed", span = %request.span, reason = %error);
@@ -69,8 +72,8 @@
 }
 
 /// Handles `POST /span/free`: releases a span.
-pub async fn release_span(State(shared): State<Arc<Shared>>, body: Bytes) -> Result<Response, StatusCode> {
-    let span: Attempt = wire::decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+pub async fn release_span(State(shared): State<Arc<Shared>>, message: Message) -> Result<Response, StatusCode> {
+    let span: Attempt = wire::decode(message.bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
     shared.event_loop.send(Command::ReleaseSpan(span)).await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     Ok(with_clock_stamp(Bytes::new()))
 }
--- a/sorrelpass/src/wire.rs
+++ b/sorrelpass/src/wire.rs
@@ -294,6 +294,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and decodes the next message; returns `None` if the buffer does not hold a complete one.
     pub fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
         let frame = self.codec.decode(&mut self.buffer).map_err(|error| eyre!("step=decode: {error}"))?;
--- a/standin/src/platform/site.rs
+++ b/standin/src/platform/site.rs
@@ -322,9 +322,14 @@
         kill_process(pid, signal).wrap_err("step=signal")
     }
 
+    /// Returns the process id of an entry, or `None` if it does not run.
+    pub fn process_id(&self, entry: usize) -> Option<u32> {
+        Some(self.processes[entry].as_ref()?.id())
+    }
+
     /// Returns the resource usage of an entry's process, or `None` if it does not run.
     pub fn resource_usage(&self, entry: usize) -> Option<ProcessUsage> {
-        resource_usage::read_process(self.processes[entry].as_ref()?.id())
+        resource_usage::read_process(self.process_id(entry)?)
     }
 
     /// Waits until an entry's process has exited, and returns whether it exited as expected.
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Helpers of the fleet tests: small fleets, prompts and calls.
 #![allow(dead_code)]
 
+pub mod crowd;
 pub mod load;
 
 use std::io::{Read, Write};
--- /dev/null
+++ b/standin/tests/crowds.rs
@@ -0,0 +1,129 @@
+//! Crowds of clients that keep to no limit at entries and sidecars: each process lives within its memory and its
+//! descriptors, and an ordinary caller gets its answer.
+
+mod common;
+
+use std::time::Duration;
+
+use common::crowd::{Behavior, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
+use common::{close_fleet, prompt, start_fleet};
+use standin::fleet::{Fleet, Spec, workspace_key};
+
+/// Memory of a process.
+const MEMORY_MB: u64 = 128;
+/// Largest body and the memory for all bodies, as the settings of the entries say.
+const MAX_BODY_BYTES: usize = 1 << 20;
+const BODY_BUDGET_BYTES: usize = 8 << 20;
+/// Clients of a crowd that goes for memory.
+const CROWD: usize = 40;
+/// Clients of a crowd that goes for descriptors, and the descriptors that each process has.
+const DESCRIPTOR_CROWD: usize = 1_000;
+const DESCRIPTORS: u64 = 900;
+/// Time for which a crowd is left to send what it sends.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Time after which an ordinary caller counts as not answered.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+async fn start(name: &str) -> Fleet {
+    let settings = format!("max_body_bytes = {MAX_BODY_BYTES}\nbody_budget_bytes = {BODY_BUDGET_BYTES}\n");
+    let spec = Spec { entries: 1, engines: 1, services: 1, entry_settings: settings, ..Spec::small(name) };
+    with_descriptor_limit(DESCRIPTORS, start_fleet(spec)).await
+}
+
+fn head(path: &str, lines: &str) -> String {
+    let key = workspace_key(0);
+    format!("POST {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\nx-deadline-ms: 600000\r\n{lines}\r\n")
+}
+
+fn prompt_head(lines: &str) -> String {
+    head("/v1/chat/completions", lines)
+}
+
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+async fn send_ordinary(fleet: &Fleet) {
+    let answered = async {
+        while fleet.client.send_prompt(&fleet.entries[0], &prompt(100, 3, 1)).await.status != 200 {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    };
+    tokio::time::timeout(ANSWER_TIMEOUT, answered).await.expect("an ordinary caller is answered");
+}
+
+/// Lets a crowd loose on the process `name`, and asks as an ordinary caller while the crowd is there and afterwards.
+async fn withstand(fleet: Fleet, name: &str, address: &str, clients: usize, behavior: Behavior) {
+    let sampler = Sampler::start(fleet.pid(name).expect("it runs"), &[address]);
+    let crowd = Crowd::start(address, clients, &behavior);
+    tokio::time::sleep(SETTLE_TIME).await;
+    send_ordinary(&fleet).await;
+    drop(crowd);
+    send_ordinary(&fleet).await;
+    let peak: Peak = sampler.close();
+    println!("{name}: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
+    assert!(peak.memory_bytes <= MEMORY_MB << 20, "{} MB of {MEMORY_MB}", peak.memory_bytes >> 20);
+    assert!(peak.descriptors <= DESCRIPTORS as usize, "{} descriptors of {DESCRIPTORS}", peak.descriptors);
+    close_fleet(fleet).await;
+}
+
+async fn withstand_at_entry(name: &str, clients: usize, behavior: Behavior) {
+    let _alone = run_alone().await;
+    let fleet = start(name).await;
+    let address = fleet.entries[0].clone();
+    withstand(fleet, "entry-0", &address, clients, behavior).await;
+}
+
+async fn withstand_at_sidecar(name: &str, clients: usize, behavior: Behavior) {
+    let _alone = run_alone().await;
+    let fleet = start(name).await;
+    let address = fleet.addresses["sidecar-market-advisor-0"].clone();
+    withstand(fleet, "sidecar-market-advisor-0", &address, clients, behavior).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_that_drip_at_an_entry() {
+    let behavior = Behavior::new(prompt_head(&format!("content-length: {MAX_BODY_BYTES}\r\n")));
+    let behavior = behavior.then([b' '; 1_023], 1_024).dripping(b" ", Duration::from_secs(2)).returning();
+    withstand_at_entry("crowd-entry-drip", CROWD, behavior).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_in_chunks_of_one_byte_at_an_entry() {
+    let behavior = Behavior::new(prompt_head(CHUNKED)).then(b"1\r\n \r\n", 512 << 10);
+    let behavior = behavior.dripping(b"1\r\n \r\n", Duration::from_secs(2)).returning();
+    withstand_at_entry("crowd-entry-1", CROWD, behavior).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn announced_prompts_that_never_come_at_an_entry() {
+    let behavior = Behavior::new(prompt_head(&format!("content-length: {MAX_BODY_BYTES}\r\n"))).returning();
+    withstand_at_entry("crowd-entry-announced", CROWD, behavior).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_for_tickets_without_end_at_an_entry() {
+    let chunk = [b"400\r\n".to_vec(), vec![b' '; 1_024], b"\r\n".to_vec()].concat();
+    withstand_at_entry("crowd-entry-tickets", CROWD, Behavior::new(head("/v1/tickets", CHUNKED)).then(chunk, 8_192))
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_send_nothing_at_an_entry() {
+    withstand_at_entry("crowd-entry-silent", DESCRIPTOR_CROWD, Behavior::new("").returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prefaces_that_stop_short_of_their_end_at_an_entry() {
+    withstand_at_entry("crowd-entry-preface", DESCRIPTOR_CROWD, Behavior::new("PRI * HTTP/2.0\r\n").returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_send_nothing_at_a_sidecar() {
+    withstand_at_sidecar("crowd-sidecar-silent", DESCRIPTOR_CROWD, Behavior::new("").returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_that_stop_short_of_their_end_at_a_sidecar() {
+    let length = (12_u32 << 20).to_be_bytes();
+    let start = [head("/work", "content-length: 16777216\r\n").into_bytes(), length.to_vec()].concat();
+    withstand_at_sidecar("crowd-sidecar-work", CROWD, Behavior::new(start).then([b'x'; 1_024], 8_192)).await;
+}
--- /dev/null
+++ b/standin/tests/platform_crowds.rs
@@ -0,0 +1,240 @@
+//! Crowds of clients that keep to no limit: the entry lives within the memory of its machine and its descriptors, and
+//! an ordinary caller gets its answer.
+
+mod common;
+
+use std::time::Duration;
+
+use common::crowd::{Behavior, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
+use serde_json::json;
+use standin::platform::{KEY, Outcome, RequestSpec, Site, Spec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
+
+/// Memory of the entry's machine, as its settings say.
+const MEMORY_MB: u64 = 64;
+/// Largest body that the configuration allows.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Clients of a crowd that goes for memory.
+const CROWD: usize = 40;
+/// Clients of a crowd that goes for descriptors, and the descriptors that the entry has.
+const DESCRIPTOR_CROWD: usize = 1_000;
+const DESCRIPTORS: u64 = 900;
+/// Time for which a crowd is left to send what it sends.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Time after which an ordinary caller counts as not answered.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+async fn start_site(name: &str) -> Site {
+    let gateway = format!("memory_mb = {MEMORY_MB}");
+    let spec = Spec { entries: 1, gateway, ..Spec::small(name) };
+    let site = with_descriptor_limit(DESCRIPTORS, Site::start(spec)).await.expect("the site starts");
+    site.configure(&[KEY], |config| {
+        config["limits"]["max_body_bytes"] = json!(MAX_BODY_BYTES);
+        for route in config["routes"].as_array_mut().expect("routes") {
+            route["timeout_ms"] = json!(60_000);
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    site
+}
+
+/// Returns the head of a call with these header lines, for a crowd that names a deadline far beyond the route's.
+fn head(lines: &str) -> String {
+    format!(
+        "POST /look/1 HTTP/1.1\r\nhost: site.example\r\nrequest-id: crowd\r\nauthorization: Bearer {KEY}\r\ndeadline-ms: 600000\r\n{lines}\r\n"
+    )
+}
+
+fn announced(bytes: usize) -> String {
+    head(&format!("content-length: {bytes}\r\n"))
+}
+
+fn chunked() -> String {
+    head("transfer-encoding: chunked\r\n")
+}
+
+fn chunk(bytes: usize) -> Vec<u8> {
+    [format!("{bytes:x}\r\n").into_bytes(), vec![b'x'; bytes], b"\r\n".to_vec()].concat()
+}
+
+fn sample(site: &Site) -> Sampler {
+    Sampler::start(site.process_id(0).expect("it runs"), &[&site.addresses[0], &site.ready_addresses[0]])
+}
+
+fn assert_within_machine(peak: Peak) {
+    assert!(peak.memory_bytes <= MEMORY_MB << 20, "{} MB of {MEMORY_MB}", peak.memory_bytes >> 20);
+    assert!(peak.descriptors <= DESCRIPTORS as usize, "{} descriptors of {DESCRIPTORS}", peak.descriptors);
+}
+
+/// Sends an ordinary call, which comes back as it is told, until it is answered.
+async fn send_ordinary(site: &Site, body: Vec<u8>) -> Outcome {
+    let spec = RequestSpec { body: body.into(), ..RequestSpec::new("POST", "/look/1", "ordinary", KEY) }
+        .with_header("deadline-ms", "60000");
+    let answered = async {
+        loop {
+            let outcome = site.send(0, &spec).await;
+            if outcome.status == 200 && outcome.is_complete {
+                return outcome;
+            }
+            let retry_after: f64 = outcome.header("retry-after").parse().unwrap_or(0.1);
+            tokio::time::sleep(Duration::from_secs_f64(retry_after)).await;
+        }
+    };
+    tokio::time::timeout(ANSWER_TIMEOUT, answered).await.expect("an ordinary caller is answered")
+}
+
+/// Lets a crowd loose on an entry, and asks as an ordinary caller while the crowd is there and after it has left.
+async fn withstand(name: &str, clients: usize, behavior: Behavior) {
+    let _alone = run_alone().await;
+    let site = start_site(name).await;
+    let sampler = sample(&site);
+    let crowd = Crowd::start(&site.addresses[0], clients, &behavior);
+    tokio::time::sleep(SETTLE_TIME).await;
+    send_ordinary(&site, vec![b'x'; 1_000]).await;
+    site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
+    drop(crowd);
+    send_ordinary(&site, vec![b'x'; 1_000]).await;
+    let peak = sampler.close();
+    println!("{name}: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
+    assert_within_machine(peak);
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_bodies_of_legal_size() {
+    withstand("crowd-whole", CROWD, Behavior::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_024], 4_096)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_stop_short_of_their_end() {
+    withstand("crowd-short", CROWD, Behavior::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_023], 4_096)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_drip() {
+    let behavior = Behavior::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_023], 4_096);
+    withstand("crowd-drip", CROWD, behavior.dripping(b"x", Duration::from_millis(300)).returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_chunks_that_stop_short_of_the_end() {
+    withstand("crowd-chunks", CROWD, Behavior::new(chunked()).then(chunk(64 << 10), 63).returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_of_one_byte() {
+    withstand("crowd-1", CROWD, Behavior::new(chunked()).then(chunk(1), 256 << 10)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_of_sixteen_bytes() {
+    withstand("crowd-16", CROWD, Behavior::new(chunked()).then(chunk(16), 128 << 10)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_far_over_the_limit_announced() {
+    withstand("crowd-over", CROWD, Behavior::new(announced(1 << 30)).then([b'x'; 1_024], 64 << 10).returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_far_over_the_limit_in_chunks() {
+    withstand("crowd-over-chunks", CROWD, Behavior::new(chunked()).then(chunk(1_024), 64 << 10).returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn announced_bodies_that_never_come() {
+    withstand("crowd-announced", DESCRIPTOR_CROWD, Behavior::new(announced(MAX_BODY_BYTES))).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_that_stop_short_of_their_end() {
+    let text = head("");
+    withstand("crowd-heads", DESCRIPTOR_CROWD, Behavior::new(&text.as_bytes()[..text.len() - 2])).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_send_nothing() {
+    withstand("crowd-silent", DESCRIPTOR_CROWD, Behavior::new("").returning()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_behind_each_other_whose_answers_nobody_reads() {
+    withstand("crowd-deaf", CROWD, Behavior::new("").then(head("content-length: 0\r\n"), 8_192).deaf()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crowd_at_the_readiness_listener() {
+    let _alone = run_alone().await;
+    let site = start_site("crowd-ready").await;
+    let sampler = sample(&site);
+    let _crowd = Crowd::start(&site.ready_addresses[0], DESCRIPTOR_CROWD, &Behavior::new("GET /ready HTTP/1.1\r\n"));
+    tokio::time::sleep(SETTLE_TIME).await;
+    send_ordinary(&site, vec![b'x'; 1_000]).await;
+    site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
+    assert_within_machine(sampler.close());
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_body_alone_is_served() {
+    let _alone = run_alone().await;
+    let site = start_site("crowd-alone").await;
+    let sampler = sample(&site);
+    send_ordinary(&site, vec![b'x'; MAX_BODY_BYTES]).await;
+    assert_within_machine(sampler.close());
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_body_alone_in_chunks_of_one_byte_is_served() {
+    let _alone = run_alone().await;
+    let site = start_site("crowd-alone-1").await;
+    let sampler = sample(&site);
+    let mut stream = tokio::net::TcpStream::connect(&site.addresses[0]).await.expect("connected");
+    stream.write_all(chunked().as_bytes()).await.expect("sent");
+    for _ in 0..MAX_BODY_BYTES / 1_024 {
+        stream.write_all(&chunk(1).repeat(1_024)).await.expect("sent");
+    }
+    stream.write_all(b"0\r\n\r\n").await.expect("sent");
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).await.expect("answered");
+    assert_eq!(String::from_utf8_lossy(&status), "HTTP/1.1 200");
+    assert_within_machine(sampler.close());
+    site.close().expect("no invariant was breached");
+}
+
+/// Sends `head` and then `drip` now and then, until that fails.
+async fn send_and_drip(mut writer: OwnedWriteHalf, head: &str, drip: &[u8]) -> std::io::Result<()> {
+    writer.write_all(head.as_bytes()).await?;
+    loop {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        writer.write_all(drip).await?;
+    }
+}
+
+/// Returns whether the entry ends the connection of a client that sends `head` and then a byte now and then.
+async fn is_ended(name: &str, head: &str, drip: &[u8]) -> bool {
+    let _alone = run_alone().await;
+    let site = start_site(name).await;
+    site.configure(&[KEY], |_| {});
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let (mut reader, writer) =
+        tokio::net::TcpStream::connect(&site.addresses[0]).await.expect("connected").into_split();
+    let mut answer = Vec::new();
+    tokio::select! {
+        failed = send_and_drip(writer, head, drip) => failed.is_err(),
+        _ = reader.read_to_end(&mut answer) => true,
+        () = tokio::time::sleep(ANSWER_TIMEOUT) => false,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_never_ends_ends_with_the_time_of_its_route() {
+    assert!(is_ended("crowd-route-time", &announced(60_000), b"x").await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_that_never_ends_ends_with_its_time() {
+    assert!(is_ended("crowd-head-time", "POST /look/1 HTTP/1.1\r\nx-more: ", b"x").await);
+}
