Callers that read nothing, and HTTP/2 clients that never finish, are tested against the memory of a process

What callers saw: 40 callers that read nothing of answers of 4 MiB took 209 MB of a machine's 64; beside 8 HTTP/2 connections of 400 unfinished prompts no ordinary prompt was answered for 30 s.

Change: tests and what they need of the stand-in. A caller that pauses while it reads is closed after two minutes rather than after the idle time, since its memory gives way as soon as others need it.

--- a/coord/src/connection.rs
+++ b/coord/src/connection.rs
@@ -14,8 +14,11 @@
     pub first: Duration,
     /// Time from the first byte of a request head to its last one.
     pub head: Duration,
-    /// Time without a request, and time in which a caller reads nothing of a response that is ready.
+    /// Time without a request.
     pub idle: Duration,
+    /// Time in which a caller reads nothing of a response that is ready. It is long, since such a connection gives way as
+    /// soon as others need its part.
+    pub unread: Duration,
 }
 
 /// Activity of a connection.
@@ -110,7 +113,7 @@
     /// its request instead, and so has a response that is not ready.
     pub fn due_at(&self, timeouts: &Timeouts) -> Option<Moment> {
         if self.is_blocked {
-            return Some(self.written_at + timeouts.idle);
+            return Some(self.written_at + timeouts.unread);
         }
         if self.active > 0 {
             return None;
--- a/coord/tests/pool.rs
+++ b/coord/tests/pool.rs
@@ -198,10 +198,10 @@
         for step in steps {
             match step {
                 Step::Open(stage) => holders.push((pool.open(stage_of(stage), now), stage_of(stage), 0)),
-                Step::Grow(index, amount) => if let Some(holder) = holders.get_mut(index) {
-                    if pool.grow(holder.0, amount, now) == Grant::Granted {
-                        holder.2 = holder.2.max(amount);
-                    }
+                Step::Grow(index, amount) => if let Some(holder) = holders.get_mut(index)
+                    && pool.grow(holder.0, amount, now) == Grant::Granted
+                {
+                    holder.2 = holder.2.max(amount);
                 },
                 Step::Progress(index, bytes) => if let Some(holder) = holders.get(index) {
                     pool.record_progress(holder.0, bytes, now);
--- a/sorrelpass/src/gateway/health.rs
+++ b/sorrelpass/src/gateway/health.rs
@@ -28,8 +28,12 @@
 /// Size of the buffers of a connection, in bytes.
 const BUFFER_BYTES: usize = 16 << 10;
 /// Times of a connection: a probe comes every second, and a collector every minute.
-const TIMEOUTS: Timeouts =
-    Timeouts { first: Duration::from_secs(10), head: Duration::from_secs(10), idle: Duration::from_secs(120) };
+const TIMEOUTS: Timeouts = Timeouts {
+    first: Duration::from_secs(10),
+    head: Duration::from_secs(10),
+    idle: Duration::from_secs(120),
+    unread: connection::UNREAD_TIMEOUT,
+};
 
 /// Serves `/ready` and `/metrics` until the process ends.
 pub async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
--- a/sorrelpass/src/gateway/server.rs
+++ b/sorrelpass/src/gateway/server.rs
@@ -20,7 +20,7 @@
 use super::response::{self, CallerResponse};
 use super::state::{Gateway, Phase};
 use crate::body_tracker::TrackedBody;
-use crate::connection::{Connection, MeteredStream, RequestGuard};
+use crate::connection::{self, Connection, MeteredStream, RequestGuard};
 use crate::lingering_close::LingeringStream;
 
 /// Default bound on the size of a request head, in bytes. Smaller configured bounds are raised to this one, because
@@ -134,7 +134,7 @@
     let head = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.header_timeout);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let (head, idle) = (head.mul_f64(1.0 + TIMEOUT_MARGIN), idle.mul_f64(1.0 + TIMEOUT_MARGIN));
-    Timeouts { first: idle, head, idle }
+    Timeouts { first: idle, head, idle, unread: connection::UNREAD_TIMEOUT }
 }
 
 /// Request whose response is not complete.
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -57,7 +57,8 @@
 /// Time without a request after which a connection is closed: longer than clients keep a connection that rests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Times of a connection.
-const TIMEOUTS: Timeouts = Timeouts { first: HEADER_TIMEOUT, head: HEADER_TIMEOUT, idle: IDLE_TIMEOUT };
+const TIMEOUTS: Timeouts =
+    Timeouts { first: HEADER_TIMEOUT, head: HEADER_TIMEOUT, idle: IDLE_TIMEOUT, unread: connection::UNREAD_TIMEOUT };
 /// Size of the kernel's receive buffer of a caller's connection. Without it, the kernel's automatic sizing would let
 /// megabytes wait for a process that does not read on.
 const RECEIVE_BUFFER_BYTES: u32 = 64 * 1_024;
--- a/standin/src/platform/replica/answers.rs
+++ b/standin/src/platform/replica/answers.rs
@@ -135,6 +135,7 @@
         Behavior::Fail => (StatusCode::INTERNAL_SERVER_ERROR, "failed").into_response(),
         Behavior::UnconfirmedRefusal => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         Behavior::DropResponse => aborted_body(),
+        Behavior::LargeResponse(bytes) => "x".repeat(bytes).into_response(),
         _ if is_streaming => event_stream(guard, replica.service_time, last_event_id, behavior),
         _ => format!("{} {id}", replica.id).into_response(),
     };
--- a/standin/src/platform/replica/mod.rs
+++ b/standin/src/platform/replica/mod.rs
@@ -47,6 +47,8 @@
         /// Bytes that are added to each event.
         padding_bytes: usize,
     },
+    /// A call succeeds with a response of this many bytes.
+    LargeResponse(usize),
     /// The response starts only after this many milliseconds; then the request runs and succeeds.
     Stall(u64),
 }
@@ -306,6 +308,11 @@
         self.lock().received.clone()
     }
 
+    /// Returns how many requests were cancelled.
+    pub fn cancellation_count(&self) -> usize {
+        self.lock().cancellations.len()
+    }
+
     /// Returns how often requests with this id were run.
     pub fn run_count(&self, id: &str) -> usize {
         self.lock().received.iter().filter(|request| request.was_run && request.id == id).count()
--- a/standin/tests/common/crowd.rs
+++ b/standin/tests/common/crowd.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
@@ -35,7 +35,7 @@
 
 /// What each client of a crowd does after it has connected.
 #[derive(Clone)]
-pub struct Behavior {
+pub struct Client {
     /// Bytes that it sends first.
     pub head: Vec<u8>,
     /// Bytes that it sends next, over and over.
@@ -50,7 +50,7 @@
     pub returns: bool,
 }
 
-impl Behavior {
+impl Client {
     /// Sends `head` and holds the connection.
     pub fn new(head: impl Into<Vec<u8>>) -> Self {
         Self { head: head.into(), piece: Vec::new(), pieces: 0, drip: None, reads: true, returns: false }
@@ -85,20 +85,13 @@
 /// Clients that stay connected until this is dropped.
 pub struct Crowd {
     clients: Vec<JoinHandle<()>>,
-    open: Arc<AtomicUsize>,
 }
 
 impl Crowd {
     /// Connects `count` clients to `address`.
-    pub fn start(address: &str, count: usize, behavior: &Behavior) -> Self {
-        let open = Arc::new(AtomicUsize::new(0));
-        let clients = (0..count).map(|_| tokio::spawn(run_client(address.to_owned(), behavior.clone(), open.clone())));
-        Self { clients: clients.collect(), open }
-    }
-
-    /// Returns the number of clients whose connection is open and that have sent all but what they drip.
-    pub fn settled(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
+    pub fn start(address: &str, count: usize, client: &Client) -> Self {
+        let clients = (0..count).map(|_| tokio::spawn(run_client(address.to_owned(), client.clone())));
+        Self { clients: clients.collect() }
     }
 }
 
@@ -108,30 +101,29 @@
     }
 }
 
-async fn run_client(address: String, behavior: Behavior, open: Arc<AtomicUsize>) {
+async fn run_client(address: String, client: Client) {
     loop {
         if let Ok(stream) = TcpStream::connect(&address).await {
-            run_connection(stream, &behavior, &open).await;
+            run_connection(stream, &client).await;
         }
-        if !behavior.returns {
+        if !client.returns {
             return;
         }
         tokio::time::sleep(SAMPLE_INTERVAL).await;
     }
 }
 
-async fn run_connection(stream: TcpStream, behavior: &Behavior, open: &AtomicUsize) {
+async fn run_connection(stream: TcpStream, client: &Client) {
     let (mut reader, mut writer) = stream.into_split();
     let write = async {
-        writer.write_all(&behavior.head).await?;
-        let at_once = (WRITE_BYTES / behavior.piece.len().max(1)).clamp(1, behavior.pieces.max(1));
-        let block = behavior.piece.repeat(at_once);
-        for _ in 0..behavior.pieces / at_once {
+        writer.write_all(&client.head).await?;
+        let at_once = (WRITE_BYTES / client.piece.len().max(1)).clamp(1, client.pieces.max(1));
+        let block = client.piece.repeat(at_once);
+        for _ in 0..client.pieces / at_once {
             writer.write_all(&block).await?;
         }
-        writer.write_all(&behavior.piece.repeat(behavior.pieces % at_once)).await?;
-        open.fetch_add(1, Ordering::Relaxed);
-        let Some((bytes, interval)) = &behavior.drip else { return std::future::pending().await };
+        writer.write_all(&client.piece.repeat(client.pieces % at_once)).await?;
+        let Some((bytes, interval)) = &client.drip else { return std::future::pending().await };
         loop {
             tokio::time::sleep(*interval).await;
             writer.write_all(bytes).await?;
@@ -139,8 +131,8 @@
     };
     let read = async {
         let mut buffer = [0; 4_096];
-        while behavior.reads && matches!(reader.read(&mut buffer).await, Ok(1..)) {}
-        if !behavior.reads {
+        while client.reads && matches!(reader.read(&mut buffer).await, Ok(1..)) {}
+        if !client.reads {
             std::future::pending::<()>().await;
         }
     };
--- a/standin/tests/crowds.rs
+++ b/standin/tests/crowds.rs
@@ -3,11 +3,19 @@
 
 mod common;
 
+use std::convert::Infallible;
 use std::time::Duration;
 
-use common::crowd::{Behavior, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
+use common::crowd::{Client, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
 use common::{close_fleet, prompt, start_fleet};
+use futures_util::{StreamExt, stream};
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::body::{Bytes, Frame};
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use standin::fleet::{Fleet, Spec, workspace_key};
+use tokio::net::TcpStream;
 
 /// Memory of a process.
 const MEMORY_MB: u64 = 128;
@@ -19,6 +27,9 @@
 /// Clients of a crowd that goes for descriptors, and the descriptors that each process has.
 const DESCRIPTOR_CROWD: usize = 1_000;
 const DESCRIPTORS: u64 = 900;
+/// HTTP/2 connections of a crowd, and the streams that each one tries to have.
+const SHARED_CROWD: usize = 8;
+const STREAMS: usize = 400;
 /// Time for which a crowd is left to send what it sends.
 const SETTLE_TIME: Duration = Duration::from_secs(8);
 /// Time after which an ordinary caller counts as not answered.
@@ -51,79 +62,121 @@
 }
 
 /// Lets a crowd loose on the process `name`, and asks as an ordinary caller while the crowd is there and afterwards.
-async fn withstand(fleet: Fleet, name: &str, address: &str, clients: usize, behavior: Behavior) {
+async fn withstand(fleet: Fleet, name: &str, address: &str, clients: usize, client: Client) {
     let sampler = Sampler::start(fleet.pid(name).expect("it runs"), &[address]);
-    let crowd = Crowd::start(address, clients, &behavior);
+    let crowd = Crowd::start(address, clients, &client);
     tokio::time::sleep(SETTLE_TIME).await;
     send_ordinary(&fleet).await;
     drop(crowd);
     send_ordinary(&fleet).await;
-    let peak: Peak = sampler.close();
-    println!("{name}: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
+    assert_within(sampler.close());
+    close_fleet(fleet).await;
+}
+
+fn assert_within(peak: Peak) {
+    println!("peak: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
     assert!(peak.memory_bytes <= MEMORY_MB << 20, "{} MB of {MEMORY_MB}", peak.memory_bytes >> 20);
     assert!(peak.descriptors <= DESCRIPTORS as usize, "{} descriptors of {DESCRIPTORS}", peak.descriptors);
-    close_fleet(fleet).await;
 }
 
-async fn withstand_at_entry(name: &str, clients: usize, behavior: Behavior) {
+async fn withstand_at_entry(name: &str, clients: usize, client: Client) {
     let _alone = run_alone().await;
     let fleet = start(name).await;
     let address = fleet.entries[0].clone();
-    withstand(fleet, "entry-0", &address, clients, behavior).await;
+    withstand(fleet, "entry-0", &address, clients, client).await;
 }
 
-async fn withstand_at_sidecar(name: &str, clients: usize, behavior: Behavior) {
+async fn withstand_at_sidecar(name: &str, clients: usize, client: Client) {
     let _alone = run_alone().await;
     let fleet = start(name).await;
     let address = fleet.addresses["sidecar-market-advisor-0"].clone();
-    withstand(fleet, "sidecar-market-advisor-0", &address, clients, behavior).await;
+    withstand(fleet, "sidecar-market-advisor-0", &address, clients, client).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn prompts_that_drip_at_an_entry() {
-    let behavior = Behavior::new(prompt_head(&format!("content-length: {MAX_BODY_BYTES}\r\n")));
-    let behavior = behavior.then([b' '; 1_023], 1_024).dripping(b" ", Duration::from_secs(2)).returning();
-    withstand_at_entry("crowd-entry-drip", CROWD, behavior).await;
+    let client = Client::new(prompt_head(&format!("content-length: {MAX_BODY_BYTES}\r\n")));
+    let client = client.then([b' '; 1_023], 1_024).dripping(b" ", Duration::from_secs(2)).returning();
+    withstand_at_entry("crowd-entry-drip", CROWD, client).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn prompts_in_chunks_of_one_byte_at_an_entry() {
-    let behavior = Behavior::new(prompt_head(CHUNKED)).then(b"1\r\n \r\n", 512 << 10);
-    let behavior = behavior.dripping(b"1\r\n \r\n", Duration::from_secs(2)).returning();
-    withstand_at_entry("crowd-entry-1", CROWD, behavior).await;
+    let client = Client::new(prompt_head(CHUNKED)).then(b"1\r\n \r\n", 512 << 10);
+    let client = client.dripping(b"1\r\n \r\n", Duration::from_secs(2)).returning();
+    withstand_at_entry("crowd-entry-1", CROWD, client).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn announced_prompts_that_never_come_at_an_entry() {
-    let behavior = Behavior::new(prompt_head(&format!("content-length: {MAX_BODY_BYTES}\r\n"))).returning();
-    withstand_at_entry("crowd-entry-announced", CROWD, behavior).await;
+    let client = Client::new(prompt_head(&format!("content-length: {MAX_BODY_BYTES}\r\n"))).returning();
+    withstand_at_entry("crowd-entry-announced", CROWD, client).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_for_tickets_without_end_at_an_entry() {
     let chunk = [b"400\r\n".to_vec(), vec![b' '; 1_024], b"\r\n".to_vec()].concat();
-    withstand_at_entry("crowd-entry-tickets", CROWD, Behavior::new(head("/v1/tickets", CHUNKED)).then(chunk, 8_192))
+    withstand_at_entry("crowd-entry-tickets", CROWD, Client::new(head("/v1/tickets", CHUNKED)).then(chunk, 8_192))
         .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_send_nothing_at_an_entry() {
-    withstand_at_entry("crowd-entry-silent", DESCRIPTOR_CROWD, Behavior::new("").returning()).await;
+    withstand_at_entry("crowd-entry-silent", DESCRIPTOR_CROWD, Client::new("").returning()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn prefaces_that_stop_short_of_their_end_at_an_entry() {
-    withstand_at_entry("crowd-entry-preface", DESCRIPTOR_CROWD, Behavior::new("PRI * HTTP/2.0\r\n").returning()).await;
+    withstand_at_entry("crowd-entry-preface", DESCRIPTOR_CROWD, Client::new("PRI * HTTP/2.0\r\n").returning()).await;
+}
+
+/// Sends prompts that stop short of their end on one HTTP/2 connection, as many as it allows, again and again.
+async fn send_shared(address: String) {
+    let stream = TcpStream::connect(&address).await.expect("connected");
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.expect("an HTTP/2 connection");
+    tokio::spawn(connection);
+    let streams = (0..STREAMS).map(|_| {
+        let mut sender = sender.clone();
+        async move {
+            loop {
+                let start = stream::iter([Ok::<_, Infallible>(Frame::data(Bytes::from(vec![b' '; 120 << 10])))]);
+                let request = Request::post("http://x/v1/chat/completions")
+                    .header("authorization", format!("Bearer {}", workspace_key(0)))
+                    .header("content-length", MAX_BODY_BYTES)
+                    .body(StreamBody::new(start.chain(stream::pending())))
+                    .expect("a request");
+                // Refusals and lost streams are the crowd's business.
+                let _ = sender.send_request(request).await;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    });
+    futures_util::future::join_all(streams).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_on_shared_connections_that_stop_short_of_their_end_at_an_entry() {
+    let _alone = run_alone().await;
+    let fleet = start("crowd-entry-shared").await;
+    let address = fleet.entries[0].clone();
+    let sampler = Sampler::start(fleet.pid("entry-0").expect("it runs"), &[&address]);
+    let crowd: Vec<_> = (0..SHARED_CROWD).map(|_| tokio::spawn(send_shared(address.clone()))).collect();
+    tokio::time::sleep(SETTLE_TIME).await;
+    send_ordinary(&fleet).await;
+    crowd.iter().for_each(tokio::task::JoinHandle::abort);
+    assert_within(sampler.close());
+    close_fleet(fleet).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_send_nothing_at_a_sidecar() {
-    withstand_at_sidecar("crowd-sidecar-silent", DESCRIPTOR_CROWD, Behavior::new("").returning()).await;
+    withstand_at_sidecar("crowd-sidecar-silent", DESCRIPTOR_CROWD, Client::new("").returning()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn messages_that_stop_short_of_their_end_at_a_sidecar() {
     let length = (12_u32 << 20).to_be_bytes();
     let start = [head("/work", "content-length: 16777216\r\n").into_bytes(), length.to_vec()].concat();
-    withstand_at_sidecar("crowd-sidecar-work", CROWD, Behavior::new(start).then([b'x'; 1_024], 8_192)).await;
+    withstand_at_sidecar("crowd-sidecar-work", CROWD, Client::new(start).then([b'x'; 1_024], 8_192)).await;
 }
--- a/standin/tests/platform_crowds.rs
+++ b/standin/tests/platform_crowds.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
-use common::crowd::{Behavior, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
+use common::crowd::{Client, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
 use serde_json::json;
-use standin::platform::{KEY, Outcome, RequestSpec, Site, Spec};
+use standin::platform::{Behavior, KEY, Outcome, RequestSpec, Site, Spec};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -63,6 +63,7 @@
 }
 
 fn assert_within_machine(peak: Peak) {
+    println!("peak: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
     assert!(peak.memory_bytes <= MEMORY_MB << 20, "{} MB of {MEMORY_MB}", peak.memory_bytes >> 20);
     assert!(peak.descriptors <= DESCRIPTORS as usize, "{} descriptors of {DESCRIPTORS}", peak.descriptors);
 }
@@ -85,82 +86,117 @@
 }
 
 /// Lets a crowd loose on an entry, and asks as an ordinary caller while the crowd is there and after it has left.
-async fn withstand(name: &str, clients: usize, behavior: Behavior) {
+async fn withstand(name: &str, clients: usize, client: Client) {
     let _alone = run_alone().await;
     let site = start_site(name).await;
     let sampler = sample(&site);
-    let crowd = Crowd::start(&site.addresses[0], clients, &behavior);
+    let crowd = Crowd::start(&site.addresses[0], clients, &client);
     tokio::time::sleep(SETTLE_TIME).await;
     send_ordinary(&site, vec![b'x'; 1_000]).await;
     site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
     drop(crowd);
     send_ordinary(&site, vec![b'x'; 1_000]).await;
-    let peak = sampler.close();
-    println!("{name}: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
-    assert_within_machine(peak);
+    assert_within_machine(sampler.close());
     site.close().expect("no invariant was breached");
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_bodies_of_legal_size() {
-    withstand("crowd-whole", CROWD, Behavior::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_024], 4_096)).await;
+    withstand("crowd-whole", CROWD, Client::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_024], 4_096)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_that_stop_short_of_their_end() {
-    withstand("crowd-short", CROWD, Behavior::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_023], 4_096)).await;
+    withstand("crowd-short", CROWD, Client::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_023], 4_096)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_that_drip() {
-    let behavior = Behavior::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_023], 4_096);
-    withstand("crowd-drip", CROWD, behavior.dripping(b"x", Duration::from_millis(300)).returning()).await;
+    let client = Client::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_023], 4_096);
+    withstand("crowd-drip", CROWD, client.dripping(b"x", Duration::from_millis(300)).returning()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn large_chunks_that_stop_short_of_the_end() {
-    withstand("crowd-chunks", CROWD, Behavior::new(chunked()).then(chunk(64 << 10), 63).returning()).await;
+    withstand("crowd-chunks", CROWD, Client::new(chunked()).then(chunk(64 << 10), 63).returning()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn chunks_of_one_byte() {
-    withstand("crowd-1", CROWD, Behavior::new(chunked()).then(chunk(1), 256 << 10)).await;
+    withstand("crowd-1", CROWD, Client::new(chunked()).then(chunk(1), 256 << 10)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn chunks_of_sixteen_bytes() {
-    withstand("crowd-16", CROWD, Behavior::new(chunked()).then(chunk(16), 128 << 10)).await;
+    withstand("crowd-16", CROWD, Client::new(chunked()).then(chunk(16), 128 << 10)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_far_over_the_limit_announced() {
-    withstand("crowd-over", CROWD, Behavior::new(announced(1 << 30)).then([b'x'; 1_024], 64 << 10).returning()).await;
+    withstand("crowd-over", CROWD, Client::new(announced(1 << 30)).then([b'x'; 1_024], 64 << 10).returning()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_far_over_the_limit_in_chunks() {
-    withstand("crowd-over-chunks", CROWD, Behavior::new(chunked()).then(chunk(1_024), 64 << 10).returning()).await;
+    withstand("crowd-over-chunks", CROWD, Client::new(chunked()).then(chunk(1_024), 64 << 10).returning()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn announced_bodies_that_never_come() {
-    withstand("crowd-announced", DESCRIPTOR_CROWD, Behavior::new(announced(MAX_BODY_BYTES))).await;
+    withstand("crowd-announced", DESCRIPTOR_CROWD, Client::new(announced(MAX_BODY_BYTES))).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_that_stop_short_of_their_end() {
     let text = head("");
-    withstand("crowd-heads", DESCRIPTOR_CROWD, Behavior::new(&text.as_bytes()[..text.len() - 2])).await;
+    withstand("crowd-heads", DESCRIPTOR_CROWD, Client::new(&text.as_bytes()[..text.len() - 2])).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_send_nothing() {
-    withstand("crowd-silent", DESCRIPTOR_CROWD, Behavior::new("").returning()).await;
+    withstand("crowd-silent", DESCRIPTOR_CROWD, Client::new("").returning()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_behind_each_other_whose_answers_nobody_reads() {
-    withstand("crowd-deaf", CROWD, Behavior::new("").then(head("content-length: 0\r\n"), 8_192).deaf()).await;
+    withstand("crowd-deaf", CROWD, Client::new("").then(head("content-length: 0\r\n"), 8_192).deaf()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answers_that_nobody_reads() {
+    let _alone = run_alone().await;
+    let site = start_site("crowd-answers").await;
+    let large = std::iter::repeat_n(Behavior::LargeResponse(MAX_BODY_BYTES), CROWD);
+    site.plain_replicas.iter().for_each(|replica| replica.queue_behaviors(large.clone()));
+    let sampler = sample(&site);
+    let call = Client::new(head("content-length: 0\r\n")).deaf();
+    let crowd = Crowd::start(&site.addresses[0], CROWD, &call);
+    tokio::time::sleep(SETTLE_TIME).await;
+    site.plain_replicas.iter().for_each(|replica| replica.clear_behaviors());
+    send_ordinary(&site, vec![b'x'; 1_000]).await;
+    drop(crowd);
+    assert_within_machine(sampler.close());
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_nobody_reads_free_their_engines_with_the_time_of_their_route() {
+    let _alone = run_alone().await;
+    let site = start_site("crowd-streams").await;
+    site.configure(&[KEY], |_| {});
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let large = std::iter::repeat_n(Behavior::LargeStream { events: 200, padding_bytes: 60_000 }, CROWD);
+    site.engines.iter().for_each(|engine| engine.queue_behaviors(large.clone()));
+    let call = head("content-length: 0\r\ntoken-usage: 500,400\r\n").replace("/look/", "/prompt/");
+    let _crowd = Crowd::start(&site.addresses[0], 10, &Client::new(call).deaf());
+    let cancelled = || site.engines.iter().map(|engine| engine.cancellation_count()).sum::<usize>();
+    let freed = async {
+        while cancelled() < 10 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::time::timeout(ANSWER_TIMEOUT, freed).await.unwrap_or_else(|_| panic!("{} of 10 were freed", cancelled()));
+    site.close().expect("no invariant was breached");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -168,7 +204,7 @@
     let _alone = run_alone().await;
     let site = start_site("crowd-ready").await;
     let sampler = sample(&site);
-    let _crowd = Crowd::start(&site.ready_addresses[0], DESCRIPTOR_CROWD, &Behavior::new("GET /ready HTTP/1.1\r\n"));
+    let _crowd = Crowd::start(&site.ready_addresses[0], DESCRIPTOR_CROWD, &Client::new("GET /ready HTTP/1.1\r\n"));
     tokio::time::sleep(SETTLE_TIME).await;
     send_ordinary(&site, vec![b'x'; 1_000]).await;
     site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
