A caller that reads nothing holds an engine no longer than the time of its route

What callers saw: engines whose places are held by streams that nobody reads, for as long as their clients like.

Cause: the relay waited for room in the caller's channel without a time, also to break the stream off.

Change: the wait ends with the request's deadline, and a stream that cannot be broken off in its channel closes its connection.

--- a/sorrelpass/src/gateway/relay.rs
+++ b/sorrelpass/src/gateway/relay.rs
@@ -149,8 +149,12 @@
             };
             opened.attempt.record_data();
             self.splitter.push(&data);
-            if let Err(loss) = self.relay_events(&opened.slot, &opened.attempt).await {
-                return StreamEnd::CallerLost(loss);
+            // A caller that reads nothing holds its replica no longer than any other request.
+            let late_deadline = deadline.max(Instant::now()) + LATE_RELAY_TIMEOUT;
+            match tokio::time::timeout_at(late_deadline, self.relay_events(&opened.slot, &opened.attempt)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(loss)) => return StreamEnd::CallerLost(loss),
+                Err(_) => return StreamEnd::DeadlineExceeded,
             }
             if self.splitter.is_overlong() {
                 return StreamEnd::Interrupted("the stream sent too many bytes without an event".to_owned());
@@ -288,8 +292,11 @@
     async fn abort(&mut self, code: &'static str) -> Option<OpenResponse> {
         event!("give-up", request = %self.request.request_head.id, code, ran = "partial", events = self.event_count);
         metric::record_request(code);
-        // Fails only if the caller is lost.
-        let _ = self.caller.send(Err(BodyError)).await;
+        let end = self.caller.send(Err(BodyError));
+        // A send fails only if the caller is lost. It waits for a caller that reads nothing.
+        if tokio::time::timeout(RECEIVED_DATA_TIMEOUT, end).await.is_err() {
+            self.request.abort_connection();
+        }
         None
     }
 
