--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod intent;
 pub mod invariant;
 pub mod limit;
+pub mod log_limit;
 pub mod membership;
 pub mod memory;
 pub mod name;
--- a/sorrelpass/src/connection.rs
+++ b/sorrelpass/src/connection.rs
@@ -20,7 +20,7 @@
 /// Part of it for a response that is ready, in bytes.
 pub const COVERED_RESPONSE_BYTES: usize = 16 << 10;
 /// Share of the process's memory for callers' connections.
-const MEMORY_SHARE: f64 = 0.2;
+const MEMORY_SHARE: f64 = 0.25;
 /// Share of the process's descriptors for callers' connections. As many are for connections to replicas, and the
 /// remainder for the store, peers, probes and files.
 const DESCRIPTOR_SHARE: f64 = 0.4;
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -31,6 +31,9 @@
 /// Retry delay for callers of an entry that is about to stop; they retry at another entry.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Codes of the failures of requests that were not read to their end, whose log lines are bounded.
+const UNREAD_CODES: [&str; 4] = ["too_large", "broken_body", "slow_body", "bodies_in_flight"];
+
 /// A request whose head has been received and whose body has not been read.
 struct ReceivedRequest {
     request_head: headers::RequestHead,
@@ -57,7 +60,7 @@
     };
     let mut response = match outcome {
         Ok(response) => response,
-        Err(failure) => failure_response(failure, &id, started),
+        Err(failure) => failure_response(&gateway, failure, &id, started),
     };
     if gateway.phase() != Phase::Serving {
         response::close_after(&mut response);
@@ -66,9 +69,13 @@
 }
 
 /// Logs and counts a failure, and converts it into the response to the caller.
-fn failure_response(failure: Failure, id: &str, started: Moment) -> CallerResponse {
-    event!("give-up", request = %id, code = failure.code, status = failure.status.as_u16(),
-        ran = failure.ran.as_str(), reason = %failure.message, after_ms = now().since(started).as_millis());
+fn failure_response(gateway: &Gateway, failure: Failure, id: &str, started: Moment) -> CallerResponse {
+    let is_unread = UNREAD_CODES.contains(&failure.code);
+    let line = if is_unread { gateway.unread_log.borrow_mut().record(now()) } else { Some(0) };
+    if let Some(left_out) = line {
+        event!("give-up", request = %id, code = failure.code, status = failure.status.as_u16(),
+            ran = failure.ran.as_str(), reason = %failure.message, after_ms = now().since(started).as_millis(), left_out);
+    }
     metric::record_request(failure.code);
     response::error_response(failure, id)
 }
--- a/sorrelpass/src/gateway/state.rs
+++ b/sorrelpass/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use coord::budget::{self, WindowedBudget};
 use coord::demand;
 use coord::evacuation;
+use coord::log_limit::LogLimit;
 use coord::name::Name;
 use coord::offset;
 use coord::pool;
@@ -57,10 +58,13 @@
 /// Maximum body size if the configuration sets none, in bytes.
 pub const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 /// Share of the process's memory for request bodies.
-const BODY_MEMORY_SHARE: f64 = 0.25;
+const BODY_MEMORY_SHARE: f64 = 0.2;
 /// Share of the process's memory for responses that are not streamed. They have memory of their own, since requests that
 /// hold all memory would otherwise wait for that of their responses.
 const RESPONSE_MEMORY_SHARE: f64 = 0.125;
+/// Log lines a second about requests that were not read to their end. A crowd that is refused again and again must not
+/// fill the log.
+const MAX_UNREAD_LINES_PER_S: u32 = 20;
 /// Minimum number of entries among which the common retry allowance is divided, even if fewer are known.
 const MIN_ENTRY_COUNT: usize = 32;
 
@@ -118,6 +122,8 @@
     pub responses: Holders,
     /// Callers' connections.
     pub connections: Holders,
+    /// Log lines about requests that were not read to their end.
+    pub unread_log: RefCell<LogLimit>,
     /// Response data that callers have not read yet.
     pub relay_buffers: Arc<RelayBuffers>,
     /// Retry budgets by service.
@@ -162,6 +168,7 @@
             bodies,
             responses: Holders::new("responses", pool::Bounds::new(response_memory, MEMORY_STALL_TIMEOUT)),
             connections,
+            unread_log: RefCell::new(LogLimit::new(MAX_UNREAD_LINES_PER_S)),
             relay_buffers,
             retry_budgets: RefCell::default(),
             entry_count: Cell::new(MIN_ENTRY_COUNT),
--- a/sorrelpass/src/holder.rs
+++ b/sorrelpass/src/holder.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use coord::log_limit::LogLimit;
 use coord::pool::{Bounds, Grant, HolderId, Pool, Stage};
-use coord::time::Moment;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -21,8 +21,8 @@
 const GROWTH_TIMEOUT: Duration = MEMORY_STALL_TIMEOUT;
 /// Interval at which a waiting holder asks again although nothing was released, since others stall by time.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two log lines about holders that gave way: a crowd that comes back must not fill the log.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Log lines a second about holders that gave way. A crowd that comes back must not fill the log.
+const MAX_LINES_PER_S: u32 = 1;
 
 /// Reason why a holder did not get more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,9 +58,7 @@
     pool: Pool,
     /// Set to true when the holder gives way.
     evictions: HashMap<HolderId, watch::Sender<bool>>,
-    /// Evictions since the last log line, and its time.
-    unlogged: u64,
-    logged_at: Moment,
+    log: LogLimit,
 }
 
 impl State {
@@ -70,19 +68,10 @@
             if let Some(eviction) = self.evictions.get(&id) {
                 eviction.send_replace(true);
             }
-            self.unlogged += 1;
             metric::record_gave_way(name);
-        }
-        let now = util::now();
-        if self.unlogged > 0 && now.since(self.logged_at) >= LOG_INTERVAL {
-            warn_event!(
-                "gave-way",
-                pool = name,
-                count = self.unlogged,
-                used = self.pool.used(),
-                holders = self.pool.len()
-            );
-            (self.unlogged, self.logged_at) = (0, now);
+            if let Some(left_out) = self.log.record(util::now()) {
+                warn_event!("gave-way", pool = name, used = self.pool.used(), holders = self.pool.len(), left_out);
+            }
         }
     }
 }
@@ -90,7 +79,8 @@
 impl Holders {
     /// Creates a pool.
     pub fn new(name: &'static str, bounds: Bounds) -> Self {
-        let state = State { pool: Pool::new(bounds), evictions: HashMap::new(), unlogged: 0, logged_at: Moment::ZERO };
+        let log = LogLimit::new(MAX_LINES_PER_S);
+        let state = State { pool: Pool::new(bounds), evictions: HashMap::new(), log };
         Self(Arc::new(Inner { name, state: Mutex::new(state), released: Notify::new() }))
     }
 
