--- a/standin/tests/platform_crowds.rs
+++ b/standin/tests/platform_crowds.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use common::crowd::{Client, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
+use rustix::process::Signal;
 use serde_json::json;
-use standin::platform::{Behavior, KEY, Outcome, RequestSpec, Site, Spec};
+use standin::platform::{Behavior, Connection, HOST, KEY, Outcome, RequestSpec, Site, Spec};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -212,6 +213,57 @@
     site.close().expect("no invariant was breached");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_on_a_kept_connection_is_served_on_it_beside_a_crowd() {
+    let _alone = run_alone().await;
+    let site = start_site("crowd-kept").await;
+    let mut kept = Connection::open(&site.addresses[0]).await.expect("connected");
+    let spec = RequestSpec::new("POST", "/look/1", "kept", KEY).with_header("deadline-ms", "60000");
+    kept.exchange(HOST, &spec, &mut Outcome::default()).await.expect("a request");
+    let _crowd = Crowd::start(&site.addresses[0], DESCRIPTOR_CROWD, &Client::new("").returning());
+    for _ in 0..16 {
+        tokio::time::sleep(SETTLE_TIME / 16).await;
+        let mut outcome = Outcome::default();
+        kept.exchange(HOST, &spec, &mut outcome).await.expect("a request");
+        assert_eq!((outcome.status, outcome.is_complete), (200, true), "{outcome:?}");
+    }
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_stops_in_peace_beside_a_crowd_and_starts_into_it() {
+    let _alone = run_alone().await;
+    let mut site = start_site("crowd-restart").await;
+    let client = Client::new(announced(MAX_BODY_BYTES)).then([b'x'; 1_023], 4_096).returning();
+    let _crowd = Crowd::start(&site.addresses[0], CROWD, &client);
+    tokio::time::sleep(SETTLE_TIME / 4).await;
+    site.signal(0, Signal::TERM).expect("told to stop");
+    assert!(site.wait_exit(0).await.expect("it ends"), "it ends by itself");
+    site.restart(0).await.expect("it starts");
+    let sampler = sample(&site);
+    site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
+    tokio::time::sleep(SETTLE_TIME).await;
+    send_ordinary(&site, vec![b'x'; 1_000]).await;
+    assert_within_machine(sampler.close());
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_on_bodies_that_changes_holds_for_what_comes_next() {
+    let _alone = run_alone().await;
+    let site = start_site("crowd-limits").await;
+    let sampler = sample(&site);
+    let _crowd =
+        Crowd::start(&site.addresses[0], CROWD, &Client::new(chunked()).then(chunk(16), 128 << 10).returning());
+    for max_bytes in [64 << 10, 2 * MAX_BODY_BYTES, MAX_BODY_BYTES] {
+        site.configure(&[KEY], |config| config["limits"]["max_body_bytes"] = json!(max_bytes));
+        tokio::time::sleep(SETTLE_TIME / 4).await;
+        send_ordinary(&site, vec![b'x'; 1_000]).await;
+    }
+    assert_within_machine(sampler.close());
+    site.close().expect("no invariant was breached");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_largest_body_alone_is_served() {
     let _alone = run_alone().await;
