An HTTP/2 caller that takes nothing of its answer loses its connection after slow_caller_ms

Cause: the write timeout of a connection counts from a write that does not end. Where the caller opens no window, nothing is written, so that it never counted.

Change: a response notes since when it has had data that its connection does not take, and a task beside it aborts the connection after slow_caller_ms.

Why it works: the connection asks the response for more only when its caller has room.

--- a/sorrelpass/src/body_tracker.rs
+++ b/sorrelpass/src/body_tracker.rs
@@ -5,13 +5,16 @@
 //! send its next request on the connection and lose it.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
+use coord::time::Moment;
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::connection::{BodyGuard, RequestGuard};
+use crate::util;
 
 /// Body that records when its end was read.
 pub struct TrackedBody<B> {
@@ -79,13 +82,36 @@
 /// Response body that counts its request as active until it is dropped, which is when the connection has all of it.
 pub struct GuardedBody<B> {
     inner: B,
+    ready_since: Arc<ReadySince>,
     _guard: RequestGuard,
 }
 
+/// Time since which a response has had data for its caller that the connection does not take, or `None` while it has
+/// none.
+pub struct ReadySince(Mutex<Option<Moment>>);
+
+impl ReadySince {
+    /// Returns whether the caller has taken nothing of what was ready for it for `timeout`.
+    pub fn is_overdue(&self, timeout: Duration) -> bool {
+        let since = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        since.is_some_and(|since| util::now().since(since) >= timeout)
+    }
+
+    fn set(&self, since: Option<Moment>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = since;
+    }
+}
+
 impl<B> GuardedBody<B> {
     /// Wraps the body of the response to the request that `guard` counts.
     pub fn new(inner: B, guard: RequestGuard) -> Self {
-        Self { inner, _guard: guard }
+        let ready_since = Arc::new(ReadySince(Mutex::new(Some(util::now()))));
+        Self { inner, ready_since, _guard: guard }
+    }
+
+    /// Returns since when data has been ready. It is dropped with the body.
+    pub fn ready_since(&self) -> Weak<ReadySince> {
+        Arc::downgrade(&self.ready_since)
     }
 }
 
@@ -97,7 +123,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        Pin::new(&mut self.inner).poll_frame(cx)
+        let frame = Pin::new(&mut self.inner).poll_frame(cx);
+        // The connection asks again once its caller has room for more.
+        self.ready_since.set(matches!(frame, Poll::Ready(Some(_))).then(util::now));
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/sorrelpass/src/connection.rs
+++ b/sorrelpass/src/connection.rs
@@ -11,6 +11,7 @@
 use coord::pool::{Bounds, Grant, Stage};
 use rustix::process::{Resource, getrlimit};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 
 use crate::holder::{Holder, Holders, Shortage};
 use crate::util;
@@ -50,6 +51,8 @@
 pub struct Connection {
     holder: Holder,
     activity: Mutex<Activity>,
+    /// Notified when the connection is to be closed although requests are active.
+    aborted: Notify,
     /// Whether the last response left a part of its request unread.
     has_unread_body: Arc<AtomicBool>,
 }
@@ -61,7 +64,7 @@
         let holder = pool.open(Stage::Caller);
         holder.wait_to_grow(1).await?;
         let activity = Mutex::new(Activity::new(util::now()));
-        Ok(Arc::new(Self { holder, activity, has_unread_body: Arc::default() }))
+        Ok(Arc::new(Self { holder, activity, aborted: Notify::new(), has_unread_body: Arc::default() }))
     }
 
     /// Counts a request until the guard is dropped, which is when its response is complete.
@@ -83,6 +86,16 @@
         self.has_unread_body.store(true, Ordering::Relaxed);
     }
 
+    /// Closes the connection although requests are active.
+    pub fn abort(&self) {
+        self.aborted.notify_one();
+    }
+
+    /// Waits until the connection is aborted.
+    pub async fn aborted(&self) {
+        self.aborted.notified().await;
+    }
+
     /// Waits until the connection gives way. It has to be closed before anything else of it is read.
     pub fn eviction(&self) -> impl Future<Output = ()> + Send + use<> {
         self.holder.eviction()
--- a/sorrelpass/src/gateway/server.rs
+++ b/sorrelpass/src/gateway/server.rs
@@ -13,7 +13,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 
 use super::call::{self, CallerConnection};
 use super::now;
@@ -66,13 +65,12 @@
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, connection: Arc<Connection>) {
     // If this fails, the connection has a higher latency but works.
     let _ = stream.set_nodelay(true);
-    let aborted = Rc::new(Notify::new());
     let limits = gateway.table().limits();
     let service = service_fn({
-        let (gateway, connection, aborted) = (gateway.clone(), connection.clone(), aborted.clone());
+        let (gateway, connection) = (gateway.clone(), connection.clone());
         move |request: Request<Incoming>| {
             let guard = connection.begin_request(!request.body().is_end_stream());
-            respond(gateway.clone(), request, guard, aborted.clone()).map(Ok::<_, Infallible>)
+            respond(gateway.clone(), request, guard).map(Ok::<_, Infallible>)
         }
     });
     let mut builder = http1::Builder::new();
@@ -90,7 +88,7 @@
         // An aborted response is incomplete, so nothing more of it is written. A request that has not arrived when its
         // connection gives way does not arrive any more.
         biased;
-        () = aborted.notified() => return,
+        () = connection.aborted() => return,
         () = eviction.as_mut() => return,
         // The caller may close its connection during a request, which is not an error of this process.
         _ = serving.as_mut() => return,
@@ -101,7 +99,7 @@
     serving.as_mut().graceful_shutdown();
     tokio::select! {
         biased;
-        () = aborted.notified() => {}
+        () = connection.aborted() => {}
         () = eviction => {}
         // An error here means that the caller has closed its connection too.
         _ = serving => {}
@@ -110,16 +108,11 @@
 }
 
 /// Responds to one request. If its body was not read to its end, the connection is closed after the response.
-async fn respond(
-    gateway: Rc<Gateway>,
-    request: Request<Incoming>,
-    guard: RequestGuard,
-    aborted: Rc<Notify>,
-) -> CallerResponse {
+async fn respond(gateway: Rc<Gateway>, request: Request<Incoming>, guard: RequestGuard) -> CallerResponse {
     let request = request.map(|body| TrackedBody::new(body, guard.body().clone()));
     let read_state = request.body().read_state();
     let connection = guard.connection().clone();
-    let mut response = call::handle(gateway, request, Box::new(ActiveRequest { _guard: guard, aborted })).await;
+    let mut response = call::handle(gateway, request, Box::new(guard)).await;
     if read_state.has_unread_data() {
         connection.set_unread_body();
         response::close_after(&mut response);
@@ -137,16 +130,9 @@
     Timeouts { first: idle, head, idle, unread: connection::UNREAD_TIMEOUT }
 }
 
-/// Request whose response is not complete.
-struct ActiveRequest {
-    _guard: RequestGuard,
-    /// Notified when the connection is to be closed although its response is incomplete.
-    aborted: Rc<Notify>,
-}
-
-impl CallerConnection for ActiveRequest {
+impl CallerConnection for RequestGuard {
     fn abort(&self) {
-        self.aborted.notify_one();
+        self.connection().abort();
     }
 }
 
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use axum::Router;
@@ -23,7 +23,7 @@
 use tokio_io_timeout::TimeoutStream;
 use tower::ServiceExt;
 
-use crate::body_tracker::{GuardedBody, TrackedBody};
+use crate::body_tracker::{GuardedBody, ReadySince, TrackedBody};
 use crate::connection::{self, Connection, MeteredStream, RequestGuard};
 use crate::failure::Failure;
 use crate::holder::Holders;
@@ -291,7 +291,11 @@
     let read_state = request.body().read_state();
     let connection = guard.connection().clone();
     let response = server.router.clone().oneshot(request.map(Body::new)).await?;
-    let mut response = response.map(|body| Body::new(GuardedBody::new(body, guard)));
+    let response = response.map(|body| GuardedBody::new(body, guard));
+    if !is_http1 && server.clients == Clients::Callers {
+        tokio::spawn(watch_reader(response.body().ready_since(), connection.clone(), server.write_timeout));
+    }
+    let mut response = response.map(Body::new);
     if is_http1 && read_state.has_unread_data() {
         connection.set_unread_body();
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -299,6 +303,19 @@
     Ok(response)
 }
 
+/// Aborts a shared connection whose caller takes nothing of a response for `timeout`. Nothing is written to such a
+/// connection, so that its write timeout does not notice.
+async fn watch_reader(ready_since: Weak<ReadySince>, connection: Arc<Connection>, timeout: Duration) {
+    while let Some(ready_since) = ready_since.upgrade() {
+        if ready_since.is_overdue(timeout) {
+            connection.abort();
+            return;
+        }
+        drop(ready_since);
+        tokio::time::sleep(timeout / 2).await;
+    }
+}
+
 /// Serves the requests of one accepted connection, over HTTP/1 or HTTP/2.
 async fn serve_connection(
     stream: TcpStream,
@@ -338,6 +355,7 @@
         // A request that has not arrived when its connection gives way does not arrive any more.
         biased;
         () = connection.eviction() => {}
+        () = connection.aborted() => {}
         // An error here means that the caller closed the connection during a request, which is not a fault of this
         // process.
         _ = watcher.watch(serving.into_owned()) => {}
--- a/standin/tests/crowds.rs
+++ b/standin/tests/crowds.rs
@@ -9,7 +9,7 @@
 use common::crowd::{Client, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
 use common::{close_fleet, prompt, start_fleet};
 use futures_util::{StreamExt, stream};
-use http_body_util::StreamBody;
+use http_body_util::{Full, StreamBody};
 use hyper::Request;
 use hyper::body::{Bytes, Frame};
 use hyper::client::conn::http2;
@@ -169,6 +169,28 @@
     close_fleet(fleet).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shared_connection_whose_caller_takes_nothing_of_its_answers_ends() {
+    let _alone = run_alone().await;
+    let fleet = start("crowd-entry-unread").await;
+    let stream = TcpStream::connect(&fleet.entries[0]).await.expect("connected");
+    let mut client = http2::Builder::new(TokioExecutor::new());
+    client.initial_stream_window_size(0);
+    let (mut sender, connection) = client.handshake(TokioIo::new(stream)).await.expect("an HTTP/2 connection");
+    let connection = tokio::spawn(connection);
+    let body =
+        br#"{"model":"market-advisor","max_tokens":3,"stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
+    let request = Request::post("http://x/v1/chat/completions")
+        .header("authorization", format!("Bearer {}", workspace_key(0)))
+        .body(Full::new(Bytes::from_static(body)))
+        .expect("a request");
+    let response = sender.send_request(request).await.expect("the head of an answer");
+    assert_eq!(response.status(), 200);
+    // Whether it ends with an error is the entry's business.
+    let _ = tokio::time::timeout(ANSWER_TIMEOUT, connection).await.expect("the entry ends the connection");
+    close_fleet(fleet).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_send_nothing_at_a_sidecar() {
     withstand_at_sidecar("crowd-sidecar-silent", DESCRIPTOR_CROWD, Client::new("").returning()).await;
