The answers that a sidecar keeps for repeated keys have a bound, and the oldest are dropped

What callers saw: nothing yet; a client that names new keys made a sidecar keep every answer for an hour (once_window_ms).

Cause: transcripts had a time and no sum.

Change: a quarter of memory_mb holds the answers of complete calls (coord::retained, the oldest dropped first). The key of a dropped answer stays bound: a repeated call does not run again, and is told that what it came to is not known.

Why it works: what is kept is counted when it is complete, and nothing else refers to it.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod relay_buffer;
 pub mod replay;
 pub mod replica_load;
+pub mod retained;
 pub mod retry_delay;
 pub mod roster;
 pub mod route;
--- a/sorrelpass/src/sidecar/event_loop.rs
+++ b/sorrelpass/src/sidecar/event_loop.rs
@@ -8,6 +8,7 @@
 use coord::name::{Attempt, Name};
 use coord::prefix::{Cache, Chain};
 use coord::queue::Job;
+use coord::retained::Retained;
 use coord::scheduler::{Action, CancelOutcome, KeyState, PrefillPriority, Refusal, RefusalReason, Scheduler};
 use coord::time::{Moment, micros};
 use serde::Serialize;
@@ -106,6 +107,9 @@
     Status(oneshot::Sender<Status>),
 }
 
+/// Share of the process's memory for the recorded answers of complete calls that run at most once.
+const TRANSCRIPT_MEMORY_SHARE: f64 = 0.25;
+
 /// JSON body of `/status`.
 #[derive(Clone, Debug, Serialize)]
 pub struct Status {
@@ -134,6 +138,8 @@
     signals: HashMap<Attempt, mpsc::UnboundedSender<Signal>>,
     chains: HashMap<Attempt, Chain>,
     transcripts: HashMap<Key, Transcript>,
+    /// Sizes of the complete transcripts.
+    retained: Retained<Key>,
     key_by_attempt: HashMap<Attempt, Key>,
     idle_waiters: Vec<oneshot::Sender<()>>,
     /// Spans that the `control` thread has to free on the engine.
@@ -179,6 +185,7 @@
             signals: HashMap::new(),
             chains: HashMap::new(),
             transcripts: HashMap::new(),
+            retained: Retained::new((settings.memory_bytes as f64 * TRANSCRIPT_MEMORY_SHARE) as u64),
             key_by_attempt: HashMap::new(),
             idle_waiters: Vec::new(),
             expired_spans,
@@ -295,6 +302,17 @@
         }
         if let Some(key) = self.key_by_attempt.remove(&attempt) {
             self.scheduler.complete_key(&key, attempt);
+            self.retain_transcript(key);
+        }
+    }
+
+    /// Keeps the transcript of a complete call, for which older ones may have to be dropped. Their keys stay bound, so
+    /// that the calls do not run again.
+    fn retain_transcript(&mut self, key: Key) {
+        let bytes = self.transcripts.get(&key).map_or(0, Transcript::bytes);
+        for dropped in self.retained.add(key, bytes) {
+            event!("drop-answer", workspace = %dropped.workspace, kept_bytes = self.retained.total_bytes());
+            self.transcripts.insert(dropped, Transcript::dropped());
         }
     }
 
@@ -405,6 +423,7 @@
     fn prune_transcripts(&mut self) {
         let scheduler = &self.scheduler;
         self.transcripts.retain(|key, _| scheduler.has_key(key));
+        self.retained.retain(|key| scheduler.has_key(key));
     }
 
     fn advance(&mut self) {
--- a/sorrelpass/src/sidecar/transcript.rs
+++ b/sorrelpass/src/sidecar/transcript.rs
@@ -2,11 +2,14 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use coord::name::Attempt;
+use coord::name::{Attempt, ExecutionStatus};
 use tokio::sync::watch;
 
 use crate::wire::Frame;
 
+/// Memory that a recorded frame takes beside its content, in bytes.
+const FRAME_OVERHEAD_BYTES: u64 = 128;
+
 /// Recorded frames of an answer; clones share them.
 #[derive(Clone)]
 pub struct Transcript {
@@ -26,6 +29,22 @@
         Self { frames: Arc::default(), progress: Arc::new(watch::channel(Progress::default()).0) }
     }
 
+    /// Creates the transcript of a call whose answer was recorded and is no longer kept.
+    pub fn dropped() -> Self {
+        let transcript = Self::new();
+        let message = "the call ran before, and its answer is no longer kept".to_owned();
+        let step = "read-kept".to_owned();
+        transcript.push(Frame::Failed { ran: ExecutionStatus::Unknown, step, message, status: None });
+        transcript.clone().close();
+        transcript
+    }
+
+    /// Returns the memory that the recorded frames take, in bytes.
+    pub fn bytes(&self) -> u64 {
+        let content = |frame: &Frame| if let Frame::Chunk { bytes, .. } = frame { bytes.len() as u64 } else { 0 };
+        self.lock().iter().map(|frame| FRAME_OVERHEAD_BYTES + content(frame)).sum()
+    }
+
     /// Appends a frame.
     pub fn push(&self, frame: Frame) {
         let mut frames = self.lock();
--- a/standin/tests/crowds.rs
+++ b/standin/tests/crowds.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::crowd::{Client, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
-use common::{close_fleet, prompt, start_fleet};
+use common::{call_headers, close_fleet, prompt, start_fleet};
 use futures_util::{StreamExt, stream};
 use http_body_util::{Full, StreamBody};
 use hyper::Request;
@@ -27,6 +27,8 @@
 /// Clients of a crowd that goes for descriptors, and the descriptors that each process has.
 const DESCRIPTOR_CROWD: usize = 1_000;
 const DESCRIPTORS: u64 = 900;
+/// Calls that run at most once, each with an answer of the largest body.
+const KEYED_CALLS: usize = 200;
 /// HTTP/2 connections of a crowd, and the streams that each one tries to have.
 const SHARED_CROWD: usize = 8;
 const STREAMS: usize = 400;
@@ -191,6 +193,30 @@
     close_fleet(fleet).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_a_sidecar_keeps_for_keys_that_come_again() {
+    let _alone = run_alone().await;
+    let fleet = start("crowd-sidecar-keys").await;
+    let sidecar = "sidecar-stall-ledger-0";
+    let sampler = Sampler::start(fleet.pid(sidecar).expect("it runs"), &[&fleet.addresses[sidecar]]);
+    let call = async |key: &str| {
+        let headers = call_headers(Some(key));
+        let body = "x".repeat(MAX_BODY_BYTES);
+        fleet.client.call("POST", &fleet.entries[0], "/services/stall-ledger/payments", &headers, body).await
+    };
+    for number in 0..KEYED_CALLS {
+        let outcome = call(&format!("key-{number}")).await;
+        assert_eq!(outcome.status, 200, "{}", outcome.code());
+    }
+    assert_eq!(call(&format!("key-{}", KEYED_CALLS - 1)).await.status, 200, "a recent answer is kept");
+    // Whether the answer to an old key is kept is up to the sidecar; that it does not run again is not.
+    let again = call("key-0").await;
+    assert!(again.status == 200 || again.ran() == Some("unknown"), "{again:?}");
+    assert!(fleet.run_counts().await.values().all(|count| *count == 1), "no call ran twice");
+    assert_within(sampler.close());
+    close_fleet(fleet).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_send_nothing_at_a_sidecar() {
     withstand_at_sidecar("crowd-sidecar-silent", DESCRIPTOR_CROWD, Client::new("").returning()).await;
