Idle connections between processes of the system stay open for an hour rather than two minutes

Cause: an entry's connection to a sidecar rests as long as no work comes; one that is closed while work is sent on it loses the work, and what became of it is not known.

Change: the idle time of two minutes holds for callers only.

Evidence: by reading; an hour of rest is not played.

--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -54,11 +54,11 @@
     .div_ceil(connection::CONNECTION_BYTES);
 /// Delay after which a caller may ask again whose HTTP/2 connection does not fit.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Time without a request after which a connection is closed: longer than clients keep a connection that rests.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Times of a connection.
-const TIMEOUTS: Timeouts =
-    Timeouts { first: HEADER_TIMEOUT, head: HEADER_TIMEOUT, idle: IDLE_TIMEOUT, unread: connection::UNREAD_TIMEOUT };
+/// Time without a request after which a caller's connection is closed: longer than clients keep a connection that rests.
+const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time without a request after which the connection of a process of the system is closed. A request that meets the close
+/// is lost, so that it is far beyond the pauses of a process that is alive.
+const PROCESS_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Size of the kernel's receive buffer of a caller's connection. Without it, the kernel's automatic sizing would let
 /// megabytes wait for a process that does not read on.
 const RECEIVE_BUFFER_BYTES: u32 = 64 * 1_024;
@@ -247,6 +247,15 @@
             Clients::Processes => 1,
         }
     }
+
+    /// Returns the times of a connection.
+    fn timeouts(&self) -> Timeouts {
+        let idle = match self.clients {
+            Clients::Callers => CALLER_IDLE_TIMEOUT,
+            Clients::Processes => PROCESS_IDLE_TIMEOUT,
+        };
+        Timeouts { first: HEADER_TIMEOUT, head: HEADER_TIMEOUT, idle, unread: connection::UNREAD_TIMEOUT }
+    }
 }
 
 /// Serves `listener` until `shutdown` becomes true, then waits for the requests in flight to finish.
@@ -324,6 +333,7 @@
     watcher: hyper_util::server::graceful::Watcher,
 ) {
     let _ = stream.set_nodelay(true);
+    let timeouts = server.timeouts();
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(server.write_timeout));
     let (window_bytes, max_streams) = match server.clients {
@@ -359,6 +369,6 @@
         // An error here means that the caller closed the connection during a request, which is not a fault of this
         // process.
         _ = watcher.watch(serving.into_owned()) => {}
-        () = connection.wait_until_overdue(|| TIMEOUTS) => {}
+        () = connection.wait_until_overdue(|| timeouts) => {}
     }
 }
