A holder that stops waiting for more can stall again

What callers saw: nothing yet. An HTTP/2 connection of the own form that found no room for what its requests may hold counted as waiting for good, so that it never gave way, however little its caller did.

Cause: a holder that waits does not stall, and nothing said that it no longer waits.

Change: who asks once and goes on says so (Pool::stop_waiting). The crowd tests share their crowd and bounds.

Evidence: pool.rs, a_holder_that_waits_for_room_does_not_stall: without the call the holder never gives way.

--- a/coord/src/pool.rs
+++ b/coord/src/pool.rs
@@ -160,7 +160,7 @@
     }
 
     /// Raises the amount of a holder to `amount`, for which others may give way. A smaller amount than it holds is
-    /// granted without any change.
+    /// granted without any change. A holder that has to wait does not stall until it has the amount or stops waiting.
     pub fn grow(&mut self, id: HolderId, amount: u64, now: Moment) -> Grant {
         let Some(holder) = self.holders.get(&id).copied() else { return Grant::Gone };
         if holder.stage == Stage::Evicted {
@@ -184,6 +184,13 @@
         Grant::Granted
     }
 
+    /// Records that a holder waits for more no longer, although it did not get it.
+    pub fn stop_waiting(&mut self, id: HolderId) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.is_waiting = false;
+        }
+    }
+
     /// Lowers the amount of a holder to `amount`.
     pub fn shrink(&mut self, id: HolderId, amount: u64) {
         let Some(holder) = self.holders.get_mut(&id) else { return };
--- a/coord/tests/pool.rs
+++ b/coord/tests/pool.rs
@@ -161,6 +161,9 @@
     let asker = pool.open(Stage::Caller, now);
     assert_eq!(pool.grow(asker, 200_000, now), Grant::Wait);
     assert!(pool.take_evicted().is_empty());
+    pool.stop_waiting(waiting);
+    pool.grow(asker, 200_000, now);
+    assert_eq!(pool.take_evicted(), [waiting], "one that waits no longer does");
 }
 
 #[derive(Clone, Debug)]
--- a/sorrelpass/src/connection.rs
+++ b/sorrelpass/src/connection.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use coord::connection::{Activity, Timeouts};
-use coord::pool::{Bounds, Grant, Stage};
+use coord::pool::{Bounds, Stage};
 use rustix::process::{Resource, getrlimit};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
@@ -78,7 +78,7 @@
     /// room for that.
     pub fn set_multiplexed(&self, units: usize) -> bool {
         self.change(Activity::set_multiplexed);
-        self.holder.try_grow(units) == Grant::Granted
+        self.holder.grow_now(units)
     }
 
     /// Records that a response leaves a part of its request unread.
--- a/sorrelpass/src/holder.rs
+++ b/sorrelpass/src/holder.rs
@@ -112,17 +112,26 @@
 }
 
 impl Holder {
-    /// Raises the amount without waiting.
-    pub fn try_grow(&self, amount: usize) -> Grant {
+    /// Asks for the amount once. A holder that has to wait for it asks again.
+    fn try_grow(&self, amount: usize) -> Grant {
         let mut state = self.holders.lock();
         let grant = state.pool.grow(self.id, amount as u64, util::now());
         state.announce_evicted(self.holders.0.name);
         grant
     }
 
-    /// Raises the amount, and waits a short time for it.
-    pub async fn grow(&self, amount: usize, is_empty: bool) -> Result<(), Shortage> {
-        let deadline = Instant::now() + if is_empty { ADMISSION_TIMEOUT } else { GROWTH_TIMEOUT };
+    /// Raises the amount if there is room for it now.
+    pub fn grow_now(&self, amount: usize) -> bool {
+        let is_granted = self.try_grow(amount) == Grant::Granted;
+        if !is_granted {
+            self.holders.lock().pool.stop_waiting(self.id);
+        }
+        is_granted
+    }
+
+    /// Raises the amount, and waits a short time for it. `is_first` tells that it holds nothing yet.
+    pub async fn grow(&self, amount: usize, is_first: bool) -> Result<(), Shortage> {
+        let deadline = Instant::now() + if is_first { ADMISSION_TIMEOUT } else { GROWTH_TIMEOUT };
         match tokio::time::timeout_at(deadline, self.wait_to_grow(amount)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(Shortage::Exhausted),
--- a/sorrelpass/src/request_body.rs
+++ b/sorrelpass/src/request_body.rs
@@ -143,8 +143,8 @@
         if !self.holder.can_ever_have(capacity) {
             return Err(ReadError::TooLarge);
         }
-        let is_empty = self.bytes.capacity() == 0;
-        self.holder.grow(capacity, is_empty).await.map_err(ReadError::Shortage)?;
+        let is_first = self.bytes.capacity() == 0;
+        self.holder.grow(capacity, is_first).await.map_err(ReadError::Shortage)?;
         self.bytes.reserve_exact(capacity - self.bytes.len());
         Ok(())
     }
--- a/standin/tests/common/crowd.rs
+++ b/standin/tests/common/crowd.rs
@@ -12,6 +12,16 @@
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinHandle;
 
+/// Clients of a crowd that goes for memory.
+pub const CROWD: usize = 40;
+/// Clients of a crowd that goes for descriptors.
+pub const DESCRIPTOR_CROWD: usize = 1_000;
+/// Descriptors that each process has.
+pub const DESCRIPTORS: u64 = 900;
+/// Time for which a crowd is left to send what it sends.
+pub const SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Time after which an ordinary caller counts as not answered.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval at which the peak is sampled.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 /// Bytes that a client writes at once.
@@ -151,6 +161,15 @@
     pub descriptors: usize,
 }
 
+impl Peak {
+    /// Fails if the process needed more than a machine of `memory_mb` and [`DESCRIPTORS`] has.
+    pub fn assert_within(self, memory_mb: u64) {
+        println!("peak: {} MB, {} descriptors", self.memory_bytes >> 20, self.descriptors);
+        assert!(self.memory_bytes <= memory_mb << 20, "{} MB of {memory_mb}", self.memory_bytes >> 20);
+        assert!(self.descriptors <= DESCRIPTORS as usize, "{} descriptors of {DESCRIPTORS}", self.descriptors);
+    }
+}
+
 /// Samples a process until it is closed.
 pub struct Sampler {
     is_closed: Arc<AtomicBool>,
--- a/standin/tests/crowds.rs
+++ b/standin/tests/crowds.rs
@@ -6,7 +6,10 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use common::crowd::{Client, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
+use common::crowd::{
+    ANSWER_TIMEOUT, CROWD, Client, Crowd, DESCRIPTOR_CROWD, DESCRIPTORS, SETTLE_TIME, Sampler, run_alone,
+    with_descriptor_limit,
+};
 use common::{call_headers, close_fleet, prompt, start_fleet};
 use futures_util::{StreamExt, stream};
 use http_body_util::{Full, StreamBody};
@@ -22,20 +25,11 @@
 /// Largest body and the memory for all bodies, as the settings of the entries say.
 const MAX_BODY_BYTES: usize = 1 << 20;
 const BODY_BUDGET_BYTES: usize = 8 << 20;
-/// Clients of a crowd that goes for memory.
-const CROWD: usize = 40;
-/// Clients of a crowd that goes for descriptors, and the descriptors that each process has.
-const DESCRIPTOR_CROWD: usize = 1_000;
-const DESCRIPTORS: u64 = 900;
 /// Calls that run at most once, each with an answer of the largest body.
 const KEYED_CALLS: usize = 200;
 /// HTTP/2 connections of a crowd, and the streams that each one tries to have.
 const SHARED_CROWD: usize = 8;
 const STREAMS: usize = 400;
-/// Time for which a crowd is left to send what it sends.
-const SETTLE_TIME: Duration = Duration::from_secs(8);
-/// Time after which an ordinary caller counts as not answered.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
 async fn start(name: &str) -> Fleet {
     let settings = format!("max_body_bytes = {MAX_BODY_BYTES}\nbody_budget_bytes = {BODY_BUDGET_BYTES}\n");
@@ -71,16 +65,10 @@
     send_ordinary(&fleet).await;
     drop(crowd);
     send_ordinary(&fleet).await;
-    assert_within(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     close_fleet(fleet).await;
 }
 
-fn assert_within(peak: Peak) {
-    println!("peak: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
-    assert!(peak.memory_bytes <= MEMORY_MB << 20, "{} MB of {MEMORY_MB}", peak.memory_bytes >> 20);
-    assert!(peak.descriptors <= DESCRIPTORS as usize, "{} descriptors of {DESCRIPTORS}", peak.descriptors);
-}
-
 async fn withstand_at_entry(name: &str, clients: usize, client: Client) {
     let _alone = run_alone().await;
     let fleet = start(name).await;
@@ -167,7 +155,7 @@
     tokio::time::sleep(SETTLE_TIME).await;
     send_ordinary(&fleet).await;
     crowd.iter().for_each(tokio::task::JoinHandle::abort);
-    assert_within(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     close_fleet(fleet).await;
 }
 
@@ -213,7 +201,7 @@
     let again = call("key-0").await;
     assert!(again.status == 200 || again.ran() == Some("unknown"), "{again:?}");
     assert!(fleet.run_counts().await.values().all(|count| *count == 1), "no call ran twice");
-    assert_within(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     close_fleet(fleet).await;
 }
 
--- a/standin/tests/platform_crowds.rs
+++ b/standin/tests/platform_crowds.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use common::crowd::{Client, Crowd, Peak, Sampler, run_alone, with_descriptor_limit};
+use common::crowd::{
+    ANSWER_TIMEOUT, CROWD, Client, Crowd, DESCRIPTOR_CROWD, DESCRIPTORS, SETTLE_TIME, Sampler, run_alone,
+    with_descriptor_limit,
+};
 use rustix::process::Signal;
 use serde_json::json;
 use standin::platform::{Behavior, Connection, HOST, KEY, Outcome, RequestSpec, Site, Spec};
@@ -16,15 +19,6 @@
 const MEMORY_MB: u64 = 64;
 /// Largest body that the configuration allows.
 const MAX_BODY_BYTES: usize = 4 << 20;
-/// Clients of a crowd that goes for memory.
-const CROWD: usize = 40;
-/// Clients of a crowd that goes for descriptors, and the descriptors that the entry has.
-const DESCRIPTOR_CROWD: usize = 1_000;
-const DESCRIPTORS: u64 = 900;
-/// Time for which a crowd is left to send what it sends.
-const SETTLE_TIME: Duration = Duration::from_secs(8);
-/// Time after which an ordinary caller counts as not answered.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
 async fn start_site(name: &str) -> Site {
     let gateway = format!("memory_mb = {MEMORY_MB}");
@@ -63,12 +57,6 @@
     Sampler::start(site.process_id(0).expect("it runs"), &[&site.addresses[0], &site.ready_addresses[0]])
 }
 
-fn assert_within_machine(peak: Peak) {
-    println!("peak: {} MB, {} descriptors", peak.memory_bytes >> 20, peak.descriptors);
-    assert!(peak.memory_bytes <= MEMORY_MB << 20, "{} MB of {MEMORY_MB}", peak.memory_bytes >> 20);
-    assert!(peak.descriptors <= DESCRIPTORS as usize, "{} descriptors of {DESCRIPTORS}", peak.descriptors);
-}
-
 /// Sends an ordinary call, which comes back as it is told, until it is answered.
 async fn send_ordinary(site: &Site, body: Vec<u8>) -> Outcome {
     let spec = RequestSpec { body: body.into(), ..RequestSpec::new("POST", "/look/1", "ordinary", KEY) }
@@ -97,7 +85,7 @@
     site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
     drop(crowd);
     send_ordinary(&site, vec![b'x'; 1_000]).await;
-    assert_within_machine(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     site.close().expect("no invariant was breached");
 }
 
@@ -176,7 +164,7 @@
     site.plain_replicas.iter().for_each(|replica| replica.clear_behaviors());
     send_ordinary(&site, vec![b'x'; 1_000]).await;
     drop(crowd);
-    assert_within_machine(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     site.close().expect("no invariant was breached");
 }
 
@@ -209,7 +197,7 @@
     tokio::time::sleep(SETTLE_TIME).await;
     send_ordinary(&site, vec![b'x'; 1_000]).await;
     site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
-    assert_within_machine(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     site.close().expect("no invariant was breached");
 }
 
@@ -244,7 +232,7 @@
     site.wait_ready(0, true).await.expect("the entry is ready beside the crowd");
     tokio::time::sleep(SETTLE_TIME).await;
     send_ordinary(&site, vec![b'x'; 1_000]).await;
-    assert_within_machine(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     site.close().expect("no invariant was breached");
 }
 
@@ -260,7 +248,7 @@
         tokio::time::sleep(SETTLE_TIME / 4).await;
         send_ordinary(&site, vec![b'x'; 1_000]).await;
     }
-    assert_within_machine(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     site.close().expect("no invariant was breached");
 }
 
@@ -270,7 +258,7 @@
     let site = start_site("crowd-alone").await;
     let sampler = sample(&site);
     send_ordinary(&site, vec![b'x'; MAX_BODY_BYTES]).await;
-    assert_within_machine(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     site.close().expect("no invariant was breached");
 }
 
@@ -288,7 +276,7 @@
     let mut status = [0; 12];
     stream.read_exact(&mut status).await.expect("answered");
     assert_eq!(String::from_utf8_lossy(&status), "HTTP/1.1 200");
-    assert_within_machine(sampler.close());
+    sampler.close().assert_within(MEMORY_MB);
     site.close().expect("no invariant was breached");
 }
 
