--- a/sorrelpass/src/config/mod.rs
+++ b/sorrelpass/src/config/mod.rs
@@ -223,7 +223,7 @@
     let max_endpoints_per_service = reader.number("entry", "sample", 1..=1 << 20, 256);
     let max_body_bytes = reader.number("entry", "max_body_bytes", 1_024..=1 << 30, 16 << 20);
     let body_budget_bytes = reader.number("entry", "body_budget_bytes", 1_024..=1 << 36, 256 << 20);
-    let memory_bytes = read_memory(reader, "entry", DEFAULT_ENTRY_MEMORY_MB);
+    let memory_mb = reader.number("entry", "memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB, DEFAULT_ENTRY_MEMORY_MB);
     let quote_timeout = reader.millis("entry", "quote_timeout_ms", 1..=60_000, 100);
     let cancel_reserve = reader.millis("entry", "void_reserve_ms", 1..=60_000, 200);
     let caller_timeout = reader.millis("entry", "slow_caller_ms", 10..=MAX_DURATION_MS, 10_000);
@@ -248,7 +248,7 @@
         max_endpoints_per_service,
         max_body_bytes,
         body_budget_bytes,
-        memory_bytes,
+        memory_bytes: memory_mb << 20,
         quote_timeout,
         cancel_reserve,
         caller_timeout,
@@ -261,10 +261,6 @@
     })
 }
 
-fn read_memory(reader: &mut Reader, section: &str, default_mb: u64) -> u64 {
-    reader.number(section, "memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB, default_mb) << 20
-}
-
 fn read_limits(reader: &mut Reader) -> Limits {
     Limits {
         slots: reader.number("sidecar", "slots", 1..=65_536, 64),
@@ -296,7 +292,7 @@
     let initial_prefill_rate = reader.number("sidecar", "prefill_tokens_per_s", 1.0..=1e12, 60_000.0);
     let initial_gap = reader.millis("sidecar", "gap_ms", 1..=60_000, 20);
     let cache_blocks = reader.number("sidecar", "cache_blocks", 1..=1 << 24, 65_536);
-    let memory_bytes = read_memory(reader, "sidecar", DEFAULT_SIDECAR_MEMORY_MB);
+    let memory_mb = reader.number("sidecar", "memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB, DEFAULT_SIDECAR_MEMORY_MB);
     let entry_timeout = reader.millis("sidecar", "slow_entry_ms", 10..=MAX_DURATION_MS, 10_000);
     let probe_interval = reader.millis("sidecar", "probe_ms", 20..=MAX_DURATION_MS, 1_000);
     Some(Sidecar {
@@ -313,7 +309,7 @@
         initial_prefill_rate,
         initial_gap,
         cache_blocks,
-        memory_bytes,
+        memory_bytes: memory_mb << 20,
         entry_timeout,
         probe_interval,
     })
