--- a/sorrelpass/src/connection.rs
+++ b/sorrelpass/src/connection.rs
@@ -28,8 +28,8 @@
 /// Time without progress after which an unfinished connection counts as stalled. While more are open than there is room
 /// for, each one has this time, and a new one waits for it.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which a connection is closed whose caller reads nothing of a response that is ready: beyond the time limits
-/// of callers.
+/// Time after which a connection is closed whose caller reads nothing of a response that is ready: beyond the
+/// timeouts of callers.
 pub const UNREAD_TIMEOUT: Duration = Duration::from_secs(120);
 /// Shortest time between two checks of a connection's times.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
