--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod fragile;
 mod proxy;
+mod query;
 mod replica;
 mod site;
 pub mod soak;
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -5,13 +5,14 @@
 //! errors while others are served.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::ops::Bound;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::Router;
 use axum::body::{Body, Bytes};
-use axum::extract::{Query, State};
+use axum::extract::State;
 use axum::http::{HeaderName, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
@@ -22,6 +23,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+use super::query::Query;
+
 /// Fault that a listener injects into its calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -38,6 +41,9 @@
     DropResponses,
 }
 
+/// Records in a response with the newest record of each key, unless [`Store::set_records_per_page`] sets another number.
+const RECORDS_PER_PAGE: usize = 500;
+
 /// Response header with the store's era: the number of times that it was restored from an older snapshot.
 const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 
@@ -79,9 +85,9 @@
 }
 
 /// State of the store, which all its listeners share.
-#[derive(Default)]
 pub struct Store {
     topics: Mutex<HashMap<String, Topic>>,
+    records_per_page: AtomicUsize,
     /// Number of restores from an older snapshot.
     era: AtomicU64,
     changed: Notify,
@@ -114,7 +120,17 @@
 impl Store {
     /// Creates an empty store in era 0.
     pub fn new() -> Arc<Self> {
-        Arc::default()
+        Arc::new(Self {
+            topics: Mutex::default(),
+            records_per_page: AtomicUsize::new(RECORDS_PER_PAGE),
+            era: AtomicU64::new(0),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Sets the number of records in a response with the newest record of each key.
+    pub fn set_records_per_page(&self, records: usize) {
+        self.records_per_page.store(records, Ordering::SeqCst);
     }
 
     /// Opens a listener without a fault on a free loopback port.
@@ -232,32 +248,20 @@
     response
 }
 
-type QueryParams = Query<HashMap<String, String>>;
-
-/// Returns the numeric value of a query parameter; 0 if it is missing or invalid.
-fn number_param(params: &QueryParams, name: &str) -> u64 {
-    params.get(name).and_then(|raw| raw.parse().ok()).unwrap_or(0)
-}
-
-/// Returns the name of the topic in the query; empty if it is missing.
-fn topic_param(params: &QueryParams) -> String {
-    params.get("topic").cloned().unwrap_or_default()
-}
-
 /// Appends all records of a body, or none if the body is invalid. The topic with the replicas' records is read-only
 /// here.
-async fn append(State(listener): State<Arc<StoreListener>>, params: QueryParams, body: Bytes) -> Response {
+async fn append(State(listener): State<Arc<StoreListener>>, query: Query, body: Bytes) -> Response {
     let fault = match listener.begin_call().await {
         Ok(fault) => fault,
         Err(response) => return response,
     };
-    if topic_param(&params) == "keyed.servers" {
+    if query.text("topic") == "keyed.servers" {
         return StatusCode::FORBIDDEN.into_response();
     }
     let Some(records) = decode_records(body) else { return StatusCode::BAD_REQUEST.into_response() };
     let mut end_offset = 0;
     for (key, value) in records {
-        end_offset = listener.store.put(&topic_param(&params), &key, value);
+        end_offset = listener.store.put(&query.text("topic"), &key, value);
     }
     if fault == Fault::DropResponses {
         std::future::pending::<()>().await;
@@ -279,12 +283,12 @@
 }
 
 /// Reads records from an offset on, and waits up to `wait_ms` for the first one if there is none yet.
-async fn read(State(listener): State<Arc<StoreListener>>, params: QueryParams) -> Response {
+async fn read(State(listener): State<Arc<StoreListener>>, query: Query) -> Response {
     if let Err(response) = listener.begin_call().await {
         return response;
     }
-    let (topic, from) = (topic_param(&params), number_param(&params, "from"));
-    let wait = Duration::from_millis(number_param(&params, "wait_ms"));
+    let (topic, from) = (query.text("topic"), query.number("from"));
+    let wait = Duration::from_millis(query.number("wait_ms"));
     let deadline = tokio::time::Instant::now() + wait;
     let era = listener.store.era();
     loop {
@@ -327,18 +331,23 @@
     Some(Body::from(encoded).into_response())
 }
 
-/// Reads the newest record of each key, in one page.
-async fn read_compacted(State(listener): State<Arc<StoreListener>>, params: QueryParams) -> Response {
+/// Reads one page of the newest records, in the order of their keys: those whose keys follow `after_rev`, or the first
+/// ones without it.
+async fn read_compacted(State(listener): State<Arc<StoreListener>>, query: Query) -> Response {
     if let Err(response) = listener.begin_call().await {
         return response;
     }
     let topics = lock(&listener.store.topics);
     let empty = Topic::default();
-    let topic = topics.get(&topic_param(&params)).unwrap_or(&empty);
-    let items: Vec<_> = topic
-        .compacted_records()
-        .into_iter()
-        .map(|(key, (offset, value))| json!({ "tls_key": String::from_utf8_lossy(&key), "value": STANDARD.encode(value), "offset": offset }))
+    let topic = topics.get(&query.text("topic")).unwrap_or(&empty);
+    let start = query.bytes("after_rev").map_or(Bound::Unbounded, |key| Bound::Excluded(key.to_vec()));
+    let compacted = topic.compacted_records();
+    let mut unread = compacted.range((start, Bound::Unbounded));
+    let items: Vec<_> = unread
+        .by_ref()
+        .take(listener.store.records_per_page.load(Ordering::SeqCst))
+        .map(|(key, (offset, value))| json!({ "tls_key": String::from_utf8_lossy(key), "value": STANDARD.encode(value), "offset": offset }))
         .collect();
-    axum::Json(json!({ "items": items, "more": false, "end": topic.end_offset() })).into_response()
+    let has_more = unread.next().is_some();
+    axum::Json(json!({ "items": items, "more": has_more, "end": topic.end_offset() })).into_response()
 }
--- /dev/null
+++ b/standin/tests/platform_odd_entries.rs
@@ -0,0 +1,79 @@
+//! Records that another writer left among those of the replicas, under keys that no replica has: they name no replica,
+//! and the other records hold.
+
+use standin::platform::{KEY, RequestSpec, Site, Spec};
+
+const TOPIC: &str = "keyed.servers";
+/// Number of requests that each test sends to each entry.
+const REQUESTS: usize = 20;
+/// Characters with a meaning of their own in a URL, and ones that cannot stand in it.
+const URL_CHARACTERS: [&str; 16] =
+    ["&", "+", "#", "%", " ", "%20", "%zz", "?", "=", "/", "\"", "ä", "\0", "\n", "\r\n", "\u{7f}"];
+/// Values that no replica writes: nothing that can be read, and records without fields, with other types or states.
+const ODD_VALUES: [&str; 4] = ["\u{0}\u{1}", "{}", r#"{"service":7,"address":[]}"#, r#"{"state":"resting"}"#];
+
+/// Keys with each of [`URL_CHARACTERS`] before, among and behind the keys of the replicas.
+fn odd_keys() -> Vec<String> {
+    let forms = ["{}a", "engine-0{}x", "plain-0{}", "z{}z"];
+    let keys = forms.iter().flat_map(|form| URL_CHARACTERS.map(|character| form.replace("{}", character)));
+    keys.chain([String::new()]).collect()
+}
+
+async fn start_site(name: &str) -> Site {
+    Site::start(Spec::small(name)).await.expect("the site starts")
+}
+
+async fn restart_all(site: &mut Site) {
+    for entry in 0..site.addresses.len() {
+        site.restart(entry).await.expect("the entry starts");
+    }
+    for entry in 0..site.addresses.len() {
+        site.wait_ready(entry, true).await.expect("the entry reads the store");
+    }
+}
+
+/// Sends requests to all entries, and checks that each is served, and by every replica that holds.
+async fn assert_all_served(site: &Site) {
+    for number in 0..REQUESTS {
+        for entry in 0..site.addresses.len() {
+            let request = RequestSpec::new("GET", "/look/1", &format!("{entry}-{number}"), KEY)
+                .with_header("deadline-ms", "2000");
+            let outcome = site.send(entry, &request).await;
+            assert_eq!((outcome.status, outcome.is_complete), (200, true), "entry {entry}: {outcome:?}");
+        }
+    }
+    assert!(
+        site.plain_replicas.iter().all(|replica| !replica.received_requests().is_empty()),
+        "a replica is not known"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn records_under_keys_with_url_characters_do_not_stop_entries_that_start() {
+    let mut site = start_site("odd-keys").await;
+    for (index, key) in odd_keys().iter().enumerate() {
+        site.store.put(TOPIC, key, ODD_VALUES[index % ODD_VALUES.len()]);
+    }
+    // Each key is the last one of a page.
+    site.store.set_records_per_page(1);
+    restart_all(&mut site).await;
+    assert_all_served(&site).await;
+    site.close().expect("no invariant was breached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_such_record_at_the_end_of_a_full_page_does_not_stop_entries_that_start() {
+    let mut site = start_site("odd-key").await;
+    // The keys of the replicas follow on the second page.
+    for number in 0..499 {
+        site.store.put(TOPIC, &format!("a{number:03}"), "{}");
+    }
+    for character in URL_CHARACTERS {
+        let key = format!("b{character}x");
+        site.store.put(TOPIC, &key, "{}");
+        restart_all(&mut site).await;
+        assert_all_served(&site).await;
+        site.store.put(TOPIC, &key, "");
+    }
+    site.close().expect("no invariant was breached");
+}
