--- a/sorrelpass/src/gateway/peers.rs
+++ b/sorrelpass/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 
 use super::now;
 use super::peer_protocol::{LeaderMessage, PeerConnection};
+use super::topic_reader::log_unreadable_items;
 use crate::{event, metric, util, warn_event};
 
 /// Bounds the time to connect to another entry and to receive its first message: some round trips across a region.
@@ -78,6 +79,7 @@
     metric::record_store_calls("newest", store::PEERS_TOPIC, outcome.as_ref().map_or(1, |snapshot| snapshot.pages));
     match outcome {
         Ok(snapshot) => {
+            log_unreadable_items(store::PEERS_TOPIC, &snapshot);
             let mut peers: Vec<Peer> = snapshot.records.iter().filter_map(decode_announcement).collect();
             peers.sort_by_key(|peer| peer.rank);
             let rank = peers.iter().position(|peer| Some(peer.address) == own_address).unwrap_or(peers.len());
--- a/sorrelpass/src/gateway/topic_reader.rs
+++ b/sorrelpass/src/gateway/topic_reader.rs
@@ -5,7 +5,7 @@
 use coord::offset::Formatted;
 use coord::retry_delay::RetryDelay;
 use eyre::Result;
-use platform::store::{Client, KeyedRecord, Read};
+use platform::store::{Client, CompactedTopic, KeyedRecord, Read};
 
 use super::state::Gateway;
 use super::store_reader;
@@ -149,6 +149,14 @@
         let outcome = self.client.read_compacted(self.topic_name, timeout).await;
         metric::record_store_calls("newest", self.topic_name, outcome.as_ref().map_or(1, |snapshot| snapshot.pages));
         let snapshot = outcome?;
+        log_unreadable_items(self.topic_name, &snapshot);
         Ok(RecordBatch { records: snapshot.records, next_offset: snapshot.end_offset })
     }
 }
+
+/// Logs how many items of a snapshot cannot be decoded, if there are any.
+pub fn log_unreadable_items(topic_name: &str, snapshot: &CompactedTopic) {
+    if snapshot.unreadable_items > 0 {
+        warn_event!("store-unreadable", topic = topic_name, items = snapshot.unreadable_items);
+    }
+}
