An item of the VM list that is no VM costs only itself

What callers would see, in the project's own form: no request is served by entries that start while another writer's item stands in the VM list, and entries that run serve from the list as it was before.

Cause: the list was decoded as a whole, so that one item without a field, with another type or with an unknown role made it an error (vm-list-unreadable) for as long as the item stood.

Evidence: one_odd_item_of_the_vm_list_does_not_stop_entries_that_start failed on: 30 s after the restart of all entries none knew an endpoint. The stand-in of the list now takes any JSON.

Change: each item is decoded by itself; the entry logs how many are left out, whenever the number changes.

The test beside it, odd records in all streams of the log, passed before this change; for it the stand-in of the log passes payloads on as they were appended, since it ended itself at one that is half a character.

--- a/sorrelpass/src/entry/vm_list.rs
+++ b/sorrelpass/src/entry/vm_list.rs
@@ -14,11 +14,15 @@
 /// Polls the VM list periodically. While it cannot be read, the last list stays in use.
 pub async fn run(shared: &Shared, vms: Box<dyn VmList>, sender: watch::Sender<Arc<Vec<Vm>>>) {
     let mut is_reachable = true;
+    let mut unreadable_items = 0;
     loop {
         match vms.list().await {
             Ok(list) => {
                 is_reachable = true;
-                update(shared, list, &sender).await;
+                if std::mem::replace(&mut unreadable_items, list.unreadable_items) != list.unreadable_items {
+                    warn_event!("vm-list-items-unreadable", items = list.unreadable_items);
+                }
+                update(shared, list.vms, &sender).await;
             }
             Err(error) if is_reachable => {
                 is_reachable = false;
--- a/sorrelpass/src/platform/http.rs
+++ b/sorrelpass/src/platform/http.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use serde_json::value::RawValue;
 
-use super::{Batch, BoxFuture, Log, Record, VmList};
+use super::{Batch, BoxFuture, Listing, Log, Record, VmList};
 use crate::http::{self, Client};
 use crate::plugin::{LogPlugin, VmListPlugin};
 
@@ -93,12 +93,18 @@
     fn new(address: &str) -> Self {
         Self { address: address.to_owned(), client: http::client_h1() }
     }
+
+    async fn read_list(&self) -> Result<Listing> {
+        let call = http::exchange_json(&self.client, &self.address, "GET", "/vms", None);
+        let items: Vec<Box<RawValue>> = with_timeout(&self.address, CALL_TIMEOUT, call).await?;
+        let vms: Vec<Vm> = items.iter().filter_map(|item| serde_json::from_str(item.get()).ok()).collect();
+        Ok(Listing { unreadable_items: items.len() - vms.len(), vms })
+    }
 }
 
 impl VmList for HttpVmList {
-    fn list(&self) -> BoxFuture<'_, Vec<Vm>> {
-        let call = http::exchange_json(&self.client, &self.address, "GET", "/vms", None);
-        Box::pin(with_timeout(&self.address, CALL_TIMEOUT, call))
+    fn list(&self) -> BoxFuture<'_, Listing> {
+        Box::pin(self.read_list())
     }
 }
 
--- a/sorrelpass/src/platform/mod.rs
+++ b/sorrelpass/src/platform/mod.rs
@@ -46,8 +46,17 @@
     fn read<'a>(&'a self, stream: &'a str, offset: u64, wait_ms: u64) -> BoxFuture<'a, Batch>;
 }
 
+/// Result of one read of the VM list.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// VMs of the list.
+    pub vms: Vec<Vm>,
+    /// Number of items that are no VM and that `vms` lacks. Another writer may be their source.
+    pub unreadable_items: usize,
+}
+
 /// Client of the platform's VM list.
 pub trait VmList: Send {
     /// Returns all VMs. The list lags behind the actual state.
-    fn list(&self) -> BoxFuture<'_, Vec<Vm>>;
+    fn list(&self) -> BoxFuture<'_, Listing>;
 }
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -195,20 +195,34 @@
     }
 }
 
+/// Response to a read.
+#[derive(Default, Serialize)]
+struct Batch {
+    entries: Vec<BatchRecord>,
+    oldest: u64,
+    end: u64,
+}
+
+#[derive(Serialize)]
+struct BatchRecord {
+    offset: u64,
+    at_ms: u64,
+    /// Payload as it was appended, which need not be text that this process could decode.
+    payload: Arc<RawValue>,
+}
+
 /// Returns the response to a read, and whether it is empty, in which case the read may wait for records.
-fn read_batch(log: &Log, stream: &str, from: u64) -> (bool, Value) {
+fn read_batch(log: &Log, stream: &str, from: u64) -> (bool, Batch) {
     let state = log.lock();
-    let Some(stream) = state.streams.get(stream) else {
-        return (true, json!({ "entries": [], "oldest": 0, "end": 0 }));
-    };
+    let Some(stream) = state.streams.get(stream) else { return (true, Batch::default()) };
     let oldest = stream.records.front().map_or(stream.end, |record| record.offset);
     let skip = from.saturating_sub(oldest) as usize;
     let records = stream.records.iter().skip(skip).take(log.limits.max_read_records);
-    let entries: Vec<Value> = records
-        .map(|record| json!({ "offset": record.offset, "at_ms": record.at_ms, "payload": record.payload }))
+    let entries: Vec<BatchRecord> = records
+        .map(|record| BatchRecord { offset: record.offset, at_ms: record.at_ms, payload: record.payload.clone() })
         .collect();
     let is_empty = entries.is_empty() && from >= oldest;
-    (is_empty, json!({ "entries": entries, "oldest": oldest, "end": stream.end }))
+    (is_empty, Batch { entries, oldest, end: stream.end })
 }
 
 async fn inject_fault(State(log): State<Arc<Log>>, Json(faults): Json<Faults>) -> StatusCode {
--- a/standin/src/vms.rs
+++ b/standin/src/vms.rs
@@ -1,4 +1,5 @@
-//! Stand-in for the platform's VM list, in which changes show after a delay.
+//! Stand-in for the platform's VM list, in which changes show after a delay. It takes any JSON as an item, as a list with
+//! several writers does.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -8,8 +9,8 @@
 use axum::http::StatusCode;
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
-use coord::membership::Vm;
 use serde::Deserialize;
+use serde_json::Value;
 use tokio::time::Instant;
 
 /// VM list stand-in, shared by its HTTP handlers.
@@ -20,8 +21,8 @@
 
 struct ListState {
     /// Changes that do not show yet: the time from which each shows, and the VM, `None` for a removal.
-    pending: Vec<(Instant, String, Option<Vm>)>,
-    visible: BTreeMap<String, Vm>,
+    pending: Vec<(Instant, String, Option<Value>)>,
+    visible: BTreeMap<String, Value>,
     outage_until: Instant,
 }
 
@@ -36,7 +37,7 @@
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn queue_change(&self, name: String, vm: Option<Vm>) {
+    fn queue_change(&self, name: String, vm: Option<Value>) {
         let visible_at = Instant::now() + self.delay;
         self.lock().pending.push((visible_at, name, vm));
     }
@@ -63,7 +64,7 @@
         .with_state(vms)
 }
 
-async fn list_vms(State(vms): State<Arc<Vms>>) -> Result<Json<Vec<Vm>>, StatusCode> {
+async fn list_vms(State(vms): State<Arc<Vms>>) -> Result<Json<Vec<Value>>, StatusCode> {
     let mut state = vms.lock();
     if state.outage_until > Instant::now() {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
@@ -72,7 +73,7 @@
     Ok(Json(state.visible.values().cloned().collect()))
 }
 
-async fn register(State(vms): State<Arc<Vms>>, Path(name): Path<String>, Json(vm): Json<Vm>) -> StatusCode {
+async fn register(State(vms): State<Arc<Vms>>, Path(name): Path<String>, Json(vm): Json<Value>) -> StatusCode {
     vms.queue_change(name, Some(vm));
     StatusCode::NO_CONTENT
 }
