A record whose key no header carries names no replica

What callers saw in the test: 503 "no replica takes this now" for requests that sound replicas would have served, with six records per service beside two or three sound replicas.

Cause: a record under a key with a control byte or another character than ASCII, whose fields are sound, counted as a replica. No request can be sent to it, since the header that names the addressed replica cannot carry the key; each attempt there failed before it was sent and counted as a failed connection. With blanks at an end of the key, the header arrives with another name.

--- a/standin/tests/platform_odd_entries.rs
+++ b/standin/tests/platform_odd_entries.rs
@@ -1,6 +1,8 @@
 //! Records that another writer left among those of the replicas, under keys that no replica has: they name no replica,
 //! and the other records hold.
 
+use std::time::Duration;
+
 use standin::platform::{KEY, RequestSpec, Site, Spec};
 
 const TOPIC: &str = "keyed.servers";
@@ -77,3 +79,43 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+/// Keys that the header which names the addressed replica cannot carry, or cannot carry unchanged.
+const UNSENDABLE_KEYS: [&str; 6] = ["ghost-ä", "ghost-\n", "ghost-\0", "ghost-\r\nx: y", " ghost", "ghost-\u{7f}"];
+
+/// Requests of all routes: a prompt, a call that runs at most once, and one that may be repeated.
+fn requests(id: &str) -> [RequestSpec; 3] {
+    let prompt = RequestSpec::new("POST", "/prompt/1", &format!("{id}-p"), KEY).with_header("token-usage", "500,400");
+    let call = RequestSpec::new("POST", "/pay/1", &format!("{id}-c"), KEY);
+    let lookup = RequestSpec::new("GET", "/look/1", &format!("{id}-l"), KEY);
+    [prompt, call, lookup].map(|request| request.with_header("deadline-ms", "2000"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn records_under_keys_that_no_header_carries_name_no_replica() {
+    let mut site = start_site("odd-unsendable").await;
+    for key in UNSENDABLE_KEYS {
+        for (service, replica) in [("advisor", &site.engines[0]), ("ledger", &site.plain_replicas[0])] {
+            site.store.put(TOPIC, &format!("{key}{service}"), replica.store_record(service, "ready"));
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for is_restarted in [false, true] {
+        if is_restarted {
+            restart_all(&mut site).await;
+        }
+        for number in 0..REQUESTS {
+            for entry in 0..site.addresses.len() {
+                for request in requests(&format!("{entry}-{number}-{is_restarted}")) {
+                    let outcome = site.send(entry, &request).await;
+                    assert_eq!((outcome.status, outcome.is_complete), (200, true), "{}: {outcome:?}", request.path);
+                }
+            }
+        }
+    }
+    for entry in 0..site.addresses.len() {
+        let log = site.log(entry);
+        assert!(!log.contains("step=connect-failed"), "an attempt at a replica that cannot be addressed: {log}");
+    }
+    site.close().expect("no invariant was breached");
+}
