Answers whose head is no HTTP, and sound-looking records under odd keys, are tested

Cause looked for: an answer with the status 000, or with a blank, a control byte, another byte or nothing in a field's name, is given to callers. Not found: the HTTP library of both forms refuses such a head, so that the answer counts as lost. No product code changes.

Tests: a replica on a raw socket gives such answers, the line before or behind the fields that callers need. Users' platform: a prompt, a call that runs at most once and one that may be repeated get a 5xx of the system where it is the only replica, and the first and the last are served by another replica where there is one. Own form: a call that may be repeated, one that may not, one with a key, and a prompt get an error of the system. Each is seen to have reached the replica, and an answer without fault is passed on.

--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod crowd;
 pub mod load;
+pub mod raw_replica;
 
 use std::io::{Read, Write};
 use std::process::Command;
