An answer with a status that no answer has is lost

What callers saw in the tests: answers with the status 600 and 999, and a change of the protocol (101) with an empty body, as answers to requests that asked for neither, in both forms.

Cause: the HTTP library takes every status from 100 to 999. What it returned counted as an answer.

Change: only statuses from 200 to 599 are those of an answer (http::is_final). RFC 9110, 15, has a client treat others as errors of the server, and 101 only follows a request for it, which this system does not pass on. Such an answer is lost: the request may have run, and is sent again only where it may be repeated.

--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -14,6 +14,7 @@
 use super::super::{backoff, draining, limits};
 use super::target::{ReplicaSlot, Target};
 use super::{OpenResponse, PendingRequest};
+use crate::http::is_final;
 use crate::{event, metric, util};
 
 /// Outcome of an attempt.
@@ -216,11 +217,14 @@
     }
 }
 
-/// Returns whether a response can be forwarded: it belongs to this request, it has a seal if it reports success, and
-/// its status does not promise without proof that the request was not executed.
+/// Returns whether a response can be forwarded: it belongs to this request, its status is that of a response, it has a
+/// seal if it reports success, and its status does not promise without proof that the request was not executed.
 fn is_usable(response: &headers::ResponseHead) -> bool {
     let has_required_seal = response.is_sealed || !response.status.is_success();
-    response.matches_request && has_required_seal && !promises_not_executed(response.status)
+    response.matches_request
+        && is_final(response.status)
+        && has_required_seal
+        && !promises_not_executed(response.status)
 }
 
 /// Returns whether callers understand the status as a promise that the request was not executed. Such a status is
--- a/sorrelpass/src/http.rs
+++ b/sorrelpass/src/http.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::{Request, Response, Version};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::client::legacy::Client as HyperClient;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -109,6 +109,12 @@
     Full::new(bytes.into()).boxed()
 }
 
+/// Returns whether an answer can have this status. HTTP has no classes beyond 5, and class 1 stands for no final answer:
+/// the requests that this system sends ask for no other protocol.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sends a request to `address` with a timestamp of the hybrid logical clock, and advances the clock by the response's
 /// timestamp.
 pub async fn call(
--- a/sorrelpass/src/sidecar/engine.rs
+++ b/sorrelpass/src/sidecar/engine.rs
@@ -16,6 +16,7 @@
 use super::Shared;
 use super::event_loop::Command;
 use super::job::{AnswerWriter, CallError, RequestBody};
+use crate::http::is_final;
 use crate::wire::{Usage, WorkRequest};
 
 /// Returns the value of the engine's priority header; requests with a higher value run first.
@@ -60,14 +61,18 @@
     let request = request
         .body(request_body.into_body())
         .map_err(|error| CallError::outcome_unknown("build-request", error.to_string()))?;
-    thread_client().request(request).await.map_err(|error| {
+    let response = thread_client().request(request).await.map_err(|error| {
         let call_error = CallError::outcome_unknown("call", error.to_string());
         if error.is_connect() {
             CallError { ran: ExecutionStatus::No, step: "connect", ..call_error }
         } else {
             call_error
         }
-    })
+    })?;
+    if !is_final(response.status()) {
+        return Err(CallError::outcome_unknown("call", format!("no answer has the status {}", response.status())));
+    }
+    Ok(response)
 }
 
 /// Data of one server-sent event of an engine.
--- a/standin/tests/common/raw_replica.rs
+++ b/standin/tests/common/raw_replica.rs
@@ -8,8 +8,10 @@
 
 /// Body of each answer, by which a caller would recognise it; an event, which streams pass on.
 pub const BODY: &str = "id: 1\ndata: of the replica in trouble\n\n";
-/// Status lines with a status that no answer can have.
-pub const ODD_STATUSES: [&str; 4] = ["000 OK", "000", "099 OK", "00 OK"];
+/// Status lines with a status that no answer can have: below 100, and beyond the last class.
+pub const ODD_STATUSES: [&str; 6] = ["000 OK", "000", "099 OK", "00 OK", "600 OK", "999 OK"];
+/// Status line of a change of the protocol, for which nobody asked.
+pub const PROTOCOL_CHANGE: &str = "101 Switching Protocols";
 /// Lines in the head of an answer with a name that no field can have: blanks, control bytes, other bytes, or none.
 pub const ODD_LINES: [&str; 10] = [
     "odd name: v",
--- a/standin/tests/odd_answers.rs
+++ b/standin/tests/odd_answers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::raw_replica::{BODY, ODD_LINES, ODD_STATUSES, RawReplica};
+use common::raw_replica::{BODY, ODD_LINES, ODD_STATUSES, PROTOCOL_CHANGE, RawReplica};
 use common::{call_headers, close_fleet, post_payment, prompt, start_fleet};
 use standin::client::ClientResponse;
 use standin::fleet::{Fleet, Spec};
@@ -73,7 +73,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_with_a_status_that_none_has_is_not_passed_on() {
     let (fleet, troubled) = start_troubled("odd-status").await;
-    for status in ODD_STATUSES.iter() {
+    for status in ODD_STATUSES.iter().chain([&PROTOCOL_CHANGE]) {
         troubled.iter().for_each(|replica| replica.set_answer(status, None, false));
         assert_not_passed_on(&fleet, &troubled, &status.replace(' ', "-")).await;
     }
--- a/standin/tests/platform_odd_answers.rs
+++ b/standin/tests/platform_odd_answers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::raw_replica::{BODY, ODD_LINES, ODD_STATUSES, RawReplica};
+use common::raw_replica::{BODY, ODD_LINES, ODD_STATUSES, PROTOCOL_CHANGE, RawReplica};
 use standin::platform::{KEY, Outcome, RequestSpec, Site, Spec};
 
 /// Requests of all routes: a prompt that may be resumed, a call that runs at most once, and one that may be repeated.
@@ -72,7 +72,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_with_a_status_that_none_has_is_not_passed_on() {
     let (site, troubled) = start_site("odd-status", 0).await;
-    for (number, status) in ODD_STATUSES.iter().enumerate() {
+    for (number, status) in ODD_STATUSES.iter().chain([&PROTOCOL_CHANGE]).enumerate() {
         troubled.set_answer(status, None, false);
         assert_not_passed_on(&site, &troubled, &format!("s{number}")).await;
     }
