A call to a plain service keeps the escapes of its path

What callers saw in the test, in the project's own form: 503 "no endpoint can finish this in its time now" for a path with an escaped blank. With %3F or %23 the path would end there, and with %25 and %2F another path would be asked for.

Evidence: a_plain_call_carries_its_path_as_the_caller_wrote_it failed before, at the first of six paths (503 for a%20b).

Change: the path is taken from the caller's request as it was written, behind the name of the service.

Result: the test passes for all six.

--- a/sorrelpass/src/entry/caller_api.rs
+++ b/sorrelpass/src/entry/caller_api.rs
@@ -4,7 +4,7 @@
 
 use axum::body::Body;
 use axum::extract::{DefaultBodyLimit, Path, Request as HttpRequest, State};
-use axum::http::{HeaderMap, Method, StatusCode, header};
+use axum::http::{HeaderMap, Method, StatusCode, Uri, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get, post};
 use axum::{Json, Router};
@@ -35,6 +35,8 @@
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// Maximum length of a request id that is accepted from a caller.
 const MAX_REQUEST_ID_BYTES: usize = 128;
+/// Position of the path at a service among the parts between the slashes of `/services/{service}/{*path}`.
+const SERVICE_PATH_INDEX: usize = 3;
 /// `Retry-After` while the entry is shutting down or no endpoint accepts calls.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -227,22 +229,23 @@
 
 async fn handle_service_path(
     State(app): State<HandlerState>,
-    Path((name, path)): Path<(String, String)>,
+    Path((name, _)): Path<(String, String)>,
     request: HttpRequest,
 ) -> Response {
     let id = choose_request_id(request.headers());
-    finish_response(&id, call_service(&app, &id, &name, &path, request).await)
+    finish_response(&id, call_service(&app, &id, &name, request).await)
 }
 
-async fn call_service(
-    app: &HandlerState,
-    id: &Name,
-    service: &str,
-    path: &str,
-    request: HttpRequest,
-) -> Result<Response, Failure> {
+/// Returns the part of a caller's path that the service gets, which follows the name of the service. Its escapes stay, since
+/// what they stand for may end a path or not stand in one.
+fn service_path(uri: &Uri) -> &str {
+    uri.path().splitn(SERVICE_PATH_INDEX + 1, '/').nth(SERVICE_PATH_INDEX).unwrap_or_default()
+}
+
+async fn call_service(app: &HandlerState, id: &Name, service: &str, request: HttpRequest) -> Result<Response, Failure> {
     let arrived_at = util::now();
     let (head, body) = request.into_parts();
+    let path = service_path(&head.uri);
     bearer_key_digest(&head.headers)?;
     let buffered = body::read(&app.shared, body).await?;
     let admitted = admit(app, &head.headers, RequestKind::Service { service: Name::from(service) }).await?;
--- a/standin/tests/whole_path.rs
+++ b/standin/tests/whole_path.rs
@@ -50,6 +50,22 @@
     close_fleet(fleet).await;
 }
 
+/// Escapes in the path of a call, which mean something else once they are decoded.
+const ESCAPED_PATHS: [&str; 6] = ["a%20b", "a%3Fb", "a%23b", "a%2Fb", "a%25b", "%C3%A4"];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_call_carries_its_path_as_the_caller_wrote_it() {
+    let fleet = start_small_fleet("escaped").await;
+    for path in ESCAPED_PATHS {
+        let url = format!("/services/stall-ledger/{path}?lang=rw");
+        let outcome = fleet.client.call("GET", &fleet.entries[0], &url, &call_headers(None), "").await;
+        assert_eq!(outcome.status, 200, "{path}: {}", outcome.text);
+        let answer: Value = serde_json::from_str(&outcome.text).expect("the answer is JSON");
+        assert_eq!((&answer["path"], &answer["query"]), (&format!("/{path}").into(), &"lang=rw".into()));
+    }
+    close_fleet(fleet).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_shows_up_in_one_time_line_over_all_processes() {
     let fleet = start_small_fleet("timeline").await;
