Odd keys in every topic, lists that cannot be read, and repeated calls are tested; postmortem

Cause looked for: whether other topics stop entries as the list of replicas did, what entries answer that know nothing, and whether the own form serves what may be repeated beside an endpoint in trouble. Tests only; no code of the product changes.

Tests: odd keys, among them an empty one and ones of 255 bytes, in the topics of replicas, operators, entries and quarantine, each compacted and in pages of one; a list that holds nothing to continue after, which costs entries that start 503 with Retry-After, one line in the log and a bounded number of calls, and nothing once the record is gone; calls and prompts beside an endpoint with odd answers.

--- a/standin/tests/odd_answers.rs
+++ b/standin/tests/odd_answers.rs
@@ -13,11 +13,16 @@
 /// Starts a fleet with one engine and one service, both replaced by a replica in trouble.
 async fn start_troubled(name: &str) -> (Fleet, [Arc<RawReplica>; 2]) {
     let mut fleet = start_fleet(Spec { entries: 1, engines: 1, services: 1, ..Spec::small(name) }).await;
+    let troubled = replace_first(&mut fleet).await;
+    (fleet, troubled)
+}
+
+/// Replaces the first engine and the first service by a replica in trouble.
+async fn replace_first(fleet: &mut Fleet) -> [Arc<RawReplica>; 2] {
     let names = ["market-advisor-0", "stall-ledger-0"];
     names.iter().for_each(|name| fleet.kill(name).expect("the endpoint runs"));
     let [engine, service] = names.map(|name| fleet.addresses[name].clone());
-    let troubled = [RawReplica::start(&engine).await, RawReplica::start(&service).await];
-    (fleet, troubled)
+    [RawReplica::start(&engine).await, RawReplica::start(&service).await]
 }
 
 /// Sends a call that may be repeated, one that may not, one with a key, and a prompt, each until an endpoint has answered
@@ -91,3 +96,23 @@
     }
     close_fleet(fleet).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_may_be_repeated_is_served_by_another_endpoint() {
+    let mut fleet = start_fleet(Spec { entries: 1, engines: 2, services: 2, ..Spec::small("odd-beside") }).await;
+    let troubled = replace_first(&mut fleet).await;
+    let address = &fleet.entries[0];
+    for number in 0..20 {
+        match number % 3 {
+            0 => troubled.iter().for_each(|replica| replica.set_answer("000 OK", None, false)),
+            1 => troubled.iter().for_each(|replica| replica.set_answer("600 OK", None, false)),
+            _ => troubled.iter().for_each(|replica| replica.set_answer("200 OK", Some("odd name: v"), true)),
+        }
+        let call = fleet.client.call("GET", address, "/services/stall-ledger/x", &call_headers(None), "").await;
+        assert!(call.status == 200 && !call.text.contains(BODY), "{call:?}");
+        let prompt = prompt(100, 5, number);
+        assert_eq!(fleet.client.send_prompt(address, &prompt).await.text, prompt.expected());
+    }
+    assert!(answered(&troubled, "/x") > 0 && answered(&troubled, "/v1/chat/completions") > 0, "nothing was sent there");
+    close_fleet(fleet).await;
+}
--- a/standin/tests/platform_odd_entries.rs
+++ b/standin/tests/platform_odd_entries.rs
@@ -1,4 +1,4 @@
-//! Records that another writer left among those of the replicas, under keys that no replica has: they name no replica,
+//! Records that another writer left in the topics of the store, under keys that no other writer has: they name nothing,
 //! and the other records hold.
 
 use std::time::Duration;
@@ -6,6 +6,10 @@
 use standin::platform::{KEY, RequestSpec, Site, Spec};
 
 const TOPIC: &str = "keyed.servers";
+/// Topics that entries read: of the replicas, the operators, the entries and the quarantine.
+const TOPICS: [&str; 4] = [TOPIC, "keyed.op", "keyed.peers", "keyed.quarantine"];
+/// Number of bytes of the longest key.
+const MAX_KEY_BYTES: usize = 255;
 /// Number of requests that each test sends to each entry.
 const REQUESTS: usize = 20;
 /// Number of times that a refused caller returns.
@@ -20,7 +24,7 @@
 fn odd_keys() -> Vec<String> {
     let forms = ["{}a", "engine-0{}x", "plain-0{}", "z{}z"];
     let keys = forms.iter().flat_map(|form| URL_CHARACTERS.map(|character| form.replace("{}", character)));
-    keys.chain([String::new()]).collect()
+    keys.chain([String::new(), "&".repeat(MAX_KEY_BYTES), "\n".repeat(MAX_KEY_BYTES)]).collect()
 }
 
 async fn start_site(name: &str) -> Site {
@@ -54,15 +58,18 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn records_under_keys_with_url_characters_do_not_stop_entries_that_start() {
-    let mut site = start_site("odd-keys").await;
-    for (index, key) in odd_keys().iter().enumerate() {
-        site.store.put(TOPIC, key, ODD_VALUES[index % ODD_VALUES.len()]);
+    for topic in TOPICS {
+        let mut site = start_site(&format!("odd-keys-{topic}")).await;
+        for (index, key) in odd_keys().iter().enumerate() {
+            site.store.put(topic, key, ODD_VALUES[index % ODD_VALUES.len()]);
+        }
+        site.store.compact(topic);
+        // Each key is the last one of a page.
+        site.store.set_records_per_page(1);
+        restart_all(&mut site).await;
+        assert_all_served(&site).await;
+        site.close().expect("no invariant was breached");
     }
-    // Each key is the last one of a page.
-    site.store.set_records_per_page(1);
-    restart_all(&mut site).await;
-    assert_all_served(&site).await;
-    site.close().expect("no invariant was breached");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -159,3 +166,39 @@
     }
     site.close().expect("no invariant was breached");
 }
+
+/// A list that holds nothing to continue after cannot be read to its end. Entries that know the replicas go on, and so do
+/// those that learn them from another entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn while_a_list_cannot_be_read_entries_that_know_nothing_refuse_and_call_the_store_seldom() {
+    let mut site = start_site("odd-unreadable").await;
+    site.store.set_records_per_page(1);
+    site.store.put_raw(TOPIC, b"a\xff", "{}");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_all_served(&site).await;
+    restart_all(&mut site).await;
+    let calls = || site.store_listeners.iter().map(|listener| listener.call_count()).sum::<u64>();
+    let before = calls();
+    let observed = Duration::from_secs(3);
+    tokio::time::sleep(observed).await;
+    // Each entry reads four topics; a failed call is repeated after 50 ms at the least, and soon more seldom.
+    let allowed = site.addresses.len() as u64 * 4 * observed.as_millis() as u64 / 50;
+    assert!(calls() - before <= allowed, "{} calls, {allowed} allowed", calls() - before);
+    for entry in 0..site.addresses.len() {
+        for request in requests(&format!("{entry}")) {
+            let outcome = site.send(entry, &request).await;
+            assert!(outcome.status == 503 && !outcome.header("retry-after").is_empty(), "{outcome:?}");
+        }
+        let log = site.log(entry);
+        let reports: Vec<_> = log.lines().filter(|line| line.contains("step=store-lost topic=keyed.servers")).collect();
+        assert!(!reports.is_empty() && reports.len() <= 2, "{reports:?}");
+        assert!(
+            reports.iter().all(|line| line.contains("no item of the page has a key to continue after")),
+            "{reports:?}"
+        );
+    }
+    site.store.put_raw(TOPIC, b"a\xff", "");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_all_served(&site).await;
+    site.close().expect("no invariant was breached");
+}
