An odd item in an engine's list of spans and requests costs only itself

What callers saw: memory that an earlier run of a sidecar had reserved on its engine stayed reserved for good, so that fewer prompts fitted, and no line in the log said why.

Cause: the list was decoded as a whole. One item that is no text made it unreadable, and the sidecar asked for it again and again, without a word.

Change: the items are decoded one by one, and what is no id is left alone; while the list itself cannot be read, one line says so.

Evidence: the stand-in of the engine lists null, a number, a list, an object and odd texts beside the ids. memory::memory_is_released_although_an_engine_lists_items_that_are_no_ids failed on the code before ("never came about: no memory is reserved", 10 s) and passes now, with the file's six others. Not shown by a test: the log line.

--- a/sorrelpass/src/sidecar/span.rs
+++ b/sorrelpass/src/sidecar/span.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::Shared;
 use super::engine::thread_client;
@@ -18,6 +19,7 @@
 use super::intake::{self, Message};
 use super::job::RequestBody;
 use super::server::{call_event_loop, with_clock_stamp};
+use crate::http::{self, Client};
 use crate::wire::{self, HoldRequest, PrefillRequest, PrefillResponse};
 use crate::{event, util, warn_event};
 
@@ -98,21 +100,36 @@
 
 #[derive(Deserialize)]
 struct EngineMemory {
-    requests: Vec<String>,
-    spans: Vec<String>,
+    requests: Vec<Box<RawValue>>,
+    spans: Vec<Box<RawValue>>,
+}
+
+/// Returns the ids among the items of an engine's list. Other items are left out, since this system is not their source.
+fn decode_ids(items: &[Box<RawValue>]) -> Vec<String> {
+    items.iter().filter_map(|item| serde_json::from_str(item.get()).ok()).collect()
+}
+
+/// Lists the memory that the engine holds. Retries until the engine answers, and logs the first failure.
+async fn list_engine_memory(client: &Client, engine: &str) -> EngineMemory {
+    let mut is_readable = true;
+    loop {
+        match http::exchange_json(client, engine, "GET", "/kv", None).await {
+            Ok(memory) => return memory,
+            Err(error) if is_readable => {
+                is_readable = false;
+                warn_event!("engine-memory-unreadable", reason = %error);
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(util::jitter(RETRY_DELAY)).await;
+    }
 }
 
 /// Frees the spans and cancels the requests that a previous incarnation of this sidecar left on the engine.
 pub async fn reconcile(shared: &Shared) {
-    let client = crate::http::client_h1();
-    let found: EngineMemory = loop {
-        let listed = crate::http::exchange_json(&client, &shared.settings.endpoint_address, "GET", "/kv", None).await;
-        match listed {
-            Ok(found) => break found,
-            Err(_) => tokio::time::sleep(util::jitter(RETRY_DELAY)).await,
-        }
-    };
-    for span in found.spans {
+    let client = http::client_h1();
+    let found = list_engine_memory(&client, &shared.settings.endpoint_address).await;
+    for span in decode_ids(&found.spans) {
         if !is_owned(shared, &span).await {
             event!("reconcile-span", span = %span);
             while !delete_on_engine(shared, &span).await {
@@ -120,11 +137,11 @@
             }
         }
     }
-    for request in found.requests {
+    for request in decode_ids(&found.requests) {
         if !is_owned(shared, &request).await {
             event!("reconcile-request", attempt = %request);
             let path = format!("/cancel/{request}");
-            let call = crate::http::exchange(&client, &shared.settings.endpoint_address, "POST", &path, Bytes::new());
+            let call = http::exchange(&client, &shared.settings.endpoint_address, "POST", &path, Bytes::new());
             let _ = tokio::time::timeout(FREE_TIMEOUT, call).await;
         }
     }
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -29,6 +29,8 @@
     outputs: HashMap<SequenceId, mpsc::UnboundedSender<(u64, bool)>>,
     ready_spans: HashMap<SequenceId, bool>,
     span_ids: HashMap<String, SequenceId>,
+    /// Items that are no id of a span or request, which the engine lists among these.
+    odd_items: Vec<Value>,
     fence_guard: Guard,
     loaded: LoadedModel,
     order_count: u64,
@@ -78,6 +80,7 @@
             outputs: HashMap::new(),
             ready_spans: HashMap::new(),
             span_ids: HashMap::new(),
+            odd_items: Vec::new(),
             fence_guard: Guard::default(),
             loaded: LoadedModel::default(),
             order_count: 0,
@@ -392,8 +395,10 @@
 async fn get_kv(State(engine): State<Arc<Engine>>) -> Json<Value> {
     engine.wait_until_resumed().await;
     let state = engine.lock();
-    let requests: Vec<String> = state.model.requests().into_iter().map(|(_, request)| request).collect();
-    let spans: Vec<&String> = state.span_ids.keys().collect();
+    let with_odd_items =
+        |ids: Vec<String>| [state.odd_items.clone(), ids.into_iter().map(Value::from).collect()].concat();
+    let requests = with_odd_items(state.model.requests().into_iter().map(|(_, request)| request).collect());
+    let spans = with_odd_items(state.span_ids.keys().cloned().collect());
     Json(json!({ "held_tokens": state.model.reserved(), "requests": requests, "spans": spans }))
 }
 
@@ -446,6 +451,8 @@
 enum Fault {
     /// Suspends the engine and all its handlers for the given number of milliseconds.
     FreezeMs(u64),
+    /// Lists these items among the ids of its spans and requests.
+    OddItems(Vec<Value>),
     /// Exits the process immediately with status 1.
     Die,
 }
@@ -456,6 +463,7 @@
             let until = Instant::now() + Duration::from_millis(ms);
             *engine.suspended_until.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = until;
         }
+        Fault::OddItems(items) => engine.lock().odd_items = items,
         Fault::Die => std::process::exit(1),
     }
     StatusCode::NO_CONTENT
--- a/standin/tests/memory.rs
+++ b/standin/tests/memory.rs
@@ -81,3 +81,22 @@
     assert_eq!(fleet.client.send_prompt(&fleet.entries[0], &prompt).await.text, prompt.expected());
     close_fleet(fleet).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_is_released_although_an_engine_lists_items_that_are_no_ids() {
+    let mut fleet = start_fleet_with_slow_entry_limit("memory-odd-items").await;
+    let (engine, sidecar) = ("market-advisor-0", "sidecar-market-advisor-0");
+    let odd_items = json!([null, 7, [], {}, "", "../health", "a&b+c#d%e f", "g".repeat(40)]);
+    fleet.inject_fault(engine, &json!({ "odd_items": odd_items })).await.expect("the engine takes the items");
+    // The span of a sidecar that is gone.
+    let span = format!("/spans/{:032x}?digest=0", 0xabc);
+    let prefilled = fleet.client.send("POST", &fleet.addresses[engine], &span, &[], "x".repeat(40)).await;
+    assert!(prefilled.is_ok_and(|response| response.status() == 200));
+    wait_until("memory is reserved", || async { fleet.reserved_tokens().await > 0 }).await;
+    fleet.kill(sidecar).expect("the sidecar runs");
+    fleet.restart(sidecar).expect("the sidecar starts");
+    wait_until("no memory is reserved", || async { fleet.reserved_tokens().await == 0 }).await;
+    let prompt = prompt(500, 5, 1);
+    assert_eq!(fleet.client.send_prompt(&fleet.entries[0], &prompt).await.text, prompt.expected());
+    close_fleet(fleet).await;
+}
