Ids in an engine's list that this system did not write are left alone

What callers saw: memory that an earlier run of a sidecar had reserved stayed reserved for good beside an item such as "+abc" or "beef", which the engine does not free.

Cause: a text counted as an id of this system as soon as it is a hexadecimal number, also with a sign or another length. The sidecar asked the engine to free that one again and again, before all others.

Change: an id counts as this system's if it is written as this system writes it, with 32 digits.

--- a/sorrelpass/src/sidecar/span.rs
+++ b/sorrelpass/src/sidecar/span.rs
@@ -150,6 +150,12 @@
 /// Returns whether this incarnation owns the job or span with the id `name`. Ids that this system did not
 /// generate count as owned, so that they are left alone.
 async fn is_owned(shared: &Shared, name: &str) -> bool {
-    let Ok(number) = u128::from_str_radix(name, 16) else { return true };
-    call_event_loop(shared, |reply| Command::IsOwned(Attempt(number), reply)).await.unwrap_or(true)
+    let Some(attempt) = parse_attempt(name) else { return true };
+    call_event_loop(shared, |reply| Command::IsOwned(attempt, reply)).await.unwrap_or(true)
+}
+
+/// Parses an id in the one form in which this system writes it; other texts may be numbers too.
+fn parse_attempt(name: &str) -> Option<Attempt> {
+    let attempt = Attempt(u128::from_str_radix(name, 16).ok()?);
+    (attempt.to_string() == name).then_some(attempt)
 }
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -29,7 +29,7 @@
     outputs: HashMap<SequenceId, mpsc::UnboundedSender<(u64, bool)>>,
     ready_spans: HashMap<SequenceId, bool>,
     span_ids: HashMap<String, SequenceId>,
-    /// Items that are no id of a span or request, which the engine lists among these.
+    /// Items that are no id of a span or request, which the engine lists among these and does not free.
     odd_items: Vec<Value>,
     fence_guard: Guard,
     loaded: LoadedModel,
@@ -383,6 +383,9 @@
 
 async fn free_span(State(engine): State<Arc<Engine>>, Path(name): Path<String>) -> StatusCode {
     engine.wait_until_resumed().await;
+    if engine.lock().odd_items.iter().any(|item| *item == *name) {
+        return StatusCode::NOT_FOUND;
+    }
     let id = engine.lock().span_ids.remove(&name);
     if let Some(id) = id {
         engine.lock().ready_spans.remove(&id);
--- a/standin/tests/memory.rs
+++ b/standin/tests/memory.rs
@@ -86,7 +86,8 @@
 async fn memory_is_released_although_an_engine_lists_items_that_are_no_ids() {
     let mut fleet = start_fleet_with_slow_entry_limit("memory-odd-items").await;
     let (engine, sidecar) = ("market-advisor-0", "sidecar-market-advisor-0");
-    let odd_items = json!([null, 7, [], {}, "", "../health", "a&b+c#d%e f", "g".repeat(40)]);
+    let odd_items =
+        json!([null, 7, [], {}, "", "../health", "a&b+c#d%e f", "g".repeat(40), "+abc", "beef", "0".repeat(33)]);
     fleet.inject_fault(engine, &json!({ "odd_items": odd_items })).await.expect("the engine takes the items");
     // The span of a sidecar that is gone.
     let span = format!("/spans/{:032x}?digest=0", 0xabc);
