A workspace whose name no header carries blames no replica

What callers saw: requests of such a workspace got 503 with "no replica takes this now" and a time to return, although no return can help. Others were still served; each of these requests counted as a failed connection of several sound replicas (`connect-failed`, "failed to parse header value"), whose breakers and planner it set against them.

Cause: the name of a workspace, a text from the configuration, becomes a header. That it cannot was reported as a connection that failed, and so tried at one replica after another.

Change: a request that cannot be built is an outcome of its own: no replica is blamed, no other one is tried, and the caller gets 500 with the code `unsendable` and "not run" at once.

Evidence: two entries, three workspaces with control characters in their names, one with &, +, #, % and a blank, one as usual; prompts, calls that run at most once, calls that may be repeated.

--- a/sorrelpass/src/gateway/call/mod.rs
+++ b/sorrelpass/src/gateway/call/mod.rs
@@ -155,6 +155,7 @@
                 Outcome::ResponseLost => return Err(self.exhausted_failure(retry_after)),
                 Outcome::NotSent if self.failed_connections < MAX_FAILED_CONNECTIONS => {}
                 Outcome::NotSent => return Err(self.exhausted_failure(retry_after)),
+                Outcome::Unsendable => return Err(self.unsendable_failure()),
             }
         }
     }
@@ -265,6 +266,14 @@
             .with_ran(ExecutionStatus::Unknown)
     }
 
+    /// Returns the failure of a request that no replica can get. It does not ask the caller to retry, since a retry would
+    /// fail as well.
+    fn unsendable_failure(&self) -> Failure {
+        let ran = if self.possible_executions == 0 { ExecutionStatus::No } else { ExecutionStatus::Unknown };
+        let message = "the name of the workspace cannot be sent to replicas";
+        Failure::new(StatusCode::INTERNAL_SERVER_ERROR, "unsendable", message).with_ran(ran)
+    }
+
     /// Returns the failure of a request whose deadline has passed.
     fn deadline_failure(&self) -> Failure {
         if self.attempts == 0 {
--- a/sorrelpass/src/gateway/call/send.rs
+++ b/sorrelpass/src/gateway/call/send.rs
@@ -27,6 +27,8 @@
     ResponseLost,
     /// The connection failed, so the replica never received the request.
     NotSent,
+    /// The request was not sent because no header can carry what replicas have to be told with it.
+    Unsendable,
     /// The request was not sent because its deadline has passed.
     DeadlinePassed,
     /// The request was not sent because the replica no longer accepts new requests.
@@ -88,10 +90,15 @@
                 attempt.report_lost().await;
                 Outcome::ResponseLost
             }
+            Err(SendError::NotBuilt(error)) => {
+                attempt.close();
+                self.revoke_attempt();
+                event!("unsendable", request = %self.request_head.id, error = %error);
+                Outcome::Unsendable
+            }
             Err(SendError::NotConnected(error)) => {
                 attempt.close();
-                self.attempts -= 1;
-                self.possible_executions -= 1;
+                self.revoke_attempt();
                 self.failed_connections += 1;
                 self.record_failure(&record.id, NO_RESPONSE_WEIGHT);
                 event!("connect-failed", request = %self.request_head.id, peer = %record.id, error = %error);
@@ -100,6 +107,12 @@
         }
     }
 
+    /// Takes back the count of an attempt that reached no replica.
+    fn revoke_attempt(&mut self) {
+        self.attempts -= 1;
+        self.possible_executions -= 1;
+    }
+
     /// Returns another target if the current engines are unresponsive, the retry budget of the service allows another
     /// attempt, and other engines are free. Otherwise, and if the request may not be sent again, the future never
     /// completes. Meanwhile a response of the current engines is still accepted, so that a false alarm costs nothing
--- a/sorrelpass/src/gateway/upstream.rs
+++ b/sorrelpass/src/gateway/upstream.rs
@@ -38,7 +38,9 @@
 /// Reason why a send returned no response head.
 #[derive(Debug)]
 pub enum SendError {
-    /// The request was not built or the connection was not established: the replica cannot have received the request.
+    /// The request cannot be built, and not for another replica either.
+    NotBuilt(eyre::Report),
+    /// The connection was not established: the replica cannot have received the request.
     NotConnected(eyre::Report),
     /// The connection ended after the request may have been sent: the replica may have executed the request.
     ConnectionLost(eyre::Report),
@@ -101,7 +103,7 @@
     added_headers: &headers::UpstreamHead,
     has_slow_callers: bool,
 ) -> Result<(Response<Incoming>, Connection), SendError> {
-    let request = build_request(record, upstream_request, added_headers).map_err(SendError::NotConnected)?;
+    let request = build_request(record, upstream_request, added_headers).map_err(SendError::NotBuilt)?;
     let stream = connect_to_replica(record).await.map_err(SendError::NotConnected)?;
     let peer = &record.id;
     let mut builder = http1::Builder::new();
--- a/standin/tests/platform_odd_entries.rs
+++ b/standin/tests/platform_odd_entries.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use standin::platform::{KEY, RequestSpec, Site, Spec};
 
 const TOPIC: &str = "keyed.servers";
@@ -91,10 +92,10 @@
 const UNSENDABLE_KEYS: [&str; 6] = ["ghost-ä", "ghost-\n", "ghost-\0", "ghost-\r\nx: y", " ghost", "ghost-\u{7f}"];
 
 /// Requests of all routes: a prompt, a call that runs at most once, and one that may be repeated.
-fn requests(id: &str) -> [RequestSpec; 3] {
-    let prompt = RequestSpec::new("POST", "/prompt/1", &format!("{id}-p"), KEY).with_header("token-usage", "500,400");
-    let call = RequestSpec::new("POST", "/pay/1", &format!("{id}-c"), KEY);
-    let lookup = RequestSpec::new("GET", "/look/1", &format!("{id}-l"), KEY);
+fn requests(id: &str, key: &str) -> [RequestSpec; 3] {
+    let prompt = RequestSpec::new("POST", "/prompt/1", &format!("{id}-p"), key).with_header("token-usage", "500,400");
+    let call = RequestSpec::new("POST", "/pay/1", &format!("{id}-c"), key);
+    let lookup = RequestSpec::new("GET", "/look/1", &format!("{id}-l"), key);
     [prompt, call, lookup].map(|request| request.with_header("deadline-ms", "2000"))
 }
 
@@ -113,7 +114,7 @@
         }
         for number in 0..REQUESTS {
             for entry in 0..site.addresses.len() {
-                for request in requests(&format!("{entry}-{number}-{is_restarted}")) {
+                for request in requests(&format!("{entry}-{number}-{is_restarted}"), KEY) {
                     let outcome = site.send(entry, &request).await;
                     assert_eq!((outcome.status, outcome.is_complete), (200, true), "{}: {outcome:?}", request.path);
                 }
@@ -148,7 +149,7 @@
         }
         for number in 0..REQUESTS {
             for entry in 0..site.addresses.len() {
-                for request in requests(&format!("{entry}-{number}-{is_restarted}")) {
+                for request in requests(&format!("{entry}-{number}-{is_restarted}"), KEY) {
                     let outcome = site.send(entry, &request).await;
                     assert_eq!((outcome.status, outcome.is_complete), (200, true), "{}: {outcome:?}", request.path);
                 }
@@ -180,7 +181,7 @@
     let allowed = site.addresses.len() as u64 * 4 * observed.as_millis() as u64 / 50;
     assert!(calls() - before <= allowed, "{} calls, {allowed} allowed", calls() - before);
     for entry in 0..site.addresses.len() {
-        for request in requests(&format!("{entry}")) {
+        for request in requests(&format!("{entry}"), KEY) {
             let outcome = site.send(entry, &request).await;
             assert!(outcome.status == 503 && !outcome.header("retry-after").is_empty(), "{outcome:?}");
         }
@@ -197,3 +198,43 @@
     assert_all_served(&site).await;
     site.close().expect("no invariant was breached");
 }
+
+/// Names of workspaces that no header carries.
+const UNSENDABLE_NAMES: [&str; 3] = ["work\nspace", "work\0space", "work\u{7f}space"];
+/// Name that a header carries although its characters have meanings of their own elsewhere.
+const SENDABLE_NAME: &str = "a&b+c#d%e f, \"g\"";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_workspace_whose_name_no_header_carries_costs_no_other_workspace_a_replica() {
+    let site = start_site("odd-workspaces").await;
+    let odd_key = |index: usize| format!("odd-key-{index}");
+    site.configure(&[KEY], |config| {
+        let names = UNSENDABLE_NAMES.iter().chain([&SENDABLE_NAME]).enumerate();
+        let odd = names.map(|(index, name)| json!({ "name": name, "api_keys": [odd_key(index)], "priority": 1 }));
+        config["tenants"].as_array_mut().expect("a list").extend(odd);
+    });
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for number in 0..REQUESTS {
+        for entry in 0..site.addresses.len() {
+            for (index, name) in UNSENDABLE_NAMES.iter().enumerate() {
+                for request in requests(&format!("{entry}-{number}-{index}"), &odd_key(index)) {
+                    let outcome = site.send(entry, &request).await;
+                    let ran = outcome.header("x-sorrelpass-ran");
+                    assert_eq!((outcome.status, ran), (500, "no"), "{name:?} {}: {outcome:?}", request.path);
+                }
+            }
+            for key in [KEY, &odd_key(UNSENDABLE_NAMES.len())] {
+                for request in requests(&format!("{entry}-{number}-{key}"), key) {
+                    let outcome = site.send(entry, &request).await;
+                    assert_eq!((outcome.status, outcome.is_complete), (200, true), "{}: {outcome:?}", request.path);
+                }
+            }
+        }
+    }
+    for entry in 0..site.addresses.len() {
+        let log = site.log(entry);
+        let blamed = log.lines().find(|line| line.contains("step=doubt") || line.contains("step=connect-failed"));
+        assert_eq!(blamed, None, "a replica is blamed");
+    }
+    site.close().expect("no invariant was breached");
+}
