Reads of the store that are answered in part are logged, and the stand-in answers so

Change: the line store-part names topic, start, next offset and end. The stand-in keeps to max_kb (1,024 where none is named), answers at most so many records as it is told, tells the true end, turns away the answers to reads that it holds, and can turn an entry away after some reads.

--- a/sorrelpass/src/gateway/topic_reader.rs
+++ b/sorrelpass/src/gateway/topic_reader.rs
@@ -138,7 +138,13 @@
                 tokio::time::sleep(MIN_RETRY_DELAY).await;
                 Ok(LogRead::Outdated)
             }
-            Read::Records { records, next_offset, .. } => Ok(LogRead::Records(RecordBatch { records, next_offset })),
+            Read::Records { records, next_offset, end_offset } => {
+                if next_offset < end_offset {
+                    let (from, next, end) = (Formatted(from), Formatted(next_offset), Formatted(end_offset));
+                    event!("store-part", topic = self.topic_name, from = %from, next = %next, end = %end);
+                }
+                Ok(LogRead::Records(RecordBatch { records, next_offset }))
+            }
         }
     }
 
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -43,6 +43,10 @@
 
 /// Records in a response with the newest record of each key, unless [`Store::set_records_per_page`] sets another number.
 const RECORDS_PER_PAGE: usize = 500;
+/// Bounds the records in the response to a read, in KiB, unless the call names another bound.
+const DEFAULT_MAX_KB: u64 = 1_024;
+/// Bytes of a record's length in the response to a read.
+const LENGTH_BYTES: usize = 4;
 
 /// Response header with the store's era: the number of times that it was restored from an older snapshot.
 const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
@@ -88,6 +92,8 @@
 pub struct Store {
     topics: Mutex<HashMap<String, Topic>>,
     records_per_page: AtomicUsize,
+    /// Bounds the number of records in the response to a read.
+    records_per_read: AtomicUsize,
     /// Number of restores from an older snapshot.
     era: AtomicU64,
     changed: Notify,
@@ -109,10 +115,20 @@
     /// Address on which it listens, `ip:port`.
     pub address: String,
     fault: Mutex<Fault>,
+    /// Fault that replaces the present one later.
+    scheduled_fault: Mutex<Option<ScheduledFault>>,
     call_count: Mutex<u64>,
     store: Arc<Store>,
 }
 
+/// Fault that begins once some reads of a topic were answered.
+struct ScheduledFault {
+    topic: String,
+    /// Number of reads that are still answered.
+    reads: u32,
+    fault: Fault,
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -123,6 +139,7 @@
         Arc::new(Self {
             topics: Mutex::default(),
             records_per_page: AtomicUsize::new(RECORDS_PER_PAGE),
+            records_per_read: AtomicUsize::new(usize::MAX),
             era: AtomicU64::new(0),
             changed: Notify::new(),
         })
@@ -133,6 +150,11 @@
         self.records_per_page.store(records, Ordering::SeqCst);
     }
 
+    /// Sets the maximum number of records in the response to a read, which tells the log's true end all the same.
+    pub fn set_records_per_read(&self, records: usize) {
+        self.records_per_read.store(records, Ordering::SeqCst);
+    }
+
     /// Opens a listener without a fault on a free loopback port.
     pub async fn listen(self: &Arc<Self>) -> std::io::Result<Arc<StoreListener>> {
         let socket = TcpListener::bind("127.0.0.1:0").await?;
@@ -140,6 +162,7 @@
         let listener = Arc::new(StoreListener {
             address,
             fault: Mutex::default(),
+            scheduled_fault: Mutex::default(),
             call_count: Mutex::default(),
             store: self.clone(),
         });
@@ -215,11 +238,29 @@
 }
 
 impl StoreListener {
-    /// Sets the fault for calls that start from now on.
+    /// Sets the fault for calls that start from now on, and for the answers to reads that the store still holds.
     pub fn set_fault(&self, fault: Fault) {
+        *lock(&self.scheduled_fault) = None;
         *lock(&self.fault) = fault;
     }
 
+    /// Serves calls without a fault until `reads` more reads of `topic` were answered with records; `fault` begins then.
+    pub fn set_fault_after_reads(&self, topic: &str, reads: u32, fault: Fault) {
+        self.set_fault(Fault::None);
+        *lock(&self.scheduled_fault) = Some(ScheduledFault { topic: topic.to_owned(), reads, fault });
+    }
+
+    /// Counts a read of `topic` that is answered with records, and begins the scheduled fault after the last one.
+    fn count_read(&self, topic: &str) {
+        let mut scheduled = lock(&self.scheduled_fault);
+        let Some(schedule) = scheduled.as_mut().filter(|schedule| schedule.topic == topic) else { return };
+        schedule.reads = schedule.reads.saturating_sub(1);
+        if schedule.reads == 0 {
+            *lock(&self.fault) = schedule.fault;
+            *scheduled = None;
+        }
+    }
+
     /// Returns the number of calls through this listener, including those that failed by its fault.
     pub fn call_count(&self) -> u64 {
         *lock(&self.call_count)
@@ -229,6 +270,11 @@
     /// the fault demands.
     async fn begin_call(&self) -> Result<Fault, Response> {
         *lock(&self.call_count) += 1;
+        self.apply_fault().await
+    }
+
+    /// Applies the present fault. Returns the fault, or the error response that it demands.
+    async fn apply_fault(&self) -> Result<Fault, Response> {
         let fault = *lock(&self.fault);
         match fault {
             Fault::Unavailable => Err(StatusCode::SERVICE_UNAVAILABLE.into_response()),
@@ -288,6 +334,8 @@
         return response;
     }
     let (topic, from) = (query.text("topic"), query.number("from"));
+    let max_kb = if query.bytes("max_kb").is_some() { query.number("max_kb") } else { DEFAULT_MAX_KB };
+    let max_bytes = usize::try_from(max_kb * 1_024).unwrap_or(usize::MAX);
     let wait = Duration::from_millis(query.number("wait_ms"));
     let deadline = tokio::time::Instant::now() + wait;
     let era = listener.store.era();
@@ -296,22 +344,37 @@
         if listener.store.era() != era {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
-        if let Some(response) = read_response(&listener.store, &topic, from, tokio::time::Instant::now() >= deadline) {
+        let is_expired = tokio::time::Instant::now() >= deadline;
+        if let Some((response, has_records)) = read_response(&listener.store, &topic, from, max_bytes, is_expired) {
+            // A client that is turned away while the store holds its read learns nothing from the answer.
+            if let Err(refusal) = listener.apply_fault().await {
+                return refusal;
+            }
+            if has_records {
+                listener.count_read(&topic);
+            }
             return response;
         }
         let _ = tokio::time::timeout_at(deadline, changed).await;
     }
 }
 
-/// Builds the response with the records from an offset on; `None` if there is no record yet and the read's wait has not
-/// expired. An offset outside the topic gets 410 with the first offset that can be read.
-fn read_response(store: &Store, topic: &str, from: u64, is_expired: bool) -> Option<Response> {
+/// Builds the response with the records from an offset on, and returns whether it holds any; `None` if there is no record
+/// yet and the read's wait has not expired. Records beyond `max_bytes` are left out, but for the first one. An offset
+/// outside the topic gets 410 with the first offset that can be read.
+fn read_response(
+    store: &Store,
+    topic: &str,
+    from: u64,
+    max_bytes: usize,
+    is_expired: bool,
+) -> Option<(Response, bool)> {
     let topics = lock(&store.topics);
     let empty = Topic::default();
     let topic = topics.get(topic).unwrap_or(&empty);
     if from < topic.first_offset || from > topic.end_offset() {
         let body = axum::Json(json!({ "first": topic.first_offset }));
-        return Some((StatusCode::GONE, body).into_response());
+        return Some(((StatusCode::GONE, body).into_response(), false));
     }
     let skip = usize::try_from(from - topic.first_offset).unwrap_or(usize::MAX);
     let records = topic.records.get(skip..).unwrap_or_default();
@@ -321,14 +384,20 @@
     let mut encoded = Vec::new();
     encoded.extend_from_slice(&topic.end_offset().to_be_bytes());
     encoded.extend_from_slice(&topic.first_offset.to_be_bytes());
-    for record in records {
+    let head_bytes = encoded.len();
+    for record in records.iter().take(store.records_per_read.load(Ordering::SeqCst)) {
         let len = 1 + record.key.len() + record.value.len();
+        let is_first = encoded.len() == head_bytes;
+        if !is_first && encoded.len() - head_bytes + LENGTH_BYTES + len > max_bytes {
+            break;
+        }
         encoded.extend_from_slice(&u32::try_from(len).unwrap_or(u32::MAX).to_be_bytes());
         encoded.push(u8::try_from(record.key.len()).unwrap_or(u8::MAX));
         encoded.extend_from_slice(&record.key);
         encoded.extend_from_slice(&record.value);
     }
-    Some(Body::from(encoded).into_response())
+    let has_records = encoded.len() > head_bytes;
+    Some((Body::from(encoded).into_response(), has_records))
 }
 
 /// Reads one page of the newest records, in the order of their keys: those whose keys follow `after_rev`, or the first
