--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -66,8 +66,8 @@
     let ready_listener = http::listen_for_callers(settings.ready_listen)?;
     event!("start", role = "gateway", listen = %settings.listen, store = %settings.store, policy = ?settings.policy);
     let gateway = Rc::new(Gateway::new(settings));
-    tokio::task::spawn_local(store_reader::poll_configuration(gateway.clone()));
-    tokio::task::spawn_local(store_reader::poll_replicas(gateway.clone()));
+    tokio::task::spawn_local(store_reader::configuration::poll(gateway.clone()));
+    tokio::task::spawn_local(store_reader::replicas::poll(gateway.clone()));
     tokio::task::spawn_local(health::run(gateway.clone(), ready_listener));
     tokio::task::spawn_local(gateway.admission.clone().run());
     tokio::task::spawn_local(gateway.admission.clone().watch_for_suspension());
--- /dev/null
+++ b/sorrelpass/src/gateway/store_reader/replicas.rs
@@ -0,0 +1,117 @@
+//! Reads the replicas' records from the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coord::roster::{Transfer, Update};
+use eyre::Result;
+use platform::replica;
+use platform::store::KeyedRecord;
+
+use super::super::ingest::{STORE_RECOVERY_GRACE, Source};
+use super::super::state::Gateway;
+use super::super::topic_reader::{LogRead, TopicReader};
+use super::super::{delegates, ingest, now};
+use super::{are_replicas_fresh, replicas_read_interval, wait_until_replica_read_due};
+use crate::warn_event;
+
+/// Bounds the length of a logged decoding error, in characters.
+const MAX_LOGGED_ERROR_CHARS: usize = 120;
+
+/// Keeps the known replicas up to date until the process ends.
+pub async fn poll(gateway: Rc<Gateway>) {
+    let mut reader =
+        ReplicaReader { topic: TopicReader::new(&gateway, replica::TOPIC), lost_at: None, has_just_lost_log: false };
+    loop {
+        let interval = replicas_read_interval(&gateway.bounds());
+        wait_until_replica_read_due(&gateway, gateway.first_read_due_at()).await;
+        let outcome = reader.read(&gateway).await;
+        reader.topic.record_outcome(&outcome);
+        ingest::expire_records(&gateway, Source::Store);
+        if outcome.is_err() {
+            gateway.store_view.replicas.set_read_requested(false);
+            delegates::delegate(&gateway);
+            reader.topic.back_off(&gateway, &gateway.store_view.replicas).await;
+        } else if !reader.has_just_lost_log {
+            gateway.store_view.sleep_until_woken(interval).await;
+        }
+    }
+}
+
+/// Reads the replicas' records. The position in their log is the end of the roster, which other entries advance too.
+struct ReplicaReader {
+    topic: TopicReader,
+    /// Offset to which the log did not reach back at the last read.
+    lost_at: Option<u64>,
+    /// Whether the last read showed that, so that the snapshot is read without a pause.
+    has_just_lost_log: bool,
+}
+
+impl ReplicaReader {
+    /// Returns whether the log cannot be read from the offset `end`, so that a snapshot must be read.
+    fn needs_snapshot(&self, end: u64) -> bool {
+        end == 0 || self.lost_at.is_some_and(|lost_at| end <= lost_at)
+    }
+
+    /// Reads and applies the new replica records, or a snapshot if the log does not reach back to the copy's end.
+    async fn read(&mut self, gateway: &Gateway) -> Result<()> {
+        self.has_just_lost_log = false;
+        let from = gateway.roster.borrow().end();
+        if self.needs_snapshot(from) {
+            return self.read_snapshot(gateway).await;
+        }
+        let sent_at = now();
+        let outcome = self.topic.read_from(from, Duration::ZERO).await?;
+        start_recovery_grace(gateway, &self.topic);
+        match outcome {
+            LogRead::Records(batch) => {
+                gateway.observe_era(batch.next_offset);
+                let updates = decode_updates(gateway, &batch.records);
+                ingest::apply_transfer(gateway, Transfer::of_log(from, batch.next_offset, updates), Source::Store)?;
+                gateway.store_view.replicas.mark_verified(sent_at);
+            }
+            LogRead::Lost => {
+                self.lost_at = Some(from);
+                self.has_just_lost_log = true;
+            }
+            LogRead::Outdated => {}
+        }
+        Ok(())
+    }
+
+    /// Reads and applies a snapshot of all replica records.
+    async fn read_snapshot(&mut self, gateway: &Gateway) -> Result<()> {
+        let sent_at = now();
+        let snapshot = self.topic.read_snapshot().await?;
+        let newest = decode_updates(gateway, &snapshot.records);
+        start_recovery_grace(gateway, &self.topic);
+        gateway.observe_era(snapshot.next_offset);
+        ingest::apply_transfer(gateway, Transfer::of_newest(snapshot.next_offset, newest), Source::Store)?;
+        gateway.store_view.replicas.mark_verified(sent_at);
+        Ok(())
+    }
+}
+
+/// Starts the grace period for missing records at the first response after an outage of the store: records may have
+/// expired only because their replicas could not renew them. There was no outage if the copy is fresh, because the
+/// store then still answered another entry.
+fn start_recovery_grace(gateway: &Gateway, reader: &TopicReader) {
+    if reader.is_failing() && !are_replicas_fresh(gateway) {
+        gateway.roster.borrow_mut().record_store_recovery(now(), STORE_RECOVERY_GRACE);
+    }
+}
+
+/// Decodes replica records. Logs the error of a record that cannot be decoded only if its replica accepted work until
+/// now.
+fn decode_updates(gateway: &Gateway, records: &[KeyedRecord]) -> Vec<Update> {
+    let mut updates = Vec::with_capacity(records.len());
+    for record in records {
+        let replica::DecodedRecord { state, error } = replica::decode(record);
+        if let Some(error) = error.filter(|_| ingest::accepts_work(gateway, &record.key)) {
+            let error: String = error.chars().take(MAX_LOGGED_ERROR_CHARS).collect();
+            warn_event!("replica-record", peer = %record.key, offset = record.offset, fault = %error);
+        }
+        updates.push(Update { offset: record.offset, state });
+    }
+    updates
+}
