A copy of the store counts as verified only where it reaches the end of the log

Cause: GET /log-read answers at most 1 MiB unless told otherwise and tells the log's end, which the reader dropped. The readers of the configuration and of the replicas' records both did so.

Change: coord::progress. An answer's end is remembered with the send time of its read; once the copy reaches it, also by later reads or by records from another entry, the copy is verified as of that time. Under a log that grows as fast as it is read, earlier ends are still met, so that no entry is refused for ever. A Verification has no public constructor but for the age that another entry reported, and TopicState takes nothing else. The end of is_behind follows from it too.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod pool;
 pub mod prefix;
 pub mod probe;
+pub mod progress;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
--- a/sorrelpass/src/gateway/ingest.rs
+++ b/sorrelpass/src/gateway/ingest.rs
@@ -78,7 +78,7 @@
         let evacuated =
             records.filter_map(|(_, event)| if let Event::Started(domain) = event { Some(domain) } else { None });
         register.apply_snapshot(
-            Snapshot { next: batch.next_offset, domains: evacuated.collect() },
+            Snapshot { next: batch.answer.next(), domains: evacuated.collect() },
             now() + STORE_RECOVERY_GRACE,
         )
     } else {
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -57,7 +57,7 @@
     let batch = match position.next_offset() {
         None => {
             let mut snapshot = reader.read_snapshot().await?;
-            if position.is_same_log(snapshot.next_offset) {
+            if position.is_same_log(snapshot.answer.next()) {
                 let removals = missing_records(gateway, &snapshot);
                 snapshot.records.extend(removals);
             } else {
@@ -75,9 +75,9 @@
             LogRead::Outdated => return Ok(()),
         },
     };
-    let RecordBatch { records, next_offset } = batch;
+    let RecordBatch { records, answer } = batch;
     records.iter().for_each(|record| apply_record(gateway, record));
-    position.advance_to(next_offset);
+    position.advance_to(answer.next());
     Ok(())
 }
 
@@ -88,7 +88,7 @@
     let stored = gateway.quarantine.stored.borrow();
     let keys = stored.keys().map(|cause| record::key(*cause));
     let missing = keys.filter(|key| !present.contains(&**key));
-    missing.map(|key| KeyedRecord { offset: snapshot.next_offset, key: key.into(), value: None }).collect()
+    missing.map(|key| KeyedRecord { offset: snapshot.answer.next(), key: key.into(), value: None }).collect()
 }
 
 /// Applies one record. A record that cannot be decoded is logged and skipped.
--- a/sorrelpass/src/gateway/store_reader/configuration.rs
+++ b/sorrelpass/src/gateway/store_reader/configuration.rs
@@ -4,18 +4,20 @@
 use std::time::Duration;
 
 use coord::delta::Version;
+use coord::progress::Progress;
 use eyre::{Result, eyre};
 use platform::configuration;
 
 use super::super::ingest::ApplyOutcome;
 use super::super::state::Gateway;
 use super::super::topic_reader::{LogRead, MIN_RETRY_DELAY, TopicReader};
-use super::super::{delegates, ingest, now};
+use super::super::{delegates, ingest};
 use super::{long_poll_timeout, max_configuration_age};
 
 /// Keeps the routing table up to date until the process ends.
 pub async fn poll(gateway: Rc<Gateway>) {
     let mut reader = TopicReader::new(&gateway, configuration::TOPIC);
+    let mut progress = Progress::default();
     loop {
         let max_age = max_configuration_age(&gateway.bounds());
         let first_read_by = gateway.first_read_due_at();
@@ -23,7 +25,7 @@
             .store_view
             .wait_until_read_due(&gateway.store_view.configuration, max_age, first_read_by, || gateway.has_reader())
             .await;
-        let outcome = read_configuration(&gateway, &mut reader).await;
+        let outcome = read_configuration(&gateway, &mut reader, &mut progress).await;
         if reader.record_outcome(&outcome) {
             // The store has recovered, so the replicas' records can be read again too.
             gateway.store_view.wake_readers();
@@ -36,15 +38,14 @@
     }
 }
 
-/// Reads and applies the new records of the configuration's topic. Marks the copy as verified unless the newest
-/// configuration cannot be decoded or is missing.
-async fn read_configuration(gateway: &Gateway, reader: &mut TopicReader) -> Result<()> {
+/// Reads and applies the new records of the configuration's topic, or a part of them. The copy is verified once it holds
+/// all of them, unless the newest configuration cannot be decoded or is missing.
+async fn read_configuration(gateway: &Gateway, reader: &mut TopicReader, progress: &mut Progress) -> Result<()> {
     let (topic, position) = (&gateway.store_view.configuration, &gateway.store_view.configuration_position);
     // A copy that is too old for followers must be verified at once, so this read is no long poll.
     let is_stale =
         topic.is_read_requested() || topic.time_until_stale(max_configuration_age(&gateway.bounds())).is_zero();
     let poll_timeout = if is_stale { Duration::ZERO } else { long_poll_timeout(&gateway.bounds()) };
-    let sent_at = now();
     let is_snapshot = position.next_offset().is_none();
     let batch = match position.next_offset() {
         None => reader.read_snapshot().await?,
@@ -57,7 +58,8 @@
             LogRead::Outdated => return Ok(()),
         },
     };
-    gateway.observe_era(batch.next_offset);
+    let answer = batch.answer;
+    gateway.observe_era(answer.next());
     ingest::apply_evacuation_records(gateway, &batch, is_snapshot);
     // Only the outcome of the newest configuration counts, because it replaces earlier ones that cannot be decoded. A
     // snapshot without a configuration counts as older than any configuration.
@@ -82,11 +84,12 @@
         }
         ApplyOutcome::Outdated | ApplyOutcome::InForce => {}
     }
-    gateway.store_view.advance_configuration_to(batch.next_offset);
+    position.advance_to(answer.next());
+    let verification = progress.record(answer, position.next_offset().unwrap_or_default());
     if gateway.table().version() == 0 {
         tokio::time::sleep(MIN_RETRY_DELAY).await;
-    } else {
-        topic.mark_verified(sent_at);
+    } else if let Some(verification) = verification {
+        topic.mark_verified(verification);
     }
     Ok(())
 }
--- a/sorrelpass/src/gateway/store_reader/replicas.rs
+++ b/sorrelpass/src/gateway/store_reader/replicas.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coord::progress::{Answer, Progress};
 use coord::roster::{Transfer, Update};
 use eyre::Result;
 use platform::replica;
@@ -20,8 +21,12 @@
 
 /// Keeps the known replicas up to date until the process ends.
 pub async fn poll(gateway: Rc<Gateway>) {
-    let mut reader =
-        ReplicaReader { topic: TopicReader::new(&gateway, replica::TOPIC), lost_at: None, has_just_lost_log: false };
+    let mut reader = ReplicaReader {
+        topic: TopicReader::new(&gateway, replica::TOPIC),
+        progress: Progress::default(),
+        lost_at: None,
+        has_just_lost_log: false,
+    };
     loop {
         let interval = replicas_read_interval(&gateway.bounds());
         wait_until_replica_read_due(&gateway, gateway.first_read_due_at()).await;
@@ -41,6 +46,7 @@
 /// Reads the replicas' records. The position in their log is the end of the roster, which other entries advance too.
 struct ReplicaReader {
     topic: TopicReader,
+    progress: Progress,
     /// Offset to which the log did not reach back at the last read.
     lost_at: Option<u64>,
     /// Whether the last read showed that, so that the snapshot is read without a pause.
@@ -53,22 +59,22 @@
         end == 0 || self.lost_at.is_some_and(|lost_at| end <= lost_at)
     }
 
-    /// Reads and applies the new replica records, or a snapshot if the log does not reach back to the copy's end.
+    /// Reads and applies the new replica records or a part of them, or a snapshot if the log does not reach back to the copy's end.
     async fn read(&mut self, gateway: &Gateway) -> Result<()> {
         self.has_just_lost_log = false;
         let from = gateway.roster.borrow().end();
         if self.needs_snapshot(from) {
             return self.read_snapshot(gateway).await;
         }
-        let sent_at = now();
         let outcome = self.topic.read_from(from, Duration::ZERO).await?;
         start_recovery_grace(gateway, &self.topic);
         match outcome {
             LogRead::Records(batch) => {
-                gateway.observe_era(batch.next_offset);
+                let next = batch.answer.next();
+                gateway.observe_era(next);
                 let updates = decode_updates(gateway, &batch.records);
-                ingest::apply_transfer(gateway, Transfer::of_log(from, batch.next_offset, updates), Source::Store)?;
-                gateway.store_view.replicas.mark_verified(sent_at);
+                ingest::apply_transfer(gateway, Transfer::of_log(from, next, updates), Source::Store)?;
+                self.record(gateway, batch.answer);
             }
             LogRead::Lost => {
                 self.lost_at = Some(from);
@@ -81,15 +87,23 @@
 
     /// Reads and applies a snapshot of all replica records.
     async fn read_snapshot(&mut self, gateway: &Gateway) -> Result<()> {
-        let sent_at = now();
         let snapshot = self.topic.read_snapshot().await?;
         let newest = decode_updates(gateway, &snapshot.records);
         start_recovery_grace(gateway, &self.topic);
-        gateway.observe_era(snapshot.next_offset);
-        ingest::apply_transfer(gateway, Transfer::of_newest(snapshot.next_offset, newest), Source::Store)?;
-        gateway.store_view.replicas.mark_verified(sent_at);
+        let end = snapshot.answer.next();
+        gateway.observe_era(end);
+        ingest::apply_transfer(gateway, Transfer::of_newest(end, newest), Source::Store)?;
+        self.record(gateway, snapshot.answer);
         Ok(())
     }
+
+    /// Records an answer whose records were applied. The copy is verified once it reaches the end of the log.
+    fn record(&mut self, gateway: &Gateway, answer: Answer) {
+        let end = gateway.roster.borrow().end();
+        if let Some(verification) = self.progress.record(answer, end) {
+            gateway.store_view.replicas.mark_verified(verification);
+        }
+    }
 }
 
 /// Starts the grace period for missing records at the first response after an outage of the store: records may have
--- a/sorrelpass/src/gateway/store_view.rs
+++ b/sorrelpass/src/gateway/store_view.rs
@@ -10,6 +10,7 @@
 
 use coord::delta::{Delta, Version, VersionCache};
 use coord::offset::Formatted;
+use coord::progress::Verification;
 use coord::quota::Bucket;
 use coord::roster;
 use coord::time::Moment;
@@ -129,13 +130,6 @@
         }
     }
 
-    /// Records that all records of the configuration's topic below the offset `next` were applied.
-    pub fn advance_configuration_to(&self, next: u64) {
-        if self.configuration_position.advance_to(next) {
-            self.configuration.mark_caught_up();
-        }
-    }
-
     /// Returns the state of the copy of the configuration in the form that is sent to other entries, or `None` before
     /// the first verification.
     fn configuration_state(&self) -> Option<CopyState> {
@@ -279,8 +273,8 @@
     let is_applied = response.delta.is_none_or(|delta| view.open_delta(&delta).is_some_and(apply));
     match response.configuration {
         Some(copy_state) if is_applied && !response.is_too_large => {
-            view.advance_configuration_to(copy_state.next_offset);
-            view.configuration.mark_verified(requested_at - copy_state.age);
+            view.configuration_position.advance_to(copy_state.next_offset);
+            view.configuration.mark_verified(Verification::reported(requested_at, copy_state.age));
         }
         Some(_) => {
             view.configuration.mark_behind();
@@ -310,6 +304,6 @@
     }
     ingest::apply_transfer(gateway, transfer, Source::Peer)?;
     ingest::expire_records(gateway, Source::Peer);
-    gateway.store_view.replicas.mark_verified(requested_at - copy.age);
+    gateway.store_view.replicas.mark_verified(Verification::reported(requested_at, copy.age));
     Ok(())
 }
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -1,13 +1,14 @@
 //! State of this process's copy of one topic of the store: when it was last verified, and where the next read continues.
 //!
-//! A copy is verified by a read of the store, here or at another entry, which shows that the copy holds the newest
-//! records.
+//! A copy is verified by reads of the store, here or at another entry, which show that the copy is complete
+//! ([`coord::progress`]).
 
 use std::cell::Cell;
 use std::time::Duration;
 
 use coord::invariant;
 use coord::offset;
+use coord::progress::Verification;
 use coord::time::Moment;
 use tokio::sync::watch;
 
@@ -28,14 +29,12 @@
         self.next_offset.get()
     }
 
-    /// Records that all records below the offset `next` were applied. Returns whether none beyond it were before.
-    pub fn advance_to(&self, next: u64) -> bool {
-        let is_newest = self.next_offset.get().is_none_or(|known| known <= next);
-        if is_newest {
+    /// Records that all records below the offset `next` were applied.
+    pub fn advance_to(&self, next: u64) {
+        if self.next_offset.get().is_none_or(|known| known <= next) {
             self.next_offset.set(Some(next));
             self.newest.set(Some(next));
         }
-        is_newest
     }
 
     /// Returns whether a snapshot that ends at `end` shows the same log as the records that were read before, rather
@@ -53,7 +52,7 @@
 /// State of this process's copy of one topic.
 #[derive(Default)]
 pub struct TopicState {
-    /// Send time of the newest read that verified the copy.
+    /// Time before which every acknowledged record is known to be in the copy.
     verified_at: Cell<Option<Moment>>,
     /// Whether the copy was ever verified.
     ever_verified: watch::Sender<bool>,
@@ -64,11 +63,13 @@
 }
 
 impl TopicState {
-    /// Records that a read which was sent at `sent` showed the copy to be the newest state.
-    pub fn mark_verified(&self, sent: Moment) {
-        invariant!(sent <= now(), "a read of the store is not from the future");
-        if self.verified_at.get().is_none_or(|verified_at| verified_at < sent) {
-            self.verified_at.set(Some(sent));
+    /// Records that the copy is known to be complete.
+    pub fn mark_verified(&self, verification: Verification) {
+        let as_of = verification.as_of();
+        invariant!(as_of <= now(), "a read of the store is not from the future");
+        self.is_behind.set(false);
+        if self.verified_at.get().is_none_or(|verified_at| verified_at < as_of) {
+            self.verified_at.set(Some(as_of));
             self.is_read_requested.set(false);
             self.ever_verified.send_replace(true);
         }
@@ -85,11 +86,6 @@
         self.is_behind.set(true);
     }
 
-    /// Records that this process has the newest records again.
-    pub fn mark_caught_up(&self) {
-        self.is_behind.set(false);
-    }
-
     /// Sets whether the leader asked this process to read the topic.
     pub fn set_read_requested(&self, is_requested: bool) {
         self.is_read_requested.set(is_requested);
--- a/sorrelpass/src/gateway/topic_reader.rs
+++ b/sorrelpass/src/gateway/topic_reader.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use coord::offset::Formatted;
+use coord::progress::Answer;
 use coord::retry_delay::RetryDelay;
 use eyre::Result;
 use platform::store::{Client, CompactedTopic, KeyedRecord, Read};
 
+use super::now;
 use super::state::Gateway;
 use super::store_reader;
 use super::topic::TopicState;
@@ -38,15 +40,15 @@
 pub struct RecordBatch {
     /// Records in the order of the log.
     pub records: Vec<KeyedRecord>,
-    /// Offset from which the next read continues.
-    pub next_offset: u64,
+    /// Part of the log that they cover.
+    pub answer: Answer,
 }
 
 /// Result of a read from an offset on.
 pub enum LogRead {
     /// The records from that offset on.
     Records(RecordBatch),
-    /// The log does not reach back to that offset: the newest records must be read instead.
+    /// The log cannot be read from that offset: the newest records must be read instead.
     Lost,
     /// The store answered with an older state, which verifies nothing.
     Outdated,
@@ -120,9 +122,11 @@
         gateway.store_view.sleep_until_woken(delay.mul_f64(rand::random_range(0.75..1.25))).await;
     }
 
-    /// Reads the records from the offset `from` on. If there are none, the store holds the call for up to `wait`.
+    /// Reads the records from the offset `from` on, or a part of them. If there are none, the store holds the call for up
+    /// to `wait`.
     pub async fn read_from(&mut self, from: u64, wait: Duration) -> Result<LogRead> {
         metric::record_store_calls("read", self.topic_name, 1);
+        let sent_at = now();
         match self.client.read(self.topic_name, from, wait, RESPONSE_TIMEOUT).await? {
             Read::Trimmed => {
                 event!("store-trimmed", topic = self.topic_name, from = %Formatted(from));
@@ -139,11 +143,16 @@
                 Ok(LogRead::Outdated)
             }
             Read::Records { records, next_offset, end_offset } => {
-                if next_offset < end_offset {
+                let answer = Answer::of_log(sent_at, next_offset, end_offset);
+                if answer.is_part() {
                     let (from, next, end) = (Formatted(from), Formatted(next_offset), Formatted(end_offset));
                     event!("store-part", topic = self.topic_name, from = %from, next = %next, end = %end);
                 }
-                Ok(LogRead::Records(RecordBatch { records, next_offset }))
+                // From here the log would be read without an end.
+                if answer.is_part() && records.is_empty() && next_offset == from {
+                    return Ok(LogRead::Lost);
+                }
+                Ok(LogRead::Records(RecordBatch { records, answer }))
             }
         }
     }
@@ -151,12 +160,13 @@
     /// Reads a snapshot: the newest record of each key. The timeout grows with each failure, because a store that is
     /// slow while many entries read snapshots would only get more load from calls that time out and start over.
     pub async fn read_snapshot(&mut self) -> Result<RecordBatch> {
+        let sent_at = now();
         let timeout = RESPONSE_TIMEOUT * 2u32.pow(self.failures.min(MAX_TIMEOUT_DOUBLINGS));
         let outcome = self.client.read_compacted(self.topic_name, timeout).await;
         metric::record_store_calls("newest", self.topic_name, outcome.as_ref().map_or(1, |snapshot| snapshot.pages));
         let snapshot = outcome?;
         log_unreadable_items(self.topic_name, &snapshot);
-        Ok(RecordBatch { records: snapshot.records, next_offset: snapshot.end_offset })
+        Ok(RecordBatch { records: snapshot.records, answer: Answer::of_newest(sent_at, snapshot.end_offset) })
     }
 }
 
--- /dev/null
+++ b/standin/tests/platform_partial_reads.rs
@@ -0,0 +1,150 @@
+//! Reads of the store's log that hold only a part of the records that an entry missed: nothing may follow from them that
+//! only the whole log shows, and the rest is read at once.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use standin::platform::{Fault, KEY, NetworkFault, RequestSpec, Site, Spec};
+
+const CONFIGURATION_TOPIC: &str = "keyed.op";
+/// Key that is valid throughout.
+const STAYING_KEY: &str = "key-that-stays";
+/// Number of records that the entries miss; the last one revokes [`KEY`].
+const MISSED: usize = 12;
+/// Bound from the revocation of a key until no request with it may run.
+const REVOKE_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Time for which the entries are turned away, a little longer than that bound.
+const OUTAGE: Duration = Duration::from_millis(3_300);
+/// Time for which requests are sent after the outage; the store may turn the entries away again meanwhile.
+const OBSERVATION: Duration = Duration::from_millis(2_500);
+/// Interval between two requests with each key at each entry.
+const INTERVAL: Duration = Duration::from_millis(25);
+/// Delay of the store's answers after the outage, and of the calls.
+const STORE_DELAY: Duration = Duration::from_millis(10);
+
+fn lookup(id: &str, key: &str) -> RequestSpec {
+    RequestSpec::new("GET", "/look/1", id, key).with_header("deadline-ms", "800")
+}
+
+/// How the store serves the entries after an outage in which they missed records.
+struct Play {
+    name: &'static str,
+    entries: usize,
+    /// Maximum number of records in an answer.
+    records_per_read: usize,
+    /// Number of reads after which the entries are turned away again, if they are.
+    reads: Option<u32>,
+    /// Entries that the store serves again.
+    served: &'static [usize],
+    /// Key under which the missed records before the last one are.
+    key: &'static str,
+}
+
+impl Play {
+    const fn lone(name: &'static str, records_per_read: usize, reads: Option<u32>) -> Self {
+        Self { name, entries: 1, records_per_read, reads, served: &[0], key: "config" }
+    }
+
+    async fn start(&self) -> Site {
+        let bounds = format!("revoke_ms = {}", REVOKE_TIMEOUT.as_millis());
+        let spec = Spec { entries: self.entries, bounds, has_proxies: true, ..Spec::small(self.name) };
+        let site = Site::start(spec).await.expect("the site starts");
+        site.configure(&[KEY, STAYING_KEY], |_| {});
+        common::wait_until("the keys are known", || async { self.accepts(&site, STAYING_KEY).await }).await;
+        site
+    }
+
+    /// Returns whether all entries serve a request with this key.
+    async fn accepts(&self, site: &Site, key: &str) -> bool {
+        self.send(site, key).await.iter().all(|status| *status == 200)
+    }
+
+    /// Sends a request with this key to each entry and returns the statuses.
+    async fn send(&self, site: &Site, key: &str) -> Vec<u16> {
+        let requests: Vec<RequestSpec> =
+            (0..self.entries).map(|entry| lookup(&format!("{key}-{entry}"), key)).collect();
+        let outcomes = join_all(requests.iter().enumerate().map(|(entry, request)| site.send(entry, request))).await;
+        outcomes.iter().map(|outcome| outcome.status).collect()
+    }
+
+    /// Lets the entries miss records, of which the last one revokes a key; the store serves them again afterwards.
+    async fn miss_revocation(&self, site: &Site) {
+        site.store_listeners.iter().for_each(|listener| listener.set_fault(Fault::Unavailable));
+        for _ in 1..MISSED {
+            match self.key {
+                "config" => drop(site.configure(&[KEY, STAYING_KEY], |_| {})),
+                key => drop(site.store.put(CONFIGURATION_TOPIC, key, "{}")),
+            }
+        }
+        site.configure(&[STAYING_KEY], |_| {});
+        tokio::time::sleep(OUTAGE).await;
+        site.store.set_records_per_read(self.records_per_read);
+        site.proxies.store.iter().for_each(|proxy| proxy.set_fault(NetworkFault::Delay(STORE_DELAY)));
+        for listener in self.served.iter().map(|entry| &site.store_listeners[*entry]) {
+            match self.reads {
+                Some(reads) => listener.set_fault_after_reads(CONFIGURATION_TOPIC, reads, Fault::Unavailable),
+                None => listener.set_fault(Fault::None),
+            }
+        }
+    }
+
+    /// Counts the requests with a key that are served during the observation.
+    async fn count_served(&self, site: &Site, key: &str) -> usize {
+        let started = Instant::now();
+        let mut served = 0;
+        while started.elapsed() < OBSERVATION {
+            let (statuses, ()) = tokio::join!(self.send(site, key), tokio::time::sleep(INTERVAL));
+            served += statuses.iter().filter(|status| **status == 200).count();
+        }
+        served
+    }
+
+    async fn run(self) {
+        let site = self.start().await;
+        self.miss_revocation(&site).await;
+        let (revoked, staying) = tokio::join!(self.count_served(&site, KEY), self.count_served(&site, STAYING_KEY));
+        let log = site.log(self.served[0]);
+        assert_eq!(revoked, 0, "requests with the revoked key ran: {log}");
+        assert!(self.reads.is_some() || staying > 0, "nothing is served after the outage: {log}");
+        site.store_listeners.iter().for_each(|listener| listener.set_fault(Fault::None));
+        common::wait_until("the other key is accepted", || async { self.accepts(&site, STAYING_KEY).await }).await;
+        assert_eq!(self.send(&site, KEY).await, vec![401; self.entries]);
+        site.close().expect("no invariant was breached");
+    }
+}
+
+/// The control: the same outage, after which one answer holds all that was missed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_revoked_in_an_outage_is_not_accepted_once_the_whole_log_is_read() {
+    Play::lone("parts-whole", usize::MAX, None).run().await;
+}
+
+/// Guards against a part of the missed records that counts as all of them: a key ran that a later record revokes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_revoked_in_a_later_part_is_not_accepted() {
+    Play::lone("parts-later", 1, None).run().await;
+}
+
+/// Guards against the same where the later parts cannot be read for longer than the bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_revoked_in_a_part_that_cannot_be_read_is_not_accepted() {
+    for reads in [1, 3] {
+        Play::lone("parts-lost", 3, Some(reads)).run().await;
+    }
+}
+
+/// Guards against the same where the parts that were read hold another writer's records alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_revoked_behind_records_of_another_writer_is_not_accepted() {
+    Play { key: "of-another-writer", ..Play::lone("parts-foreign", 3, Some(1)) }.run().await;
+}
+
+/// Guards against a part that one entry read and that all entries take for the whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_one_entry_read_verifies_no_entry() {
+    for served in [&[0][..], &[1], &[0, 1, 2]] {
+        Play { entries: 3, served, ..Play::lone("parts-peers", 3, Some(1)) }.run().await;
+    }
+}
