The rest of the replicas' records is read without a pause

What callers saw: replicas that had begun to drain went on getting requests for as long as their records stood behind others that entries had not read.

Cause: after each read of the replicas' records the reader slept a quarter of drain_ms, also where the answer held a part. A log that holds more than one answer was read at one part a pause.

Change: the reader pauses only after an answer that reaches the log's end. One call is in flight at a time, each brings at least one record, and followers with a fresh copy from their leader don't read at all, so that the calls are bounded by the records that were missed.

--- a/sorrelpass/src/gateway/store_reader/replicas.rs
+++ b/sorrelpass/src/gateway/store_reader/replicas.rs
@@ -25,7 +25,7 @@
         topic: TopicReader::new(&gateway, replica::TOPIC),
         progress: Progress::default(),
         lost_at: None,
-        has_just_lost_log: false,
+        reads_on: false,
     };
     loop {
         let interval = replicas_read_interval(&gateway.bounds());
@@ -37,7 +37,7 @@
             gateway.store_view.replicas.set_read_requested(false);
             delegates::delegate(&gateway);
             reader.topic.back_off(&gateway, &gateway.store_view.replicas).await;
-        } else if !reader.has_just_lost_log {
+        } else if !reader.reads_on {
             gateway.store_view.sleep_until_woken(interval).await;
         }
     }
@@ -47,10 +47,10 @@
 struct ReplicaReader {
     topic: TopicReader,
     progress: Progress,
-    /// Offset to which the log did not reach back at the last read.
+    /// Offset from which the log could not be read at the last read.
     lost_at: Option<u64>,
-    /// Whether the last read showed that, so that the snapshot is read without a pause.
-    has_just_lost_log: bool,
+    /// Whether the next read follows without a pause, because the last one showed that the copy is not complete.
+    reads_on: bool,
 }
 
 impl ReplicaReader {
@@ -59,9 +59,10 @@
         end == 0 || self.lost_at.is_some_and(|lost_at| end <= lost_at)
     }
 
-    /// Reads and applies the new replica records or a part of them, or a snapshot if the log does not reach back to the copy's end.
+    /// Reads and applies the new replica records or a part of them, or a snapshot if the log cannot be read from the copy's
+    /// end on.
     async fn read(&mut self, gateway: &Gateway) -> Result<()> {
-        self.has_just_lost_log = false;
+        self.reads_on = false;
         let from = gateway.roster.borrow().end();
         if self.needs_snapshot(from) {
             return self.read_snapshot(gateway).await;
@@ -75,10 +76,11 @@
                 let updates = decode_updates(gateway, &batch.records);
                 ingest::apply_transfer(gateway, Transfer::of_log(from, next, updates), Source::Store)?;
                 self.record(gateway, batch.answer);
+                self.reads_on = batch.answer.is_part();
             }
             LogRead::Lost => {
                 self.lost_at = Some(from);
-                self.has_just_lost_log = true;
+                self.reads_on = true;
             }
             LogRead::Outdated => {}
         }
--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -5,10 +5,12 @@
 
 use std::time::{Duration, Instant};
 
+use common::load::lookup as lookup_with_key;
 use futures_util::future::join_all;
 use standin::platform::{Fault, KEY, NetworkFault, RequestSpec, Site, Spec};
 
 const CONFIGURATION_TOPIC: &str = "keyed.op";
+const REPLICAS_TOPIC: &str = "keyed.servers";
 /// Key that is valid throughout.
 const STAYING_KEY: &str = "key-that-stays";
 /// Number of records that the entries miss; the last one revokes [`KEY`].
@@ -148,3 +150,30 @@
         Play { entries: 3, served, ..Play::lone("parts-peers", 3, Some(1)) }.run().await;
     }
 }
+
+/// Guards against a pause after each part, in which replicas that began to drain long ago get requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_drain_behind_many_heartbeats_get_no_requests() {
+    for records_per_read in [usize::MAX, 1] {
+        let bounds = "drain_ms = 2000".to_owned();
+        let spec = Spec { plain_replicas: 4, bounds, ..Spec::small("parts-drain") };
+        let site = Site::start(spec).await.expect("the site starts");
+        site.store.set_records_per_read(records_per_read);
+        for _ in 0..15 {
+            site.write_replica_records();
+        }
+        let draining = &site.plain_replicas[1..];
+        for replica in draining {
+            site.store.put(REPLICAS_TOPIC, &replica.id, replica.store_record("ledger", "draining"));
+        }
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        let received = || draining.iter().map(|replica| replica.received_requests().len()).sum::<usize>();
+        let before = received();
+        for number in 0..100 {
+            let request = lookup_with_key(&format!("drained-{number}"));
+            assert_eq!(site.send(number % 2, &request).await.status, 200, "{records_per_read} records a read");
+        }
+        assert_eq!(received() - before, 0, "{records_per_read} records a read: {}", site.log(0));
+        site.close().expect("no invariant was breached");
+    }
+}
