A configuration behind one that cannot be decoded is read

What callers saw: a sound configuration never came into force while a part of the log ended with one that cannot be decoded; the same part was read again and again.

Cause: the reader judged each answer by its last configuration and, where that one cannot be decoded, read again from the same offset. With whole answers a newer one is in the same answer; with parts it never is.

--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -25,6 +25,8 @@
 const INTERVAL: Duration = Duration::from_millis(25);
 /// Delay of the store's answers after the outage, and of the calls.
 const STORE_DELAY: Duration = Duration::from_millis(10);
+/// Time within which entries apply what they can read.
+const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 fn lookup(id: &str, key: &str) -> RequestSpec {
     RequestSpec::new("GET", "/look/1", id, key).with_header("deadline-ms", "800")
@@ -177,3 +179,18 @@
         site.close().expect("no invariant was breached");
     }
 }
+
+/// Guards against a part that is read again for ever because its last configuration cannot be decoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_behind_one_that_cannot_be_decoded_is_in_force() {
+    let play = Play::lone("parts-undecodable", 1, None);
+    let site = play.start().await;
+    site.store.set_records_per_read(play.records_per_read);
+    for _ in 0..3 {
+        site.store.put(CONFIGURATION_TOPIC, "config", "not a configuration");
+    }
+    site.configure(&[STAYING_KEY], |_| {});
+    tokio::time::sleep(APPLY_TIMEOUT).await;
+    assert_eq!((play.send(&site, KEY).await, play.send(&site, STAYING_KEY).await), (vec![401], vec![200]));
+    site.close().expect("no invariant was breached");
+}
