An outage of the store is over for the replicas' records once their copy is complete

What callers saw: calls refused after an outage although their replicas were there.

Cause: the grace period for missing records began with the first answer after failed calls. With parts the removals of records that had vanished in the outage can be read after it, and count as replicas that left, while the records' return is in the rest.

Change: the grace period begins anew with each answer until the copy is complete.

--- a/sorrelpass/src/gateway/store_reader/replicas.rs
+++ b/sorrelpass/src/gateway/store_reader/replicas.rs
@@ -26,6 +26,7 @@
         progress: Progress::default(),
         lost_at: None,
         reads_on: false,
+        is_recovering: false,
     };
     loop {
         let interval = replicas_read_interval(&gateway.bounds());
@@ -51,6 +52,8 @@
     lost_at: Option<u64>,
     /// Whether the next read follows without a pause, because the last one showed that the copy is not complete.
     reads_on: bool,
+    /// Whether calls failed since the copy was last complete.
+    is_recovering: bool,
 }
 
 impl ReplicaReader {
@@ -68,7 +71,7 @@
             return self.read_snapshot(gateway).await;
         }
         let outcome = self.topic.read_from(from, Duration::ZERO).await?;
-        start_recovery_grace(gateway, &self.topic);
+        self.extend_recovery_grace(gateway);
         match outcome {
             LogRead::Records(batch) => {
                 let next = batch.answer.next();
@@ -91,7 +94,7 @@
     async fn read_snapshot(&mut self, gateway: &Gateway) -> Result<()> {
         let snapshot = self.topic.read_snapshot().await?;
         let newest = decode_updates(gateway, &snapshot.records);
-        start_recovery_grace(gateway, &self.topic);
+        self.extend_recovery_grace(gateway);
         let end = snapshot.answer.next();
         gateway.observe_era(end);
         ingest::apply_transfer(gateway, Transfer::of_newest(end, newest), Source::Store)?;
@@ -104,16 +107,18 @@
         let end = gateway.roster.borrow().end();
         if let Some(verification) = self.progress.record(answer, end) {
             gateway.store_view.replicas.mark_verified(verification);
+            self.is_recovering = false;
         }
     }
-}
 
-/// Starts the grace period for missing records at the first response after an outage of the store: records may have
-/// expired only because their replicas could not renew them. There was no outage if the copy is fresh, because the
-/// store then still answered another entry.
-fn start_recovery_grace(gateway: &Gateway, reader: &TopicReader) {
-    if reader.is_failing() && !are_replicas_fresh(gateway) {
-        gateway.roster.borrow_mut().record_store_recovery(now(), STORE_RECOVERY_GRACE);
+    /// Lets the grace period for missing records begin with each response after an outage of the store, until the copy is
+    /// complete: records may have expired only because their replicas could not renew them. There was no outage if the
+    /// copy is fresh, because the store then still answered another entry.
+    fn extend_recovery_grace(&mut self, gateway: &Gateway) {
+        self.is_recovering |= self.topic.is_failing();
+        if self.is_recovering && !are_replicas_fresh(gateway) {
+            gateway.roster.borrow_mut().record_store_recovery(now(), STORE_RECOVERY_GRACE);
+        }
     }
 }
 
