Evidence is written only once the quarantine's topic is read to its end

What callers saw: nothing in the play below, since the verdict is written again as soon as it is read. An entry that starts meanwhile reads the evidence in its place, and the next request goes to a replica that it ends.

Cause: an entry without a leader writes its evidence where its copy of the store lacks it. A part of the topic counted as the copy: evidence of a condemned request was written behind the verdict that stood in the rest.

Change: an entry whose copy is known to have a rest doesn't write.

--- a/sorrelpass/src/gateway/quarantine/mod.rs
+++ b/sorrelpass/src/gateway/quarantine/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use coord::contact::Contacts;
+use coord::progress::Progress;
 use coord::quarantine::{Cause, Event, Fingerprint, Proof, SharedPart, State, Status};
 use coord::termination::Terminations;
 use coord::time::Moment;
@@ -75,6 +76,8 @@
     contacts: RefCell<Contacts>,
     /// Read position in the quarantine topic of the store.
     position: ReadPosition,
+    /// Progress of reading that topic.
+    progress: RefCell<Progress>,
     /// Contents of the store, as far as this entry has read or written them.
     stored: RefCell<HashMap<Cause, Record>>,
     /// Terminations of replicas that this entry has observed or received, also presumed ones.
@@ -100,6 +103,7 @@
             state: RefCell::default(),
             contacts: RefCell::default(),
             position: ReadPosition::default(),
+            progress: RefCell::default(),
             stored: RefCell::default(),
             terminations: RefCell::new(Terminations::new(util::incarnation())),
             probes: Probes::default(),
--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -78,6 +78,9 @@
     let RecordBatch { records, answer } = batch;
     records.iter().for_each(|record| apply_record(gateway, record));
     position.advance_to(answer.next());
+    let end = position.next_offset().unwrap_or_default();
+    // Only the rest counts here: evidence from an older copy is valid too.
+    let _ = gateway.quarantine.progress.borrow_mut().record(answer, end);
     Ok(())
 }
 
@@ -146,9 +149,11 @@
     outcome.map(drop)
 }
 
-/// Returns whether this entry writes records: one that follows a leader, or has not read the topic yet, does not.
+/// Returns whether this entry writes records: one that follows a leader, or has not read the topic yet, does not. One
+/// that has read only a part of it would replace newer records in the rest.
 fn is_writer(gateway: &Gateway) -> bool {
-    !gateway.admission.has_leader() && gateway.quarantine.position.next_offset().is_some()
+    let is_read = |end| !gateway.quarantine.progress.borrow().has_rest(end);
+    !gateway.admission.has_leader() && gateway.quarantine.position.next_offset().is_some_and(is_read)
 }
 
 /// Returns the next cause whose record in the store differs from the state, and its new record, or `None` to remove it.
--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -11,6 +11,7 @@
 
 const CONFIGURATION_TOPIC: &str = "keyed.op";
 const REPLICAS_TOPIC: &str = "keyed.servers";
+const QUARANTINE_TOPIC: &str = "keyed.quarantine";
 /// Key that is valid throughout.
 const STAYING_KEY: &str = "key-that-stays";
 /// Number of records that the entries miss; the last one revokes [`KEY`].
@@ -303,3 +304,42 @@
     assert_eq!((play.send(&site, KEY).await, play.send(&site, STAYING_KEY).await), (vec![401], vec![200]));
     site.close().expect("no invariant was breached");
 }
+
+/// Guards against a part of the quarantine's topic that counts as all of it: evidence of this entry took the place of
+/// another entry's verdict that was in the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn evidence_does_not_replace_a_verdict_that_is_still_unread() {
+    let spec = Spec { entries: 1, has_proxies: true, ..Spec::small("parts-verdict") };
+    let site = Site::start(spec).await.expect("the site starts");
+    site.plain_replicas.iter().for_each(|replica| replica.crash_on("fatal", Duration::from_millis(300)));
+    let send_fatal = async |id: &str| {
+        site.send(0, &RequestSpec { body: "fatal".into(), ..lookup(id, KEY) }).await;
+        tokio::time::sleep(INTERVAL * 12).await;
+    };
+    for number in 0..10 {
+        send_fatal(&format!("fatal-{number}")).await;
+    }
+    let [key] = &site.store.keys(QUARANTINE_TOPIC)[..] else { panic!("{}", site.log(0)) };
+    let verdict = site.store.value(QUARANTINE_TOPIC, key).expect("the verdict is in the store");
+    site.store.put(QUARANTINE_TOPIC, key, "");
+    let lifted = || async { site.log(0).contains("step=quarantine-lifted") };
+    common::wait_until("the verdict is lifted", lifted).await;
+    site.store_listeners[0].set_fault(Fault::Unavailable);
+    send_fatal("evidence").await;
+    for number in 0..30 {
+        site.store.put(QUARANTINE_TOPIC, &format!("of-another-writer-{number}"), "{}");
+    }
+    site.store.put(QUARANTINE_TOPIC, key, verdict);
+    let before = site.log(0).len();
+    site.store.set_records_per_read(1);
+    site.proxies.store[0].set_fault(NetworkFault::Delay(STORE_DELAY));
+    site.store_listeners[0].set_fault(Fault::None);
+    tokio::time::sleep(OUTAGE).await;
+    let log = site.log(0);
+    let since = &log[before..];
+    assert!(since.contains("step=store-part topic=keyed.quarantine"), "every answer was whole: {since}");
+    let written = since.lines().filter(|line| line.contains("step=quarantine-written"));
+    let replaced: Vec<&str> = written.filter(|line| line.contains("condemned=false")).collect();
+    assert!(replaced.is_empty(), "{replaced:?}");
+    site.close().expect("no invariant was breached");
+}
