An entry of the own form is ready once the configuration's log is read to its end

What callers saw: an entry that had just started counted as ready, and served, by a configuration that later records of the log replace.

Change: the configuration is published, and handed to peers, once coord::progress shows that the log was read to its end, or while the log is unavailable and a peer has one. Until then the log's reads don't wait for records. The partitions of the claims use the same notion in place of a comparison of their own.

--- a/sorrelpass/src/entry/claims.rs
+++ b/sorrelpass/src/entry/claims.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use coord::claim::{Binding, Claims, Key};
 use coord::name::{ExecutionStatus, Name};
+use coord::progress::{Answer, Progress};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -207,10 +208,12 @@
     }
 
     async fn follow_stream(self: Rc<Self>) {
+        let mut progress = Progress::default();
         loop {
             let next = self.bindings.borrow().next_offset();
             let is_caught_up = *self.replay_state.borrow() == ReplayState::CaughtUp;
             let wait_ms = if is_caught_up { READ_WAIT_MS } else { 0 };
+            let sent_at = util::now();
             match self.log.read(&self.stream, next, wait_ms).await {
                 Ok(batch) => {
                     if batch.oldest > next {
@@ -221,7 +224,8 @@
                     for record in &batch.records {
                         self.apply(record.offset, record.appended_at, &record.payload);
                     }
-                    if self.bindings.borrow().next_offset() >= batch.end {
+                    let next = self.bindings.borrow().next_offset();
+                    if progress.record(Answer::of_log(sent_at, next, batch.end), next).is_some() {
                         self.replay_state.send_replace(ReplayState::CaughtUp);
                     }
                 }
--- a/sorrelpass/src/entry/config_log.rs
+++ b/sorrelpass/src/entry/config_log.rs
@@ -3,7 +3,7 @@
 //! Snapshots have their own stream, which is read only after a start or a gap, so that following the
 //! configuration costs no more than reading the changes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use coord::intent::Config;
 use coord::name::Name;
+use coord::progress::{Answer, Progress};
 use coord::replay::{Record, Replay, Snapshot, Verdict};
+use coord::time::Moment;
 use eyre::{Result, WrapErr};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{oneshot, watch};
@@ -59,10 +61,13 @@
     shared: Arc<Shared>,
     log: Box<dyn Log>,
     replay: RefCell<Replay>,
+    progress: RefCell<Progress>,
+    /// Whether the replayed configuration may be used. Before, it may be one that the rest of the log replaces.
+    is_usable: Cell<bool>,
     /// Offset of the next record to replay; appends that wait to be replayed subscribe to it.
     next_offset: watch::Sender<u64>,
     config_sender: watch::Sender<Arc<Config>>,
-    last_snapshot: RefCell<(coord::time::Moment, u64)>,
+    last_snapshot: RefCell<(Moment, u64)>,
 }
 
 /// Runs the `log` thread until all command senders are dropped.
@@ -76,6 +81,8 @@
         shared,
         log,
         replay: RefCell::new(Replay::new()),
+        progress: RefCell::default(),
+        is_usable: Cell::new(false),
         next_offset: watch::channel(0).0,
         config_sender,
         last_snapshot: RefCell::new((util::now(), 0)),
@@ -95,7 +102,7 @@
             Command::ConfirmPlan(plan, reply) => drop(reply.send(self.append_confirm(&plan).await)),
             Command::GetSnapshot(next, reply) => {
                 let replay = self.replay.borrow();
-                let is_newer = replay.next_offset() > next;
+                let is_newer = self.is_usable.get() && replay.next_offset() > next;
                 let _ = reply.send(is_newer.then(|| replay.snapshot()));
             }
         }
@@ -104,16 +111,20 @@
     /// Follows the log; while the log is unavailable, follows the peers' snapshots.
     async fn follow(self: Rc<Self>) {
         let mut is_reachable = true;
-        self.restore_from_peers().await;
+        let mut is_restored = self.restore_from_peers().await;
         loop {
             let next = self.replay.borrow().next_offset();
-            match self.log.read(CONFIG_STREAM, next, READ_WAIT_MS).await {
+            let sent_at = util::now();
+            let wait_ms = if self.is_usable.get() { READ_WAIT_MS } else { 0 };
+            match self.log.read(CONFIG_STREAM, next, wait_ms).await {
                 Ok(batch) => {
                     if !is_reachable {
                         event!("log-reachable", stream = CONFIG_STREAM);
                     }
                     is_reachable = true;
                     self.apply_batch(&batch).await;
+                    self.record(sent_at, batch.end);
+                    self.publish().await;
                     self.publish_snapshot().await;
                 }
                 Err(error) => {
@@ -121,7 +132,11 @@
                         warn_event!("log-unreachable", stream = CONFIG_STREAM, reason = %error);
                     }
                     is_reachable = false;
-                    self.restore_from_peers().await;
+                    is_restored |= self.restore_from_peers().await;
+                    if is_restored {
+                        self.is_usable.set(true);
+                        self.publish().await;
+                    }
                     tokio::time::sleep(util::jitter(RETRY_DELAY)).await;
                 }
             }
@@ -136,48 +151,58 @@
             self.restore_across_gap(batch.oldest).await;
             return;
         }
-        let mut is_changed = false;
         for record in &batch.records {
             match serde_json::from_slice::<Record>(&record.payload) {
-                Ok(decoded) => is_changed |= self.replay.borrow_mut().apply(record.offset, &decoded),
+                Ok(decoded) => {
+                    self.replay.borrow_mut().apply(record.offset, &decoded);
+                }
                 Err(error) => {
                     warn_event!("record-unreadable", stream = CONFIG_STREAM, offset = record.offset, reason = %error);
                     self.replay.borrow_mut().skip(record.offset);
                 }
             }
         }
-        self.publish(is_changed).await;
     }
 
-    async fn publish(&self, is_changed: bool) {
+    /// Records an answer of the log that was applied. The configuration may be used once the log was read to its end.
+    fn record(&self, sent_at: Moment, end: u64) {
+        let next = self.replay.borrow().next_offset();
+        if self.progress.borrow_mut().record(Answer::of_log(sent_at, next, end), next).is_some() {
+            self.is_usable.set(true);
+        }
+    }
+
+    /// Tells the other threads of the replayed state.
+    async fn publish(&self) {
         let (config, next) = {
             let replay = self.replay.borrow();
             (replay.config().clone(), replay.next_offset())
         };
-        if is_changed {
+        let is_changed = config.revision != self.config_sender.borrow().revision;
+        if is_changed && self.is_usable.get() {
             let _ = self.shared.event_loop.send(event_loop::Command::UpdateConfig(config.clone())).await;
             self.config_sender.send_replace(config);
         }
         self.next_offset.send_replace(next);
     }
 
-    async fn restore(&self, snapshot: &Snapshot, source: &str) {
-        let previous_revision = self.replay.borrow().config().revision;
-        if !self.replay.borrow_mut().restore(snapshot) {
-            return;
+    fn restore(&self, snapshot: &Snapshot, source: &str) {
+        if self.replay.borrow_mut().restore(snapshot) {
+            event!("restored", peer = source, next = snapshot.next, revision = snapshot.config.revision);
         }
-        event!("restored", peer = source, next = snapshot.next, revision = snapshot.config.revision);
-        self.publish(snapshot.config.revision != previous_revision).await;
     }
 
-    /// Restores the newest state that any peer has.
-    async fn restore_from_peers(&self) {
+    /// Restores the newest state that any peer has. Returns whether a peer had a newer one.
+    async fn restore_from_peers(&self) -> bool {
+        let mut is_restored = false;
         for entry in self.shared.peers() {
             let next = self.replay.borrow().next_offset();
             if let Ok(Some(snapshot)) = peer::fetch_snapshot(&entry, next).await {
-                self.restore(&snapshot, &entry).await;
+                self.restore(&snapshot, &entry);
+                is_restored = true;
             }
         }
+        is_restored
     }
 
     /// Restores the state across a gap of trimmed records before `oldest`, from a peer or from a published
@@ -188,7 +213,7 @@
             return;
         }
         match self.read_snapshot().await {
-            Ok(Some(snapshot)) if snapshot.next >= oldest => self.restore(&snapshot, SNAPSHOT_STREAM).await,
+            Ok(Some(snapshot)) if snapshot.next >= oldest => self.restore(&snapshot, SNAPSHOT_STREAM),
             Ok(_) => {
                 warn_event!("no-snapshot", stream = SNAPSHOT_STREAM, oldest);
                 tokio::time::sleep(util::jitter(RETRY_DELAY)).await;
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -58,6 +58,8 @@
     trim_before: u64,
     /// Stream whose records are all deleted.
     trim_stream: String,
+    /// Maximum number of records in the response to a read, if it differs from that of the limits.
+    max_read_records: Option<usize>,
 }
 
 struct LogState {
@@ -67,6 +69,7 @@
     outage_until: Instant,
     delay: Duration,
     lose_answers: u32,
+    max_read_records: usize,
     append_count: u64,
     read_count: u64,
 }
@@ -89,6 +92,7 @@
             outage_until: now,
             delay: Duration::ZERO,
             lose_answers: 0,
+            max_read_records: limits.max_read_records,
             append_count: 0,
             read_count: 0,
         };
@@ -217,7 +221,7 @@
     let Some(stream) = state.streams.get(stream) else { return (true, Batch::default()) };
     let oldest = stream.records.front().map_or(stream.end, |record| record.offset);
     let skip = from.saturating_sub(oldest) as usize;
-    let records = stream.records.iter().skip(skip).take(log.limits.max_read_records);
+    let records = stream.records.iter().skip(skip).take(state.max_read_records);
     let entries: Vec<BatchRecord> = records
         .map(|record| BatchRecord { offset: record.offset, at_ms: record.at_ms, payload: record.payload.clone() })
         .collect();
@@ -230,6 +234,7 @@
     state.outage_until = Instant::now() + Duration::from_millis(faults.outage_ms);
     state.delay = Duration::from_millis(faults.slow_ms);
     state.lose_answers = faults.lose_answers;
+    state.max_read_records = faults.max_read_records.unwrap_or(log.limits.max_read_records);
     for stream in state.streams.values_mut() {
         stream.records.retain(|record| record.offset >= faults.trim_before);
     }
--- a/standin/tests/configuration.rs
+++ b/standin/tests/configuration.rs
@@ -219,3 +219,28 @@
     assert_eq!(wrong.0, 401);
     close_fleet(fleet).await;
 }
+
+/// Guards against an entry that starts and counts as ready with a part of the log, or with a peer's part: it served by a
+/// configuration that later records replace.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_start_are_ready_only_with_the_newest_configuration() {
+    let mut fleet = start_small_fleet("parts").await;
+    for number in 0..8 {
+        fleet.publish(&put_service_change(&format!("permits-{number}"), 1_000)).await.expect("the plan is confirmed");
+    }
+    let newest = revision(&fleet, 0).await;
+    fleet.inject_fault("log", &json!({ "max_read_records": 1, "slow_ms": 40 })).await.expect("the log answers");
+    let entries = ["entry-0", "entry-1"];
+    for entry in entries {
+        fleet.kill(entry).expect("the entry is killed");
+    }
+    for entry in entries {
+        fleet.restart(entry).expect("the entry starts");
+    }
+    for (number, entry) in entries.into_iter().enumerate() {
+        fleet.wait_ready(&fleet.entries[number]).await.expect("the entry is ready");
+        assert_eq!(revision(&fleet, number).await, newest, "{entry}");
+    }
+    fleet.inject_fault("log", &json!({})).await.expect("the log answers");
+    close_fleet(fleet).await;
+}
