The soak draws reads in part, and callers with revoked keys

Callers then use keys up to eight rotations old; until now they only used the newest two, which are valid, so that the check for revoked keys could not fail.

--- a/standin/src/cmd/site_soak.rs
+++ b/standin/src/cmd/site_soak.rs
@@ -3,6 +3,7 @@
 //!
 //! Usage: standin site-soak [--seed S] [--seeds N] [--at-once N] [--rounds N] [--seconds N] [--entries N] [--callers N]
 //!                          [--fatal] [--fatal-parts] [--unclear] [--limits] [--evacuations] [--words] [--unframed]
+//!                          [--parts]
 //!
 //! Entries are killed, suspended, shut down and made to reload. Connections from callers, to the store and to
 //! replicas are delayed, reset, cut in one direction or blackholed. The store and the replicas return faulty
@@ -56,6 +57,8 @@
     words: bool,
     /// Have engines delimit their streams by the end of the connection; not with `--fatal`
     unframed: bool,
+    /// Have the store answer reads of its log in parts, and callers use revoked keys
+    parts: bool,
 }
 
 /// Runs all seeds and prints their reports; the exit status is 1 if a seed violated a guarantee.
@@ -75,6 +78,7 @@
         has_evacuations: args.evacuations,
         has_response_signals: args.words,
         has_unframed_streams: args.unframed,
+        has_partial_reads: args.parts,
     };
     let seeds = stream::iter(args.seed..args.seed + args.seeds);
     let mut reports =
--- a/standin/src/platform/soak/caller.rs
+++ b/standin/src/platform/soak/caller.rs
@@ -73,8 +73,10 @@
     /// Number of the newest API key.
     pub newest_key: AtomicU64,
     phase: Mutex<Phase>,
-    /// Whether some requests use the key before the newest one.
+    /// Whether some requests use a key that is not the newest one.
     pub uses_stale_keys: AtomicBool,
+    /// Maximum number of keys that are newer than a stale one, or 0 for one.
+    pub max_key_age: AtomicU64,
     /// Whether callers stop after their present requests.
     pub is_stopping: AtomicBool,
 }
@@ -177,7 +179,12 @@
             };
         let newest_key = shared.newest_key.load(Ordering::Relaxed);
         let is_stale = shared.uses_stale_keys.load(Ordering::Relaxed) && rng.random_bool(0.2);
-        let key = if is_stale { newest_key.saturating_sub(1) } else { newest_key };
+        let key_age = match (is_stale, shared.max_key_age.load(Ordering::Relaxed)) {
+            (false, _) => 0,
+            (true, 0) => 1,
+            (true, max_key_age) => rng.random_range(1..=max_key_age),
+        };
+        let key = newest_key.saturating_sub(key_age);
         let route = match rng.random_range(0..20) {
             0 => Route::LongPrompt,
             1..9 => Route::Prompt,
--- a/standin/src/platform/soak/injector.rs
+++ b/standin/src/platform/soak/injector.rs
@@ -12,7 +12,7 @@
 use rustix::process::Signal;
 
 use super::caller::{Phase, SharedState, api_key};
-use super::{BACKOFF, EVACUATED_DOMAIN, Plan, RECOVERY_TIMEOUT};
+use super::{BACKOFF, EVACUATED_DOMAIN, Plan, RECOVERY_TIMEOUT, REVOKE_TIMEOUT};
 use crate::platform::proxy::NetworkFault;
 use crate::platform::replica::{Behavior, Replica};
 use crate::platform::site::Site;
@@ -24,6 +24,10 @@
 const INJECTION_INTERVAL_MS: (u64, u64) = (50, 500);
 /// Range of the time until a fault is reverted, in milliseconds.
 const FAULT_DURATION_MS: (u64, u64) = (100, 2_000);
+/// Number of key rotations that entries miss before they read a part of them.
+const MISSED_ROTATIONS: u64 = 6;
+/// Range of the number of reads that are answered before an entry is turned away again.
+const PARTIAL_READS: (u32, u32) = (1, 4);
 
 /// Kind of an injected fault or maintenance operation.
 ///
@@ -62,6 +66,8 @@
     Rest,
     /// A snapshot of the store is taken, or the store is restored from it.
     Return,
+    /// All entries miss some rotations of keys; one of them reads a part of these before it is turned away again.
+    Part,
 }
 
 /// Kinds that [`Plan::has_response_signals`] adds.
@@ -92,6 +98,7 @@
     ResumeEntry(usize),
     AwaitExit(usize),
     ClearStoreFault(usize),
+    ServePart(usize),
     /// Clears the fault of the proxy with this index in [`Proxies::all`](crate::platform::site::Proxies::all).
     ClearNetworkFault(usize),
     ClearBackoff(Arc<Replica>),
@@ -204,6 +211,7 @@
             InjectionKind::Leave => self.announce_draining(),
             InjectionKind::Rest => self.start_backoff(revert_at),
             InjectionKind::Return => self.snapshot_or_restore_store(revert_at),
+            InjectionKind::Part => self.serve_part(revert_at),
         }
         Ok(())
     }
@@ -324,6 +332,18 @@
         self.pending_reverts.push((revert_at, Revert::RestoreStore(snapshot)));
     }
 
+    /// Turns all entries away and rotates keys meanwhile; serves one entry a few reads, and turns it away again.
+    fn serve_part(&mut self, served_at: Instant) {
+        let entries = self.site.store_listeners.len();
+        self.site.store_listeners.iter().for_each(|listener| listener.set_fault(Fault::Unavailable));
+        (0..MISSED_ROTATIONS).for_each(|_| self.rotate_keys());
+        let entry = self.rng.random_range(0..entries);
+        // Long enough for a verification to outlast the bound within which a removed key must be refused.
+        let served_again_at = served_at + REVOKE_TIMEOUT;
+        self.pending_reverts.push((served_at, Revert::ServePart(entry)));
+        self.pending_reverts.extend((0..entries).map(|entry| (served_again_at, Revert::ClearStoreFault(entry))));
+    }
+
     /// Restores the store from a snapshot, and writes the present records of operators and replicas again.
     fn restore_store(&self, snapshot: Snapshot) {
         self.site.store.restore(snapshot);
@@ -373,6 +393,10 @@
                 }
                 Revert::ClearBackoff(replica) => replica.set_backoff(None),
                 Revert::RestoreStore(snapshot) => self.restore_store(snapshot),
+                Revert::ServePart(entry) => {
+                    let reads = self.rng.random_range(PARTIAL_READS.0..PARTIAL_READS.1);
+                    self.site.store_listeners[entry].set_fault_after_reads("keyed.op", reads, Fault::Unavailable);
+                }
                 Revert::ClearStoreFault(entry) => self.site.store_listeners[entry].set_fault(Fault::None),
                 Revert::ClearNetworkFault(index) => {
                     if let Some(proxy) = self.site.proxies.all().nth(index) {
@@ -391,6 +415,9 @@
         if plan.has_evacuations {
             kinds.push(InjectionKind::Evacuate);
         }
+        if plan.has_partial_reads && !is_maintenance {
+            kinds.push(InjectionKind::Part);
+        }
         if plan.has_response_signals {
             kinds.extend(RESPONSE_SIGNAL_KINDS);
         }
--- a/standin/src/platform/soak/mod.rs
+++ b/standin/src/platform/soak/mod.rs
@@ -50,6 +50,11 @@
     site.engines.last().into_iter().chain(site.plain_replicas.last())
 }
 
+/// Largest number of records in an answer that holds a part of the log.
+const MAX_RECORDS_PER_READ: usize = 3;
+/// Maximum number of rotations after which callers still use a key where [`Plan::has_partial_reads`] is set.
+const MAX_KEY_AGE: u64 = 8;
+
 /// Backoff that replicas ask for.
 const BACKOFF: Duration = Duration::from_secs(2);
 
@@ -86,6 +91,9 @@
     /// events then looks like the end of a stream. Plain replicas are left out for the same reason: an unframed answer
     /// that is broken off at any byte looks complete.
     pub has_unframed_streams: bool,
+    /// Whether the store answers reads of its log with one to three records, and callers go on using keys that were
+    /// revoked.
+    pub has_partial_reads: bool,
 }
 
 /// Result of a soak.
@@ -173,6 +181,10 @@
     if plan.has_rate_limits {
         last_replicas(&site).for_each(|replica| replica.set_rate_limit(Some(&RATE_LIMIT.to_string())));
     }
+    if plan.has_partial_reads {
+        site.store.set_records_per_read(seed_rng.random_range(1..=MAX_RECORDS_PER_READ));
+        shared.max_key_age.store(MAX_KEY_AGE, Ordering::Relaxed);
+    }
     let mut injector = Injector::new(site, shared.clone(), seed_rng);
     for round in 0..plan.rounds {
         injector.run_round(plan, round % 2 == 1).await?;
--- a/standin/tests/platform_soak.rs
+++ b/standin/tests/platform_soak.rs
@@ -32,6 +32,7 @@
         has_evacuations: false,
         has_response_signals: false,
         has_unframed_streams: false,
+        has_partial_reads: false,
     }
 }
 
@@ -124,3 +125,9 @@
 async fn seed_9002_with_a_fatal_part_and_crashes_that_do_not_show_at_the_port() {
     run_soak(Plan { has_fatal_parts: true, has_unclear_crashes: true, ..plan_with_seed(9002) }).await;
 }
+
+/// Guards against a part of the log that verifies a configuration: 16 requests with revoked keys ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_7008_with_reads_in_part() {
+    run_soak(Plan { has_partial_reads: true, ..plan_with_seed(7008) }).await;
+}
