Heartbeats of 12,000 replicas are read in time: a test at that size

Records of 300 bytes, an assumption, every 1.2 s are more than one answer of 1 MiB in each of the pauses that the code before made.

--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -26,6 +26,9 @@
 const INTERVAL: Duration = Duration::from_millis(25);
 /// Delay of the store's answers after the outage, and of the calls.
 const STORE_DELAY: Duration = Duration::from_millis(10);
+/// Heartbeats of 12,000 replicas in a second, and the bytes of one.
+const HEARTBEATS_PER_S: f64 = 10_000.0;
+const HEARTBEAT_BYTES: usize = 300;
 /// Time within which entries apply what they can read.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -343,3 +346,46 @@
     assert!(replaced.is_empty(), "{replaced:?}");
     site.close().expect("no invariant was breached");
 }
+
+/// Guards against a copy that falls behind because heartbeats alone fill more than one answer between two reads: 12,000
+/// replicas, each with a record every 1.2 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_drains_among_12_000_others_gets_no_requests() {
+    let bounds = "drain_ms = 2000".to_owned();
+    let spec = Spec { entries: 1, plain_replicas: 4, bounds, ..Spec::small("parts-many") };
+    let site = Site::start(spec).await.expect("the site starts");
+    let record = site.engines[0].store_record("another-service", "ready");
+    // The fields that the platform writes beside those of the stand-in's replicas.
+    let record =
+        record.replacen('{', &format!("{{\"sequence\":\"{}\",", "9".repeat(HEARTBEAT_BYTES - record.len())), 1);
+    let beat = async |duration: Duration| {
+        let started = Instant::now();
+        let mut written = 0;
+        while started.elapsed() < duration {
+            let due = (started.elapsed().as_secs_f64() * HEARTBEATS_PER_S) as usize;
+            for number in written..due {
+                site.store.put(REPLICAS_TOPIC, &format!("other-{}", number % 12_000), record.clone());
+            }
+            written = due;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    beat(Duration::from_secs(8)).await;
+    let draining = &site.plain_replicas[1..];
+    for replica in draining {
+        site.store.put(REPLICAS_TOPIC, &replica.id, replica.store_record("ledger", "draining"));
+    }
+    beat(Duration::from_millis(2_200)).await;
+    let received = || draining.iter().map(|replica| replica.received_requests().len()).sum::<usize>();
+    let before = received();
+    let requests = async {
+        for number in 0..100 {
+            let outcome = site.send(0, &lookup_with_key(&format!("among-{number}"))).await;
+            assert_eq!(outcome.status, 200, "{outcome:?}");
+        }
+    };
+    tokio::join!(beat(Duration::from_secs(2)), requests);
+    assert!(site.log(0).contains("step=store-part topic=keyed.servers"), "every answer was whole");
+    assert_eq!(received() - before, 0, "requests reached replicas that drain");
+    site.close().expect("no invariant was breached");
+}
