The test of keys that outlast an outage waits until the entries know a replica

where_keys_may_outlast_an_outage_... failed once in 32 plays (503 where 200 is asked for). The test asks the same as before, once each entry has served a request.

--- a/standin/tests/platform_beliefs.rs
+++ b/standin/tests/platform_beliefs.rs
@@ -1,5 +1,7 @@
 //! The configuration, API keys and replica records that entries use through outages of the store.
 
+mod common;
+
 use std::time::Duration;
 
 use serde_json::json;
@@ -137,6 +139,11 @@
     for fault in [Fault::Unresponsive, Fault::Unavailable] {
         let bounds = "revoke_ms = 1000\nconfig_apply_ms = 1000\nrevoke_strict = false";
         let mut site = start_site("beliefs-lax", bounds).await;
+        // An entry is ready once it has the configuration; it may not have the replicas' records yet.
+        for entry in 0..2 {
+            let is_served = || async { site.send(entry, &lookup("v0", KEY)).await.status == 200 };
+            common::wait_until("the entry knows a replica", is_served).await;
+        }
         site.store_listeners.iter().for_each(|listener| listener.set_fault(fault));
         sleep_ms(2_000).await;
         // One key is revoked and another one is added while the entries receive nothing.
