The configuration's reader forgets what it read ahead once another entry moved its copy on

By reading: where a leader's delta took the copy past a configuration that cannot be decoded, records without a configuration behind it still counted as held up, and the read failed once before the copy went on. No test shows it. Two comments say more.

--- a/sorrelpass/src/gateway/quarantine/store.rs
+++ b/sorrelpass/src/gateway/quarantine/store.rs
@@ -79,7 +79,7 @@
     records.iter().for_each(|record| apply_record(gateway, record));
     position.advance_to(answer.next());
     let end = position.next_offset().unwrap_or_default();
-    // Only the rest counts here: evidence from an older copy is valid too.
+    // What was read before is valid however old it is, so that the verification is not needed.
     let _ = gateway.quarantine.progress.borrow_mut().record(answer, end);
     Ok(())
 }
--- a/sorrelpass/src/gateway/store_reader/configuration.rs
+++ b/sorrelpass/src/gateway/store_reader/configuration.rs
@@ -63,38 +63,35 @@
     async fn read(&mut self, gateway: &Gateway) -> Result<()> {
         let position = &gateway.store_view.configuration_position;
         let Some(copy_end) = position.next_offset() else { return self.read_snapshot(gateway).await };
-        let from = self.read_ahead_to.map_or(copy_end, |read_to| read_to.max(copy_end));
+        // Another entry may have moved the copy on meanwhile.
+        self.read_ahead_to = self.read_ahead_to.filter(|read_to| *read_to > copy_end);
+        let from = self.read_ahead_to.unwrap_or(copy_end);
         match self.topic.read_from(from, poll_timeout(gateway)).await? {
-            LogRead::Records(batch) => self.apply(gateway, batch),
+            LogRead::Records(batch) => {
+                self.apply(gateway, batch)?;
+                wait_for_configuration(gateway).await;
+            }
             LogRead::Lost => {
                 self.read_ahead_to = None;
                 position.reset();
-                Ok(())
             }
-            LogRead::Outdated => Ok(()),
-        }?;
-        wait_for_configuration(gateway).await;
+            LogRead::Outdated => {}
+        }
         Ok(())
     }
 
     /// Applies records of the log.
     fn apply(&mut self, gateway: &Gateway, batch: RecordBatch) -> Result<()> {
         let position = &gateway.store_view.configuration_position;
-        let RecordBatch { answer, .. } = batch;
+        let answer = batch.answer;
         gateway.observe_era(answer.next());
         ingest::apply_evacuation_records(gateway, &batch, false);
         // Only the newest configuration counts, because it replaces earlier ones that cannot be decoded. It may be in a
         // later part of the log.
-        let is_held_up = match apply_configurations(gateway, batch.records) {
-            Some(Newest { offset, outcome: ApplyOutcome::Undecodable }) => {
-                position.advance_to(offset);
-                true
-            }
-            Some(_) => false,
-            None => self.read_ahead_to.is_some(),
-        };
-        if !is_held_up {
-            position.advance_to(answer.next());
+        match apply_configurations(gateway, batch.records) {
+            Some(Newest { offset, outcome: ApplyOutcome::Undecodable }) => position.advance_to(offset),
+            None if self.read_ahead_to.is_some() => {}
+            Some(_) | None => position.advance_to(answer.next()),
         }
         let copy_end = position.next_offset().unwrap_or_default();
         self.read_ahead_to = Some(answer.next()).filter(|read_to| *read_to > copy_end);
--- a/sorrelpass/src/gateway/topic_reader.rs
+++ b/sorrelpass/src/gateway/topic_reader.rs
@@ -148,7 +148,7 @@
                     let (from, next, end) = (Formatted(from), Formatted(next_offset), Formatted(end_offset));
                     event!("store-part", topic = self.topic_name, from = %from, next = %next, end = %end);
                 }
-                // From here the log would be read without an end.
+                // The same read would follow again and again.
                 if answer.is_part() && records.is_empty() && next_offset == from {
                     return Ok(LogRead::Lost);
                 }
