--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -46,15 +46,15 @@
     reads: Option<u32>,
     /// Entries that the store serves again.
     served: &'static [usize],
-    /// Key under which the missed records before the last one are.
-    key: &'static str,
+    /// Key of the missed records before the last one.
+    record_key: &'static str,
     /// What happens to the store after the observation, before it serves all entries again.
     between: fn(&Store),
 }
 
 impl Play {
     const fn lone(name: &'static str, records_per_read: usize, reads: Option<u32>) -> Self {
-        Self { name, entries: 1, records_per_read, reads, served: &[0], key: "config", between: |_| {} }
+        Self { name, entries: 1, records_per_read, reads, served: &[0], record_key: "config", between: |_| {} }
     }
 
     async fn start(&self) -> Site {
@@ -83,7 +83,7 @@
     async fn miss_revocation(&self, site: &Site) {
         site.store_listeners.iter().for_each(|listener| listener.set_fault(Fault::Unavailable));
         for _ in 1..MISSED {
-            match self.key {
+            match self.record_key {
                 "config" => drop(site.configure(&[KEY, STAYING_KEY], |_| {})),
                 key => drop(site.store.put(CONFIGURATION_TOPIC, key, "{}")),
             }
@@ -117,6 +117,8 @@
         let (revoked, staying) = tokio::join!(self.count_served(&site, KEY), self.count_served(&site, STAYING_KEY));
         let log = site.log(self.served[0]);
         assert_eq!(revoked, 0, "requests with the revoked key ran: {log}");
+        let is_in_part = log.contains("step=store-part topic=keyed.op");
+        assert_eq!(is_in_part, self.records_per_read < MISSED, "whether an answer held a part: {log}");
         assert!(self.reads.is_some() || staying > 0, "nothing is served after the outage: {log}");
         (self.between)(&site.store);
         self.end(site).await;
@@ -154,7 +156,7 @@
 /// Guards against the same where the parts that were read hold another writer's records alone.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_revoked_behind_records_of_another_writer_is_not_accepted() {
-    Play { key: "of-another-writer", ..Play::lone("parts-foreign", 3, Some(1)) }.run().await;
+    Play { record_key: "of-another-writer", ..Play::lone("parts-foreign", 3, Some(1)) }.run().await;
 }
 
 /// Guards against a part that one entry read and that all entries take for the whole.
