Configurations too large to be passed on are read without a pause: a test

At an entry whose leader cannot send the newest configuration, a part of the log ended the need to read it, until the next answer of the leader 250 ms later.

--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -7,6 +7,9 @@
 
 use common::load::lookup as lookup_with_key;
 use futures_util::future::join_all;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
 use standin::platform::{Fault, KEY, NetworkFault, RequestSpec, Site, Spec, Store};
 
 const CONFIGURATION_TOPIC: &str = "keyed.op";
@@ -29,6 +32,8 @@
 /// Heartbeats of 12,000 replicas in a second, and the bytes of one.
 const HEARTBEATS_PER_S: f64 = 10_000.0;
 const HEARTBEAT_BYTES: usize = 300;
+/// Bytes of a configuration that is too large for messages between entries, however they compress it.
+const LARGE_BYTES: usize = 400 * 1_024;
 /// Time within which entries apply what they can read.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -391,3 +396,26 @@
     assert_eq!(received() - before, 0, "requests reached replicas that drain");
     site.close().expect("no invariant was breached");
 }
+
+/// Guards against a pause after each part at an entry whose leader sends it no configuration because its difference to
+/// the one before is too large.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_too_large_for_the_leader_to_send_are_read_without_a_pause() {
+    let play = Play { entries: 2, ..Play::lone("parts-large", 1, None) };
+    let site = play.start().await;
+    site.store.set_records_per_read(play.records_per_read);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut configure = |keys: &[&str]| {
+        let padding: String = (0..LARGE_BYTES / 16).map(|_| format!("{:016x}", rng.random::<u64>())).collect();
+        site.configure(keys, |config| config["padding"] = json!(padding));
+    };
+    for _ in 1..MISSED {
+        configure(&[KEY, STAYING_KEY]);
+    }
+    configure(&[STAYING_KEY]);
+    tokio::time::sleep(APPLY_TIMEOUT).await;
+    let logs = [site.log(0), site.log(1)];
+    assert!(logs.iter().any(|log| log.contains("step=store-part topic=keyed.op")), "every answer was whole");
+    assert_eq!(play.send(&site, KEY).await, [401, 401], "{logs:?}");
+    site.close().expect("no invariant was breached");
+}
