--- a/coord/src/quarantine/suspect.rs
+++ b/coord/src/quarantine/suspect.rs
@@ -88,12 +88,12 @@
 /// How much proven terminations count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Counting {
-    /// In full.
+    /// Each counts in full.
     Full,
-    /// In full, but at least [`NOISY_SHARE`] and else as far as they are surprising where replicas are lost for other
-    /// reasons.
+    /// Each counts in full. Where replicas are lost for other reasons, it counts as far as it is surprising, but at least
+    /// [`NOISY_SHARE`].
     Guarded,
-    /// As far as they are surprising, like presumed ones.
+    /// Each counts as far as it is surprising, as a presumed termination does.
     Weighed,
 }
 
--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -303,55 +303,62 @@
 /// Guards against a part that is read again for ever because its last configuration cannot be decoded.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_behind_one_that_cannot_be_decoded_is_in_force() {
-    let play = Play::lone("parts-undecodable", 1, None);
-    let site = play.start().await;
-    site.store.set_records_per_read(play.records_per_read);
-    for _ in 0..3 {
-        site.store.put(CONFIGURATION_TOPIC, "config", "not a configuration");
+    // Whole answers are the control.
+    for records_per_read in [usize::MAX, 1] {
+        let play = Play::lone("parts-undecodable", records_per_read, None);
+        let site = play.start().await;
+        site.store.set_records_per_read(play.records_per_read);
+        for _ in 0..3 {
+            site.store.put(CONFIGURATION_TOPIC, "config", "not a configuration");
+        }
+        site.configure(&[STAYING_KEY], |_| {});
+        tokio::time::sleep(APPLY_TIMEOUT).await;
+        assert_eq!((play.send(&site, KEY).await, play.send(&site, STAYING_KEY).await), (vec![401], vec![200]));
+        site.close().expect("no invariant was breached");
     }
-    site.configure(&[STAYING_KEY], |_| {});
-    tokio::time::sleep(APPLY_TIMEOUT).await;
-    assert_eq!((play.send(&site, KEY).await, play.send(&site, STAYING_KEY).await), (vec![401], vec![200]));
-    site.close().expect("no invariant was breached");
 }
 
 /// Guards against a part of the quarantine's topic that counts as all of it: evidence of this entry took the place of
 /// another entry's verdict that was in the rest.
 #[tokio::test(flavor = "multi_thread")]
 async fn evidence_does_not_replace_a_verdict_that_is_still_unread() {
-    let spec = Spec { entries: 1, has_proxies: true, ..Spec::small("parts-verdict") };
-    let site = Site::start(spec).await.expect("the site starts");
-    site.plain_replicas.iter().for_each(|replica| replica.crash_on("fatal", Duration::from_millis(300)));
-    let send_fatal = async |id: &str| {
-        site.send(0, &RequestSpec { body: "fatal".into(), ..lookup(id, KEY) }).await;
-        tokio::time::sleep(INTERVAL * 12).await;
-    };
-    for number in 0..10 {
-        send_fatal(&format!("fatal-{number}")).await;
-    }
-    let [key] = &site.store.keys(QUARANTINE_TOPIC)[..] else { panic!("{}", site.log(0)) };
-    let verdict = site.store.value(QUARANTINE_TOPIC, key).expect("the verdict is in the store");
-    site.store.put(QUARANTINE_TOPIC, key, "");
-    let lifted = || async { site.log(0).contains("step=quarantine-lifted") };
-    common::wait_until("the verdict is lifted", lifted).await;
-    site.store_listeners[0].set_fault(Fault::Unavailable);
-    send_fatal("evidence").await;
-    for number in 0..30 {
-        site.store.put(QUARANTINE_TOPIC, &format!("of-another-writer-{number}"), "{}");
+    // Whole answers are the control.
+    for records_per_read in [usize::MAX, 1] {
+        let spec = Spec { entries: 1, has_proxies: true, ..Spec::small("parts-verdict") };
+        let site = Site::start(spec).await.expect("the site starts");
+        site.plain_replicas.iter().for_each(|replica| replica.crash_on("fatal", Duration::from_millis(300)));
+        let send_fatal = async |id: &str| {
+            site.send(0, &RequestSpec { body: "fatal".into(), ..lookup(id, KEY) }).await;
+            tokio::time::sleep(INTERVAL * 12).await;
+        };
+        for number in 0..10 {
+            send_fatal(&format!("fatal-{number}")).await;
+        }
+        let [key] = &site.store.keys(QUARANTINE_TOPIC)[..] else { panic!("{}", site.log(0)) };
+        let verdict = site.store.value(QUARANTINE_TOPIC, key).expect("the verdict is in the store");
+        site.store.put(QUARANTINE_TOPIC, key, "");
+        let lifted = || async { site.log(0).contains("step=quarantine-lifted") };
+        common::wait_until("the verdict is lifted", lifted).await;
+        site.store_listeners[0].set_fault(Fault::Unavailable);
+        send_fatal("evidence").await;
+        for number in 0..30 {
+            site.store.put(QUARANTINE_TOPIC, &format!("of-another-writer-{number}"), "{}");
+        }
+        site.store.put(QUARANTINE_TOPIC, key, verdict);
+        let before = site.log(0).len();
+        site.store.set_records_per_read(records_per_read);
+        site.proxies.store[0].set_fault(NetworkFault::Delay(STORE_DELAY));
+        site.store_listeners[0].set_fault(Fault::None);
+        tokio::time::sleep(OUTAGE).await;
+        let log = site.log(0);
+        let since = &log[before..];
+        let is_in_part = since.contains("step=store-part topic=keyed.quarantine");
+        assert_eq!(is_in_part, records_per_read == 1, "whether an answer held a part: {since}");
+        let written = since.lines().filter(|line| line.contains("step=quarantine-written"));
+        let replaced: Vec<&str> = written.filter(|line| line.contains("condemned=false")).collect();
+        assert!(replaced.is_empty(), "{replaced:?}");
+        site.close().expect("no invariant was breached");
     }
-    site.store.put(QUARANTINE_TOPIC, key, verdict);
-    let before = site.log(0).len();
-    site.store.set_records_per_read(1);
-    site.proxies.store[0].set_fault(NetworkFault::Delay(STORE_DELAY));
-    site.store_listeners[0].set_fault(Fault::None);
-    tokio::time::sleep(OUTAGE).await;
-    let log = site.log(0);
-    let since = &log[before..];
-    assert!(since.contains("step=store-part topic=keyed.quarantine"), "every answer was whole: {since}");
-    let written = since.lines().filter(|line| line.contains("step=quarantine-written"));
-    let replaced: Vec<&str> = written.filter(|line| line.contains("condemned=false")).collect();
-    assert!(replaced.is_empty(), "{replaced:?}");
-    site.close().expect("no invariant was breached");
 }
 
 /// Guards against a copy that falls behind because heartbeats alone fill more than one answer between two reads: 12,000
@@ -401,21 +408,25 @@
 /// the one before is too large.
 #[tokio::test(flavor = "multi_thread")]
 async fn configurations_too_large_for_the_leader_to_send_are_read_without_a_pause() {
-    let play = Play { entries: 2, ..Play::lone("parts-large", 1, None) };
-    let site = play.start().await;
-    site.store.set_records_per_read(play.records_per_read);
-    let mut rng = SmallRng::seed_from_u64(1);
-    let mut configure = |keys: &[&str]| {
-        let padding: String = (0..LARGE_BYTES / 16).map(|_| format!("{:016x}", rng.random::<u64>())).collect();
-        site.configure(keys, |config| config["padding"] = json!(padding));
-    };
-    for _ in 1..MISSED {
-        configure(&[KEY, STAYING_KEY]);
+    // Whole answers are the control.
+    for records_per_read in [usize::MAX, 1] {
+        let play = Play { entries: 2, ..Play::lone("parts-large", records_per_read, None) };
+        let site = play.start().await;
+        site.store.set_records_per_read(play.records_per_read);
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut configure = |keys: &[&str]| {
+            let padding: String = (0..LARGE_BYTES / 16).map(|_| format!("{:016x}", rng.random::<u64>())).collect();
+            site.configure(keys, |config| config["padding"] = json!(padding));
+        };
+        for _ in 1..MISSED {
+            configure(&[KEY, STAYING_KEY]);
+        }
+        configure(&[STAYING_KEY]);
+        tokio::time::sleep(APPLY_TIMEOUT).await;
+        let logs = [site.log(0), site.log(1)];
+        let is_in_part = logs.iter().any(|log| log.contains("step=store-part topic=keyed.op"));
+        assert!(is_in_part || records_per_read > 1, "every answer was whole");
+        assert_eq!(play.send(&site, KEY).await, [401, 401], "{logs:?}");
+        site.close().expect("no invariant was breached");
     }
-    configure(&[STAYING_KEY]);
-    tokio::time::sleep(APPLY_TIMEOUT).await;
-    let logs = [site.log(0), site.log(1)];
-    assert!(logs.iter().any(|log| log.contains("step=store-part topic=keyed.op")), "every answer was whole");
-    assert_eq!(play.send(&site, KEY).await, [401, 401], "{logs:?}");
-    site.close().expect("no invariant was breached");
 }
