A part of the log that cannot be read in time is asked for in smaller parts

Replicas that began to drain meanwhile got requests just as long, and verdicts of the quarantine were not read.

Cause: a read of the log timed out after 1 s, and asked for a part of the size that the store chooses. A part that takes longer was given up, and the same read followed again and again. Seen in the log of the case: store-lost of keyed.op after the outage, and no store-regained to the end, while the other topics, which lacked little, were regained.

Change: after a read that timed out a reader asks for 320 KiB, which hold the largest record, and after a further one waits 2 s. A part that comes within a quarter of the timeout makes the next one larger again (coord::read_size). While parts are small, and an answer told that there is a rest, the configuration's reader reads the newest records once in place of the rest, since only the newest configuration counts; the copy is verified by the same rule as before. Without a timeout no call changes.

Conclusion: a part gets through at any lasting rate at which 320 KiB come within 2 s, or the next record does. Below it nothing does: a longer timeout would notice the return of a silent store later.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod read_size;
 pub mod relay_buffer;
 pub mod replay;
 pub mod replica_load;
--- a/sorrelpass/src/gateway/store_reader/configuration.rs
+++ b/sorrelpass/src/gateway/store_reader/configuration.rs
@@ -21,6 +21,7 @@
         topic: TopicReader::new(&gateway, configuration::TOPIC),
         progress: Progress::default(),
         read_ahead_to: None,
+        has_skipped: false,
     };
     loop {
         let max_age = max_configuration_age(&gateway.bounds());
@@ -55,6 +56,8 @@
     /// Offset up to which records were read behind the end of the copy. The copy ends at a configuration that cannot be
     /// decoded until a newer one is in force.
     read_ahead_to: Option<u64>,
+    /// Whether the newest records were read in place of the rest of the log since the copy was last complete.
+    has_skipped: bool,
 }
 
 impl ConfigurationReader {
@@ -63,6 +66,10 @@
     async fn read(&mut self, gateway: &Gateway) -> Result<()> {
         let position = &gateway.store_view.configuration_position;
         let Some(copy_end) = position.next_offset() else { return self.read_snapshot(gateway).await };
+        if self.should_skip(copy_end) {
+            self.has_skipped = true;
+            return self.read_snapshot(gateway).await;
+        }
         // Another entry may have moved the copy on meanwhile.
         self.read_ahead_to = self.read_ahead_to.filter(|read_to| *read_to > copy_end);
         let from = self.read_ahead_to.unwrap_or(copy_end);
@@ -80,6 +87,13 @@
         Ok(())
     }
 
+    /// Returns whether the newest records are read in place of the rest of the log behind the copy's end. Only the newest
+    /// configuration counts, and from a slow store the rest comes later. If they do not come in time either, the rest is
+    /// read.
+    fn should_skip(&self, copy_end: u64) -> bool {
+        self.topic.reads_small_parts() && self.progress.has_rest(copy_end) && !self.has_skipped
+    }
+
     /// Applies records of the log.
     fn apply(&mut self, gateway: &Gateway, batch: RecordBatch) -> Result<()> {
         let position = &gateway.store_view.configuration_position;
@@ -135,6 +149,7 @@
     fn record(&mut self, gateway: &Gateway, answer: Answer) {
         let copy_end = gateway.store_view.configuration_position.next_offset().unwrap_or_default();
         let verification = self.progress.record(answer, copy_end);
+        self.has_skipped &= verification.is_none();
         if let Some(verification) = verification.filter(|_| gateway.table().version() > 0) {
             gateway.store_view.configuration.mark_verified(verification);
         }
--- a/sorrelpass/src/gateway/topic_reader.rs
+++ b/sorrelpass/src/gateway/topic_reader.rs
@@ -4,9 +4,11 @@
 
 use coord::offset::Formatted;
 use coord::progress::Answer;
+use coord::read_size::ReadSize;
 use coord::retry_delay::RetryDelay;
+use coord::time::Moment;
 use eyre::Result;
-use platform::store::{Client, CompactedTopic, KeyedRecord, Read};
+use platform::store::{self, Client, CompactedTopic, KeyedRecord, Read, ReadBounds};
 
 use super::now;
 use super::state::Gateway;
@@ -62,12 +64,14 @@
     era: u64,
     /// Number of consecutive failed calls.
     failures: u32,
+    /// Size of the parts in which the log is read.
+    size: ReadSize,
 }
 
 impl TopicReader {
     /// Creates a reader of the topic `topic_name`. Makes no call.
     pub fn new(gateway: &Gateway, topic_name: &'static str) -> Self {
-        Self { topic_name, client: Client::new(gateway.settings.store), era: 0, failures: 0 }
+        Self { topic_name, client: Client::new(gateway.settings.store), era: 0, failures: 0, size: ReadSize::default() }
     }
 
     /// Returns whether the last call failed.
@@ -75,6 +79,11 @@
         self.failures > 0
     }
 
+    /// Returns whether the log is read in smaller parts than the store would choose, because reads timed out.
+    pub fn reads_small_parts(&self) -> bool {
+        self.size.is_reduced()
+    }
+
     /// Records the outcome of a call. Returns whether the call succeeded after failed ones.
     pub fn record_outcome<T>(&mut self, outcome: &Result<T>) -> bool {
         let was_failing = self.is_failing();
@@ -127,7 +136,10 @@
     pub async fn read_from(&mut self, from: u64, wait: Duration) -> Result<LogRead> {
         metric::record_store_calls("read", self.topic_name, 1);
         let sent_at = now();
-        match self.client.read(self.topic_name, from, wait, RESPONSE_TIMEOUT).await? {
+        let (timeout, max_kib) = (self.size.timeout(RESPONSE_TIMEOUT), self.size.max_kib());
+        let outcome = self.client.read(self.topic_name, from, ReadBounds { wait, timeout, max_kib }).await;
+        self.adapt_size(&outcome, sent_at);
+        match outcome? {
             Read::Trimmed => {
                 event!("store-trimmed", topic = self.topic_name, from = %Formatted(from));
                 Ok(LogRead::Lost)
@@ -157,11 +169,27 @@
         }
     }
 
+    /// Adapts the size of the parts to the outcome of a read that was sent at `sent_at`.
+    fn adapt_size(&mut self, outcome: &Result<Read>, sent_at: Moment) {
+        let before = self.size.max_kib();
+        match outcome {
+            Err(error) if store::is_timeout(error) => self.size.record_timeout(),
+            Ok(Read::Records { next_offset, end_offset, .. }) if next_offset < end_offset => {
+                self.size.record_part(now().since(sent_at), RESPONSE_TIMEOUT);
+            }
+            Ok(_) | Err(_) => {}
+        }
+        if self.size.max_kib() != before {
+            event!("store-part-size", topic = self.topic_name, max_kib = self.size.max_kib().unwrap_or(0));
+        }
+    }
+
     /// Reads a snapshot: the newest record of each key. The timeout grows with each failure, because a store that is
     /// slow while many entries read snapshots would only get more load from calls that time out and start over.
     pub async fn read_snapshot(&mut self) -> Result<RecordBatch> {
         let sent_at = now();
-        let timeout = RESPONSE_TIMEOUT * 2u32.pow(self.failures.min(MAX_TIMEOUT_DOUBLINGS));
+        let doubled = RESPONSE_TIMEOUT * 2u32.pow(self.failures.min(MAX_TIMEOUT_DOUBLINGS));
+        let timeout = doubled.max(self.size.newest_timeout(RESPONSE_TIMEOUT));
         let outcome = self.client.read_compacted(self.topic_name, timeout).await;
         metric::record_store_calls("newest", self.topic_name, outcome.as_ref().map_or(1, |snapshot| snapshot.pages));
         let snapshot = outcome?;
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::{Body, Bytes};
+use axum::body::{Body, Bytes, HttpBody as _};
 use axum::extract::State;
 use axum::http::{HeaderName, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
@@ -47,6 +47,8 @@
 const DEFAULT_MAX_KB: u64 = 1_024;
 /// Bytes of a record's length in the response to a read.
 const LENGTH_BYTES: usize = 4;
+/// Nanoseconds in a second.
+const NS_PER_S: u64 = 1_000_000_000;
 
 /// Response header with the store's era: the number of times that it was restored from an older snapshot.
 const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
@@ -94,6 +96,8 @@
     records_per_page: AtomicUsize,
     /// Bounds the number of records in the response to a read.
     records_per_read: AtomicUsize,
+    /// Time that each byte of a response takes, in nanoseconds.
+    ns_per_byte: AtomicU64,
     /// Number of restores from an older snapshot.
     era: AtomicU64,
     changed: Notify,
@@ -140,6 +144,7 @@
             topics: Mutex::default(),
             records_per_page: AtomicUsize::new(RECORDS_PER_PAGE),
             records_per_read: AtomicUsize::new(usize::MAX),
+            ns_per_byte: AtomicU64::new(0),
             era: AtomicU64::new(0),
             changed: Notify::new(),
         })
@@ -155,6 +160,11 @@
         self.records_per_read.store(records, Ordering::SeqCst);
     }
 
+    /// Sets the bytes per second at which the store makes responses. Nothing of a response is sent before it is complete.
+    pub fn set_response_rate(&self, bytes_per_s: u64) {
+        self.ns_per_byte.store(NS_PER_S / bytes_per_s, Ordering::SeqCst);
+    }
+
     /// Opens a listener without a fault on a free loopback port.
     pub async fn listen(self: &Arc<Self>) -> std::io::Result<Arc<StoreListener>> {
         let socket = TcpListener::bind("127.0.0.1:0").await?;
@@ -170,7 +180,7 @@
             .route("/log-append", post(append))
             .route("/log-read", get(read))
             .route("/log-newest", get(read_compacted))
-            .layer(axum::middleware::map_response_with_state(listener.clone(), add_era_header))
+            .layer(axum::middleware::map_response_with_state(listener.clone(), finish_response))
             .with_state(listener.clone());
         tokio::spawn(async move { axum::serve(socket, router).await });
         Ok(listener)
@@ -288,8 +298,10 @@
     }
 }
 
-/// Adds the era to each response, so that clients notice a restore.
-async fn add_era_header(State(listener): State<Arc<StoreListener>>, mut response: Response) -> Response {
+/// Waits for as long as a response of this size takes, and adds the era, so that clients notice a restore.
+async fn finish_response(State(listener): State<Arc<StoreListener>>, mut response: Response) -> Response {
+    let ns = listener.store.ns_per_byte.load(Ordering::SeqCst) * response.body().size_hint().lower();
+    tokio::time::sleep(Duration::from_nanos(ns)).await;
     response.headers_mut().insert(ERA_HEADER, HeaderValue::from(listener.store.era()));
     response
 }
