The log tells which program ran, and under which verification a request was let through

Cause: of a run elsewhere in which a request with a revoked key ran, nothing tells whether the program was of this code. Nor did a line tell which read a verification stems from: request lines have its age alone.

`verified` is logged when a copy is verified again after 2 s or more: by whom, how long ago the read was sent, and the log's end that it told. Request lines have that end (`proof_end=`): where a part was taken for the whole it is less than the end in the `store-part` lines before.

Evidence: platform_partial_reads::the_log_tells_the_verification_under_which_a_request_ran (new fields, so that it could not pass before). While the store answers, no line is added; request lines grow by 13 bytes or so.

--- a/coord/src/progress.rs
+++ b/coord/src/progress.rs
@@ -53,19 +53,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verification {
     as_of: Moment,
+    /// Offset up to which the log reached in the answer that the proof rests on.
+    end: u64,
 }
 
 impl Verification {
-    /// Returns the verification of a copy that another process sent. `age` is the age that the other process stated,
-    /// which counts from the time at which the copy was requested.
-    pub fn reported(requested_at: Moment, age: Duration) -> Self {
-        Self { as_of: requested_at - age }
+    /// Returns the verification of a copy that another process sent, and which reaches to `end`. `age` is the age that the
+    /// other process stated, which counts from the time at which the copy was requested.
+    pub fn reported(requested_at: Moment, age: Duration, end: u64) -> Self {
+        Self { as_of: requested_at - age, end }
     }
 
     /// Returns the time before which every acknowledged record is in the copy.
     pub fn as_of(&self) -> Moment {
         self.as_of
     }
+
+    /// Returns the end of the log that the copy is known to have reached.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
 }
 
 /// End of the log that an answer told.
@@ -99,7 +106,7 @@
             // A log that was recovered from an older copy assigns its offsets again, so a position in it says nothing
             // about an end from before.
             if offset::era(told.end) == offset::era(reached) {
-                verification = Some(Verification { as_of: told.sent_at });
+                verification = Some(Verification { as_of: told.sent_at, end: told.end });
             }
         }
         verification
--- a/sorrelpass/src/gateway/call/intake.rs
+++ b/sorrelpass/src/gateway/call/intake.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use coord::name::Name;
+use coord::offset::Formatted;
 use coord::route::{Route, Workspace};
 use coord::time::Moment;
 use hyper::body::Incoming;
@@ -115,8 +116,9 @@
     );
     let parts = fingerprint::compute_parts(&service, &request_head.shared_parts);
     let part_names: Vec<String> = parts.iter().map(|part| part.fingerprint.to_string()).collect();
+    let proof_end = Formatted(gateway.store_view.configuration.verified_end());
     event!("request", request = %request_head.id, work = %fingerprint, route = %route.name, service = %service, parts = part_names.join(","), prompt_tokens = request_head.prompt_tokens.unwrap_or(0),
-        version = gateway.table().version(), proof_age_ms = gateway.verification_age_ms().unwrap_or(0), allowed_ms = timeout.as_millis());
+        version = gateway.table().version(), proof_age_ms = gateway.verification_age_ms().unwrap_or(0), proof_end = %proof_end, allowed_ms = timeout.as_millis());
     gateway.record_request(&service);
     Ok(PendingRequest {
         gateway: gateway.clone(),
--- a/sorrelpass/src/gateway/ingest.rs
+++ b/sorrelpass/src/gateway/ingest.rs
@@ -117,7 +117,7 @@
     gateway.roster.borrow().get(id).is_some_and(Replica::takes_work)
 }
 
-/// Origin of an update about replicas.
+/// Origin of an update about replicas, or of a verification.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     /// This entry read the update from the store.
--- a/sorrelpass/src/gateway/mod.rs
+++ b/sorrelpass/src/gateway/mod.rs
@@ -64,7 +64,7 @@
     let hangup = signal(SignalKind::hangup()).wrap_err("step=watch-signals")?;
     let listener = http::listen_for_callers(settings.listen)?;
     let ready_listener = http::listen_for_callers(settings.ready_listen)?;
-    event!("start", role = "gateway", listen = %settings.listen, store = %settings.store, policy = ?settings.policy);
+    event!("start", role = "gateway", sources = util::SOURCES, machine = std::env::consts::ARCH, debug = cfg!(debug_assertions), listen = %settings.listen, store = %settings.store, policy = ?settings.policy);
     let gateway = Rc::new(Gateway::new(settings));
     tokio::task::spawn_local(store_reader::configuration::poll(gateway.clone()));
     tokio::task::spawn_local(store_reader::replicas::poll(gateway.clone()));
--- a/sorrelpass/src/gateway/store_reader/configuration.rs
+++ b/sorrelpass/src/gateway/store_reader/configuration.rs
@@ -9,7 +9,7 @@
 use platform::configuration;
 use platform::store::KeyedRecord;
 
-use super::super::ingest::ApplyOutcome;
+use super::super::ingest::{ApplyOutcome, Source};
 use super::super::state::Gateway;
 use super::super::topic_reader::{LogRead, MIN_RETRY_DELAY, RecordBatch, TopicReader};
 use super::super::{delegates, ingest};
@@ -151,7 +151,7 @@
         let verification = self.progress.record(answer, copy_end);
         self.has_skipped &= verification.is_none();
         if let Some(verification) = verification.filter(|_| gateway.table().version() > 0) {
-            gateway.store_view.configuration.mark_verified(verification);
+            gateway.store_view.configuration.mark_verified(verification, Source::Store);
         }
     }
 }
--- a/sorrelpass/src/gateway/store_reader/replicas.rs
+++ b/sorrelpass/src/gateway/store_reader/replicas.rs
@@ -106,7 +106,7 @@
     fn record(&mut self, gateway: &Gateway, answer: Answer) {
         let end = gateway.roster.borrow().end();
         if let Some(verification) = self.progress.record(answer, end) {
-            gateway.store_view.replicas.mark_verified(verification);
+            gateway.store_view.replicas.mark_verified(verification, Source::Store);
             self.is_recovering = false;
         }
     }
--- a/sorrelpass/src/gateway/store_view.rs
+++ b/sorrelpass/src/gateway/store_view.rs
@@ -15,6 +15,7 @@
 use coord::roster;
 use coord::time::Moment;
 use eyre::Result;
+use platform::{configuration, replica};
 use tokio::sync::Notify;
 
 use super::delegates::Delegates;
@@ -67,9 +68,9 @@
     pub fn new(link_mbps: f64) -> Self {
         let budget = || RefCell::new(Bucket::new(link_mbps * BYTES_PER_S_PER_MBPS * CONFIGURATION_LINK_SHARE, now()));
         Self {
-            configuration: TopicState::default(),
+            configuration: TopicState::new(configuration::TOPIC),
             configuration_position: ReadPosition::default(),
-            replicas: TopicState::default(),
+            replicas: TopicState::new(replica::TOPIC),
             configurations: RefCell::default(),
             replica_snapshot: RefCell::default(),
             link_budget: (link_mbps > 0.0).then(budget),
@@ -274,7 +275,8 @@
     match response.configuration {
         Some(copy_state) if is_applied && !response.is_too_large => {
             view.configuration_position.advance_to(copy_state.next_offset);
-            view.configuration.mark_verified(Verification::reported(requested_at, copy_state.age));
+            let verification = Verification::reported(requested_at, copy_state.age, copy_state.next_offset);
+            view.configuration.mark_verified(verification, Source::Peer);
         }
         Some(_) => {
             view.configuration.mark_behind();
@@ -297,6 +299,7 @@
     requested_at: Moment,
 ) -> Result<()> {
     let transfer = copy.transfer.unpack()?;
+    let verification = Verification::reported(requested_at, copy.age, transfer.extent.end());
     // An entry with a fresh copy sees a missing record as removed, even if the other entry was cut off from the store
     // for long. Only an entry with a stale copy takes over the other one's grace period.
     if !store_reader::are_replicas_fresh(gateway) {
@@ -304,6 +307,6 @@
     }
     ingest::apply_transfer(gateway, transfer, Source::Peer)?;
     ingest::expire_records(gateway, Source::Peer);
-    gateway.store_view.replicas.mark_verified(Verification::reported(requested_at, copy.age));
+    gateway.store_view.replicas.mark_verified(verification, Source::Peer);
     Ok(())
 }
--- a/sorrelpass/src/gateway/topic.rs
+++ b/sorrelpass/src/gateway/topic.rs
@@ -7,12 +7,17 @@
 use std::time::Duration;
 
 use coord::invariant;
-use coord::offset;
+use coord::offset::{self, Formatted};
 use coord::progress::Verification;
 use coord::time::Moment;
 use tokio::sync::watch;
 
+use super::ingest::Source;
 use super::now;
+use crate::event;
+
+/// Age of a verification from which the next one is logged. While the store answers, none gets as old.
+const LOGGED_AGE: Duration = Duration::from_secs(2);
 
 /// Position of this process in the log of a topic of which only the newest records count.
 #[derive(Default)]
@@ -50,10 +55,10 @@
 }
 
 /// State of this process's copy of one topic.
-#[derive(Default)]
 pub struct TopicState {
-    /// Time before which every acknowledged record is known to be in the copy.
-    verified_at: Cell<Option<Moment>>,
+    topic_name: &'static str,
+    /// Newest proof that the copy is complete.
+    verification: Cell<Option<Verification>>,
     /// Whether the copy was ever verified.
     ever_verified: watch::Sender<bool>,
     /// Whether the store has newer records that this process must read itself.
@@ -63,18 +68,40 @@
 }
 
 impl TopicState {
-    /// Records that the copy is known to be complete.
-    pub fn mark_verified(&self, verification: Verification) {
+    /// Creates the state of a copy of the topic `topic_name`, of which nothing was read yet.
+    pub fn new(topic_name: &'static str) -> Self {
+        Self {
+            topic_name,
+            verification: Cell::default(),
+            ever_verified: watch::Sender::default(),
+            is_behind: Cell::default(),
+            is_read_requested: Cell::default(),
+        }
+    }
+
+    /// Records that the copy is known to be complete by a read here (`Source::Store`) or at another entry.
+    pub fn mark_verified(&self, verification: Verification, source: Source) {
         let as_of = verification.as_of();
         invariant!(as_of <= now(), "a read of the store is not from the future");
         self.is_behind.set(false);
-        if self.verified_at.get().is_none_or(|verified_at| verified_at < as_of) {
-            self.verified_at.set(Some(as_of));
+        if self.verification.get().is_none_or(|known| known.as_of() < as_of) {
+            self.log_verification(verification, source);
+            self.verification.set(Some(verification));
             self.is_read_requested.set(false);
             self.ever_verified.send_replace(true);
         }
     }
 
+    /// Logs a verification that ends a time in which the copy was not verified.
+    fn log_verification(&self, verification: Verification, source: Source) {
+        if self.is_verified_within(LOGGED_AGE) {
+            return;
+        }
+        let (age, end) = (now().since(verification.as_of()), Formatted(verification.end()));
+        let before = self.age().map_or(0, |age| age.as_millis());
+        event!("verified", topic = self.topic_name, source = ?source, end = %end, age_ms = age.as_millis(), before_ms = before);
+    }
+
     /// Waits until the copy has been verified for the first time.
     pub async fn wait_for_first_verification(&self) {
         // Fails only if the sender was dropped, and `self` owns the sender.
@@ -98,7 +125,7 @@
 
     /// Returns whether a read that was sent at `since` or later verified the copy.
     pub fn is_verified_since(&self, since: Moment) -> bool {
-        self.verified_at.get().is_some_and(|verified_at| verified_at >= since)
+        self.verification.get().is_some_and(|known| known.as_of() >= since)
     }
 
     /// Returns whether the store has newer records that this process must read itself.
@@ -106,10 +133,15 @@
         self.is_behind.get()
     }
 
+    /// Returns the end of the log that the copy is known to have reached, or 0 if the copy was never verified.
+    pub fn verified_end(&self) -> u64 {
+        self.verification.get().map_or(0, |known| known.end())
+    }
+
     /// Returns the time since the newest read that verified the copy was sent, or `None` if the copy was never
     /// verified.
     pub fn age(&self) -> Option<Duration> {
-        self.verified_at.get().map(|verified_at| now().since(verified_at))
+        self.verification.get().map(|known| now().since(known.as_of()))
     }
 
     /// Returns whether the newest read that verified the copy was sent less than `max_age` ago.
--- a/sorrelpass/src/util.rs
+++ b/sorrelpass/src/util.rs
@@ -11,6 +11,9 @@
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// Digest of the sources from which this program was built, in hexadecimal.
+pub const SOURCES: &str = env!("SORRELPASS_SOURCES");
+
 static FIRST_CALL: OnceLock<Duration> = OnceLock::new();
 static INCARNATION: OnceLock<Incarnation> = OnceLock::new();
 
--- a/standin/tests/platform_partial_reads.rs
+++ b/standin/tests/platform_partial_reads.rs
@@ -164,6 +164,31 @@
     Play { record_key: "of-another-writer", ..Play::lone("parts-foreign", 3, Some(1)) }.run().await;
 }
 
+/// Guards against a log that does not tell which program ran, which read verified a copy, and under which verification a
+/// request was let through.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_the_verification_under_which_a_request_ran() {
+    let play = Play::lone("parts-log", 3, None);
+    let site = play.start().await;
+    play.miss_revocation(&site).await;
+    common::wait_until("the key is accepted", || async { play.accepts(&site, STAYING_KEY).await }).await;
+    let log = site.log(0);
+    let values = |step: &str, field: &str| -> Vec<String> {
+        let lines = log.lines().filter(|line| line.contains(&format!(" step={step} ")));
+        let value = |line: &str| Some(line.split_once(&format!(" {field}="))?.1.split(' ').next()?.to_owned());
+        lines.filter_map(value).collect()
+    };
+    let sources = values("start", "sources");
+    assert!(sources.len() == 1 && sources[0].len() == 16, "{sources:?}: {log}");
+    // Two configurations were written before the outage.
+    let end = (2 + MISSED).to_string();
+    let verified = values("verified", "end");
+    assert_eq!(verified.last(), Some(&end), "{log}");
+    assert_eq!(values("request", "proof_end").last(), Some(&end), "{log}");
+    assert!(verified.len() < 8, "a line for each read: {verified:?}");
+    site.close().expect("no invariant was breached");
+}
+
 /// Guards against a part that one entry read and that all entries take for the whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_one_entry_read_verifies_no_entry() {
