A read of the own form's log that timed out gets more time

What callers saw: entries of the own form that started while answers of the log took longer than 2 s were not ready for as long as that lasted, and refused everything.

Change: after a read that timed out the next ones have 4 s, until one is answered within 2 s. The log's interface has no size that a reader could ask for.

Answers that take longer than 4 s are still given up: not played.

Conclusion: fixed up to 4 s an answer.

--- a/sorrelpass/src/platform/http.rs
+++ b/sorrelpass/src/platform/http.rs
@@ -1,5 +1,6 @@
 //! Clients of the platform's HTTP/JSON interface.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,9 +14,12 @@
 use super::{Batch, BoxFuture, Listing, Log, Record, VmList};
 use crate::http::{self, Client};
 use crate::plugin::{LogPlugin, VmListPlugin};
+use crate::util;
 
 /// Timeout of a call to the platform, without the time that a read waits for records.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a read after one that timed out: the same call again would end no sooner.
+const SLOW_READ_TIMEOUT: Duration = Duration::from_secs(4);
 
 inventory::submit! { LogPlugin { name: "http", build: |address| Box::new(HttpLog::new(address)) } }
 inventory::submit! { VmListPlugin { name: "http", build: |address| Box::new(HttpVmList::new(address)) } }
@@ -24,6 +28,8 @@
 pub struct HttpLog {
     address: String,
     client: Client,
+    /// Whether reads have the longer timeout, until one is answered within the shorter one.
+    is_slow: Cell<bool>,
 }
 
 /// Client of the VM list over HTTP.
@@ -53,7 +59,7 @@
 
 impl HttpLog {
     fn new(address: &str) -> Self {
-        Self { address: address.to_owned(), client: http::client_h1() }
+        Self { address: address.to_owned(), client: http::client_h1(), is_slow: Cell::new(false) }
     }
 
     async fn append_record(&self, stream: &str, payload: Bytes) -> Result<u64> {
@@ -68,8 +74,12 @@
     async fn read_records(&self, stream: &str, offset: u64, wait_ms: u64) -> Result<Batch> {
         let path = format!("/streams/{stream}?from={offset}&wait_ms={wait_ms}");
         let call = http::exchange_json(&self.client, &self.address, "GET", &path, None);
-        let response: ReadResponse =
-            with_timeout(&self.address, CALL_TIMEOUT + Duration::from_millis(wait_ms), call).await?;
+        let wait = Duration::from_millis(wait_ms);
+        let timeout = if self.is_slow.get() { SLOW_READ_TIMEOUT } else { CALL_TIMEOUT };
+        let sent_at = util::now();
+        let outcome = with_timeout(&self.address, wait + timeout, call).await;
+        self.is_slow.set(util::now().since(sent_at) >= wait + CALL_TIMEOUT);
+        let response: ReadResponse = outcome?;
         let records = response.entries.into_iter().map(|record| Record {
             offset: record.offset,
             appended_at: Moment::from_millis(record.at_ms),
--- a/standin/tests/configuration.rs
+++ b/standin/tests/configuration.rs
@@ -244,3 +244,26 @@
     fleet.inject_fault("log", &json!({})).await.expect("the log answers");
     close_fleet(fleet).await;
 }
+
+/// Guards against a read of the log that is given up after the same time again and again: entries that start while answers
+/// take longer than that were never ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_start_while_answers_of_the_log_take_longer_than_a_call() {
+    let mut fleet = start_small_fleet("slow").await;
+    fleet.publish(&put_service_change("permits", 1_000)).await.expect("the plan is confirmed");
+    let newest = revision(&fleet, 0).await;
+    fleet.inject_fault("log", &json!({ "slow_ms": 2_200 })).await.expect("the log answers");
+    let entries = ["entry-0", "entry-1"];
+    for entry in entries {
+        fleet.kill(entry).expect("the entry is killed");
+    }
+    for entry in entries {
+        fleet.restart(entry).expect("the entry starts");
+    }
+    for (number, entry) in entries.into_iter().enumerate() {
+        fleet.wait_ready(&fleet.entries[number]).await.expect("the entry is ready");
+        assert_eq!(revision(&fleet, number).await, newest, "{entry}");
+    }
+    fleet.inject_fault("log", &json!({})).await.expect("the log answers");
+    close_fleet(fleet).await;
+}
