The newest configuration is read in place of parts that nearly time out

Cause: each part took 0.9 s, just below the timeout, and all of them were read though only the newest configuration counts.

Change: a part that took half of the timeout shows that the rest takes long; the newest records are then read once in its place, as after a timeout.

A store that answers in its usual time is read as before.

--- a/coord/src/read_size.rs
+++ b/coord/src/read_size.rs
@@ -15,6 +15,8 @@
 /// Share of the timeout within which a part has to come for the next one to be larger: less than the ratio of the two
 /// sizes.
 const QUICK_SHARE: f64 = 0.25;
+/// Share of the timeout from which a part counts as slow.
+const SLOW_SHARE: f64 = 0.5;
 
 /// What a read asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,6 +34,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadSize {
     step: Step,
+    /// Whether the newest part took so long that it is better not to read many of them.
+    is_last_slow: bool,
 }
 
 impl ReadSize {
@@ -56,6 +60,11 @@
         self.step > Step::Whole
     }
 
+    /// Returns whether the rest of the log takes long: parts are reduced, or the newest one took half of the timeout.
+    pub fn is_slow(&self) -> bool {
+        self.is_reduced() || self.is_last_slow
+    }
+
     /// Records that a read did not end in time.
     pub fn record_timeout(&mut self) {
         self.step = if self.is_reduced() { Step::Patient } else { Step::Reduced };
@@ -64,6 +73,7 @@
     /// Records a part that took `elapsed`, where the timeout of reads is `timeout`. An answer with the rest of the log says
     /// nothing about how long a larger one takes.
     pub fn record_part(&mut self, elapsed: Duration, timeout: Duration) {
+        self.is_last_slow = elapsed >= timeout.mul_f64(SLOW_SHARE);
         if elapsed < timeout.mul_f64(QUICK_SHARE) {
             self.step = if self.step == Step::Patient { Step::Reduced } else { Step::Whole };
         }
--- a/coord/tests/read_size.rs
+++ b/coord/tests/read_size.rs
@@ -56,6 +56,17 @@
     assert_eq!(size.max_kib(), None);
 }
 
+#[test]
+fn a_part_that_nearly_timed_out_shows_that_the_rest_takes_long() {
+    let mut size = ReadSize::default();
+    size.record_part(TIMEOUT / 3, TIMEOUT);
+    assert!(!size.is_slow());
+    size.record_part(TIMEOUT * 2 / 3, TIMEOUT);
+    assert!(size.is_slow() && size.max_kib().is_none());
+    size.record_part(TIMEOUT / 3, TIMEOUT);
+    assert!(!size.is_slow());
+}
+
 proptest! {
     /// At any lasting rate at which the largest part that is asked for comes within twice the timeout, a part comes after
     /// two reads at most that time out, and half of the reads bring one.
--- a/sorrelpass/src/gateway/store_reader/configuration.rs
+++ b/sorrelpass/src/gateway/store_reader/configuration.rs
@@ -91,7 +91,7 @@
     /// configuration counts, and from a slow store the rest comes later. If they do not come in time either, the rest is
     /// read.
     fn should_skip(&self, copy_end: u64) -> bool {
-        self.topic.reads_small_parts() && self.progress.has_rest(copy_end) && !self.has_skipped
+        self.topic.is_slow() && self.progress.has_rest(copy_end) && !self.has_skipped
     }
 
     /// Applies records of the log.
--- a/sorrelpass/src/gateway/topic_reader.rs
+++ b/sorrelpass/src/gateway/topic_reader.rs
@@ -79,9 +79,9 @@
         self.failures > 0
     }
 
-    /// Returns whether the log is read in smaller parts than the store would choose, because reads timed out.
-    pub fn reads_small_parts(&self) -> bool {
-        self.size.is_reduced()
+    /// Returns whether the rest of the log takes long, by the parts that were read or timed out.
+    pub fn is_slow(&self) -> bool {
+        self.size.is_slow()
     }
 
     /// Records the outcome of a call. Returns whether the call succeeded after failed ones.
--- a/standin/tests/platform_slow_reads.rs
+++ b/standin/tests/platform_slow_reads.rs
@@ -19,6 +19,8 @@
 const CONFIGURATION_BYTES: usize = 180_000;
 /// Rates at which the store makes responses: its usual one, and those at which 1,024 KiB take 1.3 s and 3.5 s.
 const RATES_BYTES_PER_S: [u64; 3] = [80_000_000, 800_000, 300_000];
+/// Rate at which 1,024 KiB take 0.9 s.
+const SLOW_RATE_BYTES_PER_S: u64 = 1_200_000;
 /// Time within which an entry serves again once the store can be reached (`recovery_s` of the deployments' sheets).
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Interval between two requests.
@@ -76,8 +78,26 @@
     }
 }
 
-/// Guards against the same for the replicas' records: replicas that began to drain got requests for as long as the store
-/// was slow.
+/// Guards against an entry that reads many parts from a store that hardly makes one in time, and refuses everything
+/// meanwhile, although the newest configuration is all that counts.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_newest_configuration_is_read_in_place_of_many_slow_parts() {
+    let site = start("slow-parts", 1).await;
+    set_store_fault(&site, Fault::TooManyRequests);
+    (0..3 * MISSED as u64).for_each(|seed| configure(&site, &[STAYING_KEY], seed));
+    tokio::time::sleep(REVOKE_TIMEOUT).await;
+    site.store.set_response_rate(SLOW_RATE_BYTES_PER_S);
+    set_store_fault(&site, Fault::None);
+    common::wait_until("the key is accepted", || async { status(&site, 0, STAYING_KEY).await == 200 }).await;
+    assert_eq!(status(&site, 0, KEY).await, 401, "{}", site.log(0));
+    let log = site.log(0);
+    let parts = log.lines().filter(|line| line.contains("step=store-part topic=keyed.op")).count();
+    assert_eq!(parts, 1, "{log}");
+    site.close().expect("no invariant was breached");
+}
+
+/// Guards against a part of the replicas' records that is given up again and again: replicas that began to drain got
+/// requests for as long as the store was slow.
 #[tokio::test(flavor = "multi_thread")]
 async fn replicas_that_drain_behind_many_heartbeats_are_known_from_a_slow_store() {
     for rate in RATES_BYTES_PER_S {
@@ -104,7 +124,7 @@
     }
 }
 
-/// Guards against the same for the quarantine's topic: a verdict behind many records was never read.
+/// Guards against the same for the quarantine's topic: that a verdict was lifted was never read.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lifted_verdict_behind_many_records_is_read_from_a_slow_store() {
     for rate in RATES_BYTES_PER_S {
